--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# The targets that developers and CI use.
+
+programs := linetiller fakeengine fakeplatform fakeservice demo
+tools := bin/tools
+
+.PHONY: all build demo lint measure test tidy format
+
+all: build
+
+build:
+	@mkdir -p bin
+	go build -o bin/ $(addprefix ./cmd/,$(programs))
+
+demo: build
+	bin/demo bin
+
+test:
+	go test -race ./...
+
+lint: $(tools)/gofumpt $(tools)/golangci-lint
+	@unformatted=$$($(tools)/gofumpt -l .); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	$(tools)/golangci-lint run ./...
+
+format: $(tools)/gofumpt
+	$(tools)/gofumpt -w .
+
+measure:
+	go run ./cmd/measure
+
+include tools/versions.mk
+
+$(tools)/gofumpt: tools/versions.mk
+	GOBIN=$(CURDIR)/$(tools) go install mvdan.cc/gofumpt@$(gofumpt_version)
+
+$(tools)/golangci-lint: tools/versions.mk
+	GOBIN=$(CURDIR)/$(tools) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(golangci_lint_version)
--- /dev/null
+++ b/internal/box/message.go
@@ -0,0 +1,92 @@
+// Package box speaks to the other boxes of the system, over QUIC with CBOR.
+//
+// A call opens one stream, sends one Request and reads one or more Replies.
+// Every message carries the sender's name and configuration revision.
+package box
+
+import (
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// Kind tells what a Request asks for.
+type Kind string
+
+// The kinds of requests.
+const (
+	KindAsk       Kind = "ask"       // a place at an upstream; replies until it starts or is refused
+	KindChanges   Kind = "changes"   // configuration after a revision
+	KindHeartbeat Kind = "heartbeat" // that the sender lives
+	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
+	KindMembers   Kind = "members"   // the boxes that the other side knows
+	KindUpdate    Kind = "update"    // how far running generations are
+)
+
+// State is what a box says of itself.
+type State string
+
+// The states of a box.
+const (
+	StateLeaving State = "leaving"
+	StateServing State = "serving"
+)
+
+// Member is a box as another box knows it.
+type Member struct {
+	Address string `cbor:"1,keyasint"` // IP:port
+	Hall    string `cbor:"2,keyasint"`
+	Name    string `cbor:"3,keyasint"`
+	State   State  `cbor:"4,keyasint"`
+}
+
+// Request is the first message on a stream.
+type Request struct {
+	After    int64   `cbor:"1,keyasint,omitempty"` // changes: the revision held
+	Ask      *Ask    `cbor:"2,keyasint,omitempty"`
+	From     Member  `cbor:"3,keyasint"`
+	Forward  bool    `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
+	Kind     Kind    `cbor:"5,keyasint"`
+	Revision int64   `cbor:"6,keyasint"` // in force at the sender
+	Update   *Update `cbor:"7,keyasint,omitempty"`
+}
+
+// Ask asks the owner of an upstream for a place.
+type Ask struct {
+	Upstream string      `cbor:"1,keyasint"`
+	Work     policy.Work `cbor:"2,keyasint"`
+}
+
+// Item is how far one generation is.
+type Item struct {
+	Ended    bool         `cbor:"1,keyasint,omitempty"` // it reached its own end
+	Gone     bool         `cbor:"2,keyasint,omitempty"` // it holds no memory any more
+	ID       string       `cbor:"3,keyasint"`
+	Produced int          `cbor:"4,keyasint"`           // tokens
+	Work     *policy.Work `cbor:"5,keyasint,omitempty"` // for an owner that does not know it
+}
+
+// Update tells the owner of an upstream how far generations are.
+type Update struct {
+	Items    []Item `cbor:"1,keyasint"`
+	Upstream string `cbor:"2,keyasint"`
+}
+
+// Reply is one answer.
+type Reply struct {
+	Answer   *policy.Answer    `cbor:"1,keyasint,omitempty"` // ask
+	Changes  []resource.Change `cbor:"2,keyasint,omitempty"` // changes
+	Error    string            `cbor:"3,keyasint,omitempty"` // the reason of a refusal by the box itself
+	Halls    []HallRevisions   `cbor:"4,keyasint,omitempty"` // in-force
+	Load     *policy.Load      `cbor:"5,keyasint,omitempty"`
+	Members  []Member          `cbor:"6,keyasint,omitempty"` // members
+	Revision int64             `cbor:"7,keyasint"`           // in force at the sender
+	State    State             `cbor:"8,keyasint,omitempty"` // heartbeat
+	Unknown  []string          `cbor:"9,keyasint,omitempty"` // update: ids the owner does not know
+}
+
+// HallRevisions tells which revisions the boxes of a hall have in force.
+type HallRevisions struct {
+	Hall      string  `cbor:"1,keyasint"`
+	Revisions []int64 `cbor:"2,keyasint"` // one a box that answered
+	Silent    int     `cbor:"3,keyasint"` // boxes that did not
+}
--- /dev/null
+++ b/internal/box/transport.go
@@ -0,0 +1,273 @@
+package box
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/linetiller/linetiller/internal/fail"
+)
+
+// Handler answers one request; answer may be called more than once. Its context
+// ends when the caller has hung up.
+type Handler func(ctx context.Context, q *Request, answer func(*Reply) error)
+
+// Transport calls other boxes and answers their calls, on one UDP socket. It is
+// safe for concurrent use.
+type Transport struct {
+	mutex       sync.Mutex // guards connections; no other lock is taken under it
+	connections map[string]*quic.Conn
+
+	cancel   context.CancelFunc
+	client   *tls.Config
+	ctx      context.Context
+	handler  Handler
+	listener *quic.Listener
+	quic     *quic.Transport
+	socket   net.PacketConn
+	workers  sync.WaitGroup
+}
+
+// Call is one call in progress.
+type Call struct {
+	decoder *cbor.Decoder
+	peer    string
+	stream  *quic.Stream
+}
+
+// Protocol names the protocol between boxes in the TLS handshake.
+const Protocol = "linetiller-box/1"
+
+// MaxMessageBytes bounds the messages of one stream in one direction.
+const MaxMessageBytes = 64 << 20
+
+const (
+	codeHungUp     = 1
+	idlePeriod     = 10 * time.Second
+	keepAliveEvery = 3 * time.Second
+	maxStreams     = 1 << 16
+)
+
+var decodeMode = newDecodeMode()
+
+// Listen returns a transport at address (IP:port) that answers by h.
+//
+// Both configurations must name Protocol; where they carry certificates, both
+// ends are authenticated.
+func Listen(address string, server, client *tls.Config, h Handler) (*Transport, error) {
+	p := fail.Place{Peer: "boxes", Step: "listen"}
+	s, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return nil, fail.Wrap(fail.Unavailable, p, "listen", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{
+		cancel: cancel, client: client, connections: make(map[string]*quic.Conn), ctx: ctx,
+		handler: h, quic: &quic.Transport{Conn: s}, socket: s,
+	}
+	t.listener, err = t.quic.Listen(server, config())
+	if err != nil {
+		cancel()
+		_ = s.Close()
+		return nil, fail.Wrap(fail.Unavailable, p, "listen", err)
+	}
+	t.workers.Go(t.accept)
+	return t, nil
+}
+
+// Address returns the address the transport listens at.
+func (t *Transport) Address() string {
+	return t.socket.LocalAddr().String()
+}
+
+// Call sends q to the box at address. The caller closes the call.
+func (t *Transport) Call(ctx context.Context, address string, q *Request) (*Call, error) {
+	p := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
+	c, err := t.connection(ctx, address)
+	if err != nil {
+		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+	}
+	s, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		t.forget(address, c)
+		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+	}
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	if err := cbor.NewEncoder(s).Encode(q); err != nil {
+		s.CancelRead(codeHungUp)
+		s.CancelWrite(codeHungUp)
+		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+	}
+	_ = s.Close()
+	return &Call{decoder: decodeMode.NewDecoder(io.LimitReader(s, MaxMessageBytes)), peer: p.Peer, stream: s}, nil
+}
+
+// Close hangs up on every box and waits for the calls in progress.
+func (t *Transport) Close() error {
+	t.cancel()
+	err := t.listener.Close()
+	t.mutex.Lock()
+	for _, c := range t.connections {
+		_ = c.CloseWithError(codeHungUp, "closing")
+	}
+	t.mutex.Unlock()
+	t.workers.Wait()
+	return errors.Join(err, t.quic.Close(), ignoreClosed(t.socket.Close()))
+}
+
+// Once sends q and returns its one reply.
+func (t *Transport) Once(ctx context.Context, address string, q *Request) (*Reply, error) {
+	c, err := t.Call(ctx, address, q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Close() }()
+	return c.Next()
+}
+
+// Close hangs up.
+func (c *Call) Close() error {
+	c.stream.CancelRead(codeHungUp)
+	return nil
+}
+
+// Next returns the next reply.
+func (c *Call) Next() (*Reply, error) {
+	p := fail.Place{Peer: c.peer, Step: "read reply"}
+	r := new(Reply)
+	if err := c.decoder.Decode(r); err != nil {
+		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+	}
+	if r.Error != "" {
+		return nil, fail.New(fail.Unavailable, p, r.Error, "refused: %s", r.Error)
+	}
+	return r, nil
+}
+
+// SetDeadline bounds the wait for replies; the zero time lifts the bound.
+func (c *Call) SetDeadline(t time.Time) {
+	_ = c.stream.SetReadDeadline(t)
+}
+
+// DecodeRequest reads a request, as the transport does.
+func DecodeRequest(r io.Reader) (*Request, error) {
+	q := new(Request)
+	if err := decodeMode.NewDecoder(io.LimitReader(r, MaxMessageBytes)).Decode(q); err != nil {
+		return nil, err
+	}
+	if q.Kind == KindAsk && q.Ask == nil {
+		return nil, errors.New("an ask without its work")
+	}
+	if q.Kind == KindUpdate && q.Update == nil {
+		return nil, errors.New("an update without its items")
+	}
+	return q, nil
+}
+
+func (t *Transport) accept() {
+	for {
+		c, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		t.workers.Go(func() { t.serve(c) })
+	}
+}
+
+// connection returns the open connection to address, or makes one.
+func (t *Transport) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	t.mutex.Lock()
+	c := t.connections[address]
+	t.mutex.Unlock()
+	if c != nil && c.Context().Err() == nil {
+		return c, nil
+	}
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err = t.quic.Dial(ctx, a, t.client, config())
+	if err != nil {
+		return nil, err
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if o := t.connections[address]; o != nil && o.Context().Err() == nil {
+		_ = c.CloseWithError(codeHungUp, "double")
+		return o, nil
+	}
+	if t.ctx.Err() != nil {
+		_ = c.CloseWithError(codeHungUp, "closing")
+		return nil, t.ctx.Err()
+	}
+	t.connections[address] = c
+	return c, nil
+}
+
+func (t *Transport) forget(address string, c *quic.Conn) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.connections[address] == c {
+		delete(t.connections, address)
+	}
+}
+
+func (t *Transport) serve(c *quic.Conn) {
+	defer func() { _ = c.CloseWithError(codeHungUp, "closing") }()
+	for {
+		s, err := c.AcceptStream(t.ctx)
+		if err != nil {
+			return
+		}
+		t.workers.Go(func() { t.answer(s) })
+	}
+}
+
+func (t *Transport) answer(s *quic.Stream) {
+	defer func() { _ = s.Close() }()
+	_ = s.SetReadDeadline(time.Now().Add(idlePeriod))
+	e := cbor.NewEncoder(s)
+	q, err := DecodeRequest(s)
+	if err != nil {
+		_ = e.Encode(&Reply{Error: "bad_message"})
+		return
+	}
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	defer context.AfterFunc(t.ctx, cancel)()
+	t.handler(ctx, q, func(r *Reply) error { return e.Encode(r) })
+}
+
+func config() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: 2 * time.Second,
+		KeepAlivePeriod:      keepAliveEvery,
+		MaxIdleTimeout:       idlePeriod,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func newDecodeMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("box: %v", err))
+	}
+	return m
+}
--- /dev/null
+++ b/internal/certificate/certificate.go
@@ -0,0 +1,159 @@
+// Package certificate makes and loads the certificates by which boxes know
+// each other, and by which callers may know a box.
+package certificate
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"time"
+)
+
+// Pair is a certificate and its key, both in PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+const (
+	authorityLife = 10 * 365 * 24 * time.Hour
+	boxLife       = 90 * 24 * time.Hour
+	clockSlack    = 5 * time.Minute
+	serialBits    = 127
+)
+
+// NewAuthority returns a new authority that signs the certificates of boxes.
+func NewAuthority(now time.Time) (*Pair, error) {
+	t := template("linetiller authority", now, authorityLife)
+	t.IsCA = true
+	t.BasicConstraintsValid = true
+	t.KeyUsage = x509.KeyUsageCertSign
+	return sign(t, nil)
+}
+
+// NewBox returns a certificate of a box, signed by the authority a, for its IP numbers.
+func NewBox(a *Pair, name string, addresses []net.IP, now time.Time) (*Pair, error) {
+	t := template(name, now, boxLife)
+	t.IPAddresses = addresses
+	t.DNSNames = []string{name}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return sign(t, a)
+}
+
+// Ephemeral returns configurations that encrypt but authenticate nobody; they
+// are for boxes on one machine only.
+func Ephemeral(protocol string) (server, client *tls.Config, err error) {
+	a, err := NewAuthority(time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := NewBox(a, "box", nil, time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := tls.X509KeyPair(p.Certificate, p.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	server = &tls.Config{Certificates: []tls.Certificate{c}, MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}}
+	client = &tls.Config{
+		InsecureSkipVerify: true, //nolint:gosec // Only for boxes on one machine, see the comment above.
+		MinVersion:         tls.VersionTLS13, NextProtos: []string{protocol},
+	}
+	return server, client, nil
+}
+
+// Load returns configurations for the links between boxes: each end shows its
+// certificate and accepts only those that the authority signed.
+func Load(authority, certificate, key, protocol string) (server, client *tls.Config, err error) {
+	c, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, nil, fmt.Errorf("certificate %s: %w", certificate, err)
+	}
+	b, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, nil, fmt.Errorf("authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return nil, nil, fmt.Errorf("authority %s: no certificate in it", authority)
+	}
+	server = &tls.Config{
+		Certificates: []tls.Certificate{c}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+		MinVersion: tls.VersionTLS13, NextProtos: []string{protocol},
+	}
+	client = &tls.Config{
+		Certificates: []tls.Certificate{c}, MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, RootCAs: pool,
+	}
+	return server, client, nil
+}
+
+// Wrap returns l, behind TLS where secure is set.
+func Wrap(l net.Listener, secure bool, certificate, key string) (net.Listener, error) {
+	if !secure {
+		return l, nil
+	}
+	c, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("certificate %s: %w", certificate, err), l.Close())
+	}
+	return tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{c}, MinVersion: tls.VersionTLS12}), nil
+}
+
+func sign(t *x509.Certificate, a *Pair) (*Pair, error) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	parent, signer := t, any(k)
+	if a != nil {
+		parent, signer, err = parse(a)
+		if err != nil {
+			return nil, err
+		}
+	}
+	c, err := x509.CreateCertificate(rand.Reader, t, parent, &k.PublicKey, signer)
+	if err != nil {
+		return nil, err
+	}
+	d, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		return nil, err
+	}
+	return &Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Bytes: c, Type: "CERTIFICATE"}),
+		Key:         pem.EncodeToMemory(&pem.Block{Bytes: d, Type: "PRIVATE KEY"}),
+	}, nil
+}
+
+func parse(a *Pair) (*x509.Certificate, any, error) {
+	c, _ := pem.Decode(a.Certificate)
+	k, _ := pem.Decode(a.Key)
+	if c == nil || k == nil {
+		return nil, nil, errors.New("the authority's certificate or key is not in PEM")
+	}
+	x, err := x509.ParseCertificate(c.Bytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := x509.ParsePKCS8PrivateKey(k.Bytes)
+	return x, s, err
+}
+
+func template(name string, now time.Time, life time.Duration) *x509.Certificate {
+	n, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	return &x509.Certificate{
+		NotAfter: now.Add(life), NotBefore: now.Add(-clockSlack),
+		SerialNumber: n, Subject: pkix.Name{CommonName: name},
+	}
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,235 @@
+// Package client answers the system's callers over HTTP: completions in the
+// form of the OpenAI interface, whole or as server-sent events, and calls to
+// plain services.
+package client
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/service"
+)
+
+// Server answers clients. It is an http.Handler.
+type Server struct {
+	// CallService carries a call to a plain service; a seam.
+	CallService func(ctx context.Context, c *service.Call) (*service.Answer, error)
+	// Generate carries a generation; a seam.
+	Generate func(ctx context.Context, q *delivery.Request, sink delivery.Sink) error
+	// Ready reports whether the balancer should send requests here; a seam.
+	Ready func() bool
+
+	bodyBytes int64
+	deadline  time.Duration
+	metrics   *metric.Set
+	mux       *http.ServeMux
+	view      *resource.View
+}
+
+// Option sets one thing of a Server.
+type Option func(*Server)
+
+// The headers by which a caller says more than the OpenAI interface can.
+const (
+	HeaderDeadline = "Linetiller-Deadline" // RFC 3339, or a time from now such as 30s
+	HeaderKey      = "Idempotency-Key"
+	HeaderKind     = "Linetiller-Kind"
+	HeaderLast     = "Last-Event-ID"
+	HeaderPriority = "Linetiller-Priority"
+	HeaderRepeated = "Linetiller-Repeated" // on an answer from an earlier request with the same key
+	HeaderRetry    = "X-Should-Retry"      // what client libraries obey
+)
+
+const maxHeaderValue = 256
+
+// New returns a server over the workspaces and models in v.
+func New(v *resource.View, m *metric.Set, options ...Option) *Server {
+	s := &Server{bodyBytes: 4 << 20, deadline: 5 * time.Minute, metrics: m, mux: http.NewServeMux(), view: v}
+	for _, o := range options {
+		o(s)
+	}
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { m.Write(w) })
+	s.mux.HandleFunc("GET /readyz", s.getReady)
+	s.mux.HandleFunc("GET /v1/models", s.getModels)
+	s.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { s.postCompletion(w, r, formChat) })
+	s.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { s.postCompletion(w, r, formText) })
+	s.mux.HandleFunc("/services/{name}/", s.anyService)
+	s.mux.HandleFunc("/", s.anyOther)
+	return s
+}
+
+// WithBodyBytes bounds the body of a request.
+func WithBodyBytes(n int64) Option {
+	return func(s *Server) { s.bodyBytes = n }
+}
+
+// WithDeadline sets how long a request that names no deadline may take.
+func WithDeadline(d time.Duration) Option {
+	return func(s *Server) { s.deadline = d }
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) anyOther(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, fail.New(fail.NotFound, place("route"), "path_unknown", "%s %s is not served", r.Method, r.URL.Path))
+}
+
+func (s *Server) anyService(w http.ResponseWriter, r *http.Request) {
+	c, err := s.readCall(w, r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	a, err := s.CallService(r.Context(), c)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	if a.Repeated {
+		w.Header().Set(HeaderRepeated, "true")
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func (s *Server) authorize(r *http.Request) (*resource.Workspace, error) {
+	k, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || k == "" {
+		return nil, fail.New(fail.Unauthorized, place("authorize"), "key_absent", "the Authorization header must carry a bearer key")
+	}
+	w := s.view.WorkspaceByKey(k)
+	if w == nil {
+		return nil, fail.New(fail.Unauthorized, place("authorize"), "key_unknown", "the bearer key opens no workspace")
+	}
+	return w, nil
+}
+
+// deadlineOf returns the deadline that a request names, or the default one.
+func (s *Server) deadlineOf(r *http.Request, now time.Time) (time.Time, error) {
+	h := r.Header.Get(HeaderDeadline)
+	if h == "" {
+		return now.Add(s.deadline), nil
+	}
+	if t, err := time.Parse(time.RFC3339Nano, h); err == nil {
+		return t, nil
+	}
+	d, err := time.ParseDuration(h)
+	if err != nil || d <= 0 {
+		return time.Time{}, fail.New(fail.BadInput, place("read headers"), "bad_deadline", "%s must be a time such as %s or 30s", HeaderDeadline, time.RFC3339)
+	}
+	return now.Add(d), nil
+}
+
+func (s *Server) getModels(w http.ResponseWriter, r *http.Request) {
+	if _, err := s.authorize(r); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	l := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range s.view.List(resource.KindModel) {
+		l.Data = append(l.Data, modelEntry{ID: m.Metadata.Name, Object: "model", OwnedBy: "linetiller"})
+	}
+	writeJSON(w, http.StatusOK, l)
+}
+
+func (s *Server) getReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// keyOf returns the request key, which must be short and plain.
+func keyOf(r *http.Request) (string, error) {
+	k := r.Header.Get(HeaderKey)
+	if len(k) > maxHeaderValue || strings.ContainsFunc(k, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return "", fail.New(fail.BadInput, place("read headers"), "bad_key", "%s must be at most %d printable ASCII characters", HeaderKey, maxHeaderValue)
+	}
+	return k, nil
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes))
+	var m *http.MaxBytesError
+	if errors.As(err, &m) {
+		return nil, fail.New(fail.BadInput, place("read body"), "body_too_large", "the body is larger than %d bytes", s.bodyBytes)
+	}
+	if err != nil {
+		return nil, fail.Wrap(fail.BadInput, place("read body"), "body_cut", err)
+	}
+	return b, nil
+}
+
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*service.Call, error) {
+	x, err := s.authorize(r)
+	if err != nil {
+		return nil, err
+	}
+	k, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	d, err := s.deadlineOf(r, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	b, err := s.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	n := r.PathValue("name")
+	p := service.PathOf(r.URL, n)
+	return &service.Call{
+		Body: b, Deadline: d, Header: r.Header, Key: k, Method: r.Method, Path: p,
+		Print: printOf([]byte(r.Method+" "+n+" "+p), b), Service: n, Workspace: x.Name,
+	}, nil
+}
+
+// refuse writes an error in the form of the OpenAI interface and counts it,
+// where the part that made it has not.
+func (s *Server) refuse(w http.ResponseWriter, err error) {
+	if !counted(err) {
+		s.metrics.Count(metric.Refusals, "reason", fail.Reason(err))
+	}
+	writeError(w, err)
+}
+
+// printOf returns a hash of a request, by which a repeat of its key is known.
+func printOf(parts ...[]byte) string {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(strconv.Itoa(len(p)) + ":"))
+		_, _ = h.Write(p)
+	}
+	return hex.EncodeToString(h.Sum(nil))[:32]
+}
+
+func place(step string) fail.Place {
+	return fail.Place{Peer: "client", Step: step}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/client/completion.go
@@ -0,0 +1,268 @@
+package client
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// form tells the two kinds of completions apart.
+type form string
+
+const (
+	formChat form = "chat.completion"
+	formText form = "text_completion"
+)
+
+// completionRequest is the body of both kinds of completions.
+type completionRequest struct {
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	MaxTokens           *int            `json:"max_tokens"`
+	Messages            []message       `json:"messages"`
+	Model               string          `json:"model"`
+	N                   *int            `json:"n"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Stream              bool            `json:"stream"`
+}
+
+type message struct {
+	Content json.RawMessage `json:"content"`
+	Role    string          `json:"role"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Data   []modelEntry `json:"data"`
+	Object string       `json:"object"`
+}
+
+type part struct {
+	Text string `json:"text"`
+	Type string `json:"type"`
+}
+
+const (
+	charactersToken = 4   // of a prompt, per token: an estimate for the decisions
+	prefixBytes     = 512 // of a prompt that name its prefix
+	prefixLeast     = 64
+)
+
+// postCompletion answers a completion.
+func (s *Server) postCompletion(w http.ResponseWriter, r *http.Request, f form) {
+	now := time.Now()
+	q, stream, err := s.readCompletion(w, r, f, now)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	a := &answerWriter{
+		created: now.Unix(), form: f, model: q.Work.Model, promptTokens: q.Work.Prompt, writer: w, control: http.NewResponseController(w),
+	}
+	sink := a.collect
+	if stream {
+		sink = a.send
+	}
+	if err := s.Generate(r.Context(), q, sink); err != nil {
+		a.fail(s, err)
+		return
+	}
+	if !stream {
+		a.whole()
+	}
+}
+
+// promptOf returns the text of a request, and faults in its shape.
+func promptOf(c *completionRequest, f form) (string, error) {
+	if f == formChat {
+		return promptOfMessages(c.Messages)
+	}
+	var t string
+	if json.Unmarshal(c.Prompt, &t) == nil && t != "" {
+		return t, nil
+	}
+	var l []string
+	if json.Unmarshal(c.Prompt, &l) == nil && len(l) == 1 {
+		return l[0], nil
+	}
+	return "", badField("prompt", "must be one text")
+}
+
+func promptOfMessages(l []message) (string, error) {
+	if len(l) == 0 {
+		return "", badField("messages", "must not be empty")
+	}
+	var b strings.Builder
+	for _, m := range l {
+		if m.Role == "" {
+			return "", badField("messages.role", "must be set")
+		}
+		t, err := contentOf(m.Content)
+		if err != nil {
+			return "", err
+		}
+		b.WriteString(m.Role + ": " + t + "\n")
+	}
+	return b.String(), nil
+}
+
+func contentOf(c json.RawMessage) (string, error) {
+	var t string
+	if json.Unmarshal(c, &t) == nil {
+		return t, nil
+	}
+	var l []part
+	if json.Unmarshal(c, &l) != nil {
+		return "", badField("messages.content", "must be a text or a list of text parts")
+	}
+	var b strings.Builder
+	for _, p := range l {
+		if p.Type != "text" {
+			return "", badField("messages.content", "parts must be of type text")
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+// readCompletion reads and checks all that a completion asks for.
+func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, f form, now time.Time) (*delivery.Request, bool, error) {
+	x, err := s.authorize(r)
+	if err != nil {
+		return nil, false, err
+	}
+	b, err := s.readBody(w, r)
+	if err != nil {
+		return nil, false, err
+	}
+	c := new(completionRequest)
+	if err := json.Unmarshal(b, c); err != nil {
+		return nil, false, fail.Wrap(fail.BadInput, place("read body"), "bad_json", err)
+	}
+	if c.N != nil && *c.N != 1 {
+		return nil, false, badField("n", "must be 1")
+	}
+	t, err := promptOf(c, f)
+	if err != nil {
+		return nil, false, err
+	}
+	q := &delivery.Request{Print: printOf([]byte(f), b), Prompt: t}
+	if err := s.readHeaders(r, q, now); err != nil {
+		return nil, false, err
+	}
+	return q, c.Stream, s.fillWork(&q.Work, c, r, x, t, now)
+}
+
+// fillWork describes the request to the decisions.
+func (s *Server) fillWork(w *policy.Work, c *completionRequest, r *http.Request, x *resource.Workspace, prompt string, now time.Time) error {
+	m, err := s.modelOf(c.Model)
+	if err != nil {
+		return err
+	}
+	w.Arrived = now
+	w.ID = newWorkID()
+	w.Kind = r.Header.Get(HeaderKind)
+	w.MaxTokens, err = maxTokensOf(c, m.MaxTokens)
+	if err != nil {
+		return err
+	}
+	w.Model = c.Model
+	w.Prompt = 1 + len(prompt)/charactersToken
+	if len(prompt) >= prefixLeast {
+		w.Prefix = xxhash.Sum64String(c.Model + "\x00" + prompt[:min(len(prompt), prefixBytes)])
+	}
+	w.Weight = x.Spec.Weight
+	w.Workspace = x.Name
+	w.Priority, err = s.priorityOf(r.Header.Get(HeaderPriority), x.Spec.Priority)
+	return err
+}
+
+func (s *Server) modelOf(name string) (*resource.ModelSpec, error) {
+	x := s.view.Get(resource.KindModel, name)
+	if x == nil {
+		return nil, fail.New(fail.NotFound, place("read body"), "model_unknown", "model %q is not served", name)
+	}
+	m, err := resource.Decode[resource.ModelSpec](x)
+	if err != nil {
+		return nil, fail.Wrap(fail.NotFound, place("read body"), "model_unknown", err)
+	}
+	return m, nil
+}
+
+// priorityOf returns the value of the priority asked for, at most the
+// workspace's own.
+func (s *Server) priorityOf(asked, own string) (int, error) {
+	most, err := s.priorityValue(own)
+	if err != nil || asked == "" {
+		return most, err
+	}
+	v, err := s.priorityValue(asked)
+	return min(v, most), err
+}
+
+func (s *Server) priorityValue(name string) (int, error) {
+	if name == "" {
+		return 0, nil
+	}
+	x := s.view.Get(resource.KindPriority, name)
+	if x == nil {
+		return 0, fail.New(fail.BadInput, place("read headers"), "bad_priority", "priority %q is not known", name)
+	}
+	p, err := resource.Decode[resource.PrioritySpec](x)
+	if err != nil {
+		return 0, fail.Wrap(fail.BadInput, place("read headers"), "bad_priority", err)
+	}
+	return p.Value, nil
+}
+
+func (s *Server) readHeaders(r *http.Request, q *delivery.Request, now time.Time) error {
+	var err error
+	if q.Key, err = keyOf(r); err != nil {
+		return err
+	}
+	if q.Work.Deadline, err = s.deadlineOf(r, now); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(r.Header.Values(HeaderKind), func(v string) bool { return len(v) > maxHeaderValue }) {
+		return fail.New(fail.BadInput, place("read headers"), "bad_kind", "%s must be at most %d characters", HeaderKind, maxHeaderValue)
+	}
+	h := r.Header.Get(HeaderLast)
+	if h == "" {
+		return nil
+	}
+	q.Resume, err = delivery.ParseEventID(h)
+	if err != nil {
+		return fail.Wrap(fail.BadInput, place("read headers"), "bad_event_id", err)
+	}
+	return nil
+}
+
+func badField(field, message string) error {
+	return fail.New(fail.BadInput, place("read body"), "bad_field", "%s: %s", field, message)
+}
+
+func maxTokensOf(c *completionRequest, most int) (int, error) {
+	n := most
+	for _, v := range []*int{c.MaxTokens, c.MaxCompletionTokens} {
+		if v != nil {
+			n = *v
+		}
+	}
+	if n < 1 {
+		return 0, badField("max_tokens", "must be above 0")
+	}
+	return min(n, most), nil
+}
--- /dev/null
+++ b/internal/cmd/checkcmd.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/linetiller/linetiller/internal/settings"
+)
+
+func newCheckCmd(e *environment) *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check settings (.toml) and resource files (.json) without a box",
+		ArgsUsage:   "FILE...",
+		Description: "Every fault is told with its file, line and key.",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return errors.Join(errBadInput, errors.New("check takes at least one FILE"))
+			}
+			return runCheckCmd(e, c.Args().Slice())
+		},
+	}
+}
+
+func runCheckCmd(e *environment, paths []string) error {
+	var all []error
+	for _, p := range paths {
+		if err := checkFile(e, p); err != nil {
+			all = append(all, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(e.output, "%s: sound\n", p)
+	}
+	return errors.Join(all...)
+}
+
+func checkFile(e *environment, path string) error {
+	if !strings.HasSuffix(path, ".toml") {
+		_, err := readResources(e, path)
+		return err
+	}
+	b, err := readFile(e, path)
+	if err != nil {
+		return errors.Join(errBadInput, err)
+	}
+	_, err = settings.Parse(b)
+	var f settings.Faults
+	if !errors.As(err, &f) {
+		return err
+	}
+	all := []error{errBadInput}
+	for _, x := range f {
+		all = append(all, fmt.Errorf("%s:%d: %s: %s", path, x.Line, x.Key, x.Message))
+	}
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/cmd/generatecmd.go
@@ -0,0 +1,73 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/linetiller/linetiller/internal/client"
+)
+
+func newGenerateCmd(e *environment) *cli.Command {
+	return &cli.Command{
+		Name:      "generate",
+		Usage:     "ask for a generation and show it as it comes",
+		ArgsUsage: "PROMPT",
+		Description: "Where a box is lost mid-stream, the generation goes on at the next one: name several " +
+			"with --box. With --key, the request runs at most once however often it is made.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{
+				Name: "box", Usage: "`URL` of a box's client address; may be given again",
+				Sources: cli.EnvVars("LINETILLER_BOXES"), Value: []string{"http://127.0.0.1:8080"},
+			},
+			&cli.StringFlag{Name: "workspace-key", Usage: "the workspace's bearer `KEY`", Sources: cli.EnvVars("LINETILLER_WORKSPACE_KEY"), Required: true},
+			&cli.StringFlag{Name: "model", Usage: "the `NAME` of the model", Required: true},
+			&cli.StringFlag{Name: "key", Usage: "the request `KEY`"},
+			&cli.StringFlag{Name: "deadline", Usage: "`TIME` by which the answer must be whole, such as 30s"},
+			&cli.StringFlag{Name: "priority", Usage: "the `NAME` of the priority"},
+			&cli.StringFlag{Name: "kind", Usage: "`WORD` that tells requests of like length apart"},
+			&cli.IntFlag{Name: "max-tokens", Usage: "output tokens at most"},
+			outputFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return errors.Join(errBadInput, errors.New("generate takes a PROMPT"))
+			}
+			g := &client.Generator{Boxes: c.StringSlice("box"), HTTP: &http.Client{}, Key: c.String("workspace-key")}
+			return runGenerateCmd(ctx, e, g, &client.Ask{
+				Deadline: c.String("deadline"), Key: c.String("key"), Kind: c.String("kind"), MaxTokens: c.Int("max-tokens"),
+				Model: c.String("model"), Priority: c.String("priority"), Prompt: strings.Join(c.Args().Slice(), " "),
+			}, c.String(flagOutput))
+		},
+	}
+}
+
+// generated is one line of the command's JSON output.
+type generated struct {
+	Boxes  int    `json:"boxes,omitempty"`  // at which it was asked for, on the last line
+	Finish string `json:"finish,omitempty"` // why it ended, on the last line
+	ID     string `json:"id,omitempty"`
+	Text   string `json:"text,omitempty"`
+}
+
+func runGenerateCmd(ctx context.Context, e *environment, g *client.Generator, a *client.Ask, form string) error {
+	j := json.NewEncoder(e.output)
+	g.Taken = func(id, text string) error {
+		if form == outputJSON {
+			return j.Encode(generated{ID: id, Text: text})
+		}
+		_, err := fmt.Fprint(e.output, text)
+		return err
+	}
+	finish, boxes, err := g.Run(ctx, a)
+	if form == outputJSON && err == nil {
+		return j.Encode(generated{Boxes: boxes, Finish: finish})
+	}
+	_, _ = fmt.Fprintln(e.output)
+	return err
+}
--- /dev/null
+++ b/internal/cmd/servecmd.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/linetiller/linetiller"
+	"github.com/linetiller/linetiller/internal/settings"
+)
+
+func newServeCmd(e *environment) *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run an entry box",
+		Description: "The first SIGTERM or SIGINT makes the box leave: it finishes every request in progress " +
+			"and exits. A second one stops it at once and says what was left.",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "`FILE` of the settings", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runServeCmd(ctx, e, c.String("settings"))
+		},
+	}
+}
+
+func runServeCmd(_ context.Context, e *environment, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return errors.Join(errBadInput, err)
+	}
+	l := slog.New(slog.NewJSONHandler(e.errorOutput, &slog.HandlerOptions{Level: s.Level()})).With("box", s.Box)
+	b, err := linetiller.New(s, linetiller.WithLog(l))
+	if err != nil {
+		return err
+	}
+	// The box has its own handling of signals: the first one lets it finish.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	left := make(chan int, 1)
+	go func() {
+		<-signals
+		b.Leave()
+		<-signals
+		left <- b.Held()
+		cancel()
+	}()
+	err = b.Serve(ctx)
+	select {
+	case n := <-left:
+		return errors.Join(err, fmt.Errorf("stopped with %d requests unfinished", n))
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/internal/cmd/watchcmd.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+func newWatchCmd(e *environment) *cli.Command {
+	return &cli.Command{
+		Name:      "watch",
+		Usage:     "show changes as they come in force",
+		ArgsUsage: "[KIND]",
+		Flags: append(operatorFlags(), outputFlag(),
+			&cli.StringFlag{Name: "after", Usage: "show the changes after `VERSION`", Value: "0"},
+			&cli.IntFlag{Name: "count", Usage: "end after `N` changes"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runWatchCmd(ctx, e, newOperatorClient(c), resource.Kind(c.Args().Get(0)), c.String("after"), c.String(flagOutput), c.Int("count"))
+		},
+	}
+}
+
+// errEnough ends a watch that has shown all that was asked for.
+var errEnough = errors.New("enough")
+
+func runWatchCmd(ctx context.Context, e *environment, o *operator.Client, k resource.Kind, after, form string, count int) error {
+	n := 0
+	err := o.Watch(ctx, k, after, func(v *operator.WatchEvent) error {
+		if v.Type == operator.WatchBookmark {
+			return nil
+		}
+		n++
+		if err := printWatchEvent(ctx, e, o, v, form); err != nil {
+			return err
+		}
+		if n == count {
+			return errEnough
+		}
+		return nil
+	})
+	if errors.Is(err, errEnough) || ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func printWatchEvent(ctx context.Context, e *environment, o *operator.Client, v *operator.WatchEvent, form string) error {
+	if form == outputJSON {
+		return json.NewEncoder(e.output).Encode(v)
+	}
+	m := v.Resource.Metadata
+	s := ""
+	if v.Type == operator.WatchApplied {
+		s = conditionText(ctx, o, v.Resource)
+	}
+	_, err := fmt.Fprintf(e.output, "%s %s %s version %s%s\n", v.Type, v.Resource.Kind, m.Name, v.Revision, s)
+	return err
+}
+
+func conditionText(ctx context.Context, o *operator.Client, r *resource.Resource) string {
+	ctx, cancel := context.WithTimeout(ctx, answerPeriod)
+	defer cancel()
+	x, err := o.Get(ctx, r.Kind, r.Metadata.Name)
+	if err != nil || x.Status == nil {
+		return ""
+	}
+	s := ""
+	for _, c := range x.Status.Conditions {
+		s += fmt.Sprintf(" %s=%s", c.Type, c.Status)
+	}
+	for _, h := range x.Status.Halls {
+		s += fmt.Sprintf(" %s=%d/%d", h.Hall, h.InForce, h.Boxes)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/delivery/delivery.go
@@ -0,0 +1,246 @@
+// Package delivery carries one request from its arrival to its final answer:
+// it finds a place, starts the generation, relays its tokens once and in order,
+// resumes after cuts and records the outcome.
+package delivery
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/requestkey"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/upstream"
+)
+
+// Request is one generation that a client asks for.
+type Request struct {
+	Key    string // the request key, "" where it may be repeated
+	Print  string // hash of what is asked, which a repeat of the key must match
+	Prompt string
+	Resume *EventID // the last token that the client has
+	Work   policy.Work
+}
+
+// EventID names a token that was delivered.
+type EventID struct {
+	Generation string
+	Index      int // of the token
+	Upstream   string
+}
+
+// Token is one token on its way to the client.
+type Token struct {
+	Finish     string // why the generation ended, on the last one, which has no text
+	Generation string
+	Index      int
+	Text       string
+	Upstream   string
+}
+
+// Sink takes one token to the client; an error means that the client has gone.
+type Sink func(t *Token) error
+
+// Deliverer carries requests. It is safe for concurrent use; Close waits for
+// those in progress.
+type Deliverer struct {
+	// Fresh makes sure that the box's views are not those of before a pause; a seam.
+	Fresh func(ctx context.Context)
+	// Place finds an upstream; a seam, set to a placement's method.
+	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
+
+	cancel  context.CancelFunc
+	ctx     context.Context // ends when Close stops waiting for outcomes to be recorded
+	engines *upstream.Engines
+	keys    *requestkey.Keys
+	log     *slog.Logger
+	metrics *metric.Set
+	mutex   sync.Mutex // guards retries, held and closing
+	closing bool
+	held    int
+	limit   int
+	meter   meter
+	retries *policy.Retries
+	silence time.Duration
+	tracker *placement.Tracker
+	view    *resource.View
+	records sync.WaitGroup // outcomes being recorded
+	workers sync.WaitGroup // requests in progress
+}
+
+const (
+	cancelPeriod  = 2 * time.Second
+	closePeriod   = 5 * time.Second  // for outcomes to be recorded when the box stops
+	lingerPeriod  = 10 * time.Second // for a client to come back, before its generation is cancelled
+	placesMost    = 4                // upstreams tried for one request
+	recordPeriod  = 10 * time.Minute // for the outcome to be recorded while the platform is out
+	recordRetry   = 5 * time.Second
+	resumePeriod  = 3 * time.Second // of failing resumptions after which a generation is lost
+	resumptionGap = 50 * time.Millisecond
+)
+
+// Option sets one thing of a Deliverer.
+type Option func(*Deliverer)
+
+// New returns a deliverer.
+func New(e *upstream.Engines, k *requestkey.Keys, t *placement.Tracker, v *resource.View, m *metric.Set, l *slog.Logger, options ...Option) *Deliverer {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Deliverer{
+		Fresh:  func(context.Context) {},
+		cancel: cancel, ctx: ctx,
+		engines: e, keys: k, limit: 10_000, log: l, meter: newMeter(m), metrics: m,
+		retries: policy.NewRetries(), silence: 10 * time.Second, tracker: t, view: v,
+	}
+	for _, o := range options {
+		o(d)
+	}
+	m.Gauge(metric.Streams, func() float64 { return float64(d.Held()) })
+	return d
+}
+
+// ParseEventID reads the form that EventID.String writes.
+func ParseEventID(s string) (*EventID, error) {
+	p := strings.Split(s, "/")
+	if len(p) != 3 || p[0] == "" || p[1] == "" {
+		return nil, fmt.Errorf("event id %q is not UPSTREAM/GENERATION/INDEX", s)
+	}
+	i, err := strconv.Atoi(p[2])
+	if err != nil || i < 0 {
+		return nil, fmt.Errorf("event id %q has no token index", s)
+	}
+	return &EventID{Generation: p[1], Index: i, Upstream: p[0]}, nil
+}
+
+// WithLimit bounds the requests held at once.
+func WithLimit(n int) Option {
+	return func(d *Deliverer) { d.limit = n }
+}
+
+// WithSilence sets after how long without a token a stream is opened anew.
+func WithSilence(s time.Duration) Option {
+	return func(d *Deliverer) { d.silence = s }
+}
+
+// Close refuses new requests, waits for those in progress, and gives outcomes
+// that are not recorded yet a moment more.
+func (d *Deliverer) Close() error {
+	d.mutex.Lock()
+	d.closing = true
+	d.mutex.Unlock()
+	d.workers.Wait()
+	t := time.AfterFunc(closePeriod, d.cancel)
+	defer t.Stop()
+	d.records.Wait()
+	d.cancel()
+	return nil
+}
+
+// Generate carries q to its end. Its error tells what the client may conclude:
+// fail.NotRun, fail.Interrupted, fail.Unknown and the others as they say.
+func (d *Deliverer) Generate(ctx context.Context, q *Request, sink Sink) error {
+	if err := d.enter(); err != nil {
+		return d.account(err)
+	}
+	defer d.leave()
+	s := &session{client: ctx, deliverer: d, request: q, sink: sink}
+	return d.account(s.run())
+}
+
+// Held returns how many requests are in progress.
+func (d *Deliverer) Held() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.held
+}
+
+// String returns the form that goes to clients as a server-sent event's id.
+func (e EventID) String() string {
+	return e.Upstream + "/" + e.Generation + "/" + strconv.Itoa(e.Index)
+}
+
+// account counts and logs how a request ended.
+func (d *Deliverer) account(err error) error {
+	r := fail.Reason(err)
+	switch {
+	case err == nil:
+		d.metrics.Count(metric.Generations, "outcome", "finished")
+		event.RequestFinished.Log(d.log)
+	case errorx.IsOfType(err, fail.Interrupted), errorx.IsOfType(err, fail.Unknown):
+		d.metrics.Count(metric.Generations, "outcome", "interrupted")
+		event.RequestInterrupted.Log(d.log, "reason", r, "step", fail.Step(err), "peer", fail.Peer(err), "error", err.Error())
+	default:
+		d.metrics.Count(metric.Generations, "outcome", "refused")
+		d.metrics.Count(metric.Refusals, "reason", r)
+		event.RequestRefused.Log(d.log, "reason", r, "step", fail.Step(err), "peer", fail.Peer(err))
+	}
+	return err
+}
+
+// background records an outcome, again and again while the platform is out.
+func (d *Deliverer) background(record func(ctx context.Context) error) {
+	until := time.Now().Add(recordPeriod)
+	d.records.Go(func() {
+		for first := true; time.Now().Before(until); first = false {
+			ctx, cancel := context.WithTimeout(d.ctx, recordRetry)
+			err := record(ctx)
+			cancel()
+			if err == nil || errorx.IsOfType(err, fail.Conflict) {
+				return
+			}
+			if first {
+				event.OutcomeNotRecorded.Log(d.log, "step", fail.Step(err), "reason", fail.Reason(err))
+			}
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-time.After(recordRetry):
+			}
+		}
+	})
+}
+
+func (d *Deliverer) enter() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := fail.Place{Peer: "client", Step: "accept"}
+	if d.closing {
+		return fail.WithRetryAt(fail.New(fail.NotRun, p, "box_leaving", "this box is leaving"), time.Now())
+	}
+	if d.held >= d.limit {
+		return fail.WithRetryAt(fail.New(fail.NotRun, p, "too_many_streams", "this box holds its limit of requests"), time.Now().Add(time.Second))
+	}
+	d.held++
+	d.retries.Request()
+	d.workers.Add(1)
+	return nil
+}
+
+func (d *Deliverer) leave() {
+	d.mutex.Lock()
+	d.held--
+	d.mutex.Unlock()
+	d.workers.Done()
+}
+
+func (d *Deliverer) takeRetry() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.retries.Take()
+}
+
+// newID returns a name that no other box will choose.
+func newID() string {
+	return strings.ToLower(rand.Text())
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,58 @@
+// Package event numbers the log events of linetiller.
+//
+// Each event has a number, a name and a level. The catalogue in
+// docs/EVENTS.md is checked against All by a test.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Level  slog.Level
+	Name   string
+	Number int
+}
+
+// The events, grouped by hundreds: 1xx the box, 2xx requests, 3xx upstreams,
+// 4xx the platform, 5xx other boxes, 6xx operators.
+var (
+	BoxStarted         = Event{slog.LevelInfo, "box started", 101}
+	BoxLeaving         = Event{slog.LevelInfo, "box leaving", 102}
+	BoxStopped         = Event{slog.LevelInfo, "box stopped", 103}
+	BoxStopIncomplete  = Event{slog.LevelWarn, "box stopped with requests unfinished", 104}
+	ClockJumped        = Event{slog.LevelWarn, "clock jumped, views refreshed", 105}
+	RequestFinished    = Event{slog.LevelDebug, "request finished", 201}
+	RequestRefused     = Event{slog.LevelInfo, "request refused", 202}
+	RequestInterrupted = Event{slog.LevelWarn, "request interrupted", 203}
+	RequestRetried     = Event{slog.LevelInfo, "request retried", 204}
+	StreamResumed      = Event{slog.LevelInfo, "stream resumed", 205}
+	UpstreamFailed     = Event{slog.LevelWarn, "upstream failed", 301}
+	UpstreamMismatch   = Event{slog.LevelError, "upstream sent a frame of another generation", 302}
+	ReportMissing      = Event{slog.LevelWarn, "upstream load report missing", 303}
+	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
+	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
+	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
+	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
+	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
+	RevisionApplied    = Event{slog.LevelInfo, "configuration revision in force", 601}
+	ResourceWritten    = Event{slog.LevelInfo, "resource written", 602}
+	ResourceRefused    = Event{slog.LevelInfo, "resource write refused", 603}
+)
+
+// All lists every event in order of its number.
+var All = []Event{
+	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped,
+	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed,
+	UpstreamFailed, UpstreamMismatch, ReportMissing,
+	PlatformDown, PlatformBack, OutcomeNotRecorded,
+	PeerLost, PeerBack,
+	RevisionApplied, ResourceWritten, ResourceRefused,
+}
+
+// Log writes e to l with the given attributes.
+func (e Event) Log(l *slog.Logger, attributes ...any) {
+	l.Log(context.Background(), e.Level, e.Name, append([]any{"event", e.Number}, attributes...)...)
+}
--- /dev/null
+++ b/internal/fake/engine/scheduler.go
@@ -0,0 +1,247 @@
+// Package engine is a small stand-in of a model engine: continuous batching,
+// a limited key-value memory, a prefix cache, priorities, preemption,
+// cancellation, resumption and a load report that lags.
+//
+// Scheduler holds the engine's decisions without I/O or a clock, so that the
+// stand-in process and the measurements run the same code.
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Settings describes an engine.
+type Settings struct {
+	KVTokens     int           // memory for prompts and outputs, in tokens
+	MaxRunning   int           // generations that may be in one batch
+	PrefillChunk int           // prompt tokens computed in one step at most
+	PrefixSlots  int           // prefixes the cache holds
+	PrefillToken time.Duration // per prompt token computed
+	StepBase     time.Duration // per step
+	StepSequence time.Duration // per generation in the batch and step
+}
+
+// Generation is one piece of work in an engine.
+type Generation struct {
+	Arrival  int64 // order of arrival, from 1
+	ID       string
+	Max      int    // output tokens at most
+	Output   int    // output tokens after which it ends by itself
+	Prefix   uint64 // key of its prompt's prefix
+	Priority int    // higher goes first
+	Produced int    // output tokens so far
+	Prompt   int    // prompt tokens
+
+	prefill int // tokens still to be computed before the next output token
+	state   State
+}
+
+// State is where a generation stands in the engine.
+type State string
+
+// The states of a generation.
+const (
+	StateFinished State = "finished"
+	StateRunning  State = "running"
+	StateWaiting  State = "waiting"
+)
+
+// Scheduler decides what an engine computes in each step. It is not safe for
+// concurrent use.
+type Scheduler struct {
+	Preemptions int64
+	Used        int // tokens of memory in use
+
+	arrivals int64
+	byID     map[string]*Generation
+	prefixes []uint64 // most recently used last
+	running  []*Generation
+	settings Settings
+	waiting  []*Generation // in the order in which they start
+}
+
+// cachedShare is the share of a prompt that a cached prefix covers.
+const cachedShare = 0.5
+
+// DefaultSettings returns a small engine whose memory fills before its batch.
+func DefaultSettings() Settings {
+	return Settings{
+		KVTokens:     60_000,
+		MaxRunning:   256,
+		PrefillChunk: 1024,
+		PrefixSlots:  64,
+		PrefillToken: 10 * time.Microsecond,
+		StepBase:     15 * time.Millisecond,
+		StepSequence: 250 * time.Microsecond,
+	}
+}
+
+// NewScheduler returns an idle scheduler.
+func NewScheduler(s Settings) *Scheduler {
+	return &Scheduler{byID: make(map[string]*Generation), settings: s}
+}
+
+// Cancel removes a generation and reports whether it was there.
+func (s *Scheduler) Cancel(id string) bool {
+	g := s.byID[id]
+	if g == nil {
+		return false
+	}
+	delete(s.byID, id)
+	if g.state == StateRunning {
+		s.running = slices.DeleteFunc(s.running, func(x *Generation) bool { return x == g })
+		s.Used -= g.held()
+		return true
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(x *Generation) bool { return x == g })
+	return true
+}
+
+// Idle reports whether nothing runs or waits.
+func (s *Scheduler) Idle() bool {
+	return len(s.byID) == 0
+}
+
+// Running returns how many generations are in the batch.
+func (s *Scheduler) Running() int {
+	return len(s.running)
+}
+
+// Step computes one step: it starts what fits, preempts what no longer fits,
+// and hands each new token to emit. It returns how long the step took.
+func (s *Scheduler) Step(emit func(g *Generation, finished bool)) time.Duration {
+	s.admit()
+	s.makeRoom()
+	prefilled := s.prefill()
+	d := s.settings.StepBase +
+		time.Duration(len(s.running))*s.settings.StepSequence +
+		time.Duration(prefilled)*s.settings.PrefillToken
+	s.decode(emit)
+	return d
+}
+
+// Submit takes in a generation and reports whether its id was new and it can ever fit.
+func (s *Scheduler) Submit(g *Generation) bool {
+	if s.byID[g.ID] != nil || g.Prompt+1 > s.settings.KVTokens {
+		return false
+	}
+	s.arrivals++
+	g.Arrival = s.arrivals
+	g.prefill = g.Prompt
+	if s.touchPrefix(g.Prefix) {
+		g.prefill = int(float64(g.Prompt) * (1 - cachedShare))
+	}
+	g.state = StateWaiting
+	s.byID[g.ID] = g
+	s.insertWaiting(g)
+	return true
+}
+
+// Waiting returns how many generations wait, preempted ones included.
+func (s *Scheduler) Waiting() int {
+	return len(s.waiting)
+}
+
+// admit starts waiting generations, in order, while the next one fits.
+func (s *Scheduler) admit() {
+	for len(s.waiting) > 0 && len(s.running) < s.settings.MaxRunning {
+		g := s.waiting[0]
+		if s.Used+g.held()+1 > s.settings.KVTokens {
+			return
+		}
+		s.waiting = s.waiting[1:]
+		s.Used += g.held()
+		g.state = StateRunning
+		s.running = append(s.running, g)
+	}
+}
+
+func (s *Scheduler) decode(emit func(g *Generation, finished bool)) {
+	kept := s.running[:0]
+	for _, g := range s.running {
+		if g.prefill > 0 {
+			kept = append(kept, g)
+			continue
+		}
+		g.Produced++
+		s.Used++
+		if done := g.Produced >= min(g.Output, g.Max); done {
+			s.Used -= g.held()
+			g.state = StateFinished
+			delete(s.byID, g.ID)
+			emit(g, true)
+			continue
+		}
+		kept = append(kept, g)
+		emit(g, false)
+	}
+	clear(s.running[len(kept):])
+	s.running = kept
+}
+
+// insertWaiting keeps the queue by priority, then by arrival.
+func (s *Scheduler) insertWaiting(g *Generation) {
+	i, _ := slices.BinarySearchFunc(s.waiting, g, func(a, b *Generation) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Arrival, b.Arrival))
+	})
+	s.waiting = slices.Insert(s.waiting, i, g)
+}
+
+// makeRoom preempts, lowest priority and newest first, until a token for every
+// running generation fits.
+func (s *Scheduler) makeRoom() {
+	for len(s.running) > 1 && s.Used+len(s.running) > s.settings.KVTokens {
+		v := 0
+		for i, g := range s.running {
+			w := s.running[v]
+			if g.Priority < w.Priority || (g.Priority == w.Priority && g.Arrival > w.Arrival) {
+				v = i
+			}
+		}
+		g := s.running[v]
+		s.running = slices.Delete(s.running, v, v+1)
+		s.Used -= g.held()
+		s.Preemptions++
+		g.prefill = g.held()
+		g.state = StateWaiting
+		s.insertWaiting(g)
+	}
+}
+
+// prefill computes up to a chunk of prompt tokens, oldest first.
+func (s *Scheduler) prefill() int {
+	left := s.settings.PrefillChunk
+	for _, g := range s.running {
+		n := min(left, g.prefill)
+		g.prefill -= n
+		left -= n
+		if left == 0 {
+			break
+		}
+	}
+	return s.settings.PrefillChunk - left
+}
+
+// touchPrefix reports whether p is cached, and makes it the most recently used.
+func (s *Scheduler) touchPrefix(p uint64) bool {
+	if p == 0 {
+		return false
+	}
+	i := slices.Index(s.prefixes, p)
+	if i >= 0 {
+		s.prefixes = append(slices.Delete(s.prefixes, i, i+1), p)
+		return true
+	}
+	s.prefixes = append(s.prefixes, p)
+	if len(s.prefixes) > s.settings.PrefixSlots {
+		s.prefixes = s.prefixes[1:]
+	}
+	return false
+}
+
+// held returns the memory that g takes while it runs, in tokens.
+func (g *Generation) held() int {
+	return g.Prompt + g.Produced
+}
--- /dev/null
+++ b/internal/fake/service/service.go
@@ -0,0 +1,68 @@
+// Package service is a small stand-in of a plain service: it counts what it
+// runs and answers with the count, so that a call that ran twice shows.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Service is the stand-in. It is an http.Handler.
+type Service struct {
+	mutex      sync.Mutex
+	loseAnswer int
+	runs       int
+}
+
+// Answer is what a call is answered with.
+type Answer struct {
+	Body   string `json:"body"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Run    int    `json:"run"` // which run this was, from 1
+}
+
+const maxBodyBytes = 1 << 20
+
+// New returns a service that has run nothing.
+func New() *Service {
+	return new(Service)
+}
+
+// LoseAnswers makes the next n calls run without an answer.
+func (s *Service) LoseAnswers(n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.loseAnswer = n
+}
+
+// Runs returns how many calls ran.
+func (s *Service) Runs() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs
+}
+
+// ServeHTTP runs one call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	s.runs++
+	n := s.runs
+	lose := s.loseAnswer > 0
+	if lose {
+		s.loseAnswer--
+	}
+	s.mutex.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Answer{Body: string(b), Method: r.Method, Path: r.URL.RequestURI(), Run: n})
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,276 @@
+// Package member keeps what a box believes of the other boxes, from the
+// platform's list, which lags, and from direct evidence, which goes before it.
+package member
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// Table holds the boxes. It is safe for concurrent use; its lock is a leaf.
+type Table struct {
+	mutex   sync.Mutex
+	boxes   map[string]*entry
+	self    box.Member
+	version uint64 // rises whenever what Alive answers may have changed
+	watch   chan struct{}
+}
+
+type entry struct {
+	failedAt time.Time // of the last call that failed, zero after one that went well
+	heardAt  time.Time
+	listed   bool
+	member   box.Member
+}
+
+const (
+	// evidenceLife is how long a box that the list does not name is kept after
+	// it was last heard.
+	evidenceLife = 15 * time.Second
+	// failureLife is how long a failed call counts against a box that is still
+	// listed; the next call that fails renews it.
+	failureLife = 30 * time.Second
+	// heartbeatNeighbours is how many boxes each box sends heartbeats to.
+	heartbeatNeighbours = 8
+	// retryFailedAfter is when a box that failed is tried again.
+	retryFailedAfter = 5 * time.Second
+)
+
+// NewTable returns a table that knows only the box itself.
+func NewTable(self box.Member) *Table {
+	return &Table{boxes: make(map[string]*entry), self: self, watch: make(chan struct{})}
+}
+
+// Address returns the address of a box, or "".
+func (t *Table) Address(name string) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if name == t.self.Name {
+		return t.self.Address
+	}
+	if e := t.boxes[name]; e != nil {
+		return e.member.Address
+	}
+	return ""
+}
+
+// Alive returns the names of the boxes of a hall that are believed to serve, in
+// order; "" means all halls. The box itself is among them unless it leaves.
+func (t *Table) Alive(hall string) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var l []string
+	if (hall == "" || hall == t.self.Hall) && t.self.State != box.StateLeaving {
+		l = append(l, t.self.Name)
+	}
+	for n, e := range t.boxes {
+		if e.serving() && (hall == "" || e.member.Hall == hall) {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Changed returns a channel that is closed at the next change of Alive.
+func (t *Table) Changed() <-chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.watch
+}
+
+// Expire drops what is neither listed nor heard of lately, and gives boxes that
+// failed long ago another try.
+func (t *Table) Expire(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for n, e := range t.boxes {
+		if !e.listed && now.Sub(e.heardAt) > evidenceLife {
+			delete(t.boxes, n)
+			t.bump()
+			continue
+		}
+		if !e.failedAt.IsZero() && now.Sub(e.failedAt) > failureLife {
+			e.failedAt = time.Time{}
+			t.bump()
+		}
+	}
+}
+
+// Failed says that a call to a box failed. It reports whether the box was
+// believed to serve until now.
+func (t *Table) Failed(name string, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.boxes[name]
+	if e == nil {
+		return false
+	}
+	was := e.failedAt.IsZero()
+	e.failedAt = now
+	if was {
+		t.bump()
+	}
+	return was
+}
+
+// Halls returns the names of the halls that boxes are known in, in order.
+func (t *Table) Halls() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	m := map[string]bool{t.self.Hall: true}
+	for _, e := range t.boxes {
+		m[e.member.Hall] = true
+	}
+	return slices.Sorted(maps.Keys(m))
+}
+
+// Heard says that a box was heard. It reports whether it was believed gone.
+func (t *Table) Heard(m box.Member, now time.Time) bool {
+	if m.Name == t.self.Name || m.Name == "" {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.boxes[m.Name]
+	if e == nil {
+		e = new(entry)
+		t.boxes[m.Name] = e
+		t.bump()
+	}
+	back := !e.failedAt.IsZero()
+	if back || e.member != m {
+		t.bump()
+	}
+	e.failedAt = time.Time{}
+	e.heardAt = now
+	e.member = m
+	return back
+}
+
+// Leave makes the box itself one that leaves.
+func (t *Table) Leave() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.self.State = box.StateLeaving
+	t.bump()
+}
+
+// Left says that a box told that it is leaving.
+func (t *Table) Left(name string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if e := t.boxes[name]; e != nil && e.member.State != box.StateLeaving {
+		e.member.State = box.StateLeaving
+		t.bump()
+	}
+}
+
+// List takes in the platform's list. It lags: a box that was heard or that
+// failed more recently is believed by that evidence.
+func (t *Table) List(l []box.Member, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	seen := make(map[string]bool, len(l))
+	for _, m := range l {
+		if m.Name == t.self.Name {
+			continue
+		}
+		seen[m.Name] = true
+		t.listOne(m, now)
+	}
+	for n, e := range t.boxes {
+		e.listed = seen[n]
+	}
+}
+
+// Members returns every box known, the box itself first.
+func (t *Table) Members() []box.Member {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	l := []box.Member{t.self}
+	for _, n := range slices.Sorted(maps.Keys(t.boxes)) {
+		l = append(l, t.boxes[n].member)
+	}
+	return l
+}
+
+// Neighbours returns the boxes to which heartbeats go: those that a rendezvous
+// with the box's own name ranks first, in its hall, and one in each other hall.
+// Boxes that failed a moment ago are left out until they are due another try.
+func (t *Table) Neighbours(now time.Time) []box.Member {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	halls := make(map[string][]string)
+	for n, e := range t.boxes {
+		if now.Sub(e.failedAt) >= retryFailedAfter {
+			halls[e.member.Hall] = append(halls[e.member.Hall], n)
+		}
+	}
+	var l []box.Member
+	for _, h := range slices.Sorted(maps.Keys(halls)) {
+		n := 1
+		if h == t.self.Hall {
+			n = heartbeatNeighbours
+		}
+		r := policy.Rank(t.self.Name, halls[h])
+		for _, x := range r[:min(n, len(r))] {
+			l = append(l, t.boxes[x].member)
+		}
+	}
+	return l
+}
+
+// Self returns the box itself.
+func (t *Table) Self() box.Member {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.self
+}
+
+// SetAddress sets the address at which the box itself listens.
+func (t *Table) SetAddress(a string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.self.Address = a
+}
+
+// Version rises whenever what Alive answers may have changed.
+func (t *Table) Version() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.version
+}
+
+func (t *Table) bump() {
+	t.version++
+	close(t.watch)
+	t.watch = make(chan struct{})
+}
+
+func (t *Table) listOne(m box.Member, now time.Time) {
+	e := t.boxes[m.Name]
+	if e == nil {
+		t.boxes[m.Name] = &entry{listed: true, member: m}
+		t.bump()
+		return
+	}
+	fresh := now.Sub(e.heardAt) < evidenceLife
+	if m.State == box.StateLeaving && e.member.State != box.StateLeaving {
+		e.member.State = m.State
+		t.bump()
+	}
+	if !fresh && e.member != m {
+		e.member = m
+		t.bump()
+	}
+}
+
+func (e *entry) serving() bool {
+	return e.failedAt.IsZero() && e.member.State != box.StateLeaving
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,81 @@
+// Package metric names the metrics of a box. Names holds all of them; the
+// page docs/reference/metrics.md is checked against it by a test.
+package metric
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Name is a metric's name.
+type Name string
+
+// The metrics.
+const (
+	Boxes           Name = "linetiller_boxes"                        // gauge, by hall: boxes believed alive
+	Generations     Name = "linetiller_generations_total"            // counter, by outcome
+	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
+	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	Owned           Name = "linetiller_owned_upstreams"              // gauge
+	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
+	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
+	Reservations    Name = "linetiller_reservations"                 // gauge: at upstreams owned here
+	Resumptions     Name = "linetiller_resumptions_total"            // counter, by reason
+	Retries         Name = "linetiller_retries_total"                // counter, by reason
+	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
+	StallSeconds    Name = "linetiller_stall_seconds"                // histogram: per generation
+	Streams         Name = "linetiller_streams"                      // gauge: requests held
+	TimeBetween     Name = "linetiller_time_between_tokens_seconds"  // histogram
+	TimeToFirst     Name = "linetiller_time_to_first_token_seconds"  // histogram
+	Tokens          Name = "linetiller_tokens_total"                 // counter: delivered to clients
+	UpstreamReports Name = "linetiller_upstream_report_errors_total" // counter
+)
+
+// Names lists every metric.
+var Names = []Name{
+	Boxes, Generations, KeyCommits, KeyWrites, Owned, Queued, Refusals, Reservations, Resumptions, Retries,
+	Revision, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamReports,
+}
+
+// Set holds the metrics of one box. It is safe for concurrent use.
+type Set struct {
+	set *metrics.Set
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{set: metrics.NewSet()}
+}
+
+// Add adds n to a counter.
+func (s *Set) Add(n Name, by int) {
+	s.set.GetOrCreateCounter(string(n)).Add(by)
+}
+
+// Count adds one to a counter with a label.
+func (s *Set) Count(n Name, label, value string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", n, label, value)).Inc()
+}
+
+// Gauge makes f the value of a gauge.
+func (s *Set) Gauge(n Name, f func() float64) {
+	s.set.GetOrCreateGauge(string(n), f)
+}
+
+// Histogram returns a histogram, for callers that update it often.
+func (s *Set) Histogram(n Name) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(string(n))
+}
+
+// Value returns a counter's value, for tests.
+func (s *Set) Value(n Name, label, value string) uint64 {
+	return s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", n, label, value)).Get()
+}
+
+// Write writes all metrics in the Prometheus text format, the process's own included.
+func (s *Set) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,441 @@
+// Package operator is the interface by which operators drive the system: they
+// declare resources, and watch them until they are in force.
+//
+//	GET    /v1/resources/KIND            the resources of a kind
+//	GET    /v1/resources/KIND/NAME       one resource, with its status
+//	PUT    /v1/resources/KIND/NAME       creates or replaces it; If-Match names the version replaced
+//	DELETE /v1/resources/KIND/NAME       removes it
+//	GET    /v1/watch?after=VERSION&kind= changes after a version, one JSON a line
+//
+// A write is answered once it is committed in the platform's table.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/configuration"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// Server answers operators. It is an http.Handler.
+type Server struct {
+	// Commit applies a transaction of the table; a seam.
+	Commit func(ctx context.Context, t *platform.Transaction) (*platform.Result, error)
+	// Get reads a row of the table; a seam.
+	Get func(ctx context.Context, key string) (*platform.Row, error)
+	// InForce tells which revisions the boxes of each hall have in force; a seam.
+	InForce func(ctx context.Context) []box.HallRevisions
+	// Refresh brings the view up to date from the table; a seam.
+	Refresh func(ctx context.Context) error
+
+	keyHash string
+	log     *slog.Logger
+	metrics *metric.Set
+	mux     *http.ServeMux
+	view    *resource.View
+}
+
+// List is the resources of a kind.
+type List struct {
+	Items    []*resource.Resource `json:"items"`
+	Revision string               `json:"revision"` // from which a watch may go on
+}
+
+// WatchType tells what a watch event says.
+type WatchType string
+
+// The types of watch events.
+const (
+	WatchApplied  WatchType = "applied"
+	WatchBookmark WatchType = "bookmark" // nothing changed; the revision is still in force
+	WatchDeleted  WatchType = "deleted"
+)
+
+// WatchEvent is one line of a watch.
+type WatchEvent struct {
+	Resource *resource.Resource `json:"resource,omitempty"`
+	Revision string             `json:"revision"`
+	Type     WatchType          `json:"type"`
+}
+
+// Problem is the body of an answer that is not a success.
+type Problem struct {
+	Code    string             `json:"code"`
+	Current *resource.Resource `json:"current,omitempty"` // of a conflict
+	Faults  resource.Faults    `json:"faults,omitempty"`
+	Message string             `json:"message"`
+}
+
+const (
+	bookmarkEvery  = 5 * time.Second
+	maxBodyBytes   = 256 << 10
+	settleTries    = 5
+	settleWait     = 100 * time.Millisecond
+	statusPeriod   = 2 * time.Second
+	conditionForce = "InForce"
+)
+
+// New returns a server over v. Where keyHash is not empty, callers must show
+// the bearer key of that SHA-256 hash.
+func New(v *resource.View, m *metric.Set, l *slog.Logger, keyHash string) *Server {
+	s := &Server{keyHash: keyHash, log: l, metrics: m, mux: http.NewServeMux(), view: v}
+	s.mux.HandleFunc("DELETE /v1/resources/{kind}/{name}", s.deleteResource)
+	s.mux.HandleFunc("GET /v1/resources/{kind}", s.getList)
+	s.mux.HandleFunc("GET /v1/resources/{kind}/{name}", s.getResource)
+	s.mux.HandleFunc("GET /v1/watch", s.getWatch)
+	s.mux.HandleFunc("PUT /v1/resources/{kind}/{name}", s.putResource)
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, http.StatusNotFound, &Problem{Code: "path_unknown", Message: r.Method + " " + r.URL.Path + " is not served"})
+	})
+	return s
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.keyHash != "" {
+		k := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(resource.HashKey(k)), []byte(s.keyHash)) != 1 {
+			s.refuse(w, http.StatusUnauthorized, &Problem{Code: "operator_key_unknown", Message: "the Authorization header must carry the operators' key"})
+			return
+		}
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// commit writes a row whose last revision is known. Where the answer is lost,
+// it sends the same write again: the condition then fails if the first took
+// effect, and the row tells whose write it was.
+func (s *Server) commit(ctx context.Context, key string, revision int64, v *configuration.Value) (*platform.Row, int64, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, 0, err
+	}
+	t := &platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: b}},
+	}
+	for try := 1; ; try++ {
+		r, err := s.Commit(ctx, t)
+		switch {
+		case err == nil && r.Committed:
+			return nil, r.Revision, nil
+		case err == nil:
+			return lostRace(r, v.Write)
+		case try == settleTries || !unsettled(err, try):
+			return nil, 0, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, err
+		case <-time.After(settleWait << try):
+		}
+	}
+}
+
+func (s *Server) deleteResource(w http.ResponseWriter, r *http.Request) {
+	k, n := resource.Kind(r.PathValue("kind")), r.PathValue("name")
+	row, old, err := s.current(r.Context(), k, n)
+	if err != nil {
+		s.refuseTable(w, err)
+		return
+	}
+	if old == nil {
+		s.refuse(w, http.StatusNotFound, &Problem{Code: "resource_unknown", Message: string(k) + " " + n + " does not exist"})
+		return
+	}
+	if !s.matches(w, r, old) {
+		return
+	}
+	if l := s.users(k, n); len(l) > 0 {
+		s.refuse(w, http.StatusConflict, &Problem{Code: "resource_used", Message: "still named by " + strings.Join(l, ", ")})
+		return
+	}
+	s.write(w, r, row, &configuration.Value{Deleted: true, Resource: old})
+}
+
+// current returns the row of a resource, and what it holds unless that was deleted.
+func (s *Server) current(ctx context.Context, k resource.Kind, name string) (*platform.Row, *resource.Resource, error) {
+	key := configuration.Key(k, name)
+	row, err := s.Get(ctx, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	if row == nil {
+		return &platform.Row{Key: key}, nil, nil
+	}
+	v := new(configuration.Value)
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return nil, nil, fail.Wrap(fail.Unknown, fail.Place{Peer: "platform", Step: "read resource"}, "platform_garbled", err)
+	}
+	if v.Deleted {
+		return row, nil, nil
+	}
+	return row, configuration.Versioned(v.Resource, row.Revision), nil
+}
+
+func (s *Server) getList(w http.ResponseWriter, r *http.Request) {
+	// The revision is read first: a change in between is then told twice by a
+	// watch from there, never left out.
+	v := strconv.FormatInt(s.view.Revision(), 10)
+	l := s.view.List(resource.Kind(r.PathValue("kind")))
+	if l == nil {
+		l = []*resource.Resource{}
+	}
+	writeJSON(w, http.StatusOK, &List{Items: l, Revision: v})
+}
+
+func (s *Server) getResource(w http.ResponseWriter, r *http.Request) {
+	k, n := resource.Kind(r.PathValue("kind")), r.PathValue("name")
+	x := s.view.Get(k, n)
+	if x == nil {
+		s.refuse(w, http.StatusNotFound, &Problem{Code: "resource_unknown", Message: string(k) + " " + n + " does not exist"})
+		return
+	}
+	c := *x
+	ctx, cancel := context.WithTimeout(r.Context(), statusPeriod)
+	defer cancel()
+	c.Status = statusOf(&c, s.InForce(ctx), time.Now())
+	w.Header().Set("ETag", strconv.Quote(c.Metadata.ResourceVersion))
+	writeJSON(w, http.StatusOK, &c)
+}
+
+// getWatch tells changes after a version, and then goes on as they come.
+func (s *Server) getWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	if err != nil && r.FormValue("after") != "" {
+		s.refuse(w, http.StatusBadRequest, &Problem{Code: "bad_version", Message: "after must be a version"})
+		return
+	}
+	k := resource.Kind(r.FormValue("kind"))
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	c, e := http.NewResponseController(w), json.NewEncoder(w)
+	t := time.NewTicker(bookmarkEvery)
+	defer t.Stop()
+	for {
+		changed := s.view.Changed()
+		l, revision := s.view.Since(after)
+		for i := range l {
+			if x := &l[i]; k == "" || x.Resource.Kind == k {
+				_ = e.Encode(watchEvent(x))
+			}
+		}
+		after = max(after, revision)
+		if c.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-t.C:
+			_ = e.Encode(&WatchEvent{Revision: strconv.FormatInt(after, 10), Type: WatchBookmark})
+		}
+	}
+}
+
+// matches checks If-Match against the version that stands.
+func (s *Server) matches(w http.ResponseWriter, r *http.Request, old *resource.Resource) bool {
+	m := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if m == "" || (old != nil && (m == "*" || m == old.Metadata.ResourceVersion)) {
+		return true
+	}
+	s.refuse(w, http.StatusConflict, &Problem{Code: "stale_version", Current: old, Message: "the resource has changed since version " + m})
+	return false
+}
+
+func (s *Server) putResource(w http.ResponseWriter, r *http.Request) {
+	x, p := readResource(w, r)
+	if p != nil {
+		s.refuse(w, http.StatusUnprocessableEntity, p)
+		return
+	}
+	f := append(resource.Check(x), s.view.CheckReferences(x)...)
+	if len(f) > 0 {
+		s.refuse(w, http.StatusUnprocessableEntity, &Problem{Code: "bad_resource", Faults: f, Message: f.Error()})
+		return
+	}
+	row, old, err := s.current(r.Context(), x.Kind, x.Metadata.Name)
+	if err != nil {
+		s.refuseTable(w, err)
+		return
+	}
+	if !s.matches(w, r, old) {
+		return
+	}
+	x.Metadata.Generation = 1
+	if old != nil {
+		x.Metadata.Generation = old.Metadata.Generation
+		if sameJSON(old.Spec, x.Spec) {
+			writeJSON(w, http.StatusOK, old)
+			return
+		}
+		x.Metadata.Generation++
+	}
+	s.write(w, r, row, &configuration.Value{Resource: x})
+}
+
+func (s *Server) refuse(w http.ResponseWriter, status int, p *Problem) {
+	s.metrics.Count(metric.Refusals, "reason", p.Code)
+	event.ResourceRefused.Log(s.log, "reason", p.Code, "message", p.Message)
+	writeJSON(w, status, p)
+}
+
+func (s *Server) refuseTable(w http.ResponseWriter, err error) {
+	w.Header().Set("Retry-After", "1")
+	p := &Problem{Code: fail.Reason(err), Message: err.Error()}
+	if errorx.IsOfType(err, fail.Unknown) {
+		p.Message = "it is not known whether the write took effect; read the resource before writing again: " + p.Message
+	}
+	s.refuse(w, http.StatusServiceUnavailable, p)
+}
+
+// users names the resources that name the resource of that kind and name.
+func (s *Server) users(k resource.Kind, name string) []string {
+	var l []string
+	for _, x := range s.view.List("") {
+		for _, f := range resource.References(x) {
+			if f.Kind == k && f.Name == name {
+				l = append(l, string(x.Kind)+" "+x.Metadata.Name)
+			}
+		}
+	}
+	return l
+}
+
+// write commits v over row and answers with what now stands.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, row *platform.Row, v *configuration.Value) {
+	v.Write = rand.Text()
+	v.Resource.Status = nil
+	v.Resource.Metadata.ResourceVersion = ""
+	other, revision, err := s.commit(r.Context(), row.Key, row.Revision, v)
+	if err != nil {
+		s.refuseTable(w, err)
+		return
+	}
+	if other != nil {
+		o := new(configuration.Value)
+		_ = json.Unmarshal(other.Value, o)
+		p := &Problem{Code: "raced", Message: "another write came first"}
+		if o.Resource != nil && !o.Deleted {
+			p.Current = configuration.Versioned(o.Resource, other.Revision)
+		}
+		s.refuse(w, http.StatusConflict, p)
+		return
+	}
+	event.ResourceWritten.Log(s.log, "kind", v.Resource.Kind, "name", v.Resource.Metadata.Name, "revision", revision, "deleted", v.Deleted)
+	_ = s.Refresh(r.Context())
+	writeJSON(w, http.StatusOK, configuration.Versioned(v.Resource, revision))
+}
+
+// lostRace tells a transaction that was refused because an earlier send of it
+// took effect from one that lost to another write.
+func lostRace(r *platform.Result, write string) (*platform.Row, int64, error) {
+	if len(r.Current) != 1 {
+		return nil, 0, errors.New("the platform told no reason for a refused transaction")
+	}
+	if writtenBy(&r.Current[0], write) {
+		return nil, r.Current[0].Revision, nil
+	}
+	return &r.Current[0], 0, nil
+}
+
+func readResource(w http.ResponseWriter, r *http.Request) (*resource.Resource, *Problem) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, &Problem{Code: "body_too_large", Message: err.Error()}
+	}
+	x := new(resource.Resource)
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(x); err != nil {
+		return nil, &Problem{Code: "bad_json", Message: err.Error()}
+	}
+	var f resource.Faults
+	if string(x.Kind) != r.PathValue("kind") {
+		f = append(f, resource.Fault{Field: "kind", Message: "differs from the path's"})
+	}
+	if x.Metadata.Name != r.PathValue("name") {
+		f = append(f, resource.Fault{Field: "metadata.name", Message: "differs from the path's"})
+	}
+	if len(f) > 0 {
+		return nil, &Problem{Code: "bad_resource", Faults: f, Message: f.Error()}
+	}
+	return x, nil
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y bytes.Buffer
+	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+		return false
+	}
+	return bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+// statusOf tells, for each hall, at how many boxes a resource is in force.
+func statusOf(x *resource.Resource, halls []box.HallRevisions, now time.Time) *resource.Status {
+	st := &resource.Status{ObservedGeneration: x.Metadata.Generation}
+	missing, unknown := 0, 0
+	for _, h := range halls {
+		v := resource.HallStatus{Boxes: len(h.Revisions) + h.Silent, Hall: h.Hall, Unknown: h.Silent}
+		for _, r := range h.Revisions {
+			if r >= x.Revision() {
+				v.InForce++
+			}
+		}
+		missing += len(h.Revisions) - v.InForce
+		unknown += h.Silent
+		st.Halls = append(st.Halls, v)
+	}
+	c := resource.Condition{LastTransitionTime: now, Reason: "EveryBox", Status: "True", Type: conditionForce}
+	switch {
+	case missing > 0:
+		c.Reason, c.Status, c.Message = "Spreading", "False", strconv.Itoa(missing)+" boxes are behind"
+	case unknown > 0:
+		c.Reason, c.Status, c.Message = "BoxesSilent", "Unknown", strconv.Itoa(unknown)+" boxes did not answer"
+	}
+	st.Conditions = []resource.Condition{c}
+	return st
+}
+
+// unsettled reports whether a write may have taken effect although it failed:
+// its answer was lost, or that of an earlier try was.
+func unsettled(err error, try int) bool {
+	return errorx.IsOfType(err, fail.Unknown) || (try > 1 && errorx.IsOfType(err, fail.Unavailable))
+}
+
+func watchEvent(c *resource.Change) *WatchEvent {
+	e := &WatchEvent{Resource: c.Resource, Revision: strconv.FormatInt(c.Revision, 10), Type: WatchApplied}
+	if c.Deleted {
+		e.Type = WatchDeleted
+	}
+	return e
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writtenBy(r *platform.Row, write string) bool {
+	v := new(configuration.Value)
+	return json.Unmarshal(r.Value, v) == nil && v.Write == write
+}
--- /dev/null
+++ b/internal/ownership/owners.go
@@ -0,0 +1,372 @@
+// Package ownership runs the decisions of policy.Owner for the upstreams that
+// a box owns: it answers asks, takes in progress and reads load reports.
+package ownership
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/upstream"
+)
+
+// Owners holds the owners that live on this box. It is safe for concurrent
+// use. Lock order: Owners.mutex, then owned.mutex, then the locks of member,
+// resource and policy, which are leaves.
+type Owners struct {
+	// ReadLoad reads an upstream's load report; a seam for tests.
+	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
+
+	lengths   *policy.Lengths
+	log       *slog.Logger
+	maxQueued int
+	members   *member.Table
+	metrics   *metric.Set
+	mutex     sync.Mutex
+	owners    map[string]*owned
+	report    time.Duration
+	view      *resource.View
+}
+
+// owned is one upstream owned by this box.
+type owned struct {
+	mutex     sync.Mutex
+	failures  int // reads of the load report that failed in a row
+	instance  string
+	owner     *policy.Owner
+	reportAt  time.Time // when the report is due
+	reporting bool
+	waiters   map[string]chan policy.Answer
+}
+
+// Option sets one thing of Owners.
+type Option func(*Owners)
+
+const (
+	reportWorkers = 16
+	tickEvery     = 20 * time.Millisecond
+	tickWorkers   = 4
+)
+
+// New returns owners that answer for the upstreams in v.
+func New(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, log *slog.Logger, options ...Option) *Owners {
+	o := &Owners{
+		lengths: l, log: log, maxQueued: 10_000, members: m, metrics: s,
+		owners: make(map[string]*owned), report: time.Second, view: v,
+	}
+	for _, x := range options {
+		x(o)
+	}
+	s.Gauge(metric.Owned, func() float64 { return float64(len(o.list())) })
+	s.Gauge(metric.Queued, func() float64 { return o.sum((*policy.Owner).Queued) })
+	s.Gauge(metric.Reservations, func() float64 { return o.sum((*policy.Owner).Running) })
+	return o
+}
+
+// WithMaxQueued bounds the work that waits at one upstream.
+func WithMaxQueued(n int) Option {
+	return func(o *Owners) { o.maxQueued = n }
+}
+
+// WithReportEvery sets how often load reports are read.
+func WithReportEvery(d time.Duration) Option {
+	return func(o *Owners) { o.report = d }
+}
+
+// Ask answers an ask, first at once and then, while it waits in the queue,
+// when its turn comes. It returns when the answer is final or ctx ends; work
+// whose caller has gone leaves the queue.
+func (o *Owners) Ask(ctx context.Context, a *box.Ask, answer func(*box.Reply) error) {
+	x := o.get(a.Upstream)
+	if x == nil {
+		_ = answer(&box.Reply{Answer: refusal(a, policy.ReasonNoUpstream), Revision: o.view.Revision()})
+		return
+	}
+	now := time.Now()
+	x.mutex.Lock()
+	v := x.owner.Ask(&a.Work, now)
+	var c chan policy.Answer
+	if v.Verdict == policy.VerdictQueue {
+		c = make(chan policy.Answer, 1)
+		x.waiters[a.Work.ID] = c
+	}
+	l := x.owner.Load(now)
+	x.mutex.Unlock()
+	if answer(o.reply(v, l)) != nil || c == nil {
+		o.hangUp(x, a, c)
+		return
+	}
+	select {
+	case v := <-c:
+		_ = answer(o.reply(v, x.load()))
+	case <-ctx.Done():
+		o.hangUp(x, a, c)
+	}
+}
+
+// Run reads load reports and hands out places until the context ends, with a
+// pool of workers over the owners.
+func (o *Owners) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	ticks := make(chan *owned)
+	reports := make(chan *owned)
+	for range tickWorkers {
+		g.Go(func() { each(ticks, o.tick) })
+	}
+	for range reportWorkers {
+		g.Go(func() { each(reports, func(x *owned) { o.readReport(ctx, x) }) })
+	}
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-t.C:
+			o.adopt()
+			o.feed(ctx, ticks, reports, now)
+		}
+	}
+	close(ticks)
+	close(reports)
+	g.Wait()
+	o.flushAll()
+}
+
+// Update takes in how far generations are, and returns the load and the ids
+// that this owner does not know and wants to be told whole.
+func (o *Owners) Update(u *box.Update) *box.Reply {
+	x := o.get(u.Upstream)
+	if x == nil {
+		return &box.Reply{Revision: o.view.Revision()}
+	}
+	now := time.Now()
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	r := &box.Reply{Revision: o.view.Revision()}
+	for n := range u.Items {
+		i := &u.Items[n]
+		switch {
+		case i.Gone:
+			x.owner.Finish(i.ID, i.Produced, i.Ended, now)
+		case i.Work != nil:
+			x.owner.Register(i.Work, i.Produced, now)
+		case !x.owner.Knows(i.ID):
+			r.Unknown = append(r.Unknown, i.ID)
+		default:
+			x.owner.Progress(i.ID, i.Produced, now)
+		}
+	}
+	x.next(now)
+	l := x.owner.Load(now)
+	r.Load = &l
+	return r
+}
+
+// adopt starts owners for the upstreams that now fall to this box, so that
+// their load is known before the first ask.
+func (o *Owners) adopt() {
+	s := o.members.Self()
+	alive := o.members.Alive(s.Hall)
+	for _, u := range o.view.Upstreams(func(u *resource.Upstream) bool {
+		return u.Spec.Type == resource.UpstreamEngine && u.Spec.Hall == s.Hall
+	}) {
+		if policy.First(u.Name, alive) == s.Name {
+			o.get(u.Name)
+		}
+	}
+}
+
+func (o *Owners) feed(ctx context.Context, ticks, reports chan<- *owned, now time.Time) {
+	for _, x := range o.list() {
+		select {
+		case ticks <- x:
+		case <-ctx.Done():
+			return
+		}
+		if x.dueReport(now, o.report) {
+			select {
+			case reports <- x:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (o *Owners) flushAll() {
+	for _, x := range o.list() {
+		x.mutex.Lock()
+		x.flush(policy.ReasonMoved)
+		x.mutex.Unlock()
+	}
+}
+
+// get returns the owner of an upstream, made where it does not exist yet, or
+// nil where the upstream is not known.
+func (o *Owners) get(name string) *owned {
+	u := o.view.Upstream(name)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	x := o.owners[name]
+	if x != nil || u == nil {
+		return x
+	}
+	c := policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}
+	x = &owned{waiters: make(map[string]chan policy.Answer)}
+	x.owner = policy.NewOwner(name, c, o.lengths, time.Now(), policy.WithMaxQueued(o.maxQueued))
+	x.owner.Leaving = u.Spec.Leaving
+	o.owners[name] = x
+	return x
+}
+
+func (o *Owners) hangUp(x *owned, a *box.Ask, c chan policy.Answer) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if c != nil && x.waiters[a.Work.ID] == c {
+		delete(x.waiters, a.Work.ID)
+		x.owner.Leave(a.Work.ID, time.Now())
+	}
+}
+
+func (o *Owners) list() []*owned {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	l := make([]*owned, 0, len(o.owners))
+	for _, x := range o.owners {
+		l = append(l, x)
+	}
+	return l
+}
+
+// mine reports whether an upstream falls to this box, as far as it knows.
+func (o *Owners) mine(u *resource.Upstream) bool {
+	s := o.members.Self()
+	return policy.First(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
+}
+
+func (o *Owners) readReport(ctx context.Context, x *owned) {
+	defer x.reported()
+	u := o.view.Upstream(x.owner.Upstream)
+	if u == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.report)
+	defer cancel()
+	l, err := o.ReadLoad(ctx, u.Spec.Address)
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if err != nil {
+		x.failures++
+		if x.failures == 1 && ctx.Err() == nil {
+			event.ReportMissing.Log(o.log, "upstream", u.Name, "error", err.Error())
+		}
+		o.metrics.Add(metric.UpstreamReports, 1)
+		return
+	}
+	x.failures = 0
+	x.owner.Leaving = u.Spec.Leaving || l.Leaving
+	if x.instance != "" && x.instance != l.Instance {
+		x.owner.Restarted()
+	}
+	x.instance = l.Instance
+	x.owner.Report(policy.Report{
+		AsOf: l.AsOf, Preemptions: l.Preemptions, Running: l.Running,
+		StepSeconds: float64(l.StepMicros) / 1e6, Used: l.Used, Waiting: l.Waiting,
+	}, time.Now())
+}
+
+// reply returns a reply of its own: the caller may still hold an earlier one.
+func (o *Owners) reply(a policy.Answer, l policy.Load) *box.Reply {
+	return &box.Reply{Answer: &a, Load: &l, Revision: o.view.Revision()}
+}
+
+func (o *Owners) sum(f func(*policy.Owner) int) float64 {
+	n := 0
+	for _, x := range o.list() {
+		x.mutex.Lock()
+		n += f(x.owner)
+		x.mutex.Unlock()
+	}
+	return float64(n)
+}
+
+// tick hands out places at one upstream; an owner that has nothing left to do
+// for an upstream that falls to another box, or that is gone, is dropped.
+func (o *Owners) tick(x *owned) {
+	u := o.view.Upstream(x.owner.Upstream)
+	gone := u == nil || !o.mine(u)
+	x.mutex.Lock()
+	if u != nil && u.Spec.Leaving {
+		x.owner.Leaving = true
+	}
+	if gone {
+		x.flush(policy.ReasonMoved)
+	}
+	x.next(time.Now())
+	idle := x.owner.Running() == 0 && len(x.waiters) == 0
+	x.mutex.Unlock()
+	if gone && idle {
+		o.mutex.Lock()
+		delete(o.owners, x.owner.Upstream)
+		o.mutex.Unlock()
+	}
+}
+
+func (x *owned) dueReport(now time.Time, every time.Duration) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.reporting || now.Before(x.reportAt) {
+		return false
+	}
+	x.reporting = true
+	x.reportAt = now.Add(every)
+	return true
+}
+
+// flush refuses all that waits; the lock is held.
+func (x *owned) flush(r policy.Reason) {
+	for id, c := range x.waiters {
+		x.owner.Leave(id, time.Now())
+		c <- policy.Answer{ID: id, Reason: r, Verdict: policy.VerdictRefuse}
+		delete(x.waiters, id)
+	}
+}
+
+func (x *owned) load() policy.Load {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.owner.Load(time.Now())
+}
+
+// next hands out places to those who wait; the lock is held.
+func (x *owned) next(now time.Time) {
+	for _, a := range x.owner.Next(now) {
+		if c := x.waiters[a.ID]; c != nil {
+			delete(x.waiters, a.ID)
+			c <- a
+		}
+	}
+}
+
+func (x *owned) reported() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.reporting = false
+}
+
+func each[T any](c <-chan T, f func(T)) {
+	for v := range c {
+		f(v)
+	}
+}
+
+func refusal(a *box.Ask, r policy.Reason) *policy.Answer {
+	return &policy.Answer{ID: a.Work.ID, Reason: r, Verdict: policy.VerdictRefuse}
+}
--- /dev/null
+++ b/internal/placement/naive.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/upstream"
+)
+
+// Naive is the baseline: it sends straight to the upstream with the least
+// reported load. It is safe for concurrent use.
+type Naive struct {
+	// ReadLoad reads an upstream's load report; a seam.
+	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
+
+	every  time.Duration
+	mutex  sync.Mutex // guards policy
+	policy *policy.Naive
+	view   *resource.View
+}
+
+// NewNaive returns the baseline over the upstreams in v, which reads every
+// upstream's report that often.
+func NewNaive(v *resource.View, every time.Duration, seed uint64) *Naive {
+	return &Naive{every: every, policy: policy.NewNaive(seed), view: v}
+}
+
+// Place returns an upstream that is not among those to avoid.
+func (p *Naive) Place(_ context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
+	var c []policy.Candidate
+	for _, u := range p.view.UpstreamsOf(w.Model) {
+		if !u.Spec.Leaving {
+			c = append(c, policy.Candidate{Name: u.Name})
+		}
+	}
+	p.mutex.Lock()
+	n := p.policy.Choose(c, func(n string) bool { return !avoid[n] })
+	p.mutex.Unlock()
+	u := p.view.Upstream(n)
+	if u == nil {
+		return nil, fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
+			string(policy.ReasonNoUpstream), "no upstream takes new work for model %q", w.Model)
+	}
+	return &Place{Granted: time.Now(), Upstream: u}, nil
+}
+
+// Run reads reports until the context ends.
+func (p *Naive) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, u := range p.view.Upstreams(func(u *resource.Upstream) bool { return u.Spec.Type == resource.UpstreamEngine }) {
+			l, err := p.ReadLoad(ctx, u.Spec.Address)
+			if err != nil {
+				continue
+			}
+			p.mutex.Lock()
+			p.policy.Report(u.Name, policy.Report{AsOf: l.AsOf, Running: l.Running, Used: l.Used, Waiting: l.Waiting})
+			p.mutex.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(p.every):
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/reserved.go
@@ -0,0 +1,255 @@
+// Package placement finds an upstream for a generation: by asking the owners
+// of upstreams for a place, or, as the baseline does, alone.
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// Place is an upstream at which a generation may start.
+type Place struct {
+	Granted  time.Time // when; a place is for using at once
+	Upstream *resource.Upstream
+}
+
+// Stale reports whether the place is too old to be used.
+func (p *Place) Stale(now time.Time) bool {
+	return now.Sub(p.Granted) > placeLife
+}
+
+// Reserved asks the owner of an upstream before anything is sent there. It is
+// safe for concurrent use.
+type Reserved struct {
+	// AskLocal answers an ask where this box is the owner; a seam.
+	AskLocal func(ctx context.Context, a *box.Ask, answer func(*box.Reply) error)
+	// Call asks another box; a seam.
+	Call func(ctx context.Context, owner string, a *box.Ask, answer func(*box.Reply) error) error
+
+	members *member.Table
+	metrics *metric.Set
+	mutex   sync.Mutex // guards router; no other lock is taken under it
+	retries *policy.Retries
+	router  *policy.Router
+	view    *resource.View
+}
+
+const (
+	asksMost       = 3 // upstreams whose refusal for want of room is taken
+	movesMost      = 20
+	otherHallDelay = 0.5 // seconds of backlog that the way to another hall counts for
+	placeLife      = time.Second
+	rerouteEvery   = time.Second
+	retryPause     = 50 * time.Millisecond
+)
+
+// movedError says that an ask is better made at another upstream.
+type movedError struct{ to string }
+
+func (e movedError) Error() string { return "moved to " + e.to }
+
+// NewReserved returns a placement over the upstreams in v.
+func NewReserved(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, seed uint64) *Reserved {
+	return &Reserved{members: m, metrics: s, retries: policy.NewRetries(), router: policy.NewRouter(l, seed), view: v}
+}
+
+// Learn takes in a load that an owner told.
+func (p *Reserved) Learn(l *policy.Load) {
+	if l == nil {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.router.Learn(*l)
+}
+
+// Place returns a place for w at an upstream that is not among those to avoid.
+// Its errors are of type fail.NotRun: nothing was sent anywhere.
+func (p *Reserved) Place(ctx context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
+	defer cancel()
+	skip := make(map[string]bool, len(avoid))
+	for n := range avoid {
+		skip[n] = true
+	}
+	next := ""
+	var last error
+	refused := 0
+	for move := 0; move < movesMost && refused < asksMost; move++ {
+		u := p.choose(w, skip, next)
+		next = ""
+		if u == nil {
+			break
+		}
+		a, err := p.ask(ctx, u, w)
+		if m, ok := err.(movedError); ok { //nolint:errorlint // Only ask returns it, never wrapped.
+			next = m.to
+			p.metrics.Count(metric.Retries, "reason", "better_upstream")
+			continue
+		}
+		if err != nil {
+			last = err
+			if ctx.Err() != nil {
+				return nil, p.late(ctx, w)
+			}
+			p.pause(ctx, fail.Reason(err))
+			continue
+		}
+		if a.Verdict == policy.VerdictStart {
+			return &Place{Granted: time.Now(), Upstream: u}, nil
+		}
+		last = refusalError(u.Name, a)
+		if a.Reason == policy.ReasonMoved {
+			p.pause(ctx, string(a.Reason))
+			continue
+		}
+		skip[u.Name] = true
+		refused++
+	}
+	if last == nil {
+		last = fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
+			string(policy.ReasonNoUpstream), "no upstream takes new work for model %q", w.Model), time.Now().Add(time.Second))
+	}
+	return nil, last
+}
+
+// ask asks u's owner and waits while w is queued, or until a much better
+// upstream is known.
+func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work) (*policy.Answer, error) {
+	owner := policy.First(u.Name, p.members.Alive(u.Spec.Hall))
+	place := fail.Place{Peer: "box " + owner, Step: "ask"}
+	if owner == "" {
+		return nil, fail.New(fail.NotRun, place, "no_owner", "no box is known in hall %q", u.Spec.Hall)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan *box.Reply, 2)
+	failed := make(chan error, 1)
+	go func() { failed <- p.exchange(ctx, owner, &box.Ask{Upstream: u.Name, Work: *w}, replies) }()
+	t := time.NewTicker(rerouteEvery)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-replies:
+			p.Learn(r.Load)
+			if r.Answer != nil && r.Answer.Verdict != policy.VerdictQueue {
+				return r.Answer, nil
+			}
+		case err := <-failed:
+			return p.afterExchange(ctx, err, replies, owner, place)
+		case <-t.C:
+			if to := p.better(w, u.Name); to != "" {
+				return nil, movedError{to}
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// afterExchange returns the answer that may still stand in replies once the
+// exchange has ended, or its error.
+func (p *Reserved) afterExchange(ctx context.Context, err error, replies <-chan *box.Reply, owner string, place fail.Place) (*policy.Answer, error) {
+	for {
+		select {
+		case r := <-replies:
+			p.Learn(r.Load)
+			if r.Answer != nil && r.Answer.Verdict != policy.VerdictQueue {
+				return r.Answer, nil
+			}
+			continue
+		default:
+		}
+		if ctx.Err() == nil && owner != p.members.Self().Name {
+			p.members.Failed(owner, time.Now())
+		}
+		if err == nil {
+			err = fail.New(fail.Unavailable, place, "owner_lost", "the owner hung up")
+		}
+		return nil, err
+	}
+}
+
+func (p *Reserved) better(w *policy.Work, at string) string {
+	c := p.candidates(w, map[string]bool{})
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.router.Better(w, at, c, time.Now())
+}
+
+// candidates returns the upstreams that run w's model and may get new work.
+func (p *Reserved) candidates(w *policy.Work, skip map[string]bool) []policy.Candidate {
+	hall := p.members.Self().Hall
+	var l []policy.Candidate
+	for _, u := range p.view.UpstreamsOf(w.Model) {
+		if u.Spec.Leaving || skip[u.Name] {
+			continue
+		}
+		c := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+		if u.Spec.Hall != hall {
+			c.Delay = otherHallDelay
+		}
+		l = append(l, c)
+	}
+	return l
+}
+
+func (p *Reserved) choose(w *policy.Work, skip map[string]bool, next string) *resource.Upstream {
+	if next == "" {
+		c := p.candidates(w, skip)
+		p.mutex.Lock()
+		next = p.router.Choose(w, c, time.Now(), func(string) bool { return true })
+		p.mutex.Unlock()
+	}
+	return p.view.Upstream(next)
+}
+
+// exchange makes one ask and passes its replies on until the last.
+func (p *Reserved) exchange(ctx context.Context, owner string, a *box.Ask, replies chan<- *box.Reply) error {
+	pass := func(r *box.Reply) error {
+		select {
+		case replies <- r:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if owner == p.members.Self().Name {
+		p.AskLocal(ctx, a, pass)
+		return nil
+	}
+	return p.Call(ctx, owner, a, pass)
+}
+
+// late returns the refusal of work whose time ran out, or whose caller went.
+func (p *Reserved) late(ctx context.Context, w *policy.Work) error {
+	place := fail.Place{Peer: "upstreams", Step: "wait for a place"}
+	if time.Now().Before(w.Deadline) {
+		return fail.Wrap(fail.NotRun, place, "caller_gone", ctx.Err())
+	}
+	return fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonDeadline), "the deadline passed in the queue"), time.Now())
+}
+
+func (p *Reserved) pause(ctx context.Context, reason string) {
+	p.metrics.Count(metric.Retries, "reason", reason)
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+func refusalError(upstream string, a *policy.Answer) error {
+	err := fail.New(fail.NotRun, fail.Place{Peer: "upstream " + upstream, Step: "ask"}, string(a.Reason), "refused: %s", a.Reason)
+	if a.RetryAt.IsZero() {
+		return err
+	}
+	return fail.WithRetryAt(err, a.RetryAt)
+}
--- /dev/null
+++ b/internal/policy/forecast.go
@@ -0,0 +1,78 @@
+package policy
+
+import "math"
+
+// horizons are the times ahead, in tokens, at which memory is forecast. All
+// generations of a batch grow by one token a step, so one grid serves them all.
+var horizons = [...]int{1, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192}
+
+// forecast is the memory that generations will hold at each horizon, in
+// tokens: its mean and its variance.
+type forecast struct {
+	mean     [len(horizons)]float64
+	variance [len(horizons)]float64
+}
+
+// expectation is what is expected of one generation that has not started.
+type expectation struct {
+	area     float64 // memory held times steps, in tokens times steps
+	forecast forecast
+	tokens   float64 // output tokens
+}
+
+// add adds g to f, or takes it away where sign is -1.
+func (f *forecast) add(g *forecast, sign float64) {
+	for i := range f.mean {
+		f.mean[i] += sign * g.mean[i]
+		f.variance[i] = max(0, f.variance[i]+sign*g.variance[i])
+	}
+}
+
+// peak returns the largest mean plus z standard deviations over all horizons,
+// with g added, and never less than now.
+func (f *forecast) peak(g *forecast, now, z float64) float64 {
+	p := now
+	for i := range f.mean {
+		m := f.mean[i] + g.mean[i]
+		p = max(p, m+z*math.Sqrt(f.variance[i]+g.variance[i]))
+	}
+	return p
+}
+
+// Forecast returns the memory held in future by a generation that is at token age.
+func (l *Lengths) forecast(k Key, prompt, age, limit int) forecast {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return forecastOf(l.curve(k), prompt, age, limit)
+}
+
+// expect returns what is expected of a generation that has not started.
+func (l *Lengths) expect(k Key, prompt, limit int) expectation {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	h := l.curve(k)
+	e := expectation{forecast: forecastOf(h, prompt, 0, limit)}
+	for b := 0; b < buckets && bucketStart(b) < limit; b++ {
+		start := bucketStart(b)
+		width := float64(min(limit, bucketStart(b+1)) - start)
+		s := math.Exp(-h.cumulative[b]-h.rate[b]*width/2) * width
+		e.tokens += s
+		e.area += s * (float64(prompt+start) + width/2)
+	}
+	return e
+}
+
+func forecastOf(h *hazard, prompt, age, limit int) forecast {
+	var f forecast
+	base := h.integral(age)
+	for i, n := range horizons {
+		if age+n > limit {
+			break
+		}
+		p := math.Exp(base - h.integral(age+n))
+		m := float64(prompt + age + n)
+		f.mean[i] = p * m
+		f.variance[i] = p * (1 - p) * m * m
+	}
+	return f
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,83 @@
+// Package policy decides where and when generations of unknown length run.
+//
+// It does no I/O, reads no clock and draws no randomness of its own: time is
+// passed in and hashes are seeded, so that the same code runs in a box, in
+// tests and in the measurements. Lengths is safe for concurrent use; every
+// other type is guarded by its caller.
+package policy
+
+import "time"
+
+// Work describes a generation that is to be placed.
+type Work struct {
+	Arrived   time.Time
+	Deadline  time.Time // of the whole answer
+	ID        string
+	Kind      string // what the caller calls it; "" where it does not say
+	MaxTokens int    // output tokens at most
+	Model     string
+	Prefix    uint64 // key of the prompt's prefix; 0 where there is none
+	Priority  int    // higher goes first
+	Prompt    int    // prompt tokens
+	Weight    float64
+	Workspace string
+}
+
+// Capacity describes an engine.
+type Capacity struct {
+	KVTokens int // memory for prompts and outputs, in tokens
+	MaxBatch int // generations in one batch at most
+}
+
+// Report is what an engine last told of itself; it is late.
+type Report struct {
+	AsOf        time.Time
+	Preemptions int64
+	Running     int
+	StepSeconds float64
+	Used        int // tokens of memory
+	Waiting     int
+}
+
+// Verdict is an owner's answer to a request for a place.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictQueue  Verdict = "queue"
+	VerdictRefuse Verdict = "refuse"
+	VerdictStart  Verdict = "start"
+)
+
+// Reason tells why work was refused or tried again; each has a counter.
+type Reason string
+
+// The reasons.
+const (
+	ReasonDeadline    Reason = "deadline"     // its deadline can no longer be met
+	ReasonLeaving     Reason = "leaving"      // the upstream gets no new work
+	ReasonMoved       Reason = "moved"        // the upstream has another owner now; ask there
+	ReasonNoUpstream  Reason = "no_upstream"  // no upstream runs the model
+	ReasonQueueFull   Reason = "queue_full"   // too much waits already
+	ReasonRetryBudget Reason = "retry_budget" // too many retries of late
+	ReasonTooLarge    Reason = "too_large"    // the prompt fits no upstream
+)
+
+// Answer is what became of one piece of work at its owner.
+type Answer struct {
+	ID      string
+	Reason  Reason    // of a refusal
+	RetryAt time.Time // of a refusal: when to come back
+	Verdict Verdict
+}
+
+// Load is what an owner tells of its upstream with every answer.
+type Load struct {
+	AsOf     time.Time `cbor:"1,keyasint"`
+	Backlog  float64   `cbor:"2,keyasint"` // seconds of the engine's time that wait in the queue
+	Peak     float64   `cbor:"3,keyasint"` // predicted peak of memory over capacity
+	Upstream string    `cbor:"4,keyasint"`
+}
+
+// DefaultStepSeconds stands in for a step time that was not reported yet.
+const DefaultStepSeconds = 0.03
--- /dev/null
+++ b/internal/policy/queue.go
@@ -0,0 +1,157 @@
+package policy
+
+import (
+	"time"
+)
+
+// queue holds waiting work in order, with the cost of all that stands before
+// any place. It is a treap: every operation takes logarithmic time.
+type queue struct {
+	byID map[string]*entry
+	root *entry
+	seed uint64
+}
+
+// entry is one piece of waiting work.
+type entry struct {
+	cost        float64 // seconds of the engine's time
+	expectation expectation
+	key         Key
+	latest      time.Time // when it must start to meet its deadline
+	order       order
+	work        *Work
+
+	heap        uint64
+	left, right *entry
+	sum         float64 // of cost over the subtree
+	count       int     // of entries in the subtree
+}
+
+// order is the rank of an entry: higher priority first, then the lower time.
+type order struct {
+	number   uint64 // of arrival, so that no two are equal
+	priority int
+	time     int64 // nanoseconds
+}
+
+func newQueue() *queue {
+	return &queue{byID: make(map[string]*entry), seed: 0x9e3779b97f4a7c15}
+}
+
+// ahead returns the cost of all entries before o.
+func (q *queue) ahead(o order) float64 {
+	s := 0.0
+	for e := q.root; e != nil; {
+		if !e.order.before(o) {
+			e = e.left
+			continue
+		}
+		s += sumOf(e.left) + e.cost
+		e = e.right
+	}
+	return s
+}
+
+func (q *queue) first() *entry {
+	e := q.root
+	for e != nil && e.left != nil {
+		e = e.left
+	}
+	return e
+}
+
+func (q *queue) insert(e *entry) {
+	q.seed ^= q.seed << 13
+	q.seed ^= q.seed >> 7
+	q.seed ^= q.seed << 17
+	e.heap = q.seed
+	e.left, e.right = nil, nil
+	e.update()
+	a, b := split(q.root, e.order)
+	q.root = merge(merge(a, e), b)
+	q.byID[e.work.ID] = e
+}
+
+func (q *queue) len() int {
+	return len(q.byID)
+}
+
+// remove takes out the work of that id and returns it, or nil.
+func (q *queue) remove(id string) *entry {
+	e := q.byID[id]
+	if e == nil {
+		return nil
+	}
+	delete(q.byID, id)
+	a, b := split(q.root, e.order)
+	after := e.order
+	after.number++
+	_, c := split(b, after)
+	q.root = merge(a, c)
+	return e
+}
+
+// total returns the cost of all entries.
+func (q *queue) total() float64 {
+	return sumOf(q.root)
+}
+
+func (o order) before(p order) bool {
+	if o.priority != p.priority {
+		return o.priority > p.priority
+	}
+	if o.time != p.time {
+		return o.time < p.time
+	}
+	return o.number < p.number
+}
+
+func (e *entry) update() {
+	e.sum = e.cost + sumOf(e.left) + sumOf(e.right)
+	e.count = 1 + countOf(e.left) + countOf(e.right)
+}
+
+func countOf(e *entry) int {
+	if e == nil {
+		return 0
+	}
+	return e.count
+}
+
+func merge(a, b *entry) *entry {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case a.heap > b.heap:
+		a.right = merge(a.right, b)
+		a.update()
+		return a
+	}
+	b.left = merge(a, b.left)
+	b.update()
+	return b
+}
+
+// split parts the tree into the entries before o and the rest.
+func split(e *entry, o order) (a, b *entry) {
+	if e == nil {
+		return nil, nil
+	}
+	if e.order.before(o) {
+		e.right, b = split(e.right, o)
+		e.update()
+		return e, b
+	}
+	a, e.left = split(e.left, o)
+	e.update()
+	return a, e
+}
+
+func sumOf(e *entry) float64 {
+	if e == nil {
+		return 0
+	}
+	return e.sum
+}
--- /dev/null
+++ b/internal/policy/router.go
@@ -0,0 +1,187 @@
+package policy
+
+import (
+	"strconv"
+	"time"
+)
+
+// Router chooses the upstream at which a box asks for a place, from the loads
+// that owners told with their answers.
+type Router struct {
+	lengths *Lengths
+	loads   map[string]*known
+	seed    uint64
+}
+
+// known is the last load heard of an upstream, with what was sent there since.
+type known struct {
+	load  Load
+	since float64 // seconds of the engine's time placed there by this box since
+}
+
+// Candidate is an upstream that may be chosen.
+type Candidate struct {
+	Capacity Capacity
+	Delay    float64 // seconds of backlog that the way to it counts for
+	Name     string
+}
+
+const (
+	affinityPlaces  = 2   // upstreams that a prefix keeps to while they are not crowded
+	affinityBonus   = 0.5 // seconds of backlog that a warm prefix is worth
+	loadLife        = 5 * time.Second
+	moveGain        = 2.0 // seconds of backlog by which another upstream must be better
+	moveShare       = 0.5 // and the share of the present backlog that it may have
+	peakSeconds     = 1.0 // seconds of backlog that a full memory counts for
+	sampleSize      = 8   // upstreams looked at where there are many
+	unknownBacklog  = 0.5 // seconds, assumed where nothing is known
+	tieBreakSeconds = 1e-3
+)
+
+// NewRouter returns a router that knows no load. The seed parts the boxes, so
+// that they do not all choose alike.
+func NewRouter(l *Lengths, seed uint64) *Router {
+	return &Router{lengths: l, loads: make(map[string]*known), seed: seed | 1}
+}
+
+// Better returns an upstream at which w would wait much less than where it
+// waits now, or "".
+func (r *Router) Better(w *Work, at string, c []Candidate, now time.Time) string {
+	here := r.loads[at]
+	if here == nil || here.load.Backlog < moveGain {
+		return ""
+	}
+	best := r.Choose(w, c, now, func(n string) bool { return n != at && r.loads[n] != nil })
+	if best == "" {
+		return ""
+	}
+	if b := r.backlog(best, now); b > moveShare*here.load.Backlog || b > here.load.Backlog-moveGain {
+		return ""
+	}
+	return best
+}
+
+// Choose returns the upstream at which to ask for a place for w, among the
+// candidates that allow lets through, or "" where there is none.
+func (r *Router) Choose(w *Work, c []Candidate, now time.Time, allow func(name string) bool) string {
+	c = r.sample(w, c, allow)
+	warm := warmNames(w, c)
+	best, least := "", 0.0
+	for _, x := range c {
+		s := r.score(x, now)
+		if warm[x.Name] {
+			s -= affinityBonus
+		}
+		s += tieBreakSeconds * r.random()
+		if best == "" || s < least {
+			best, least = x.Name, s
+		}
+	}
+	r.charge(w, best, c)
+	return best
+}
+
+// Forget drops what is known of an upstream.
+func (r *Router) Forget(name string) {
+	delete(r.loads, name)
+}
+
+// Known returns the load last heard of an upstream, and whether there is one.
+func (r *Router) Known(name string) (Load, bool) {
+	k := r.loads[name]
+	if k == nil {
+		return Load{}, false
+	}
+	return k.load, true
+}
+
+// Learn takes in a load that an owner told.
+func (r *Router) Learn(l Load) {
+	k := r.loads[l.Upstream]
+	if k == nil {
+		k = new(known)
+		r.loads[l.Upstream] = k
+	}
+	if l.AsOf.Before(k.load.AsOf) {
+		return
+	}
+	k.load = l
+	k.since = 0
+}
+
+func (r *Router) backlog(name string, now time.Time) float64 {
+	k := r.loads[name]
+	if k == nil || now.Sub(k.load.AsOf) > loadLife {
+		return unknownBacklog
+	}
+	return k.load.Backlog + k.since
+}
+
+// charge adds w to what was sent to an upstream since its load was told, so
+// that one box does not send everything to the same place until then.
+func (r *Router) charge(w *Work, name string, c []Candidate) {
+	k := r.loads[name]
+	if k == nil {
+		return
+	}
+	for _, x := range c {
+		if x.Name == name {
+			e := r.lengths.expect(KeyOf(w), w.Prompt, w.MaxTokens)
+			k.since += e.area / (usableShare * float64(x.Capacity.KVTokens)) * DefaultStepSeconds
+		}
+	}
+}
+
+// random returns a number in [0, 1) from the router's own sequence.
+func (r *Router) random() float64 {
+	r.seed ^= r.seed << 13
+	r.seed ^= r.seed >> 7
+	r.seed ^= r.seed << 17
+	return float64(r.seed>>11) / (1 << 53)
+}
+
+// sample returns the allowed candidates, or, where they are many, those that
+// the prefix keeps to and some at random.
+func (r *Router) sample(w *Work, c []Candidate, allow func(name string) bool) []Candidate {
+	l := make([]Candidate, 0, min(len(c), sampleSize+affinityPlaces))
+	if len(c) <= 2*sampleSize {
+		for _, x := range c {
+			if allow(x.Name) {
+				l = append(l, x)
+			}
+		}
+		return l
+	}
+	warm := warmNames(w, c)
+	for i, x := range c {
+		left := float64(sampleSize-len(l)) / float64(len(c)-i)
+		if allow(x.Name) && (warm[x.Name] || r.random() < left) {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+func (r *Router) score(c Candidate, now time.Time) float64 {
+	s := r.backlog(c.Name, now) + c.Delay
+	if k := r.loads[c.Name]; k != nil && now.Sub(k.load.AsOf) <= loadLife {
+		s += peakSeconds * k.load.Peak
+	}
+	return s
+}
+
+// warmNames returns the upstreams that w's prefix keeps to.
+func warmNames(w *Work, c []Candidate) map[string]bool {
+	if w.Prefix == 0 || len(c) <= affinityPlaces {
+		return nil
+	}
+	names := make([]string, len(c))
+	for i, x := range c {
+		names[i] = x.Name
+	}
+	m := make(map[string]bool, affinityPlaces)
+	for _, n := range Rank(strconv.FormatUint(w.Prefix, 36), names)[:affinityPlaces] {
+		m[n] = true
+	}
+	return m
+}
--- /dev/null
+++ b/internal/resource/check.go
@@ -0,0 +1,180 @@
+package resource
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+const (
+	keyHashBytes  = 32
+	maxNameBytes  = 63
+	maxSpecBytes  = 64 << 10
+	maxTokensTop  = 1 << 20
+	maxWeight     = 1000
+	maxWorkspaceQ = 1 << 20
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// Fault is one thing wrong with a resource.
+type Fault struct {
+	Field   string `json:"field"` // the path of the field, such as "spec.kvTokens"
+	Message string `json:"message"`
+}
+
+// Faults is every fault of a resource; it is an error where it is not empty.
+type Faults []Fault
+
+// Check returns every fault of r, and nil where it is sound.
+func Check(r *Resource) Faults {
+	var f Faults
+	if !slices.Contains(Kinds, r.Kind) {
+		f.add("kind", "must be one of %v, not %q", Kinds, r.Kind)
+	}
+	if !namePattern.MatchString(r.Metadata.Name) || len(r.Metadata.Name) > maxNameBytes {
+		f.add("metadata.name", "must be 1 to %d of a-z, 0-9, '-' and '.', with a letter or digit at both ends", maxNameBytes)
+	}
+	if len(r.Spec) > maxSpecBytes {
+		f.add("spec", "must be at most %d bytes", maxSpecBytes)
+		return f
+	}
+	f = append(f, checkSpec(r)...)
+	return f
+}
+
+// Decode reads r's spec into a value of the kind's type; unknown fields are faults.
+func Decode[T any](r *Resource) (*T, error) {
+	v := new(T)
+	d := json.NewDecoder(bytes.NewReader(r.Spec))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return nil, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("data after the spec")
+	}
+	return v, nil
+}
+
+// Error lists the faults, one after another.
+func (f Faults) Error() string {
+	var s []string
+	for _, x := range f {
+		s = append(s, x.Field+": "+x.Message)
+	}
+	return strings.Join(s, "; ")
+}
+
+func (f *Faults) add(field, format string, arguments ...any) {
+	*f = append(*f, Fault{Field: field, Message: fmt.Sprintf(format, arguments...)})
+}
+
+func (f *Faults) addRange(field string, v, low, high int) {
+	if v < low || v > high {
+		f.add(field, "must be between %d and %d, not %d", low, high, v)
+	}
+}
+
+func checkModel(s *ModelSpec) Faults {
+	var f Faults
+	f.addRange("spec.maxTokens", s.MaxTokens, 1, maxTokensTop)
+	return f
+}
+
+func checkSpec(r *Resource) Faults {
+	switch r.Kind {
+	case KindModel:
+		return checkWith(r, checkModel)
+	case KindPriority:
+		return checkWith(r, func(s *PrioritySpec) (f Faults) {
+			f.addRange("spec.value", s.Value, -100, 100)
+			return f
+		})
+	case KindUpstream:
+		return checkWith(r, checkUpstream)
+	case KindVersion:
+		return checkWith(r, checkVersion)
+	case KindWorkspace:
+		return checkWith(r, checkWorkspace)
+	}
+	return nil
+}
+
+func checkUpstream(s *UpstreamSpec) Faults {
+	var f Faults
+	checkAddress(&f, s.Address)
+	if s.Hall == "" {
+		f.add("spec.hall", "must be set")
+	}
+	switch s.Type {
+	case UpstreamEngine:
+		f.addRange("spec.kvTokens", s.KVTokens, 1, 1<<30)
+		f.addRange("spec.maxBatch", s.MaxBatch, 1, 1<<14)
+		if len(s.Models) == 0 {
+			f.add("spec.models", "must name at least one model")
+		}
+	case UpstreamService:
+		if !namePattern.MatchString(s.Service) {
+			f.add("spec.service", "must be a name")
+		}
+	default:
+		f.add("spec.type", "must be %q or %q, not %q", UpstreamEngine, UpstreamService, s.Type)
+	}
+	return f
+}
+
+func checkAddress(f *Faults, address string) {
+	u, err := url.Parse(address)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		f.add("spec.address", "must be http://IP:port or https://IP:port")
+		return
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		f.add("spec.address", "must name an IP number and a port, not %q", u.Host)
+	}
+}
+
+func checkVersion(s *VersionSpec) Faults {
+	var f Faults
+	if s.Model == "" {
+		f.add("spec.model", "must be set")
+	}
+	if s.Weights == "" {
+		f.add("spec.weights", "must be set")
+	}
+	return f
+}
+
+func checkWith[T any](r *Resource, check func(*T) Faults) Faults {
+	s, err := Decode[T](r)
+	if err != nil {
+		return Faults{{Field: "spec", Message: strings.TrimPrefix(err.Error(), "json: ")}}
+	}
+	return check(s)
+}
+
+func checkWorkspace(s *WorkspaceSpec) Faults {
+	var f Faults
+	for i, h := range s.KeyHashes {
+		if b, err := hex.DecodeString(h); err != nil || len(b) != keyHashBytes {
+			f.add(fmt.Sprintf("spec.keyHashes[%d]", i), "must be a SHA-256 hash of %d hex digits", 2*keyHashBytes)
+		}
+	}
+	if len(s.KeyHashes) == 0 {
+		f.add("spec.keyHashes", "must hold at least one hash")
+	}
+	f.addRange("spec.maxQueued", s.MaxQueued, 0, maxWorkspaceQ)
+	if s.Weight < 0 || s.Weight > maxWeight {
+		f.add("spec.weight", "must be between 0 and %d", maxWeight)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/resource/reference.go
@@ -0,0 +1,52 @@
+package resource
+
+import "fmt"
+
+// Reference is the name of another resource in a resource's spec.
+type Reference struct {
+	Field string // the path of the field that holds it
+	Kind  Kind
+	Name  string
+}
+
+// CheckReferences returns a fault for each reference of r to a resource that
+// the view does not hold.
+func (v *View) CheckReferences(r *Resource) Faults {
+	var f Faults
+	for _, x := range References(r) {
+		if v.Get(x.Kind, x.Name) == nil {
+			f.add(x.Field, "%s %q does not exist", x.Kind, x.Name)
+		}
+	}
+	return f
+}
+
+// References returns the references that r holds.
+func References(r *Resource) []Reference {
+	switch r.Kind {
+	case KindUpstream:
+		return upstreamReferences(r)
+	case KindVersion:
+		if s, err := Decode[VersionSpec](r); err == nil && s.Model != "" {
+			return []Reference{{"spec.model", KindModel, s.Model}}
+		}
+	case KindWorkspace:
+		if s, err := Decode[WorkspaceSpec](r); err == nil && s.Priority != "" {
+			return []Reference{{"spec.priority", KindPriority, s.Priority}}
+		}
+	case KindModel, KindPriority:
+	}
+	return nil
+}
+
+func upstreamReferences(r *Resource) []Reference {
+	s, err := Decode[UpstreamSpec](r)
+	if err != nil {
+		return nil
+	}
+	var l []Reference
+	for i, m := range s.Models {
+		l = append(l, Reference{fmt.Sprintf("spec.models[%d]", i), KindModel, m})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/resource/resource.go
@@ -0,0 +1,126 @@
+// Package resource defines what operators declare: models, versions,
+// workspaces, priorities and upstreams, with their checks and status.
+package resource
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+)
+
+// Kind names a kind of resource.
+type Kind string
+
+// The kinds of resources.
+const (
+	KindModel     Kind = "Model"
+	KindPriority  Kind = "Priority"
+	KindUpstream  Kind = "Upstream"
+	KindVersion   Kind = "Version"
+	KindWorkspace Kind = "Workspace"
+)
+
+// Kinds lists every kind in the order in which they are applied.
+var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindUpstream}
+
+// Metadata identifies a resource and its version.
+type Metadata struct {
+	// Generation counts the changes of Spec, from 1.
+	Generation int64 `json:"generation,omitempty"`
+	// Name is unique within a kind.
+	Name string `json:"name"`
+	// ResourceVersion is the revision of the last write, in decimal.
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+// Condition is one observed aspect of a resource.
+type Condition struct {
+	LastTransitionTime time.Time `json:"lastTransitionTime"`
+	Message            string    `json:"message,omitempty"`
+	Reason             string    `json:"reason"`
+	Status             string    `json:"status"` // "True", "False" or "Unknown"
+	Type               string    `json:"type"`   // such as "InForce"
+}
+
+// HallStatus tells how far a resource is in force in one data hall.
+type HallStatus struct {
+	Boxes   int    `json:"boxes"`   // boxes believed alive
+	Hall    string `json:"hall"`    // the data hall's name
+	InForce int    `json:"inForce"` // boxes with this generation in force
+	Unknown int    `json:"unknown"` // boxes that did not answer
+}
+
+// Status is what the system observes about a resource.
+type Status struct {
+	Conditions         []Condition  `json:"conditions,omitempty"`
+	Halls              []HallStatus `json:"halls,omitempty"`
+	ObservedGeneration int64        `json:"observedGeneration,omitempty"`
+}
+
+// Resource is one declared object; Spec holds the JSON of the kind's spec.
+type Resource struct {
+	Kind     Kind            `json:"kind"`
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   *Status         `json:"status,omitempty"`
+}
+
+// Revision returns the revision of the resource's last write, or 0.
+func (r *Resource) Revision() int64 {
+	v, _ := strconv.ParseInt(r.Metadata.ResourceVersion, 10, 64)
+	return v
+}
+
+// ModelSpec declares a model that callers may name.
+type ModelSpec struct {
+	// Default is the version used where a caller names none.
+	Default string `json:"default,omitempty"`
+	// MaxTokens bounds the output of one generation, in tokens.
+	MaxTokens int `json:"maxTokens"`
+}
+
+// VersionSpec declares one version of a model and where its weights are.
+type VersionSpec struct {
+	Model   string `json:"model"`
+	Weights string `json:"weights"` // the weight store's name of the object
+}
+
+// WorkspaceSpec declares a workspace.
+type WorkspaceSpec struct {
+	// KeyHashes are hex SHA-256 hashes of the bearer keys that open it.
+	KeyHashes []string `json:"keyHashes"`
+	// MaxQueued bounds the requests of it that wait at one box.
+	MaxQueued int `json:"maxQueued,omitempty"`
+	// Priority names the Priority used where a request names none.
+	Priority string `json:"priority,omitempty"`
+	// Weight is its share of a crowded upstream relative to the others.
+	Weight float64 `json:"weight,omitempty"`
+}
+
+// PrioritySpec declares a priority; higher values go first.
+type PrioritySpec struct {
+	Value int `json:"value"`
+}
+
+// UpstreamType tells a model engine from a plain service.
+type UpstreamType string
+
+// The types of upstreams.
+const (
+	UpstreamEngine  UpstreamType = "engine"
+	UpstreamService UpstreamType = "service"
+)
+
+// UpstreamSpec declares an engine or a plain service.
+type UpstreamSpec struct {
+	Address     string       `json:"address"`               // http://IP:port
+	ChecksFence bool         `json:"checksFence,omitempty"` // it refuses orders with an old fence
+	Hall        string       `json:"hall"`                  // the data hall it stands in
+	KVTokens    int          `json:"kvTokens,omitempty"`    // engine: memory for prompts and outputs, in tokens
+	Leaving     bool         `json:"leaving,omitempty"`     // it gets no new work
+	MaxBatch    int          `json:"maxBatch,omitempty"`    // engine: generations at once within the inter-token target
+	Models      []string     `json:"models,omitempty"`      // engine: the models it runs
+	Repeatable  []string     `json:"repeatable,omitempty"`  // service: methods that may be repeated
+	Service     string       `json:"service,omitempty"`     // service: the name in /services/NAME/
+	Type        UpstreamType `json:"type"`
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,265 @@
+// Package settings reads the TOML settings of one box.
+//
+// Unknown keys are refused, and every fault is told at once with its line.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Policy names the policy by which upstreams are chosen and filled.
+type Policy string
+
+// The policies.
+const (
+	PolicyNaive    Policy = "naive"
+	PolicyReserved Policy = "reserved"
+)
+
+// Limits bounds what one caller or peer can make the box hold.
+type Limits struct {
+	BodyBytes   int64 `toml:"body_bytes"`   // of one request
+	HeaderBytes int   `toml:"header_bytes"` // of one request
+	Queued      int   `toml:"queued"`       // requests waiting, all workspaces
+	Streams     int   `toml:"streams"`      // requests held at once
+}
+
+// Timeouts bounds how long the box waits; each is made a deadline when a wait begins.
+type Timeouts struct {
+	Heartbeat Span `toml:"heartbeat"` // between heartbeats to another box
+	Leave     Span `toml:"leave"`     // for streams to finish after a stop was asked for
+	Platform  Span `toml:"platform"`  // for one call to the platform
+	Report    Span `toml:"report"`    // between reads of an upstream's load report
+	Request   Span `toml:"request"`   // for a request that names no deadline
+	Silence   Span `toml:"silence"`   // from a stream without a token to its resumption
+}
+
+// TLS names the files that authenticate boxes to each other and to callers.
+type TLS struct {
+	Authority   string `toml:"authority"`   // PEM: who signs the boxes' certificates
+	Certificate string `toml:"certificate"` // PEM: this box's certificate
+	Clients     bool   `toml:"clients"`     // serve clients and operators over TLS, too
+	Key         string `toml:"key"`         // PEM: this box's key
+}
+
+// Settings is what one process is told at its start.
+type Settings struct {
+	Box             string   `toml:"box"`              // this box's name
+	BoxAddress      string   `toml:"box_address"`      // IP:port (UDP) for other boxes
+	ClientAddress   string   `toml:"client_address"`   // IP:port for clients
+	Hall            string   `toml:"hall"`             // the data hall this box stands in
+	Limits          Limits   `toml:"limits"`           // bounds
+	LogLevel        string   `toml:"log_level"`        // debug, info, warn or error
+	OperatorAddress string   `toml:"operator_address"` // IP:port for operators
+	OperatorKeyHash string   `toml:"operator_key_hash"`
+	Peers           []string `toml:"peers"`    // IP:port of boxes to join by where the platform is down
+	Platform        string   `toml:"platform"` // http://IP:port
+	Policy          Policy   `toml:"policy"`   // naive or reserved
+	Timeouts        Timeouts `toml:"timeouts"`
+	TLS             TLS      `toml:"tls"`
+}
+
+// Span is a length of time written as in "250ms".
+type Span struct{ time.Duration }
+
+// Fault is one thing wrong with the settings.
+type Fault struct {
+	Key     string
+	Line    int // from 1; 0 where the key is missing
+	Message string
+}
+
+// Faults is every fault of a settings file.
+type Faults []Fault
+
+// Default returns the settings that hold where a file names nothing else.
+func Default() Settings {
+	return Settings{
+		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000},
+		LogLevel: "info",
+		Policy:   PolicyReserved,
+		Timeouts: Timeouts{
+			Heartbeat: Span{time.Second},
+			Leave:     Span{10 * time.Minute},
+			Platform:  Span{2 * time.Second},
+			Report:    Span{time.Second},
+			Request:   Span{5 * time.Minute},
+			Silence:   Span{10 * time.Second},
+		},
+	}
+}
+
+// Load reads the settings in the file at path.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads settings from TOML.
+func Parse(b []byte) (*Settings, error) {
+	s := Default()
+	d := toml.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if f := decodeFaults(d.Decode(&s)); len(f) > 0 {
+		return nil, f
+	}
+	if f := s.check(b); len(f) > 0 {
+		return nil, f
+	}
+	return &s, nil
+}
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	var l []string
+	for _, x := range f {
+		l = append(l, fmt.Sprintf("line %d: %s: %s", x.Line, x.Key, x.Message))
+	}
+	return strings.Join(l, "\n")
+}
+
+// Level returns the log level; it is checked when the settings are read.
+func (s *Settings) Level() slog.Level {
+	var l slog.Level
+	_ = l.UnmarshalText([]byte(s.LogLevel))
+	return l
+}
+
+// UnmarshalText reads a span such as "1.5s".
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	s.Duration = d
+	return nil
+}
+
+func (s *Settings) check(source []byte) Faults {
+	var f Faults
+	add := func(key, message string) {
+		f = append(f, Fault{Key: key, Line: lineOf(source, key), Message: message})
+	}
+	checkNames(s, add)
+	checkAddresses(s, add)
+	checkChoices(s, add)
+	checkPositive(s, add)
+	slices.SortStableFunc(f, func(a, b Fault) int { return a.Line - b.Line })
+	return f
+}
+
+func checkAddresses(s *Settings, add func(key, message string)) {
+	for _, x := range []struct{ key, value string }{
+		{"box_address", s.BoxAddress},
+		{"client_address", s.ClientAddress},
+		{"operator_address", s.OperatorAddress},
+	} {
+		if _, err := netip.ParseAddrPort(x.value); err != nil {
+			add(x.key, "must be IP:port")
+		}
+	}
+	if !strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://") {
+		add("platform", "must be http://IP:port or https://IP:port")
+	}
+}
+
+func checkChoices(s *Settings, add func(key, message string)) {
+	var l slog.Level
+	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
+		add("log_level", "must be debug, info, warn or error")
+	}
+	if s.Policy != PolicyNaive && s.Policy != PolicyReserved {
+		add("policy", "must be naive or reserved")
+	}
+	if s.OperatorKeyHash != "" && len(s.OperatorKeyHash) != 64 {
+		add("operator_key_hash", "must be a SHA-256 hash of 64 hex digits")
+	}
+	if given := s.TLS.Authority != "" || s.TLS.Certificate != "" || s.TLS.Key != ""; given || s.TLS.Clients {
+		if s.TLS.Authority == "" || s.TLS.Certificate == "" || s.TLS.Key == "" {
+			add("tls", "authority, certificate and key must all be set")
+		}
+	}
+}
+
+func checkNames(s *Settings, add func(key, message string)) {
+	if s.Box == "" {
+		add("box", "must be set")
+	}
+	if s.Hall == "" {
+		add("hall", "must be set")
+	}
+}
+
+func checkPositive(s *Settings, add func(key, message string)) {
+	for _, x := range []struct {
+		key   string
+		value int64
+	}{
+		{"body_bytes", s.Limits.BodyBytes},
+		{"header_bytes", int64(s.Limits.HeaderBytes)},
+		{"queued", int64(s.Limits.Queued)},
+		{"streams", int64(s.Limits.Streams)},
+		{"heartbeat", int64(s.Timeouts.Heartbeat.Duration)},
+		{"leave", int64(s.Timeouts.Leave.Duration)},
+		{"platform", int64(s.Timeouts.Platform.Duration)},
+		{"report", int64(s.Timeouts.Report.Duration)},
+		{"request", int64(s.Timeouts.Request.Duration)},
+		{"silence", int64(s.Timeouts.Silence.Duration)},
+	} {
+		if x.value <= 0 {
+			add(x.key, "must be above 0")
+		}
+	}
+}
+
+func decodeFaults(err error) Faults {
+	var m *toml.StrictMissingError
+	if errors.As(err, &m) {
+		var f Faults
+		for _, e := range m.Errors {
+			l, _ := e.Position()
+			f = append(f, Fault{Key: strings.Join(e.Key(), "."), Line: l, Message: "unknown key"})
+		}
+		return f
+	}
+	var d *toml.DecodeError
+	if errors.As(err, &d) {
+		l, _ := d.Position()
+		return Faults{{Key: strings.Join(d.Key(), "."), Line: l, Message: d.Error()}}
+	}
+	if err != nil {
+		return Faults{{Message: err.Error()}}
+	}
+	return nil
+}
+
+// lineOf returns the line on which the last part of key is set, or 0.
+func lineOf(source []byte, key string) int {
+	for i, l := range strings.Split(string(source), "\n") {
+		n, _, ok := strings.Cut(l, "=")
+		if ok && strings.TrimSpace(n) == key {
+			return i + 1
+		}
+		if strings.TrimSpace(l) == "["+key+"]" {
+			return i + 1
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,97 @@
+// Package sse reads and writes server-sent events, the framing of streams
+// towards clients and upstreams.
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// Event is one server-sent event.
+type Event struct {
+	Data []byte // valid until the next call of Next
+	ID   string
+	Name string
+}
+
+// Reader reads events from a stream.
+type Reader struct {
+	data    []byte
+	scanner *bufio.Scanner
+}
+
+// MaxLineBytes bounds one line of a stream; a longer one is an error.
+const MaxLineBytes = 1 << 20
+
+const firstBufferBytes = 4 << 10
+
+// ErrTooLarge says that an event passed MaxLineBytes.
+var ErrTooLarge = errors.New("sse: event too large")
+
+// NewReader returns a reader of the events in r.
+func NewReader(r io.Reader) *Reader {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, firstBufferBytes), MaxLineBytes)
+	return &Reader{scanner: s}
+}
+
+// Next returns the next event, or io.EOF at the end of the stream. An event
+// that the stream's end cut off is dropped.
+func (r *Reader) Next() (Event, error) {
+	var e Event
+	r.data = r.data[:0]
+	seen := false
+	for r.scanner.Scan() {
+		l := r.scanner.Bytes()
+		if len(l) == 0 {
+			if seen {
+				e.Data = r.data
+				return e, nil
+			}
+			continue
+		}
+		seen = true
+		if err := r.field(&e, l); err != nil {
+			return Event{}, err
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return Event{}, err
+	}
+	return Event{}, io.EOF
+}
+
+func (r *Reader) field(e *Event, line []byte) error {
+	n, v, _ := bytes.Cut(line, []byte(":"))
+	v = bytes.TrimPrefix(v, []byte(" "))
+	switch string(n) {
+	case "data":
+		if len(r.data) > 0 {
+			r.data = append(r.data, '\n')
+		}
+		r.data = append(r.data, v...)
+		if len(r.data) > MaxLineBytes {
+			return ErrTooLarge
+		}
+	case "event":
+		e.Name = string(v)
+	case "id":
+		e.ID = string(v)
+	}
+	return nil
+}
+
+// Append adds e to b in the form of the wire and returns the result. Data must
+// hold no line break.
+func Append(b []byte, e Event) []byte {
+	if e.ID != "" {
+		b = append(append(append(b, "id: "...), e.ID...), '\n')
+	}
+	if e.Name != "" {
+		b = append(append(append(b, "event: "...), e.Name...), '\n')
+	}
+	b = append(append(append(b, "data: "...), e.Data...), '\n')
+	return append(b, '\n')
+}
--- /dev/null
+++ b/internal/upstream/engine.go
@@ -0,0 +1,242 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/sse"
+)
+
+// Engines calls model engines. It is safe for concurrent use.
+type Engines struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// Stream is the open event stream of one generation.
+type Stream struct {
+	body       io.ReadCloser
+	generation string
+	next       int // the index of the next token
+	peer       string
+	reader     *sse.Reader
+}
+
+// Option sets one thing of Engines.
+type Option func(*Engines)
+
+const (
+	maxAnswerBytes     = 1 << 20
+	maxIdleConnections = 256
+)
+
+// NewEngines returns a caller of engines; timeout bounds every call but a stream.
+func NewEngines(timeout time.Duration, options ...Option) *Engines {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConnsPerHost = maxIdleConnections
+	t.ResponseHeaderTimeout = timeout
+	t.DialContext = (&net.Dialer{Timeout: timeout}).DialContext
+	e := &Engines{http: &http.Client{Transport: t}, timeout: timeout}
+	for _, o := range options {
+		o(e)
+	}
+	return e
+}
+
+// WithTransport sets the transport, for tests.
+func WithTransport(t http.RoundTripper) Option {
+	return func(e *Engines) { e.http.Transport = t }
+}
+
+// Cancel ends a generation; one that no longer exists is no error.
+func (e *Engines) Cancel(ctx context.Context, address, id string) error {
+	err := e.call(ctx, "cancel", http.MethodDelete, address, generationPath(id), nil, nil)
+	if errorx.IsOfType(err, fail.NotFound) {
+		return nil
+	}
+	return err
+}
+
+// Close closes idle connections.
+func (e *Engines) Close() error {
+	e.http.CloseIdleConnections()
+	return nil
+}
+
+// Load returns an engine's load report.
+func (e *Engines) Load(ctx context.Context, address string) (*Load, error) {
+	v := new(Load)
+	if err := e.call(ctx, "read load", http.MethodGet, address, "/v1/load", nil, v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// Order gives an engine a fenced order.
+func (e *Engines) Order(ctx context.Context, address string, o *Order) error {
+	return e.call(ctx, "order", http.MethodPost, address, "/v1/orders", o, nil)
+}
+
+// Position returns where a generation stands. An error of type fail.NotFound
+// means that the engine, as it runs now, has never started it.
+func (e *Engines) Position(ctx context.Context, address, id string) (*Position, error) {
+	v := new(Position)
+	if err := e.call(ctx, "read position", http.MethodGet, address, generationPath(id), nil, v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// Resume opens the stream of a running or finished generation at token from.
+func (e *Engines) Resume(ctx context.Context, address, id string, from int) (*Stream, error) {
+	return e.open(ctx, "resume", http.MethodGet, address, generationPath(id)+"/events?from="+strconv.Itoa(from), nil, id, from)
+}
+
+// Start starts a generation and opens its stream.
+//
+// An error of type fail.NotRun means that the engine confirmed, or could not
+// but agree, that it started nothing; any other error leaves that open.
+func (e *Engines) Start(ctx context.Context, address string, s *Start) (*Stream, error) {
+	return e.open(ctx, "start", http.MethodPost, address, "/v1/generations", s, s.ID, 0)
+}
+
+// Close ends the stream without cancelling the generation.
+func (s *Stream) Close() error {
+	return s.body.Close()
+}
+
+// Next returns the stream's next frame.
+//
+// Frames that were already seen are passed over. A frame of another generation,
+// or one that leaves out a token, is an error of type fail.Interrupted; the
+// caller then resumes.
+func (s *Stream) Next() (Frame, error) {
+	p := fail.Place{Peer: s.peer, Step: "read stream"}
+	for {
+		v, err := s.reader.Next()
+		if err != nil {
+			return Frame{}, fail.Wrap(fail.Interrupted, p, "stream_cut", err)
+		}
+		var f Frame
+		if err := json.Unmarshal(v.Data, &f); err != nil {
+			return Frame{}, fail.Wrap(fail.Interrupted, p, "stream_garbled", err)
+		}
+		if f.Generation != s.generation {
+			return Frame{}, fail.New(fail.Interrupted, p, "stream_crossed", "generation %q in the stream of %q", f.Generation, s.generation)
+		}
+		if f.Finish != "" {
+			return f, s.checkEnd(p, f)
+		}
+		if f.Index < s.next {
+			continue
+		}
+		if f.Index > s.next {
+			return Frame{}, fail.New(fail.Interrupted, p, "stream_gap", "token %d came, %d was next", f.Index, s.next)
+		}
+		s.next++
+		return f, nil
+	}
+}
+
+// checkEnd makes sure that the last frame comes after every token.
+func (s *Stream) checkEnd(p fail.Place, f Frame) error {
+	if f.Index != s.next {
+		return fail.New(fail.Interrupted, p, "stream_gap", "end at %d came, token %d was next", f.Index, s.next)
+	}
+	return nil
+}
+
+func (e *Engines) call(ctx context.Context, step, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	p := fail.Place{Peer: "upstream " + address, Step: step}
+	w, err := e.send(ctx, p, method, address+path, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = w.Body.Close() }()
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(w.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return fail.Wrap(fail.Unavailable, p, "upstream_garbled", err)
+	}
+	return nil
+}
+
+func (e *Engines) open(ctx context.Context, step, method, address, path string, in any, id string, from int) (*Stream, error) {
+	p := fail.Place{Peer: "upstream " + address, Step: step}
+	w, err := e.send(ctx, p, method, address+path, in) //nolint:bodyclose // Stream.Close closes it.
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{body: w.Body, generation: id, next: from, peer: p.Peer, reader: sse.NewReader(w.Body)}, nil
+}
+
+// send returns an answer of status 200, or a typed error.
+func (e *Engines) send(ctx context.Context, p fail.Place, method, target string, in any) (*http.Response, error) {
+	b, err := encode(in)
+	if err != nil {
+		return nil, fail.Wrap(fail.BadInput, p, "bad_upstream_request", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(b))
+	if err != nil {
+		return nil, fail.Wrap(fail.BadInput, p, "bad_upstream_request", err)
+	}
+	w, err := e.http.Do(r)
+	if err != nil {
+		return nil, sendError(p, err)
+	}
+	if w.StatusCode == http.StatusOK {
+		return w, nil
+	}
+	defer func() { _ = w.Body.Close() }()
+	return nil, statusError(p, w)
+}
+
+func encode(in any) ([]byte, error) {
+	if in == nil {
+		return nil, nil
+	}
+	return json.Marshal(in)
+}
+
+func generationPath(id string) string {
+	return "/v1/generations/" + url.PathEscape(id)
+}
+
+// sendError tells a call that never left from one whose answer was lost.
+func sendError(p fail.Place, err error) error {
+	if IsDial(err) {
+		return fail.Wrap(fail.NotRun, p, "upstream_unreachable", err)
+	}
+	return fail.Wrap(fail.Unknown, p, "upstream_lost", err)
+}
+
+// statusError trusts an engine's own word that it ran nothing: 4xx and 503.
+func statusError(p fail.Place, w *http.Response) error {
+	b, _ := io.ReadAll(io.LimitReader(w.Body, 512))
+	m := fmt.Sprintf("status %d: %s", w.StatusCode, bytes.TrimSpace(b))
+	switch w.StatusCode {
+	case http.StatusNotFound:
+		return fail.New(fail.NotFound, p, "upstream_not_found", "%s", m)
+	case http.StatusConflict:
+		return fail.New(fail.Conflict, p, "upstream_conflict", "%s", m)
+	case http.StatusServiceUnavailable:
+		return fail.New(fail.NotRun, p, "upstream_leaving", "%s", m)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return fail.New(fail.NotRun, p, "upstream_refused", "%s", m)
+	}
+	return fail.New(fail.Unknown, p, "upstream_failed", "%s", m)
+}
--- /dev/null
+++ b/internal/upstream/service.go
@@ -0,0 +1,28 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/linetiller/linetiller/internal/fail"
+)
+
+// Call sends a request to a plain service and returns its answer.
+//
+// An error of type fail.NotRun means that nothing was sent; fail.Unknown means
+// that the call may have run. The caller closes the answer's body.
+func (e *Engines) Call(r *http.Request) (*http.Response, error) {
+	p := fail.Place{Peer: "upstream " + r.URL.Host, Step: "call service"}
+	w, err := e.http.Do(r)
+	if err != nil {
+		return nil, sendError(p, err)
+	}
+	return w, nil
+}
+
+// IsDial reports whether err arose while connecting, before anything was sent.
+func IsDial(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
