Prove the promises of a request's path, and mend what the proofs found

Cause: the path had no proof under failure. Sessions in virtual time over in-memory links, and whole halls of boxes over loopback, found three faults: a repeat of a request key that came between the key's row and the start of its generation was told 'unknown'; a box that left refused connections before the balancer could have seen it; refusals of plain services were not counted.

Ruled out: for the first, a wider transaction (the row must stand before the first byte goes out); for the second, retries by the client (not all clients have a second address).

Change: a repeat waits up to 3 s for the start to arrive; a box that leaves goes on serving for timeouts.drain after it fails its readiness; every refusal is counted once.

--- a/client_test.go
+++ b/client_test.go
@@ -11,7 +11,7 @@
 
 // TestOpenAIClient drives a box with the client library that callers use.
 func TestOpenAIClient(t *testing.T) {
-	h := newHall(t, 1, 1, nil)
+	h := newHall(t, 1, 1)
 	c := openai.NewClient(option.WithAPIKey(testKey), option.WithBaseURL("http://"+h.boxes[0].ClientAddress()+"/v1"), option.WithMaxRetries(0))
 
 	t.Run("whole text completion", func(t *testing.T) {
--- a/hall_test.go
+++ b/hall_test.go
@@ -39,9 +39,9 @@
 
 // newHall starts boxes and engines and waits until every box has the resources
 // in force.
-func newHall(t *testing.T, boxes, engines int, change func(*settings.Settings)) *hall {
+func newHall(t *testing.T, boxes, engines int) *hall {
 	t.Helper()
-	h := &hall{platform: fakeplatform.New(), service: fakeservice.New(), servers: make(map[string]*httptest.Server), settings: change, t: t}
+	h := &hall{platform: fakeplatform.New(), service: fakeservice.New(), servers: make(map[string]*httptest.Server), t: t}
 	h.serve("platform", h.platform)
 	h.serve("service", h.service)
 	for n := range engines {
@@ -113,13 +113,14 @@
 }
 
 // startBox starts one more box and enters it into the platform's list.
-func (h *hall) startBox() *linetiller.Box {
+func (h *hall) startBox() {
 	h.t.Helper()
 	s := settings.Default()
 	s.Box = fmt.Sprintf("a-%d", len(h.boxes)+1)
 	s.Hall = "upperhill-a"
 	s.BoxAddress, s.ClientAddress, s.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Platform = h.servers["platform"].URL
+	s.Timeouts.Drain.Duration = 300 * time.Millisecond
 	s.Timeouts.Report.Duration = 100 * time.Millisecond
 	s.Timeouts.Heartbeat.Duration = 200 * time.Millisecond
 	if h.settings != nil {
@@ -140,7 +141,6 @@
 		<-done
 	})
 	h.boxes = append(h.boxes, b)
-	return b
 }
 
 // waitInForce waits until every box has every resource in force.
@@ -168,3 +168,8 @@
 	}
 	return &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: b}
 }
+
+// withPeers makes a box join by the boxes at these addresses.
+func withPeers(addresses ...string) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Peers = addresses }
+}
--- a/internal/client/answer.go
+++ b/internal/client/answer.go
@@ -68,10 +68,10 @@
 }
 
 // fail ends the answer with an error: as a status where nothing was sent yet,
-// as a last event otherwise.
-func (a *answerWriter) fail(s *Server, err error) {
+// as a last event otherwise. The delivery has counted it.
+func (a *answerWriter) fail(err error) {
 	if !a.started {
-		s.refuse(a.writer, err)
+		writeError(a.writer, err)
 		return
 	}
 	e, _ := errorOf(err)
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -205,12 +205,9 @@
 	}, nil
 }
 
-// refuse writes an error in the form of the OpenAI interface and counts it,
-// where the part that made it has not.
+// refuse counts an error and writes it in the form of the OpenAI interface.
 func (s *Server) refuse(w http.ResponseWriter, err error) {
-	if !counted(err) {
-		s.metrics.Count(metric.Refusals, "reason", fail.Reason(err))
-	}
+	s.metrics.Count(metric.Refusals, "reason", fail.Reason(err))
 	writeError(w, err)
 }
 
--- a/internal/client/completion.go
+++ b/internal/client/completion.go
@@ -77,7 +77,7 @@
 		sink = a.send
 	}
 	if err := s.Generate(r.Context(), q, sink); err != nil {
-		a.fail(s, err)
+		a.fail(err)
 		return
 	}
 	if !stream {
--- a/internal/client/error.go
+++ b/internal/client/error.go
@@ -48,11 +48,6 @@
 	}
 )
 
-// counted reports whether the part that made err counts it itself.
-func counted(err error) bool {
-	return fail.Peer(err) != "client" || fail.Step(err) == "accept" || fail.Step(err) == "deliver"
-}
-
 func errorOf(err error) (apiError, mapping) {
 	m := mappingUnknown
 	for _, x := range mappings {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -89,6 +89,7 @@
 	recordRetry   = 5 * time.Second
 	resumePeriod  = 3 * time.Second // of failing resumptions after which a generation is lost
 	resumptionGap = 50 * time.Millisecond
+	startPeriod   = 3 * time.Second // from the claim of a key to the arrival of its start
 )
 
 // Option sets one thing of a Deliverer.
--- a/internal/delivery/session.go
+++ b/internal/delivery/session.go
@@ -197,7 +197,7 @@
 	case requestkey.StateFinished:
 		return s.replay(r)
 	case requestkey.StateRunning:
-		err := s.resume(r.Upstream, r.Generation, 0)
+		err := s.resumeStarting(r.Upstream, r.Generation)
 		if errorx.IsOfType(err, fail.NotFound) {
 			return fail.Wrap(fail.Unknown, p, "outcome_unknown", err)
 		}
@@ -256,6 +256,23 @@
 	return s.outcome(err)
 }
 
+// resumeStarting delivers a generation whose row was written but whose start may
+// still be on its way to the upstream.
+func (s *session) resumeStarting(name, generation string) error {
+	until := time.Now().Add(startPeriod)
+	for {
+		err := s.resume(name, generation, 0)
+		if !errorx.IsOfType(err, fail.NotFound) || time.Now().After(until) {
+			return err
+		}
+		select {
+		case <-time.After(resumptionGap):
+		case <-s.client.Done():
+			return err
+		}
+	}
+}
+
 // start sends the request. From here on it is no longer certain that nothing ran.
 func (s *session) start(f *follower) error {
 	q := s.request
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -124,12 +124,6 @@
 	return fmt.Sprintf(" t%d.%04x", i, h.Sum32()&0xffff)
 }
 
-func (s *Server) closeReader(v *record) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	v.readers--
-}
-
 func (s *Server) deleteGeneration(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -361,12 +355,7 @@
 
 // stream writes v's events from a token index until its end or a fault.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, v *record, from int) {
-	s.mutex.Lock()
-	f := s.faults
-	s.faults.CrossFrames = max(0, f.CrossFrames-1)
-	s.faults.DoubleFrames = max(0, f.DoubleFrames-1)
-	v.readers++
-	s.mutex.Unlock()
+	f := s.openReader(v)
 	defer s.closeReader(v)
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
@@ -377,21 +366,9 @@
 		s.mutex.Unlock()
 		for ; i < len(texts); i++ {
 			x := upstream.Frame{Generation: v.generation.ID, Index: i, Text: texts[i], Workspace: v.workspace}
-			if f.CrossFrames > 0 && sent == 2 {
-				x.Generation = "another"
-			}
-			writeFrame(w, x)
-			if f.DoubleFrames > 0 {
-				writeFrame(w, x)
-			}
 			sent++
-			if f.CutAfter > 0 && sent >= f.CutAfter {
-				_ = c.Flush()
-				panic(http.ErrAbortHandler)
-			}
-			if f.StallAfter > 0 && sent >= f.StallAfter {
-				_ = c.Flush()
-				<-r.Context().Done()
+			writeFaulty(w, x, sent, &f)
+			if s.breaks(r, c, sent, &f) {
 				return
 			}
 		}
@@ -410,6 +387,41 @@
 	}
 }
 
+// breaks cuts the stream or stalls it where a fault says so, and reports whether
+// it has ended.
+func (s *Server) breaks(r *http.Request, c *http.ResponseController, sent int, f *Faults) bool {
+	if f.CutAfter > 0 && sent >= f.CutAfter {
+		_ = c.Flush()
+		panic(http.ErrAbortHandler)
+	}
+	if f.StallAfter == 0 || sent < f.StallAfter {
+		return false
+	}
+	_ = c.Flush()
+	select {
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+	return true
+}
+
+func (s *Server) closeReader(v *record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v.readers--
+}
+
+// openReader counts a reader of v and returns the faults that its stream has.
+func (s *Server) openReader(v *record) Faults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.faults
+	s.faults.CrossFrames = max(0, f.CrossFrames-1)
+	s.faults.DoubleFrames = max(0, f.DoubleFrames-1)
+	v.readers++
+	return f
+}
+
 func (r *record) end(finish string) {
 	r.finish = finish
 	r.signal()
@@ -445,3 +457,16 @@
 	b, _ := json.Marshal(f)
 	_, _ = w.Write(sse.Append(nil, sse.Event{Data: b}))
 }
+
+// writeFaulty writes the frame that is the sent-th of its stream, crossed or
+// doubled where a fault says so.
+func writeFaulty(w io.Writer, x upstream.Frame, sent int, f *Faults) {
+	const crossedFrame = 3
+	if f.CrossFrames > 0 && sent == crossedFrame {
+		x.Generation = "another"
+	}
+	writeFrame(w, x)
+	if f.DoubleFrames > 0 {
+		writeFrame(w, x)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 
 // Timeouts bounds how long the box waits; each is made a deadline when a wait begins.
 type Timeouts struct {
+	Drain     Span `toml:"drain"`     // from failing readiness to refusing new requests
 	Heartbeat Span `toml:"heartbeat"` // between heartbeats to another box
 	Leave     Span `toml:"leave"`     // for streams to finish after a stop was asked for
 	Platform  Span `toml:"platform"`  // for one call to the platform
@@ -89,6 +90,7 @@
 		LogLevel: "info",
 		Policy:   PolicyReserved,
 		Timeouts: Timeouts{
+			Drain:     Span{5 * time.Second},
 			Heartbeat: Span{time.Second},
 			Leave:     Span{10 * time.Minute},
 			Platform:  Span{2 * time.Second},
@@ -216,6 +218,7 @@
 		{"header_bytes", int64(s.Limits.HeaderBytes)},
 		{"queued", int64(s.Limits.Queued)},
 		{"streams", int64(s.Limits.Streams)},
+		{"drain", int64(s.Timeouts.Drain.Duration)},
 		{"heartbeat", int64(s.Timeouts.Heartbeat.Duration)},
 		{"leave", int64(s.Timeouts.Leave.Duration)},
 		{"platform", int64(s.Timeouts.Platform.Duration)},
--- a/linetiller.go
+++ b/linetiller.go
@@ -179,8 +179,14 @@
 	return err
 }
 
-// finish waits for the requests in progress, up to the time for leaving.
+// finish goes on serving until the balancer must have seen that the box is not
+// ready, and then waits for the requests in progress, up to the time for leaving.
 func (b *Box) finish(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(b.settings.Timeouts.Drain.Duration):
+	}
 	ctx, cancel := context.WithTimeout(ctx, b.settings.Timeouts.Leave.Duration)
 	defer cancel()
 	done := make(chan struct{})
