--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 test:
 	go test -race ./...
+	go test .
 
 lint: $(tools)/gofumpt $(tools)/golangci-lint
 	@unformatted=$$($(tools)/gofumpt -l .); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
--- a/boxes.go
+++ b/boxes.go
@@ -54,16 +54,16 @@
 
 // callAsk makes an ask of another box and passes its replies on until the last.
 func (b *Box) callAsk(ctx context.Context, owner string, a *box.Ask, answer func(*box.Reply) error) error {
-	c, err := b.transport.Call(ctx, b.members.Address(owner), b.request(box.Request{Ask: a, Kind: box.KindAsk}))
+	c, err := b.links.Call(ctx, b.members.Address(owner), b.request(box.Request{Ask: a, Kind: box.KindAsk}))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = c.Close() }()
 	for first := true; ; first = false {
 		if first {
-			c.SetDeadline(time.Now().Add(heartbeatPeriod))
+			c.ReadTill(time.Now().Add(heartbeatPeriod))
 		} else {
-			c.SetDeadline(a.Work.Deadline)
+			c.ReadTill(a.Work.Deadline)
 		}
 		r, err := c.Next()
 		if err != nil {
@@ -86,6 +86,7 @@
 		return
 	}
 	event.ClockJumped.Log(b.log, "late", late.String())
+	b.members.Reconsider()
 	ctx, cancel := context.WithTimeout(ctx, refreshPeriod)
 	defer cancel()
 	if b.follower.Refresh(ctx) != nil {
@@ -108,7 +109,7 @@
 func (b *Box) heartbeat(ctx context.Context, m box.Member) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
-	r, err := b.transport.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat}))
+	r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat}))
 	if err != nil {
 		if b.members.Failed(m.Name, time.Now()) {
 			event.PeerLost.Log(b.log, "box", m.Name, "error", err.Error())
@@ -159,7 +160,7 @@
 func (b *Box) inForceHall(ctx context.Context, hall string) []box.HallRevisions {
 	boxes := b.members.Alive(hall)
 	for _, n := range policy.Rank(b.settings.Box, boxes) {
-		r, err := b.transport.Once(ctx, b.members.Address(n), b.request(box.Request{Forward: true, Kind: box.KindInForce}))
+		r, err := b.links.Once(ctx, b.members.Address(n), b.request(box.Request{Forward: true, Kind: box.KindInForce}))
 		if err == nil {
 			return r.Halls
 		}
@@ -187,7 +188,7 @@
 			continue
 		}
 		g.Go(func() error {
-			r, err := b.transport.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindInForce}))
+			r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindInForce}))
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
@@ -209,7 +210,7 @@
 	defer cancel()
 	b.readList(ctx)
 	for _, a := range b.settings.Peers {
-		r, err := b.transport.Once(ctx, a, b.request(box.Request{Kind: box.KindMembers}))
+		r, err := b.links.Once(ctx, a, b.request(box.Request{Kind: box.KindMembers}))
 		if err != nil {
 			continue
 		}
@@ -316,5 +317,5 @@
 	if o == b.settings.Box {
 		return b.owners.Update(u), nil
 	}
-	return b.transport.Once(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindUpdate, Update: u}))
+	return b.links.Once(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindUpdate, Update: u}))
 }
--- /dev/null
+++ b/internal/box/links.go
@@ -0,0 +1,60 @@
+package box
+
+import (
+	"context"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fail"
+)
+
+// Links are the calls that a box makes to others. Its fields are seams: a
+// Transport fills them with QUIC, tests with links in memory.
+type Links struct {
+	// Address returns the address for the other boxes.
+	Address func() string
+	// Call sends a request to the box at address.
+	Call func(ctx context.Context, address string, q *Request) (*Call, error)
+	// Close hangs up on every box and waits.
+	Close func() error
+}
+
+// Call is one call in progress. Its fields are seams.
+type Call struct {
+	// HangUp ends the call.
+	HangUp func()
+	// Peer names the other box, for errors.
+	Peer string
+	// Read reads the next reply.
+	Read func(r *Reply) error
+	// ReadTill bounds the wait for replies; the zero time lifts the bound.
+	ReadTill func(t time.Time)
+}
+
+// Once sends q and returns its one reply.
+func (l *Links) Once(ctx context.Context, address string, q *Request) (*Reply, error) {
+	c, err := l.Call(ctx, address, q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Close() }()
+	return c.Next()
+}
+
+// Close hangs up.
+func (c *Call) Close() error {
+	c.HangUp()
+	return nil
+}
+
+// Next returns the next reply.
+func (c *Call) Next() (*Reply, error) {
+	p := fail.Place{Peer: c.Peer, Step: "read reply"}
+	r := new(Reply)
+	if err := c.Read(r); err != nil {
+		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+	}
+	if r.Error != "" {
+		return nil, fail.New(fail.Unavailable, p, r.Error, "refused: %s", r.Error)
+	}
+	return r, nil
+}
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -36,13 +36,6 @@
 	workers  sync.WaitGroup
 }
 
-// Call is one call in progress.
-type Call struct {
-	decoder *cbor.Decoder
-	peer    string
-	stream  *quic.Stream
-}
-
 // Protocol names the protocol between boxes in the TLS handshake.
 const Protocol = "linetiller-box/1"
 
@@ -88,6 +81,11 @@
 	return t.socket.LocalAddr().String()
 }
 
+// Links returns the transport's calls.
+func (t *Transport) Links() *Links {
+	return &Links{Address: t.Address, Call: t.Call, Close: t.Close}
+}
+
 // Call sends q to the box at address. The caller closes the call.
 func (t *Transport) Call(ctx context.Context, address string, q *Request) (*Call, error) {
 	p := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
@@ -109,7 +107,13 @@
 		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
 	}
 	_ = s.Close()
-	return &Call{decoder: decodeMode.NewDecoder(io.LimitReader(s, MaxMessageBytes)), peer: p.Peer, stream: s}, nil
+	d := decodeMode.NewDecoder(io.LimitReader(s, MaxMessageBytes))
+	return &Call{
+		HangUp:   func() { s.CancelRead(codeHungUp) },
+		Peer:     p.Peer,
+		Read:     func(r *Reply) error { return d.Decode(r) },
+		ReadTill: func(t time.Time) { _ = s.SetReadDeadline(t) },
+	}, nil
 }
 
 // Close hangs up on every box and waits for the calls in progress.
@@ -125,40 +129,6 @@
 	return errors.Join(err, t.quic.Close(), ignoreClosed(t.socket.Close()))
 }
 
-// Once sends q and returns its one reply.
-func (t *Transport) Once(ctx context.Context, address string, q *Request) (*Reply, error) {
-	c, err := t.Call(ctx, address, q)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = c.Close() }()
-	return c.Next()
-}
-
-// Close hangs up.
-func (c *Call) Close() error {
-	c.stream.CancelRead(codeHungUp)
-	return nil
-}
-
-// Next returns the next reply.
-func (c *Call) Next() (*Reply, error) {
-	p := fail.Place{Peer: c.peer, Step: "read reply"}
-	r := new(Reply)
-	if err := c.decoder.Decode(r); err != nil {
-		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
-	}
-	if r.Error != "" {
-		return nil, fail.New(fail.Unavailable, p, r.Error, "refused: %s", r.Error)
-	}
-	return r, nil
-}
-
-// SetDeadline bounds the wait for replies; the zero time lifts the bound.
-func (c *Call) SetDeadline(t time.Time) {
-	_ = c.stream.SetReadDeadline(t)
-}
-
 // DecodeRequest reads a request, as the transport does.
 func DecodeRequest(r io.Reader) (*Request, error) {
 	q := new(Request)
--- /dev/null
+++ b/internal/box/transport_test.go
@@ -0,0 +1,139 @@
+package box
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/goleak"
+
+	"github.com/linetiller/linetiller/internal/certificate"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newTransport(t *testing.T, h Handler) *Transport {
+	t.Helper()
+	server, client, err := certificate.Ephemeral(Protocol)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := Listen("127.0.0.1:0", server, client, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := v.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return v
+}
+
+func TestCallsAndReplies(t *testing.T) {
+	a := newTransport(t, func(_ context.Context, q *Request, answer func(*Reply) error) {
+		for i := range q.After {
+			_ = answer(&Reply{Revision: i})
+		}
+	})
+	b := newTransport(t, nil)
+	c, err := b.Call(t.Context(), a.Address(), &Request{After: 3, Kind: KindChanges})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for want := range int64(3) {
+		r, err := c.Next()
+		if err != nil || r.Revision != want {
+			t.Errorf("got %+v %v, want revision %d", r, err, want)
+		}
+	}
+	if _, err := c.Next(); err == nil {
+		t.Error("after the last reply: got no error")
+	}
+	_ = c.Close()
+}
+
+// TestHangingUpEndsTheHandler checks that a box which no longer waits for a
+// place is noticed by its owner.
+func TestHangingUpEndsTheHandler(t *testing.T) {
+	ended := make(chan struct{})
+	a := newTransport(t, func(ctx context.Context, _ *Request, answer func(*Reply) error) {
+		_ = answer(&Reply{})
+		<-ctx.Done()
+		close(ended)
+	})
+	b := newTransport(t, nil)
+	c, err := b.Call(t.Context(), a.Address(), &Request{Kind: KindHeartbeat})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Next(); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	<-ended
+}
+
+func TestUnreachableBox(t *testing.T) {
+	a := newTransport(t, nil)
+	address := a.Address()
+	_ = a.Close()
+	b := newTransport(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := b.Links().Once(ctx, address, &Request{Kind: KindHeartbeat}); err == nil {
+		t.Error("got no error")
+	}
+}
+
+// TestStrangersAreRefused joins a box whose certificate another authority signed.
+func TestStrangersAreRefused(t *testing.T) {
+	reached := false
+	server, client := newSecured(t)
+	a, err := Listen("127.0.0.1:0", server, client, func(_ context.Context, _ *Request, answer func(*Reply) error) {
+		reached = true
+		_ = answer(&Reply{})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Close() }()
+	friend, err := Listen("127.0.0.1:0", server, client, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = friend.Close() }()
+	_, strange := newSecured(t)
+	stranger, err := Listen("127.0.0.1:0", server, strange, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stranger.Close() }()
+	if _, err := stranger.Links().Once(t.Context(), a.Address(), &Request{Kind: KindHeartbeat}); err == nil || reached {
+		t.Errorf("stranger: got %v, reached %v, want to be refused", err, reached)
+	}
+	if _, err := friend.Links().Once(t.Context(), a.Address(), &Request{Kind: KindHeartbeat}); err != nil {
+		t.Errorf("friend: got %v", err)
+	}
+}
+
+// FuzzDecodeRequest reads any message without a panic.
+func FuzzDecodeRequest(f *testing.F) {
+	for _, q := range []Request{
+		{Kind: KindHeartbeat, From: Member{Name: "a"}},
+		{Kind: KindAsk, Ask: &Ask{Upstream: "u", Work: policy.Work{ID: "w"}}},
+		{Kind: KindUpdate, Update: &Update{Items: []Item{{ID: "x", Gone: true}}}},
+	} {
+		b, _ := cbor.Marshal(q)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		q, err := DecodeRequest(bytes.NewReader(b))
+		if err == nil && (q.Kind == KindAsk) != (q.Ask != nil) && q.Ask == nil {
+			t.Errorf("got %+v without its work", q)
+		}
+	})
+}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
@@ -39,28 +38,35 @@
 
 	log     *slog.Logger
 	members *member.Table
-	mutex   sync.Mutex // one catch-up at a time; no other lock is taken under it but the view's
+	turn    chan struct{} // holds one value while a catch-up is under way
 	view    *resource.View
 }
 
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
-	return &Follower{log: l, members: m, view: v}
+	return &Follower{log: l, members: m, turn: make(chan struct{}, 1), view: v}
 }
 
 // CatchUp brings the view to at least revision r by asking the box at address.
+// One catch-up goes at a time, so that many messages from a box that is ahead
+// make one; waiting for its turn ends with the context. Reads of the table are
+// not held up by it, nor it by them: the view takes changes in any order.
 func (f *Follower) CatchUp(ctx context.Context, address string, r int64) error {
 	if f.view.Revision() >= r {
 		return nil
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, catchUpPeriod)
+	defer cancel()
+	select {
+	case f.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-f.turn }()
 	have := f.view.Revision()
 	if have >= r {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpPeriod)
-	defer cancel()
 	p, err := f.Ask(ctx, address, &box.Request{After: have, From: f.members.Self(), Kind: box.KindChanges, Revision: have})
 	if err != nil {
 		return err
@@ -71,8 +77,6 @@
 
 // Refresh brings the view up to date from the table.
 func (f *Follower) Refresh(ctx context.Context) error {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	c, err := f.Read(ctx, f.view.Revision())
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/configuration/follower_test.go
@@ -0,0 +1,186 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/fail"
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// peer is one box of a schedule.
+type peer struct {
+	cut      bool // from the platform
+	follower *Follower
+	highest  int64 // revision ever seen in force
+	stale    int64 // revision at which its reads of the table stand still, 0 for none
+	view     *resource.View
+}
+
+// world is some boxes, a table, and what was accepted.
+type world struct {
+	accepted map[string]platform.Row // newest accepted row of each resource
+	history  []platform.Row
+	peers    []*peer
+	table    *fakeplatform.Platform
+}
+
+func newWorld(n int) *world {
+	w := &world{accepted: make(map[string]platform.Row), table: fakeplatform.New()}
+	for i := range n {
+		w.start(i)
+	}
+	return w
+}
+
+// start starts box i anew: it keeps nothing.
+func (w *world) start(i int) {
+	p := &peer{view: resource.NewView()}
+	m := member.NewTable(box.Member{Address: fmt.Sprint(i), Hall: "a", Name: fmt.Sprint(i), State: box.StateServing})
+	p.follower = NewFollower(p.view, m, slog.New(slog.DiscardHandler))
+	p.follower.Read = func(_ context.Context, after int64) (*platform.Changes, error) { return w.read(p, after) }
+	p.follower.Ask = func(_ context.Context, address string, q *box.Request) (*box.Reply, error) {
+		n := 0
+		_, _ = fmt.Sscan(address, &n)
+		c, r := w.peers[n].view.Since(q.After)
+		return &box.Reply{Changes: c, Revision: r}, nil
+	}
+	if i < len(w.peers) {
+		w.peers[i] = p
+		return
+	}
+	w.peers = append(w.peers, p)
+}
+
+// read reads the table as a box sees it: not at all, late, or as it is.
+func (w *world) read(p *peer, after int64) (*platform.Changes, error) {
+	if p.cut {
+		return nil, fail.New(fail.Unavailable, fail.Place{}, "platform_down", "cut")
+	}
+	c := &platform.Changes{}
+	newest := make(map[string]platform.Row)
+	for _, r := range w.history {
+		if r.Revision > after && (p.stale == 0 || r.Revision <= p.stale) {
+			newest[r.Key] = r
+			c.Revision = r.Revision
+		}
+	}
+	for _, r := range newest {
+		c.Rows = append(c.Rows, r)
+	}
+	slices.SortFunc(c.Rows, func(a, b platform.Row) int { return int(a.Revision - b.Revision) })
+	return c, nil
+}
+
+func (w *world) write(name string, deleted bool) {
+	key := Key(resource.KindPriority, name)
+	b, _ := json.Marshal(Value{Deleted: deleted, Resource: &resource.Resource{
+		Kind: resource.KindPriority, Metadata: resource.Metadata{Name: name}, Spec: []byte(`{"value":1}`),
+	}})
+	r := w.table.Commit(&platform.Transaction{Writes: []platform.Write{{Key: key, Value: b}}})
+	row := platform.Row{Key: key, Revision: r.Revision, Value: b}
+	w.history = append(w.history, row)
+	w.accepted[name] = row
+}
+
+// TestConfigurationNeverReverts runs random schedules of writes, reads that fail
+// or are stale, boxes that catch up from each other, and boxes that start anew,
+// and checks after each step that no box's revision and no resource's falls; in
+// the end, once all are joined again, every box has all that was accepted.
+func TestConfigurationNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const boxes = 4
+		w := newWorld(boxes)
+		seen := make([]map[string]int64, boxes)
+		for i := range seen {
+			seen[i] = make(map[string]int64)
+		}
+		pick := func(t *rapid.T) int { return rapid.IntRange(0, boxes-1).Draw(t, "box") }
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				w.write(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
+			},
+			"other write": func(*rapid.T) {
+				w.table.Commit(&platform.Transaction{Writes: []platform.Write{{Key: "request/w/k", Value: []byte("{}")}}})
+			},
+			"cut": func(t *rapid.T) {
+				p := w.peers[pick(t)]
+				p.cut = !p.cut
+			},
+			"stale": func(t *rapid.T) {
+				p := w.peers[pick(t)]
+				p.stale = int64(rapid.IntRange(0, len(w.history)).Draw(t, "revision"))
+			},
+			"read": func(t *rapid.T) { _ = w.peers[pick(t)].follower.Refresh(context.Background()) },
+			"catch up": func(t *rapid.T) {
+				a, b := pick(t), pick(t)
+				_ = w.peers[a].follower.CatchUp(context.Background(), fmt.Sprint(b), w.peers[b].view.Revision())
+			},
+			"start anew": func(t *rapid.T) {
+				i := pick(t)
+				w.start(i)
+				seen[i] = make(map[string]int64)
+			},
+			"": func(t *rapid.T) {
+				for i, p := range w.peers {
+					if got := p.view.Revision(); got < p.highest {
+						t.Fatalf("box %d: revision fell from %d to %d", i, p.highest, got)
+					}
+					p.highest = p.view.Revision()
+					for _, r := range p.view.List("") {
+						if got, want := r.Revision(), seen[i][r.Metadata.Name]; got < want {
+							t.Fatalf("box %d: %s fell from %d to %d", i, r.Metadata.Name, want, got)
+						}
+						seen[i][r.Metadata.Name] = r.Revision()
+					}
+				}
+			},
+		})
+		w.peers[0].cut, w.peers[0].stale = false, 0
+		_ = w.peers[0].follower.Refresh(context.Background())
+		for i, p := range w.peers {
+			_ = p.follower.CatchUp(context.Background(), "0", w.peers[0].view.Revision())
+			for name, row := range w.accepted {
+				v := new(Value)
+				_ = json.Unmarshal(row.Value, v)
+				got := p.view.Get(resource.KindPriority, name)
+				if v.Deleted != (got == nil) || (got != nil && got.Revision() != row.Revision) {
+					t.Fatalf("box %d: %s: got %+v, want revision %d, deleted %v", i, name, got, row.Revision, v.Deleted)
+				}
+			}
+		}
+	})
+}
+
+// TestReadersAreFew checks how many boxes of a hall of 300 read the table.
+func TestReadersAreFew(t *testing.T) {
+	readers := 0
+	for i := range 300 {
+		self := box.Member{Hall: "a", Name: fmt.Sprint(i), State: box.StateServing}
+		m := member.NewTable(self)
+		var l []box.Member
+		for j := range 300 {
+			l = append(l, box.Member{Hall: "a", Name: fmt.Sprint(j), State: box.StateServing})
+		}
+		m.List(l, testNow)
+		if NewFollower(resource.NewView(), m, nil).reads() {
+			readers++
+		}
+	}
+	if got, want := readers, readersPerHall; got != want {
+		t.Errorf("readers: got %d, want %d", got, want)
+	}
+}
+
+var testNow = time.Unix(1000, 0)
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -62,7 +62,7 @@
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
 
 	cancel  context.CancelFunc
-	ctx     context.Context // ends when Close stops waiting for outcomes to be recorded
+	ctx     context.Context // ends with Abort, or when Close stops waiting for outcomes to be recorded
 	engines *upstream.Engines
 	keys    *requestkey.Keys
 	log     *slog.Logger
@@ -134,6 +134,18 @@
 	return func(d *Deliverer) { d.silence = s }
 }
 
+// Abort ends the requests in progress and waits for them; outcomes that are not
+// recorded yet stay so.
+func (d *Deliverer) Abort() error {
+	d.mutex.Lock()
+	d.closing = true
+	d.mutex.Unlock()
+	d.cancel()
+	d.workers.Wait()
+	d.records.Wait()
+	return nil
+}
+
 // Close refuses new requests, waits for those in progress, and gives outcomes
 // that are not recorded yet a moment more.
 func (d *Deliverer) Close() error {
@@ -155,6 +167,9 @@
 		return d.account(err)
 	}
 	defer d.leave()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.ctx, cancel)()
 	s := &session{client: ctx, deliverer: d, request: q, sink: sink}
 	return d.account(s.run())
 }
--- a/internal/delivery/follower.go
+++ b/internal/delivery/follower.go
@@ -35,6 +35,7 @@
 func (f *follower) follow() error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(f.session.client))
 	defer cancel()
+	defer context.AfterFunc(f.session.deliverer.ctx, cancel)()
 	f.ctx = ctx
 	for idle := 0; ; idle++ {
 		before := f.session.delivered
@@ -71,6 +72,7 @@
 	defer func() { _ = x.Close() }()
 	silence := time.AfterFunc(f.session.deliverer.silence, func() { _ = x.Close() })
 	defer silence.Stop()
+	defer context.AfterFunc(f.ctx, func() { _ = x.Close() })()
 	defer context.AfterFunc(f.session.client, func() {
 		if f.session.request.Key == "" {
 			_ = x.Close()
--- a/internal/delivery/session.go
+++ b/internal/delivery/session.go
@@ -93,12 +93,14 @@
 }
 
 // abandon cancels a generation that nobody reads any more, once the client has
-// had the time to come back through another box.
+// had the time to come back through another box. A box that stops leaves it
+// running: its client may be on the way to another box.
 func (s *session) abandon(f *follower) {
 	d := s.deliverer
 	select {
 	case <-time.After(lingerPeriod):
 	case <-d.ctx.Done():
+		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelPeriod)
 	defer cancel()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,8 @@
 	UpstreamFailed     = Event{slog.LevelWarn, "upstream failed", 301}
 	UpstreamMismatch   = Event{slog.LevelError, "upstream sent a frame of another generation", 302}
 	ReportMissing      = Event{slog.LevelWarn, "upstream load report missing", 303}
+	OrderGiven         = Event{slog.LevelInfo, "order given to upstream", 304}
+	OrderFailed        = Event{slog.LevelWarn, "order to upstream failed", 305}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
@@ -46,7 +48,7 @@
 var All = []Event{
 	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped,
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed,
-	UpstreamFailed, UpstreamMismatch, ReportMissing,
+	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	PlatformDown, PlatformBack, OutcomeNotRecorded,
 	PeerLost, PeerBack,
 	RevisionApplied, ResourceWritten, ResourceRefused,
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -25,6 +26,8 @@
 	done       chan struct{}
 	faults     Faults
 	fence      int64
+	loaded     map[string]string
+	role       string
 	instance   string
 	leaving    bool
 	loads      []upstream.Load // recent reports, oldest first
@@ -43,6 +46,7 @@
 	CutAfter      int  `json:"cutAfter"`      // streams are cut after that many tokens; 0 is never
 	DoubleFrames  int  `json:"doubleFrames"`  // the next streams that carry every frame twice
 	StallAfter    int  `json:"stallAfter"`    // streams stop without an end after that many tokens
+	IgnoreFence   bool `json:"ignoreFence"`   // orders with an old fence are obeyed
 	LoseStarts    int  `json:"loseStarts"`    // the next starts that take effect without an answer
 	RefuseLeaving bool `json:"refuseLeaving"` // starts are refused, as by an engine that leaves
 }
@@ -69,6 +73,7 @@
 	v := &Server{
 		closed:    make(chan struct{}),
 		done:      make(chan struct{}),
+		loaded:    make(map[string]string),
 		instance:  strconv.FormatUint(rand.Uint64(), 36),
 		mux:       http.NewServeMux(),
 		records:   make(map[string]*record),
@@ -194,6 +199,7 @@
 		}
 	}
 	l.Leaving = s.leaving || s.faults.RefuseLeaving
+	l.Loaded, l.Role = maps.Clone(s.loaded), s.role
 	answer(w, l)
 }
 
@@ -281,12 +287,19 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if o.Fence < s.fence {
+	if o.Fence < s.fence && !s.faults.IgnoreFence {
 		http.Error(w, "old fence", http.StatusConflict)
 		return
 	}
-	s.fence = o.Fence
-	s.leaving = o.Kind == upstream.OrderRole && o.Role == "leaving"
+	s.fence = max(s.fence, o.Fence)
+	switch o.Kind {
+	case upstream.OrderLoad:
+		s.loaded[o.Model] = o.Version
+	case upstream.OrderRole:
+		s.role, s.leaving = o.Role, o.Role == upstream.RoleLeaving
+	case upstream.OrderUnload:
+		delete(s.loaded, o.Model)
+	}
 }
 
 // produce records one token of g; the lock is held.
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -81,6 +81,17 @@
 	return p.counters
 }
 
+// Row returns a row, or nil where none exists.
+func (p *Platform) Row(key string) *platform.Row {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	r, ok := p.rows[key]
+	if !ok || r.Deleted {
+		return nil
+	}
+	return &r
+}
+
 // ServeHTTP answers one call, under the faults that are switched on.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/fake/") {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -226,6 +226,19 @@
 	return l
 }
 
+// Reconsider forgets all failures: the box itself was paused, and it was not
+// the others that did not answer.
+func (t *Table) Reconsider() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, e := range t.boxes {
+		if !e.failedAt.IsZero() {
+			e.failedAt = time.Time{}
+			t.bump()
+		}
+	}
+}
+
 // Self returns the box itself.
 func (t *Table) Self() box.Member {
 	t.mutex.Lock()
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,167 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+)
+
+var now = time.Unix(1000, 0)
+
+func member(name, hall string, s box.State) box.Member {
+	return box.Member{Address: name + ":1", Hall: hall, Name: name, State: s}
+}
+
+func newTable() *Table {
+	t := NewTable(member("self", "a", box.StateServing))
+	t.List([]box.Member{member("b1", "a", box.StateServing), member("b2", "a", box.StateServing), member("c1", "c", box.StateServing)}, now)
+	return t
+}
+
+func checkAlive(t *testing.T, b *Table, hall string, want ...string) {
+	t.Helper()
+	if got := b.Alive(hall); !slices.Equal(got, want) {
+		t.Errorf("alive in %q: got %v, want %v", hall, got, want)
+	}
+}
+
+func TestAliveByHall(t *testing.T) {
+	b := newTable()
+	checkAlive(t, b, "a", "b1", "b2", "self")
+	checkAlive(t, b, "c", "c1")
+	checkAlive(t, b, "", "b1", "b2", "c1", "self")
+}
+
+// TestEvidenceGoesBeforeTheList checks that a list which lags takes back
+// neither a failure nor a sign of life.
+func TestEvidenceGoesBeforeTheList(t *testing.T) {
+	b := newTable()
+	b.Failed("b1", now)
+	b.List([]box.Member{member("b1", "a", box.StateServing), member("b2", "a", box.StateServing)}, now.Add(time.Second))
+	checkAlive(t, b, "a", "b2", "self")
+	b.Heard(member("b3", "a", box.StateServing), now)
+	b.List(nil, now.Add(time.Second))
+	b.Expire(now.Add(2 * time.Second))
+	checkAlive(t, b, "a", "b3", "self")
+	b.Expire(now.Add(time.Minute))
+	checkAlive(t, b, "a", "self")
+}
+
+func TestFailedBoxIsTriedAgain(t *testing.T) {
+	b := newTable()
+	if !b.Failed("b1", now) || b.Failed("b1", now) {
+		t.Error("a failure must be new once only")
+	}
+	for _, m := range b.Neighbours(now.Add(time.Second)) {
+		if m.Name == "b1" {
+			t.Error("a box that failed a moment ago is a neighbour")
+		}
+	}
+	found := false
+	for _, m := range b.Neighbours(now.Add(retryFailedAfter)) {
+		found = found || m.Name == "b1"
+	}
+	if !found {
+		t.Error("a box that failed is never tried again")
+	}
+	if !b.Heard(member("b1", "a", box.StateServing), now.Add(6*time.Second)) {
+		t.Error("a box that is back must be told as such")
+	}
+	checkAlive(t, b, "a", "b1", "b2", "self")
+}
+
+// TestFailedBoxThatIsNoNeighbourIsTriedAgain checks that a failure does not
+// count for ever against a box that this one sends no heartbeats to.
+func TestFailedBoxThatIsNoNeighbourIsTriedAgain(t *testing.T) {
+	b := newTable()
+	b.Failed("b1", now)
+	b.Expire(now.Add(failureLife + time.Second))
+	checkAlive(t, b, "a", "b1", "b2", "self")
+}
+
+func TestLeavingIsBelievedFromAnySource(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		tell func(b *Table)
+	}{
+		{"list", func(b *Table) { b.List([]box.Member{member("b1", "a", box.StateLeaving)}, now) }},
+		{"itself", func(b *Table) { b.Heard(member("b1", "a", box.StateLeaving), now) }},
+		{"reply", func(b *Table) { b.Left("b1") }},
+	} {
+		b := newTable()
+		x.tell(b)
+		if slices.Contains(b.Alive("a"), "b1") {
+			t.Errorf("%s: a leaving box is still alive", x.name)
+		}
+	}
+	b := newTable()
+	b.Leave()
+	checkAlive(t, b, "a", "b1", "b2")
+}
+
+// TestHeartbeatsStayFew checks the number of heartbeats at the size to design
+// for, and that news still reaches every box of a hall in a few steps.
+func TestHeartbeatsStayFew(t *testing.T) {
+	const boxes = 300
+	neighbours := make(map[string][]string)
+	var l []box.Member
+	for h := range 11 {
+		for i := range boxes {
+			l = append(l, member(fmt.Sprintf("%d-%d", h, i), fmt.Sprint(h), box.StateServing))
+		}
+	}
+	for _, self := range l[:boxes] {
+		b := NewTable(self)
+		b.List(l, now)
+		n := b.Neighbours(now)
+		if got, want := len(n), heartbeatNeighbours+10; got != want {
+			t.Fatalf("neighbours: got %d, want %d", got, want)
+		}
+		for _, m := range n {
+			neighbours[self.Name] = append(neighbours[self.Name], m.Name)
+		}
+	}
+	reached := map[string]bool{"0-0": true}
+	steps := 0
+	for count := 0; len(reached) > count && steps < 10; steps++ {
+		count = len(reached)
+		for n := range reached {
+			for _, m := range neighbours[n] {
+				if m[:2] == "0-" {
+					reached[m] = true
+				}
+			}
+		}
+	}
+	if got, want := len(reached), boxes; got != want {
+		t.Errorf("boxes reached: got %d, want %d", got, want)
+	}
+	if got, want := steps, 8; got > want {
+		t.Errorf("steps: got %d, want at most %d", got, want)
+	}
+}
+
+func TestChangedTellsOfEveryChange(t *testing.T) {
+	b := newTable()
+	for _, f := range []func(){
+		func() { b.Failed("b1", now) },
+		func() { b.Heard(member("b1", "a", box.StateServing), now) },
+		func() { b.Heard(member("new", "a", box.StateServing), now) },
+		func() { b.Left("b2") },
+		func() { b.Leave() },
+	} {
+		c, v := b.Changed(), b.Version()
+		f()
+		select {
+		case <-c:
+		default:
+			t.Error("a change was not told")
+		}
+		if b.Version() <= v {
+			t.Errorf("version: got %d, want above %d", b.Version(), v)
+		}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -18,6 +18,7 @@
 	Generations     Name = "linetiller_generations_total"            // counter, by outcome
 	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
 	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	Orders          Name = "linetiller_orders_total"                 // counter, by result: orders to upstreams
 	Owned           Name = "linetiller_owned_upstreams"              // gauge
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
 	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
@@ -35,7 +36,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, Generations, KeyCommits, KeyWrites, Owned, Queued, Refusals, Reservations, Resumptions, Retries,
+	Boxes, Generations, KeyCommits, KeyWrites, Orders, Owned, Queued, Refusals, Reservations, Resumptions, Retries,
 	Revision, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamReports,
 }
 
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -24,6 +24,9 @@
 	// ReadLoad reads an upstream's load report; a seam for tests.
 	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
 
+	assignedBoxes    uint64 // the versions for which upstreams were assigned;
+	assignedRevision int64  // used by Run alone
+
 	lengths   *policy.Lengths
 	log       *slog.Logger
 	maxQueued int
@@ -40,6 +43,7 @@
 	mutex     sync.Mutex
 	failures  int // reads of the load report that failed in a row
 	instance  string
+	mine      bool // the upstream falls to this box
 	owner     *policy.Owner
 	reportAt  time.Time // when the report is due
 	reporting bool
@@ -129,7 +133,7 @@
 		select {
 		case <-ctx.Done():
 		case now := <-t.C:
-			o.adopt()
+			o.assign()
 			o.feed(ctx, ticks, reports, now)
 		}
 	}
@@ -169,9 +173,15 @@
 	return r
 }
 
-// adopt starts owners for the upstreams that now fall to this box, so that
-// their load is known before the first ask.
-func (o *Owners) adopt() {
+// assign finds out which upstreams fall to this box, where the boxes or the
+// configuration have changed since it last did. It starts owners for them, so
+// that their load is known before the first ask.
+func (o *Owners) assign() {
+	boxes, revision := o.members.Version(), o.view.Revision()
+	if boxes == o.assignedBoxes && revision == o.assignedRevision {
+		return
+	}
+	o.assignedBoxes, o.assignedRevision = boxes, revision
 	s := o.members.Self()
 	alive := o.members.Alive(s.Hall)
 	for _, u := range o.view.Upstreams(func(u *resource.Upstream) bool {
@@ -181,14 +191,24 @@
 			o.get(u.Name)
 		}
 	}
+	for _, x := range o.list() {
+		u := o.view.Upstream(x.owner.Upstream)
+		mine := u != nil && o.Mine(u)
+		x.mutex.Lock()
+		x.mine = mine
+		x.owner.Leaving = x.owner.Leaving || (u != nil && u.Spec.Leaving)
+		x.mutex.Unlock()
+	}
 }
 
 func (o *Owners) feed(ctx context.Context, ticks, reports chan<- *owned, now time.Time) {
 	for _, x := range o.list() {
-		select {
-		case ticks <- x:
-		case <-ctx.Done():
-			return
+		if !x.idle() {
+			select {
+			case ticks <- x:
+			case <-ctx.Done():
+				return
+			}
 		}
 		if x.dueReport(now, o.report) {
 			select {
@@ -222,6 +242,7 @@
 	x = &owned{waiters: make(map[string]chan policy.Answer)}
 	x.owner = policy.NewOwner(name, c, o.lengths, time.Now(), policy.WithMaxQueued(o.maxQueued))
 	x.owner.Leaving = u.Spec.Leaving
+	x.mine = o.Mine(u)
 	o.owners[name] = x
 	return x
 }
@@ -245,8 +266,8 @@
 	return l
 }
 
-// mine reports whether an upstream falls to this box, as far as it knows.
-func (o *Owners) mine(u *resource.Upstream) bool {
+// Mine reports whether an upstream falls to this box, as far as it knows.
+func (o *Owners) Mine(u *resource.Upstream) bool {
 	s := o.members.Self()
 	return policy.First(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
 }
@@ -300,19 +321,14 @@
 // tick hands out places at one upstream; an owner that has nothing left to do
 // for an upstream that falls to another box, or that is gone, is dropped.
 func (o *Owners) tick(x *owned) {
-	u := o.view.Upstream(x.owner.Upstream)
-	gone := u == nil || !o.mine(u)
 	x.mutex.Lock()
-	if u != nil && u.Spec.Leaving {
-		x.owner.Leaving = true
-	}
-	if gone {
+	if !x.mine {
 		x.flush(policy.ReasonMoved)
 	}
 	x.next(time.Now())
-	idle := x.owner.Running() == 0 && len(x.waiters) == 0
+	over := !x.mine && x.owner.Running() == 0 && len(x.waiters) == 0
 	x.mutex.Unlock()
-	if gone && idle {
+	if over {
 		o.mutex.Lock()
 		delete(o.owners, x.owner.Upstream)
 		o.mutex.Unlock()
@@ -339,6 +355,13 @@
 	}
 }
 
+// idle reports whether a tick would change nothing.
+func (x *owned) idle() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.mine && x.owner.Running() == 0 && len(x.waiters) == 0
+}
+
 func (x *owned) load() policy.Load {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -43,14 +45,24 @@
 }
 
 const (
-	asksMost       = 3 // upstreams whose refusal for want of room is taken
-	movesMost      = 20
-	otherHallDelay = 0.5 // seconds of backlog that the way to another hall counts for
+	asksMost       = 3                // upstreams whose refusal for want of room is taken
+	otherHallDelay = 0.5              // seconds of backlog that the way to another hall counts for
+	ownerPeriod    = 10 * time.Second // of finding no owner that answers, after which work is refused
 	placeLife      = time.Second
 	rerouteEvery   = time.Second
-	retryPause     = 50 * time.Millisecond
 )
 
+// search is the search for one place. It is used by one goroutine.
+type search struct {
+	failures  int       // asks in a row to which no owner answered
+	lostSince time.Time // when the first of them failed
+	next      string    // the upstream to ask about, where one is known to be better
+	placement *Reserved
+	refused   int // upstreams that refused for want of room
+	skip      map[string]bool
+	work      *policy.Work
+}
+
 // movedError says that an ask is better made at another upstream.
 type movedError struct{ to string }
 
@@ -76,49 +88,16 @@
 func (p *Reserved) Place(ctx context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
-	skip := make(map[string]bool, len(avoid))
+	s := &search{placement: p, skip: make(map[string]bool, len(avoid)), work: w}
 	for n := range avoid {
-		skip[n] = true
-	}
-	next := ""
-	var last error
-	refused := 0
-	for move := 0; move < movesMost && refused < asksMost; move++ {
-		u := p.choose(w, skip, next)
-		next = ""
-		if u == nil {
-			break
-		}
-		a, err := p.ask(ctx, u, w)
-		if m, ok := err.(movedError); ok { //nolint:errorlint // Only ask returns it, never wrapped.
-			next = m.to
-			p.metrics.Count(metric.Retries, "reason", "better_upstream")
-			continue
-		}
-		if err != nil {
-			last = err
-			if ctx.Err() != nil {
-				return nil, p.late(ctx, w)
-			}
-			p.pause(ctx, fail.Reason(err))
-			continue
-		}
-		if a.Verdict == policy.VerdictStart {
-			return &Place{Granted: time.Now(), Upstream: u}, nil
-		}
-		last = refusalError(u.Name, a)
-		if a.Reason == policy.ReasonMoved {
-			p.pause(ctx, string(a.Reason))
-			continue
-		}
-		skip[u.Name] = true
-		refused++
+		s.skip[n] = true
 	}
-	if last == nil {
-		last = fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
-			string(policy.ReasonNoUpstream), "no upstream takes new work for model %q", w.Model), time.Now().Add(time.Second))
+	for {
+		v, err := s.step(ctx)
+		if v != nil || err != nil {
+			return v, err
+		}
 	}
-	return nil, last
 }
 
 // ask asks u's owner and waits while w is queued, or until a much better
@@ -185,12 +164,17 @@
 	return p.router.Better(w, at, c, time.Now())
 }
 
-// candidates returns the upstreams that run w's model and may get new work.
+// candidates returns the upstreams that run w's model, may get new work, and have
+// a box in their hall that could own them.
 func (p *Reserved) candidates(w *policy.Work, skip map[string]bool) []policy.Candidate {
 	hall := p.members.Self().Hall
+	reachable := make(map[string]bool)
+	for _, h := range p.members.Halls() {
+		reachable[h] = len(p.members.Alive(h)) > 0
+	}
 	var l []policy.Candidate
 	for _, u := range p.view.UpstreamsOf(w.Model) {
-		if u.Spec.Leaving || skip[u.Name] {
+		if u.Spec.Leaving || skip[u.Name] || !reachable[u.Spec.Hall] {
 			continue
 		}
 		c := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
@@ -202,14 +186,20 @@
 	return l
 }
 
-func (p *Reserved) choose(w *policy.Work, skip map[string]bool, next string) *resource.Upstream {
+// choose returns the upstream to ask about, or nil where those that there are
+// have no owner that could be asked. An error means that there are none.
+func (p *Reserved) choose(w *policy.Work, skip map[string]bool, next string) (*resource.Upstream, error) {
 	if next == "" {
 		c := p.candidates(w, skip)
 		p.mutex.Lock()
 		next = p.router.Choose(w, c, time.Now(), func(string) bool { return true })
 		p.mutex.Unlock()
 	}
-	return p.view.Upstream(next)
+	if next == "" && !p.left(w, skip) {
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
+			string(policy.ReasonNoUpstream), "no upstream takes new work for model %q", w.Model), time.Now().Add(time.Second))
+	}
+	return p.view.Upstream(next), nil
 }
 
 // exchange makes one ask and passes its replies on until the last.
@@ -238,12 +228,90 @@
 	return fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonDeadline), "the deadline passed in the queue"), time.Now())
 }
 
-func (p *Reserved) pause(ctx context.Context, reason string) {
-	p.metrics.Count(metric.Retries, "reason", reason)
+// left reports whether an upstream is left that runs w's model and takes new work.
+func (p *Reserved) left(w *policy.Work, skip map[string]bool) bool {
+	for _, u := range p.view.UpstreamsOf(w.Model) {
+		if !u.Spec.Leaving && !skip[u.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Reserved) pause(ctx context.Context, failures int, err error) {
+	r := string(policy.ReasonMoved)
+	if err != nil {
+		r = fail.Reason(err)
+	}
+	p.metrics.Count(metric.Retries, "reason", r)
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(time.Until(policy.Backoff(time.Now(), failures, rand.Float64()))):
+	}
+}
+
+// step asks about one upstream. It returns neither a place nor an error where the
+// search goes on.
+func (s *search) step(ctx context.Context) (*Place, error) {
+	p := s.placement
+	u, err := p.choose(s.work, s.skip, s.next)
+	s.next = ""
+	if err != nil {
+		return nil, err
+	}
+	var a *policy.Answer
+	if u != nil {
+		a, err = p.ask(ctx, u, s.work)
+	}
+	var m movedError
+	switch {
+	case errors.As(err, &m):
+		s.next = m.to
+		p.metrics.Count(metric.Retries, "reason", "better_upstream")
+		return nil, nil
+	case ctx.Err() != nil:
+		return nil, p.late(ctx, s.work)
+	case a != nil && a.Verdict == policy.VerdictStart:
+		return &Place{Granted: time.Now(), Upstream: u}, nil
+	case a != nil && a.Reason != policy.ReasonMoved:
+		return nil, s.takeRefusal(u, a)
+	}
+	return nil, s.takeFailure(ctx, err)
+}
+
+// takeFailure waits after an ask to which no owner answered, and gives up where
+// none has answered for long.
+func (s *search) takeFailure(ctx context.Context, err error) error {
+	s.failures++
+	if s.lostSince.IsZero() {
+		s.lostSince = time.Now()
+	}
+	if time.Since(s.lostSince) > ownerPeriod {
+		return noOwner(s.work, err)
+	}
+	s.placement.pause(ctx, s.failures, err)
+	return nil
+}
+
+// takeRefusal goes on at another upstream after a refusal, while there is one
+// and not too many have refused.
+func (s *search) takeRefusal(u *resource.Upstream, a *policy.Answer) error {
+	s.skip[u.Name] = true
+	s.refused++
+	s.lostSince, s.failures = time.Time{}, 0
+	if s.refused == asksMost || !s.placement.left(s.work, s.skip) {
+		return refusalError(u.Name, a)
+	}
+	return nil
+}
+
+// noOwner refuses work for whose upstreams no owner could be asked.
+func noOwner(w *policy.Work, err error) error {
+	p := fail.Place{Peer: "boxes", Step: "ask"}
+	if err == nil {
+		err = fail.New(fail.NotRun, p, "no_owner", "no box is known that owns an upstream of model %q", w.Model)
 	}
+	return fail.WithRetryAt(fail.Wrap(fail.NotRun, p, fail.Reason(err), err), time.Now().Add(ownerPeriod))
 }
 
 func refusalError(upstream string, a *policy.Answer) error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -112,9 +112,13 @@
 	return func(c *Client) { c.timeout = func() time.Time { return c.now().Add(d) } }
 }
 
-// WithTransport sets the transport, for tests.
+// WithTransport sets the transport, for tests; nil leaves it as it is.
 func WithTransport(t http.RoundTripper) Option {
-	return func(c *Client) { c.http.Transport = t }
+	return func(c *Client) {
+		if t != nil {
+			c.http.Transport = t
+		}
+	}
 }
 
 // Boxes returns the platform's list of boxes.
--- /dev/null
+++ b/internal/requestkey/requestkey_test.go
@@ -0,0 +1,213 @@
+package requestkey
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/linetiller/linetiller/internal/fail"
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// table is a table whose commits take a while and may lose their answers.
+type table struct {
+	commits int
+	delay   time.Duration
+	lose    func(commit int) bool // takes effect without an answer
+	mutex   sync.Mutex
+	refuse  func() bool // takes no effect
+	stand   *fakeplatform.Platform
+}
+
+func (b *table) commit(ctx context.Context, t *platform.Transaction) (*platform.Result, error) {
+	b.mutex.Lock()
+	b.commits++
+	n := b.commits
+	b.mutex.Unlock()
+	select {
+	case <-time.After(b.delay):
+	case <-ctx.Done():
+		return nil, fail.Wrap(fail.Unknown, place(), "platform_lost", ctx.Err())
+	}
+	if b.refuse != nil && b.refuse() {
+		return nil, fail.New(fail.Unavailable, place(), "platform_down", "down")
+	}
+	r := b.stand.Commit(t)
+	if b.lose != nil && b.lose(n) {
+		return nil, fail.New(fail.Unknown, place(), "platform_lost", "lost")
+	}
+	return &r, nil
+}
+
+func withKeys(t *testing.T, b *table, f func(t *testing.T, k *Keys, m *metric.Set)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b.stand = fakeplatform.New()
+		m := metric.NewSet()
+		k := New(platform.NewClient("http://none"), m)
+		k.Commit = b.commit
+		k.Get = func(_ context.Context, key string) (*platform.Row, error) { return b.stand.Row(key), nil }
+		f(t, k, m)
+		if err := k.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func record(try string) Record { return Record{Print: "p", State: StateRunning, Try: try} }
+
+// TestInsertsShareTransactions measures writes per key where many boxes' worth
+// of requests come at once: 400 keys in the time of a few transactions.
+func TestInsertsShareTransactions(t *testing.T) {
+	b := &table{delay: 20 * time.Millisecond}
+	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
+		var g sync.WaitGroup
+		for i := range 400 {
+			g.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond) // 1,000 a second
+				if _, ours, err := k.Insert(t.Context(), fmt.Sprint(i), record("t")); !ours || err != nil {
+					t.Errorf("key %d: got %v %v", i, ours, err)
+				}
+			})
+		}
+		g.Wait()
+		if got, want := b.commits, 25; got > want {
+			t.Errorf("transactions for 400 keys at 1,000 a second: got %d, want at most %d", got, want)
+		}
+	})
+}
+
+// TestLostAnswersAreSettled loses every other answer: each key is held by
+// exactly the try that inserted it first.
+func TestLostAnswersAreSettled(t *testing.T) {
+	b := &table{delay: time.Millisecond, lose: func(n int) bool { return n%2 == 1 }}
+	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
+		var mutex sync.Mutex
+		owners := make(map[int]int)
+		var g sync.WaitGroup
+		for i := range 50 {
+			for try := range 3 {
+				g.Go(func() {
+					c, ours, err := k.Insert(t.Context(), fmt.Sprint(i), record(fmt.Sprint(try)))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					mutex.Lock()
+					defer mutex.Unlock()
+					if ours {
+						owners[i]++
+					}
+					if got, want := c.Record.Try == fmt.Sprint(try), ours; got != want {
+						t.Errorf("key %d: the row is of this try: got %v, want %v", i, got, want)
+					}
+				})
+			}
+		}
+		g.Wait()
+		for i := range 50 {
+			if got, want := owners[i], 1; got != want {
+				t.Errorf("key %d: got %d holders, want %d", i, got, want)
+			}
+		}
+	})
+}
+
+// TestGivenUpInsertIsTakenBack gives up on an insert whose answer was lost, as a
+// box does that refuses with "not run": the row must not stay.
+func TestGivenUpInsertIsTakenBack(t *testing.T) {
+	var down atomic.Bool
+	b := &table{delay: time.Millisecond, lose: func(n int) bool { return n == 1 }}
+	b.refuse = down.Load
+	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		time.AfterFunc(2*time.Millisecond, func() { down.Store(true) })
+		if _, _, err := k.Insert(ctx, "k", record("t")); err == nil || fail.Reason(err) != "platform_slow" {
+			t.Errorf("got %v, want to have given up", err)
+		}
+		if b.stand.Row("k") == nil {
+			t.Fatal("the lost write did not take effect; the test proves nothing")
+		}
+		down.Store(false)
+		time.Sleep(5 * time.Second)
+		if got := b.stand.Row("k"); got != nil {
+			t.Errorf("row: got %s, want none", got.Value)
+		}
+	})
+}
+
+func TestUpdateOfATakenKeyFails(t *testing.T) {
+	withKeys(t, &table{}, func(t *testing.T, k *Keys, _ *metric.Set) {
+		c, _, err := k.Insert(t.Context(), "k", record("t"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stale := *c
+		if err := k.Update(t.Context(), c, record("t2")); err != nil {
+			t.Fatal(err)
+		}
+		if err := k.Update(t.Context(), &stale, record("t3")); fail.Reason(err) != "key_taken" {
+			t.Errorf("with the old revision: got %v, want key_taken", err)
+		}
+		if err := k.Release(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := k.Look(t.Context(), "k"); got != nil || err != nil {
+			t.Errorf("after the release: got %v %v, want none", got, err)
+		}
+	})
+}
+
+func TestLargeAnswersGoToTheObjectStore(t *testing.T) {
+	withKeys(t, &table{}, func(t *testing.T, k *Keys, _ *metric.Set) {
+		objects := make(map[string][]byte)
+		k.PutObject = func(_ context.Context, n string, b []byte) error {
+			objects[n] = b
+			return nil
+		}
+		k.GetObject = func(_ context.Context, n string) ([]byte, error) { return objects[n], nil }
+		for _, n := range []int{10, bodyMost, bodyMost + 1} {
+			r := record("t")
+			want := string(make([]byte, n))
+			if err := k.Store(t.Context(), "k", &r, want); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := r.Object != "", n > bodyMost; got != want {
+				t.Errorf("%d bytes in an object: got %v, want %v", n, got, want)
+			}
+			if got, err := k.Answer(t.Context(), &r); got != want || err != nil {
+				t.Errorf("%d bytes: got %d bytes back, %v", n, len(got), err)
+			}
+		}
+	})
+}
+
+func TestCloseAnswersWhoWaits(t *testing.T) {
+	b := &table{delay: time.Hour}
+	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := k.Insert(t.Context(), "k", record("t"))
+			done <- err
+		}()
+		synctest.Wait()
+		_ = k.Close()
+		if err := <-done; err == nil {
+			t.Error("an insert that was not made succeeded")
+		} else if errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v, want to be told of the close", err)
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	HeaderBytes int   `toml:"header_bytes"` // of one request
 	Queued      int   `toml:"queued"`       // requests waiting, all workspaces
 	Streams     int   `toml:"streams"`      // requests held at once
+	WeightLoads int   `toml:"weight_loads"` // loads from the weight store at once, of all boxes together
 }
 
 // Timeouts bounds how long the box waits; each is made a deadline when a wait begins.
@@ -86,7 +87,7 @@
 // Default returns the settings that hold where a file names nothing else.
 func Default() Settings {
 	return Settings{
-		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000},
+		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000, WeightLoads: 2},
 		LogLevel: "info",
 		Policy:   PolicyReserved,
 		Timeouts: Timeouts{
@@ -218,6 +219,7 @@
 		{"header_bytes", int64(s.Limits.HeaderBytes)},
 		{"queued", int64(s.Limits.Queued)},
 		{"streams", int64(s.Limits.Streams)},
+		{"weight_loads", int64(s.Limits.WeightLoads)},
 		{"drain", int64(s.Timeouts.Drain.Duration)},
 		{"heartbeat", int64(s.Timeouts.Heartbeat.Duration)},
 		{"leave", int64(s.Timeouts.Leave.Duration)},
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,63 @@
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestRoundTrip(t *testing.T) {
+	want := Event{Data: []byte(`{"a":1}`), ID: []byte("u/g/1"), Name: []byte("n")}
+	r := NewReader(bytes.NewReader(Append(Append(nil, want), Event{Data: []byte("second")})))
+	got, err := r.Next()
+	if err != nil || string(got.Data) != string(want.Data) || string(got.ID) != string(want.ID) || string(got.Name) != string(want.Name) {
+		t.Errorf("got %q %v, want %q", got, err, want)
+	}
+	if got, err = r.Next(); err != nil || string(got.Data) != "second" || len(got.ID) != 0 {
+		t.Errorf("got %q %v, want the second event without an id", got, err)
+	}
+	if _, err = r.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want the end", err)
+	}
+}
+
+func TestReaderPassesOverAndBounds(t *testing.T) {
+	r := NewReader(strings.NewReader(": comment\n\ndata: a\ndata: b\r\n\ndata: cut off"))
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	e, err := r.Next()
+	if err != nil || string(e.Data) != "a\nb" {
+		t.Errorf("got %q %v, want two lines", e.Data, err)
+	}
+	if _, err = r.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("an event cut off: got %v, want the end", err)
+	}
+	if _, err = NewReader(strings.NewReader("data: " + strings.Repeat("x", MaxLineBytes+1))).Next(); err == nil {
+		t.Error("a line over the bound: got no error")
+	}
+	if _, err = NewReader(strings.NewReader(strings.Repeat("data: "+strings.Repeat("x", MaxLineBytes/2)+"\n", 3))).Next(); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("an event over the bound: got %v, want %v", err, ErrTooLarge)
+	}
+}
+
+// FuzzReader reads any stream to its end, within bounds and without a panic.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\nevent: x\ndata: {}\n\n"))
+	f.Add([]byte(":\n\n\r\ndata\n\ndata:"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewReader(bytes.NewReader(b))
+		for n := 0; n <= len(b); n++ {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if len(e.Data) > len(b) {
+				t.Fatalf("data: got %d bytes from %d", len(e.Data), len(b))
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -56,9 +56,13 @@
 	return e
 }
 
-// WithTransport sets the transport, for tests.
+// WithTransport sets the transport, for tests; nil leaves it as it is.
 func WithTransport(t http.RoundTripper) Option {
-	return func(e *Engines) { e.http.Transport = t }
+	return func(e *Engines) {
+		if t != nil {
+			e.http.Transport = t
+		}
+	}
 }
 
 // Cancel ends a generation; one that no longer exists is no error.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -60,15 +60,18 @@
 
 // Load is an engine's report of its load.
 type Load struct {
-	AsOf        time.Time `json:"asOf"`
-	Instance    string    `json:"instance"` // changes when the engine restarts
-	KVTokens    int       `json:"kvTokens"`
-	Leaving     bool      `json:"leaving,omitempty"`
-	Preemptions int64     `json:"preemptions"`
-	Running     int       `json:"running"`
-	StepMicros  int64     `json:"stepMicros"` // of the last step
-	Used        int       `json:"used"`       // tokens of memory in use
-	Waiting     int       `json:"waiting"`
+	AsOf     time.Time `json:"asOf"`
+	Instance string    `json:"instance"` // changes when the engine restarts
+	KVTokens int       `json:"kvTokens"`
+	Leaving  bool      `json:"leaving,omitempty"`
+	// Loaded holds the version of each model that is loaded.
+	Loaded      map[string]string `json:"loaded,omitempty"`
+	Preemptions int64             `json:"preemptions"`
+	Role        string            `json:"role,omitempty"` // that the last order gave it
+	Running     int               `json:"running"`
+	StepMicros  int64             `json:"stepMicros"` // of the last step
+	Used        int               `json:"used"`       // tokens of memory in use
+	Waiting     int               `json:"waiting"`
 }
 
 // CacheEvent tells that a prefix entered or left an engine's cache.
@@ -88,6 +91,12 @@
 	OrderUnload OrderKind = "unload"
 )
 
+// The roles of an engine.
+const (
+	RoleLeaving = "leaving"
+	RoleServing = "serving"
+)
+
 // Order is a fenced order to an engine.
 type Order struct {
 	Fence   int64     `json:"fence"` // an order with a lower fence than one seen is refused
--- a/linetiller.go
+++ b/linetiller.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -28,9 +29,11 @@
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/order"
 	"github.com/linetiller/linetiller/internal/ownership"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/platform"
@@ -53,18 +56,24 @@
 	engines          *upstream.Engines
 	follower         *configuration.Follower
 	keys             *requestkey.Keys
+	links            *box.Links
 	members          *member.Table
 	metrics          *metric.Set
 	naive            *placement.Naive
 	operatorListener net.Listener
 	operatorServer   *http.Server
+	orders           *order.Reconciler
 	owners           *ownership.Owners
 	platform         *platform.Client
 	reserved         *placement.Reserved
 	tracker          *placement.Tracker
-	transport        *box.Transport
 	view             *resource.View
 
+	// Seams: how the box is joined to its peers.
+	connect           func() error
+	engineTransport   http.RoundTripper
+	platformTransport http.RoundTripper
+
 	beat     atomic.Int64 // nanoseconds since started, of the last beat
 	cancel   context.CancelFunc
 	closing  sync.Once
@@ -89,10 +98,13 @@
 		left: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
 		settings: s, started: time.Now(), view: resource.NewView(),
 	}
+	b.connect = b.listen
 	for _, o := range options {
 		o(b)
 	}
-	if err := b.listen(); err != nil {
+	self := box.Member{Address: s.BoxAddress, Hall: s.Hall, Name: s.Box, State: box.StateServing}
+	b.members = member.NewTable(self)
+	if err := b.connect(); err != nil {
 		return nil, err
 	}
 	b.assemble()
@@ -105,7 +117,7 @@
 }
 
 // BoxAddress returns the address for other boxes.
-func (b *Box) BoxAddress() string { return b.transport.Address() }
+func (b *Box) BoxAddress() string { return b.links.Address() }
 
 // ClientAddress returns the address for clients.
 func (b *Box) ClientAddress() string { return b.clientListener.Addr().String() }
@@ -120,10 +132,12 @@
 			b.cancel()
 		}
 		err = errors.Join(b.clientServer.Close(), b.operatorServer.Close())
-		_ = b.clientListener.Close()
-		_ = b.operatorListener.Close()
+		if b.clientListener != nil {
+			_ = b.clientListener.Close()
+			_ = b.operatorListener.Close()
+		}
 		b.workers.Wait()
-		err = errors.Join(err, b.keys.Close(), b.transport.Close(), b.engines.Close(), b.platform.Close())
+		err = errors.Join(err, b.deliverer.Abort(), b.keys.Close(), b.links.Close(), b.engines.Close(), b.platform.Close())
 	})
 	return err
 }
@@ -154,7 +168,7 @@
 	defer cancel()
 	b.join(ctx)
 	for _, f := range []func(context.Context){
-		b.follower.Run, b.owners.Run, b.tracker.Run, b.runHeartbeats, b.runList, b.runBeat, b.runPush,
+		b.follower.Run, b.owners.Run, b.tracker.Run, b.orders.Run, b.runHeartbeats, b.runList, b.runBeat, b.runPush,
 	} {
 		b.workers.Go(func() { f(ctx) })
 	}
@@ -162,11 +176,12 @@
 		b.workers.Go(func() { b.naive.Run(ctx) })
 	}
 	failed := make(chan error, 2)
-	b.workers.Go(func() { failed <- b.clientServer.Serve(b.clientListener) })
-	b.workers.Go(func() { failed <- b.operatorServer.Serve(b.operatorListener) })
+	if b.clientListener != nil {
+		b.workers.Go(func() { failed <- b.clientServer.Serve(b.clientListener) })
+		b.workers.Go(func() { failed <- b.operatorServer.Serve(b.operatorListener) })
+		event.BoxStarted.Log(b.log, "hall", b.settings.Hall, "clients", b.ClientAddress(), "operators", b.OperatorAddress(), "boxes", b.BoxAddress())
+	}
 	b.ready.Store(true)
-	event.BoxStarted.Log(b.log, "box", b.settings.Box, "hall", b.settings.Hall, "clients", b.ClientAddress(),
-		"operators", b.OperatorAddress(), "boxes", b.BoxAddress())
 	select {
 	case <-ctx.Done():
 	case <-b.left:
@@ -210,12 +225,12 @@
 	s := b.settings
 	seed := xxhash.Sum64String(s.Box)
 	lengths := policy.NewLengths()
-	b.platform = platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.Platform.Duration))
-	b.engines = upstream.NewEngines(reportPeriod)
+	b.platform = platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.Platform.Duration), platform.WithTransport(b.platformTransport))
+	b.engines = upstream.NewEngines(reportPeriod, upstream.WithTransport(b.engineTransport))
 	b.keys = requestkey.New(b.platform, b.metrics)
 
 	b.follower = configuration.NewFollower(b.view, b.members, b.log)
-	b.follower.Ask = b.transport.Once
+	b.follower.Ask = b.links.Once
 	b.follower.Read = func(ctx context.Context, after int64) (*platform.Changes, error) {
 		return b.platform.Changes(ctx, configuration.Prefix, after)
 	}
@@ -240,11 +255,23 @@
 		b.naive.ReadLoad = b.engines.Load
 		b.deliverer.Place = b.naive.Place
 	}
+	b.assembleOrders()
 	b.assembleServers()
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
 
+func (b *Box) assembleOrders() {
+	k := lease.NewKeeper(b.settings.Box + "/" + crand.Text())
+	k.Commit = b.platform.Commit
+	k.Get = b.platform.Get
+	k.Name = crand.Text
+	b.orders = order.New(b.view, k, b.metrics, b.log, b.settings.Limits.WeightLoads)
+	b.orders.Give = b.engines.Order
+	b.orders.Mine = b.owners.Mine
+	b.orders.ReadLoad = b.engines.Load
+}
+
 func (b *Box) assembleServers() {
 	s := b.settings
 	services := service.NewRouter(b.view, b.keys, b.metrics)
@@ -277,20 +304,19 @@
 	if err != nil {
 		return fail.Wrap(fail.BadInput, fail.Place{Peer: "boxes", Step: "load certificates"}, "bad_certificate", err)
 	}
-	self := box.Member{Address: s.BoxAddress, Hall: s.Hall, Name: s.Box, State: box.StateServing}
-	b.members = member.NewTable(self)
-	b.transport, err = box.Listen(s.BoxAddress, server, dial, b.answer)
+	t, err := box.Listen(s.BoxAddress, server, dial, b.answer)
 	if err != nil {
 		return err
 	}
-	b.members.SetAddress(b.transport.Address())
+	b.links = t.Links()
+	b.members.SetAddress(b.links.Address())
 	b.clientListener, err = b.listenHTTP(s.ClientAddress)
 	if err != nil {
-		return errors.Join(err, b.transport.Close())
+		return errors.Join(err, b.links.Close())
 	}
 	b.operatorListener, err = b.listenHTTP(s.OperatorAddress)
 	if err != nil {
-		return errors.Join(err, b.transport.Close(), b.clientListener.Close())
+		return errors.Join(err, b.links.Close(), b.clientListener.Close())
 	}
 	return nil
 }
