Tell every change to a watch that follows changes out of order

Cause: a change that came with a lower revision than the last one emptied the view's log of changes, and the log then passed for whole from its next entry on: a watch, or a box that caught up, could miss the changes dropped.

Found by TestViewAgainstNaive, which compares the view with the newest change of each resource (failed at once). Ruled out: keeping the log sorted, since what was trimmed would still be unknown.

Change: the log knows from which revision on it is whole.

--- /dev/null
+++ b/internal/resource/resource_test.go
@@ -0,0 +1,143 @@
+package resource
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestCheckNamesEveryFault(t *testing.T) {
+	for _, x := range []struct {
+		kind       Kind
+		name, spec string
+		want       string
+	}{
+		{KindModel, "m", `{"maxTokens":10}`, ""},
+		{KindModel, "M!", `{"maxTokens":0}`, "metadata.name,spec.maxTokens"},
+		{KindModel, "m", `{"maxTokens":10,"size":2}`, "spec"},
+		{"Car", "c", `{}`, "kind"},
+		{KindPriority, "p", `{"value":1000}`, "spec.value"},
+		{KindVersion, "v", `{}`, "spec.model,spec.weights"},
+		{KindWorkspace, "w", `{"keyHashes":["zz"],"weight":-1}`, "spec.keyHashes[0],spec.weight"},
+		{KindWorkspace, "w", `{}`, "spec.keyHashes"},
+		{KindUpstream, "u", `{"address":"ftp://x","type":"boat"}`, "spec.address,spec.hall,spec.type"},
+		{KindUpstream, "u", `{"address":"http://127.0.0.1:1","hall":"a","type":"service"}`, "spec.service"},
+		{KindUpstream, "u", `{"address":"http://127.0.0.1:1","hall":"a","type":"engine","kvTokens":1,"maxBatch":1,"models":["m"]}`, ""},
+	} {
+		f := Check(&Resource{Kind: x.kind, Metadata: Metadata{Name: x.name}, Spec: json.RawMessage(x.spec)})
+		var got []string
+		for _, v := range f {
+			got = append(got, v.Field)
+		}
+		if strings.Join(got, ",") != x.want {
+			t.Errorf("%s %s: got %s, want %s", x.kind, x.spec, strings.Join(got, ","), x.want)
+		}
+	}
+}
+
+func TestReadTellsLines(t *testing.T) {
+	_, f := Read([]byte(`{"kind":"Model","metadata":{"name":"m"},"spec":{"maxTokens":1}}
+[
+  {
+    "kind": "Priority",
+    "metadata": {"name": "p"},
+    "spec": {
+      "value": 999
+    }
+  },
+  {"kind": "Model", "colour": 1}
+]
+{"kind":`))
+	var got []string
+	for _, x := range f {
+		got = append(got, fmt.Sprintf("%d %s", x.Line, x.Field))
+	}
+	if want := "7 spec.value,10 ,12 "; strings.Join(got, ",") != want {
+		t.Errorf("got %s, want %s", strings.Join(got, ","), want)
+	}
+}
+
+func TestWorkspaceKeysFollowChanges(t *testing.T) {
+	v := NewView()
+	change := func(revision int64, key string, deleted bool) {
+		s := fmt.Sprintf(`{"keyHashes":[%q]}`, HashKey(key))
+		v.Apply([]Change{{Deleted: deleted, Revision: revision, Resource: &Resource{
+			Kind: KindWorkspace, Metadata: Metadata{Name: "w"}, Spec: json.RawMessage(s),
+		}}}, revision)
+	}
+	check := func(key string, want bool) {
+		t.Helper()
+		if got := v.WorkspaceByKey(key) != nil; got != want {
+			t.Errorf("key %s: got %v, want %v", key, got, want)
+		}
+	}
+	change(1, "old", false)
+	check("old", true)
+	change(2, "new", false)
+	check("old", false)
+	check("new", true)
+	change(3, "new", true)
+	check("new", false)
+	check("", false)
+}
+
+// TestViewAgainstNaive compares a view, which takes changes in any order and
+// more than once, with the newest change of each resource.
+func TestViewAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewView()
+		naive := make(map[string]Change)
+		top := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			n := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			r := int64(rapid.IntRange(1, 60).Draw(t, "revision"))
+			c := Change{Deleted: rapid.Bool().Draw(t, "deleted"), Revision: r, Resource: &Resource{Kind: KindPriority, Metadata: Metadata{Name: n}, Spec: []byte("{}")}}
+			v.Apply([]Change{c}, r)
+			top = max(top, r)
+			if naive[n].Revision < r {
+				naive[n] = c
+			}
+			after := int64(rapid.IntRange(0, 60).Draw(t, "after"))
+			got, revision := v.Since(after)
+			if revision != top {
+				t.Fatalf("revision: got %d, want %d", revision, top)
+			}
+			newest := make(map[string]int64)
+			for _, x := range got {
+				if x.Revision <= after {
+					t.Fatalf("since %d: got revision %d", after, x.Revision)
+				}
+				newest[x.Resource.Metadata.Name] = x.Revision
+			}
+			for n, x := range naive {
+				if x.Revision > after && newest[n] != x.Revision {
+					t.Fatalf("since %d: %s: got %d, want %d", after, n, newest[n], x.Revision)
+				}
+				if g := v.Get(KindPriority, n); (g == nil) != x.Deleted {
+					t.Fatalf("%s: got %v, want deleted %v", n, g, x.Deleted)
+				}
+			}
+		}
+	})
+}
+
+// FuzzRead reads any file of resources without a panic.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`[{"kind":"Model","metadata":{"name":"m"},"spec":{"maxTokens":1}}]`))
+	f.Add([]byte(`{"kind":"Upstream","spec":{"address":"http://[::1]:1"}} {`))
+	f.Add([]byte(`[[[1,null,"x"]]]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		l, faults := Read(b)
+		if len(faults) > 0 && faults.In("f").Error() == "" {
+			t.Error("faults without a message")
+		}
+		for _, r := range l {
+			if r == nil {
+				t.Error("a resource that is nil")
+			}
+		}
+	})
+}
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -37,7 +37,8 @@
 type View struct {
 	mutex     sync.RWMutex
 	changed   chan struct{}
-	log       []Change // the newest changes, in order of revision
+	log       []Change // every change after logFrom, in order of revision
+	logFrom   int64
 	revision  int64
 	resources map[string]Change // by kind and name; removals stay as marks
 
@@ -136,7 +137,7 @@
 func (v *View) Since(r int64) ([]Change, int64) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	if len(v.log) > 0 && r >= v.log[0].Revision {
+	if r >= v.logFrom {
 		i, _ := slices.BinarySearchFunc(v.log, r+1, func(c Change, t int64) int { return cmp.Compare(c.Revision, t) })
 		return slices.Clone(v.log[i:]), v.revision
 	}
@@ -223,13 +224,18 @@
 // appendLog keeps the newest changes, dropping the log where a change arrives
 // out of order: readers then fall back to the resources themselves.
 func (v *View) appendLog(c Change) {
-	if n := len(v.log); n > 0 && v.log[n-1].Revision >= c.Revision {
-		v.log = nil
+	newest := v.logFrom
+	if n := len(v.log); n > 0 {
+		newest = v.log[n-1].Revision
+	}
+	if c.Revision <= newest {
+		v.log, v.logFrom = nil, newest
 		return
 	}
 	v.log = append(v.log, c)
-	if len(v.log) > viewLogLength {
-		v.log = slices.Clone(v.log[len(v.log)-viewLogLength/2:])
+	if drop := len(v.log) - viewLogLength/2; len(v.log) > viewLogLength {
+		v.logFrom = v.log[drop-1].Revision
+		v.log = slices.Clone(v.log[drop:])
 	}
 }
 
