Measure slopes, and send fewer heartbeats and reads of the list

Cause: set against the size to design for, the measured slopes put two things over their limits: heartbeats to 8 boxes of the hall and one of each other hall (18 a second, 71 bytes of messages each beside the packets around them), and a read of the platform's list every 2 s by each of 3,300 boxes (1,650 a second of about 2,000).

Change: 4 neighbours in the hall; two boxes of a hall, by rendezvous, keep the links to the others; the list is read every 2 s or 20 ms for each known box, whichever is longer, which is 50 reads a second for any number of boxes. make slopes measures each cost over four sizes and fits a line.

--- a/boxes.go
+++ b/boxes.go
@@ -18,10 +18,11 @@
 
 const (
 	beatEvery       = 200 * time.Millisecond
-	beatLate        = time.Second // after which a box takes itself to have been paused
-	heartbeatPeriod = time.Second // for one heartbeat to be answered
-	inForceCalls    = 64          // at once
-	listEvery       = 2 * time.Second
+	beatLate        = time.Second           // after which a box takes itself to have been paused
+	heartbeatPeriod = time.Second           // for one heartbeat to be answered
+	inForceCalls    = 64                    // at once
+	listEvery       = 2 * time.Second       // between reads of the platform's list, and more
+	listEveryBox    = 20 * time.Millisecond // for each box known, so that all boxes together make about 50 a second
 	refreshPeriod   = 500 * time.Millisecond
 )
 
@@ -281,13 +282,12 @@
 }
 
 func (b *Box) runList(ctx context.Context) {
-	t := time.NewTicker(listEvery)
-	defer t.Stop()
 	for {
+		wait := max(listEvery, time.Duration(len(b.members.Members()))*listEveryBox)
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(wait):
 			b.readList(ctx)
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -35,8 +35,10 @@
 	// failureLife is how long a failed call counts against a box that is still
 	// listed; the next call that fails renews it.
 	failureLife = 30 * time.Second
-	// heartbeatNeighbours is how many boxes each box sends heartbeats to.
-	heartbeatNeighbours = 8
+	// hallLinks is how many boxes of a hall send heartbeats to the other halls.
+	hallLinks = 2
+	// heartbeatNeighbours is how many boxes of its hall each box sends heartbeats to.
+	heartbeatNeighbours = 4
 	// retryFailedAfter is when a box that failed is tried again.
 	retryFailedAfter = 5 * time.Second
 )
@@ -201,7 +203,8 @@
 }
 
 // Neighbours returns the boxes to which heartbeats go: those that a rendezvous
-// with the box's own name ranks first, in its hall, and one in each other hall.
+// with the box's own name ranks first in its hall and, from a few boxes of each
+// hall, one in each other hall.
 // Boxes that failed a moment ago are left out until they are due another try.
 func (t *Table) Neighbours(now time.Time) []box.Member {
 	t.mutex.Lock()
@@ -213,10 +216,11 @@
 		}
 	}
 	var l []box.Member
+	links := t.links(halls[t.self.Hall])
 	for _, h := range slices.Sorted(maps.Keys(halls)) {
-		n := 1
-		if h == t.self.Hall {
-			n = heartbeatNeighbours
+		n := heartbeatNeighbours
+		if h != t.self.Hall {
+			n = links
 		}
 		r := policy.Rank(t.self.Name, halls[h])
 		for _, x := range r[:min(n, len(r))] {
@@ -266,6 +270,16 @@
 	t.watch = make(chan struct{})
 }
 
+// links returns to how many boxes of each other hall this box sends heartbeats,
+// 1 or 0, where others are the boxes of its hall beside it.
+func (t *Table) links(others []string) int {
+	l := policy.Rank("link", append(slices.Clone(others), t.self.Name))
+	if slices.Contains(l[:min(hallLinks, len(l))], t.self.Name) {
+		return 1
+	}
+	return 0
+}
+
 func (t *Table) listOne(m box.Member, now time.Time) {
 	e := t.boxes[m.Name]
 	if e == nil {
--- /dev/null
+++ b/internal/slope/slope.go
@@ -0,0 +1,372 @@
+// Package slope measures the costs from which docs/CAPACITY.md is worked out:
+// each over several sizes, on one machine, with a line fitted to them.
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/certificate"
+	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/fake/link"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/requestkey"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/sse"
+	"github.com/linetiller/linetiller/internal/upstream"
+)
+
+// series is one cost, measured at several sizes.
+type series struct {
+	measure func(n int) float64
+	name    string
+	sizes   []int
+	unit    string
+}
+
+// Main measures every series, prints the fits, and returns an exit code.
+func Main(output io.Writer) int {
+	_, _ = fmt.Fprintf(output, "%-44s %12s %12s %8s   %s\n", "cost", "slope", "base", "error", "sizes")
+	for _, s := range all() {
+		var x, y []float64
+		for _, n := range s.sizes {
+			x = append(x, float64(n))
+			y = append(y, s.measure(n))
+		}
+		f := FitLine(x, y)
+		_, _ = fmt.Fprintf(output, "%-44s %12.4g %12.4g %7.1f%%   %v\n", s.name+", "+s.unit, f.Slope, f.Base, 100*f.Error, s.sizes)
+	}
+	return 0
+}
+
+func all() []series {
+	boxes := []int{400, 800, 1600, 3300}
+	upstreams := []int{1000, 2500, 5000, 10_000}
+	few := []int{100, 200, 400, 800}
+	calls := []int{1000, 2000, 4000, 8000}
+	return []series{
+		{heapOf(func(n int) any { return newMembers(n) }), "memory of a known box", boxes, "bytes"},
+		{cpuOf(func(n int) func() { return aliveTime(n) }), "choosing an owner among a hall's boxes", []int{75, 150, 300, 600}, "µs/box"},
+		{heapOf(func(n int) any { return newView(n) }), "memory of a declared upstream", upstreams, "bytes"},
+		{heapOf(func(n int) any { return newWorkspaces(n) }), "memory of a declared workspace", []int{500, 1000, 1900, 3800}, "bytes"},
+		{heapOf(func(n int) any { return newOwner(n, 0) }), "memory of a running generation at its owner", few, "bytes"},
+		{heapOf(func(n int) any { return newOwner(0, n) }), "memory of a queued request at its owner", []int{1000, 2500, 5000, 10_000}, "bytes"},
+		{heapOf(func(n int) any { return newLengths(n) }), "memory of a key of lengths", []int{2500, 5000, 10_000, 20_000}, "bytes"},
+		{askTime, "processor time of an ask and its finish", calls, "µs"},
+		{heartbeatTime, "processor time of a heartbeat, both ends", calls, "µs"},
+		{heartbeatBytes, "message of a heartbeat and its reply", []int{1, 2, 4, 8}, "bytes"},
+		{askBytes, "messages of an ask, its answer and its end", []int{1, 2, 4, 8}, "bytes"},
+		{updateBytes, "message of progress of a generation", few, "bytes"},
+		{changeBytes, "message of a change of configuration", few, "bytes"},
+		{applyTime, "processor time of a change at a box", calls, "µs"},
+		{keyBytes, "rows of a request key, written twice", few, "bytes"},
+		{streamMemory, "memory of a held stream", few, "bytes"},
+		{relayTime, "processor time of a relayed token", []int{50_000, 100_000, 200_000, 400_000}, "µs"},
+	}
+}
+
+// heapOf measures the memory that what build returns keeps.
+func heapOf(build func(n int) any) func(n int) float64 {
+	return func(n int) float64 {
+		before := memory()
+		v := build(n)
+		after := memory()
+		runtime.KeepAlive(v)
+		return after - before
+	}
+}
+
+// cpuOf measures the time of what prepare returns, in microseconds.
+func cpuOf(prepare func(n int) func()) func(n int) float64 {
+	return func(n int) float64 {
+		f := prepare(n)
+		const times = 2000
+		began := cpu()
+		for range times {
+			f()
+		}
+		return (cpu() - began) / times
+	}
+}
+
+func aliveTime(n int) func() {
+	m := newMembers(n * 11)
+	alive := m.Alive("h0")
+	return func() { policy.First("engine-17", alive) }
+}
+
+func applyTime(n int) float64 {
+	v := newView(10_000)
+	s, _ := json.Marshal(resource.UpstreamSpec{Address: "http://127.0.0.1:1", Hall: "a", KVTokens: 1, MaxBatch: 1, Models: []string{"m"}, Type: resource.UpstreamEngine})
+	began := cpu()
+	for i := range n {
+		r := int64(20_000 + i)
+		v.Apply([]resource.Change{{Revision: r, Resource: &resource.Resource{Kind: resource.KindUpstream, Metadata: resource.Metadata{Name: "engine-1"}, Spec: s}}}, r)
+	}
+	return cpu() - began
+}
+
+func askBytes(n int) float64 {
+	w := newWork(1)
+	a := &policy.Answer{ID: w.ID, Verdict: policy.VerdictStart}
+	l := &policy.Load{AsOf: time.Now(), Peak: 0.7, Upstream: "engine-1"}
+	one := size(&box.Request{Ask: &box.Ask{Upstream: "engine-1", Work: *w}, From: newMember(1), Kind: box.KindAsk, Revision: 1 << 20}) +
+		size(&box.Reply{Answer: a, Load: l, Revision: 1 << 20, State: box.StateServing}) +
+		size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Revision: 1 << 20, Update: &box.Update{Items: []box.Item{{Ended: true, Gone: true, ID: w.ID, Produced: 400}}, Upstream: "engine-1"}}) +
+		size(&box.Reply{Load: l, Revision: 1 << 20})
+	return float64(n) * one
+}
+
+func askTime(n int) float64 {
+	o := newOwner(50, 0)
+	began := cpu()
+	for range n {
+		w := newWork(1 << 20)
+		o.Ask(w, time.Now())
+		o.Finish(w.ID, 10, true, time.Now())
+	}
+	return cpu() - began
+}
+
+func changeBytes(n int) float64 {
+	c, _ := newView(n).Since(0)
+	return size(&box.Reply{Changes: c, Revision: int64(n)})
+}
+
+func heartbeatBytes(n int) float64 {
+	return float64(n) * (size(&box.Request{From: newMember(1), Kind: box.KindHeartbeat, Revision: 1 << 20}) +
+		size(&box.Reply{Revision: 1 << 20, State: box.StateServing}))
+}
+
+func heartbeatTime(n int) float64 {
+	server, client, err := certificate.Ephemeral(box.Protocol)
+	if err != nil {
+		panic(err)
+	}
+	h := func(_ context.Context, _ *box.Request, answer func(*box.Reply) error) {
+		_ = answer(&box.Reply{Revision: 1})
+	}
+	a, err := box.Listen("127.0.0.1:0", server, client, h)
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = a.Close() }()
+	b, err := box.Listen("127.0.0.1:0", server, client, h)
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = b.Close() }()
+	q := &box.Request{From: newMember(1), Kind: box.KindHeartbeat}
+	began := cpu()
+	for range n {
+		if _, err := b.Links().Once(context.Background(), a.Address(), q); err != nil {
+			panic(err)
+		}
+	}
+	return cpu() - began
+}
+
+func keyBytes(n int) float64 {
+	r := requestkey.Record{
+		Generation: "aaaaaaaaaaaaaaaaaaaaaaaaaa", Print: "00000000000000000000000000000000", State: requestkey.StateRunning,
+		Try: "aaaaaaaaaaaaaaaaaaaaaaaaaa", Upstream: "upperhill-a-engine-17",
+	}
+	b, _ := json.Marshal(r)
+	return 2 * float64(n*(len(b)+len(requestkey.RowKey("workspace-17", "0123456789abcdef"))))
+}
+
+// relayTime relays n tokens from an upstream to a sink.
+func relayTime(n int) float64 {
+	d := newDeliverer(func(w http.ResponseWriter, id string) {
+		for i := range n {
+			writeFrame(w, upstream.Frame{Generation: id, Index: i, Text: " token"})
+		}
+		writeFrame(w, upstream.Frame{Finish: upstream.FinishStop, Generation: id, Index: n})
+	})
+	began := cpu()
+	if err := d.Generate(context.Background(), newRequest(1), func(*delivery.Token) error { return nil }); err != nil {
+		panic(err)
+	}
+	return cpu() - began
+}
+
+// streamMemory holds n streams that have had one token each.
+func streamMemory(n int) float64 {
+	stop := make(chan struct{})
+	d := newDeliverer(func(w http.ResponseWriter, id string) {
+		writeFrame(w, upstream.Frame{Generation: id, Text: " token"})
+		<-stop
+		writeFrame(w, upstream.Frame{Finish: upstream.FinishStop, Generation: id, Index: 1})
+	})
+	before := memory()
+	var started, done sync.WaitGroup
+	started.Add(n)
+	for i := range n {
+		done.Go(func() {
+			_ = d.Generate(context.Background(), newRequest(i), func(t *delivery.Token) error {
+				if t.Finish == "" {
+					started.Done()
+				}
+				return nil
+			})
+		})
+	}
+	started.Wait()
+	after := memory()
+	close(stop)
+	done.Wait()
+	return after - before
+}
+
+func updateBytes(n int) float64 {
+	u := &box.Update{Upstream: "engine-1"}
+	for i := range n {
+		u.Items = append(u.Items, box.Item{ID: newWork(i).ID, Produced: 1000 + i})
+	}
+	return size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Update: u})
+}
+
+// cpu returns the processor time of this process, in microseconds.
+func cpu() float64 {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	t := time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return float64(t.Nanoseconds()) / 1e3
+}
+
+// memory returns the bytes in use by heap and stacks.
+func memory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// newDeliverer returns a deliverer of the first upstream, in memory, that answers as
+// stream does.
+func newDeliverer(stream func(w http.ResponseWriter, id string)) *delivery.Deliverer {
+	l := link.New()
+	l.Join("10.1.0.0:8000", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var s upstream.Start
+		if json.NewDecoder(r.Body).Decode(&s) == nil {
+			stream(w, s.ID)
+		}
+	}))
+	v := newView(1)
+	m := metric.NewSet()
+	e := upstream.NewEngines(time.Minute, upstream.WithTransport(l))
+	d := delivery.New(e, nil, placement.NewTracker(func(*policy.Load) {}), v, m, slog.New(slog.DiscardHandler))
+	d.Place = func(context.Context, *policy.Work, map[string]bool) (*placement.Place, error) {
+		return &placement.Place{Granted: time.Now(), Upstream: v.Upstream("engine-0")}, nil
+	}
+	return d
+}
+
+func newLengths(n int) *policy.Lengths {
+	l := policy.NewLengths()
+	for i := range n {
+		w := newWork(i)
+		w.Workspace = fmt.Sprint(i)
+		l.Observe(policy.KeyOf(w), 0, 100, true)
+	}
+	return l
+}
+
+func newMember(i int) box.Member {
+	return box.Member{Address: fmt.Sprintf("10.0.%d.%d:8082", i/250, i%250), Hall: fmt.Sprintf("h%d", i%11), Name: fmt.Sprintf("box-%d", i), State: box.StateServing}
+}
+
+func newMembers(n int) *member.Table {
+	t := member.NewTable(newMember(0))
+	var l []box.Member
+	for i := 1; i < n; i++ {
+		l = append(l, newMember(i))
+	}
+	t.List(l, time.Now())
+	return t
+}
+
+func newOwner(running, queued int) *policy.Owner {
+	now := time.Now()
+	o := policy.NewOwner("engine-1", policy.Capacity{KVTokens: 60_000, MaxBatch: 100}, policy.NewLengths(), now, policy.WithMaxQueued(1<<20))
+	if queued > 0 {
+		o.Report(policy.Report{AsOf: now, StepSeconds: 0.001, Used: 60_000}, now)
+	} else {
+		o.Report(policy.Report{AsOf: now, StepSeconds: 0.001}, now)
+	}
+	for i := range running {
+		o.Register(newWork(i), 10, now)
+	}
+	for i := range queued {
+		o.Ask(newWork(i), now)
+	}
+	return o
+}
+
+func newRequest(i int) *delivery.Request {
+	return &delivery.Request{Prompt: "a prompt", Work: *newWork(i)}
+}
+
+func newView(n int) *resource.View {
+	v := resource.NewView()
+	for i := range n {
+		s, _ := json.Marshal(resource.UpstreamSpec{
+			Address: fmt.Sprintf("http://10.1.%d.%d:8000", i/250, i%250), Hall: fmt.Sprintf("h%d", i%11), KVTokens: 400_000, MaxBatch: 256,
+			Models: []string{fmt.Sprintf("model-%d", i%17)}, Type: resource.UpstreamEngine,
+		})
+		v.Apply([]resource.Change{{Revision: int64(i + 1), Resource: &resource.Resource{
+			Kind: resource.KindUpstream, Metadata: resource.Metadata{Generation: 1, Name: fmt.Sprintf("engine-%d", i), ResourceVersion: fmt.Sprint(i + 1)}, Spec: s,
+		}}}, int64(i+1))
+	}
+	return v
+}
+
+func newWork(i int) *policy.Work {
+	now := time.Now()
+	return &policy.Work{
+		Arrived: now, Deadline: now.Add(time.Hour), ID: fmt.Sprintf("aaaaaaaaaaaaaaaaaaaa%06d", i), Kind: "quote", MaxTokens: 4096,
+		Model: "model-1", Prefix: 1 << 62, Prompt: 300, Workspace: "workspace-17",
+	}
+}
+
+func newWorkspaces(n int) *resource.View {
+	v := resource.NewView()
+	for i := range n {
+		s, _ := json.Marshal(resource.WorkspaceSpec{KeyHashes: []string{resource.HashKey(fmt.Sprint(i))}, Priority: "counter", Weight: 1})
+		v.Apply([]resource.Change{{Revision: int64(i + 1), Resource: &resource.Resource{
+			Kind: resource.KindWorkspace, Metadata: resource.Metadata{Generation: 1, Name: fmt.Sprintf("workspace-%d", i), ResourceVersion: fmt.Sprint(i + 1)}, Spec: s,
+		}}}, int64(i+1))
+	}
+	return v
+}
+
+// size returns the bytes of a message between boxes.
+func size(v any) float64 {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(b))
+}
+
+func writeFrame(w io.Writer, f upstream.Frame) {
+	b, _ := json.Marshal(f)
+	_, _ = w.Write(sse.Append(nil, sse.Event{Data: b}))
+}
