Write the pages of the product, and hold them to the code

Cause: there was no page beside the README, and nothing that keeps one true.

Change: promises with the tests that break them, measures with their figures, capacity from measured slopes, events, glossary, guides, reference, a page for each failure, design records with the ways weighed; tests that every test, event, metric, command, flag and link named in them exists.

Found: the capacity page names three breaks (progress and asks if they count as control, request keys beyond about 150 a second, rows of keys without an end).

Conclusion: what is not proved is listed in docs/PROMISES.md.

--- /dev/null
+++ b/docs_test.go
@@ -0,0 +1,108 @@
+package linetiller_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/linetiller/linetiller/internal/cmd"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/metric"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// TestPromisesNameTests checks that every test named in the table exists in the
+// package named beside it.
+func TestPromisesNameTests(t *testing.T) {
+	names := regexp.MustCompile("`((?:Test|Fuzz)\\w+)` \\(([^)]+)\\)").FindAllStringSubmatch(read(t, "docs/PROMISES.md"), -1)
+	if got, want := len(names), 40; got < want {
+		t.Errorf("tests named: got %d, want at least %d", got, want)
+	}
+	for _, n := range names {
+		files, _ := filepath.Glob(filepath.Join(n[2], "*_test.go"))
+		found := false
+		for _, f := range files {
+			found = found || strings.Contains(read(t, f), "func "+n[1]+"(")
+		}
+		if !found {
+			t.Errorf("%s is not in %s", n[1], n[2])
+		}
+	}
+}
+
+func TestEventsAreCatalogued(t *testing.T) {
+	page := read(t, "docs/EVENTS.md")
+	for _, e := range event.All {
+		if want := fmt.Sprintf("| %d | %s | %s |", e.Number, e.Name, strings.ToLower(e.Level.String())); !strings.Contains(page, want) {
+			t.Errorf("page: got no row that begins with %q", want)
+		}
+	}
+	if got, want := strings.Count(page, "\n| "), len(event.All)+1; got != want {
+		t.Errorf("rows: got %d, want %d", got, want)
+	}
+}
+
+func TestMetricsAreListed(t *testing.T) {
+	page := read(t, "docs/reference.md")
+	for _, n := range metric.Names {
+		if !strings.Contains(page, "`"+string(n)+"`") {
+			t.Errorf("page: got no %s", n)
+		}
+	}
+}
+
+// TestCommandsInDocsExist runs every command line that the docs show, for its help.
+func TestCommandsInDocsExist(t *testing.T) {
+	var pages []string
+	for _, p := range []string{"README.md", "docs/*.md", "docs/*/*.md"} {
+		l, _ := filepath.Glob(p)
+		pages = append(pages, l...)
+	}
+	seen := 0
+	for _, p := range pages {
+		for _, l := range regexp.MustCompile(`(?m)^    linetiller (.*)$`).FindAllStringSubmatch(read(t, p), -1) {
+			seen++
+			arguments := []string{"linetiller"}
+			for _, w := range strings.Fields(l[1]) {
+				if !regexp.MustCompile(`^[a-z]+$`).MatchString(w) {
+					break
+				}
+				arguments = append(arguments, w)
+			}
+			for _, f := range regexp.MustCompile(` --?[a-z][a-z-]*`).FindAllString(" "+l[1], -1) {
+				f = strings.TrimSpace(f)
+				var out strings.Builder
+				if c := cmd.Main(append(arguments, "--help"), strings.NewReader(""), &out, &out); c != 0 || !strings.Contains(out.String(), f) {
+					t.Errorf("%s: %s: got no flag %s in its help", p, l[0], f)
+				}
+			}
+		}
+	}
+	if seen < 10 {
+		t.Errorf("command lines found: got %d, want at least 10", seen)
+	}
+}
+
+// TestLinksInDocsLead checks that every page linked from another exists.
+func TestLinksInDocsLead(t *testing.T) {
+	pages, _ := filepath.Glob("docs/*.md")
+	more, _ := filepath.Glob("docs/*/*.md")
+	for _, p := range append(append(pages, more...), "README.md") {
+		for _, l := range regexp.MustCompile(`\]\(([^)#:]+)\)`).FindAllStringSubmatch(read(t, p), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(p), l[1])); err != nil {
+				t.Errorf("%s: %v", p, err)
+			}
+		}
+	}
+}
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -38,6 +38,11 @@
 	unit    string
 }
 
+const (
+	engineName = "engine-1"
+	unitBytes  = "bytes"
+)
+
 // Main measures every series, prints the fits, and returns an exit code.
 func Main(output io.Writer) int {
 	_, _ = fmt.Fprintf(output, "%-44s %12s %12s %8s   %s\n", "cost", "slope", "base", "error", "sizes")
@@ -59,22 +64,22 @@
 	few := []int{100, 200, 400, 800}
 	calls := []int{1000, 2000, 4000, 8000}
 	return []series{
-		{heapOf(func(n int) any { return newMembers(n) }), "memory of a known box", boxes, "bytes"},
-		{cpuOf(func(n int) func() { return aliveTime(n) }), "choosing an owner among a hall's boxes", []int{75, 150, 300, 600}, "µs/box"},
-		{heapOf(func(n int) any { return newView(n) }), "memory of a declared upstream", upstreams, "bytes"},
-		{heapOf(func(n int) any { return newWorkspaces(n) }), "memory of a declared workspace", []int{500, 1000, 1900, 3800}, "bytes"},
-		{heapOf(func(n int) any { return newOwner(n, 0) }), "memory of a running generation at its owner", few, "bytes"},
-		{heapOf(func(n int) any { return newOwner(0, n) }), "memory of a queued request at its owner", []int{1000, 2500, 5000, 10_000}, "bytes"},
-		{heapOf(func(n int) any { return newLengths(n) }), "memory of a key of lengths", []int{2500, 5000, 10_000, 20_000}, "bytes"},
+		{heapOf(func(n int) any { return newMembers(n) }), "memory of a known box", boxes, unitBytes},
+		{cpuOf(aliveTime), "choosing an owner among a hall's boxes", []int{75, 150, 300, 600}, "µs/box"},
+		{heapOf(func(n int) any { return newView(n) }), "memory of a declared upstream", upstreams, unitBytes},
+		{heapOf(func(n int) any { return newWorkspaces(n) }), "memory of a declared workspace", []int{500, 1000, 1900, 3800}, unitBytes},
+		{heapOf(func(n int) any { return newOwner(n, 0) }), "memory of a running generation at its owner", few, unitBytes},
+		{heapOf(func(n int) any { return newOwner(0, n) }), "memory of a queued request at its owner", []int{1000, 2500, 5000, 10_000}, unitBytes},
+		{heapOf(func(n int) any { return newLengths(n) }), "memory of a key of lengths", []int{2500, 5000, 10_000, 20_000}, unitBytes},
 		{askTime, "processor time of an ask and its finish", calls, "µs"},
 		{heartbeatTime, "processor time of a heartbeat, both ends", calls, "µs"},
-		{heartbeatBytes, "message of a heartbeat and its reply", []int{1, 2, 4, 8}, "bytes"},
-		{askBytes, "messages of an ask, its answer and its end", []int{1, 2, 4, 8}, "bytes"},
-		{updateBytes, "message of progress of a generation", few, "bytes"},
-		{changeBytes, "message of a change of configuration", few, "bytes"},
+		{heartbeatBytes, "message of a heartbeat and its reply", []int{1, 2, 4, 8}, unitBytes},
+		{askBytes, "messages of an ask, its answer and its end", []int{1, 2, 4, 8}, unitBytes},
+		{updateBytes, "message of progress of a generation", few, unitBytes},
+		{changeBytes, "message of a change of configuration", few, unitBytes},
 		{applyTime, "processor time of a change at a box", calls, "µs"},
-		{keyBytes, "rows of a request key, written twice", few, "bytes"},
-		{streamMemory, "memory of a held stream", few, "bytes"},
+		{keyBytes, "rows of a request key, written twice", few, unitBytes},
+		{streamMemory, "memory of a held stream", few, unitBytes},
 		{relayTime, "processor time of a relayed token", []int{50_000, 100_000, 200_000, 400_000}, "µs"},
 	}
 }
@@ -115,7 +120,7 @@
 	began := cpu()
 	for i := range n {
 		r := int64(20_000 + i)
-		v.Apply([]resource.Change{{Revision: r, Resource: &resource.Resource{Kind: resource.KindUpstream, Metadata: resource.Metadata{Name: "engine-1"}, Spec: s}}}, r)
+		v.Apply([]resource.Change{{Revision: r, Resource: &resource.Resource{Kind: resource.KindUpstream, Metadata: resource.Metadata{Name: engineName}, Spec: s}}}, r)
 	}
 	return cpu() - began
 }
@@ -123,10 +128,10 @@
 func askBytes(n int) float64 {
 	w := newWork(1)
 	a := &policy.Answer{ID: w.ID, Verdict: policy.VerdictStart}
-	l := &policy.Load{AsOf: time.Now(), Peak: 0.7, Upstream: "engine-1"}
-	one := size(&box.Request{Ask: &box.Ask{Upstream: "engine-1", Work: *w}, From: newMember(1), Kind: box.KindAsk, Revision: 1 << 20}) +
+	l := &policy.Load{AsOf: time.Now(), Peak: 0.7, Upstream: engineName}
+	one := size(&box.Request{Ask: &box.Ask{Upstream: engineName, Work: *w}, From: newMember(1), Kind: box.KindAsk, Revision: 1 << 20}) +
 		size(&box.Reply{Answer: a, Load: l, Revision: 1 << 20, State: box.StateServing}) +
-		size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Revision: 1 << 20, Update: &box.Update{Items: []box.Item{{Ended: true, Gone: true, ID: w.ID, Produced: 400}}, Upstream: "engine-1"}}) +
+		size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Revision: 1 << 20, Update: &box.Update{Items: []box.Item{{Ended: true, Gone: true, ID: w.ID, Produced: 400}}, Upstream: engineName}}) +
 		size(&box.Reply{Load: l, Revision: 1 << 20})
 	return float64(n) * one
 }
@@ -233,7 +238,7 @@
 }
 
 func updateBytes(n int) float64 {
-	u := &box.Update{Upstream: "engine-1"}
+	u := &box.Update{Upstream: engineName}
 	for i := range n {
 		u.Items = append(u.Items, box.Item{ID: newWork(i).ID, Produced: 1000 + i})
 	}
@@ -305,7 +310,7 @@
 
 func newOwner(running, queued int) *policy.Owner {
 	now := time.Now()
-	o := policy.NewOwner("engine-1", policy.Capacity{KVTokens: 60_000, MaxBatch: 100}, policy.NewLengths(), now, policy.WithMaxQueued(1<<20))
+	o := policy.NewOwner(engineName, policy.Capacity{KVTokens: 60_000, MaxBatch: 100}, policy.NewLengths(), now, policy.WithMaxQueued(1<<20))
 	if queued > 0 {
 		o.Report(policy.Report{AsOf: now, StepSeconds: 0.001, Used: 60_000}, now)
 	} else {
