--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -71,6 +71,12 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return errors.Join(errBadInput, err)
 		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return errors.Join(errBadInput, fmt.Errorf("there is no command %q", c.Args().First()))
+			}
+			return cli.ShowRootCommandHelp(c)
+		},
 		Commands: []*cli.Command{
 			newServeCmd(e), newApplyCmd(e), newGetCmd(e), newWatchCmd(e), newDeleteCmd(e),
 			newGenerateCmd(e), newCheckCmd(e), newCertificateCmd(e), newKeyCmd(e),
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/client"
@@ -82,6 +83,8 @@
 		{"repeat a request key", d.repeatKey},
 		{"call a plain service twice with one key", d.callService},
 		{"kill a box mid-stream", d.killBox},
+		{"freeze a box, and ask its neighbour", d.freezeBox},
+		{"stop a box while it streams", d.stopBox},
 	} {
 		d.say("\n== %s", step.name)
 		if err := step.do(ctx); err != nil {
@@ -185,6 +188,64 @@
 	return wholeOnce(ids, 120)
 }
 
+// freezeBox stops the clock of a box with SIGSTOP, asks the other box of its
+// hall, thaws it, and asks the thawed one.
+func (d *demo) freezeBox(ctx context.Context) error {
+	p := d.processNamed("b-1")
+	if err := p.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	err := d.whole(ctx, 3, 50, nil)
+	if e := p.command.Process.Signal(syscall.SIGCONT); e != nil || err != nil {
+		return errors.Join(err, e)
+	}
+	d.say("\n   whole while b-1 was frozen; b-1 goes on")
+	return d.whole(ctx, 2, 50, nil)
+}
+
+// stopBox asks a box to stop while it streams: the stream ends whole.
+func (d *demo) stopBox(ctx context.Context) error {
+	p := d.processNamed("b-2")
+	err := d.whole(ctx, 3, 150, func(taken int) {
+		if taken == 20 {
+			d.say("\n   ** box b-2 is asked to stop **")
+			_ = p.command.Process.Signal(syscall.SIGTERM)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.exited:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d.say("\n   b-2 ended with exit code %d", p.command.ProcessState.ExitCode())
+	if p.command.ProcessState.ExitCode() != cmd.ExitOK {
+		return errors.New("the box did not end well")
+	}
+	return nil
+}
+
+// whole streams a generation of count tokens through one box and checks that it
+// comes whole; each is called with the number of tokens taken, where it is given.
+func (d *demo) whole(ctx context.Context, box, count int, each func(taken int)) error {
+	var ids []string
+	g := d.generator(box)
+	g.Taken = func(id, text string) error {
+		ids = append(ids, id)
+		_, _ = fmt.Fprint(d.output, text)
+		if each != nil {
+			each(len(ids))
+		}
+		return nil
+	}
+	if _, _, err := g.Run(ctx, &client.Ask{Model: model, Prompt: fmt.Sprintf("a plan, length=%d", count)}); err != nil {
+		return err
+	}
+	return wholeOnce(ids, count)
+}
+
 func (d *demo) repeatKey(ctx context.Context) error {
 	before, err := d.started(ctx)
 	if err != nil {
