Read the code as a newcomer: one place for each loop, lookup and table write

Cause: the ticker loop stood three times, the reading of a final reply and the lookup of a record twice, and three files held two jobs.

A box that leaves now tells its neighbours and goes on with heartbeats, which it had stopped. No behaviour of a test changed.

After: make test and make lint pass.

--- a/boxes.go
+++ b/boxes.go
@@ -10,6 +10,7 @@
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/periodic"
 	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/policy"
 )
@@ -250,35 +251,17 @@
 
 // runBeat beats while the box runs; a late beat tells that it was paused.
 func (b *Box) runBeat(ctx context.Context) {
-	t := time.NewTicker(beatEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			b.fresh(ctx)
-			b.beat.Store(int64(time.Since(b.started)))
-		}
-	}
+	periodic.Run(ctx, beatEvery, func(ctx context.Context) {
+		b.fresh(ctx)
+		b.beat.Store(int64(time.Since(b.started)))
+	})
 }
 
 func (b *Box) runHeartbeats(ctx context.Context) {
-	t := time.NewTicker(b.settings.Timeouts.Heartbeat.Duration)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-b.left:
-			b.heartbeats(ctx)
-			<-ctx.Done()
-			return
-		case <-t.C:
-			b.heartbeats(ctx)
-			b.members.Expire(time.Now())
-		}
-	}
+	periodic.Run(ctx, b.settings.Timeouts.Heartbeat.Duration, func(ctx context.Context) {
+		b.heartbeats(ctx)
+		b.members.Expire(time.Now())
+	})
 }
 
 func (b *Box) runList(ctx context.Context) {
@@ -293,17 +276,20 @@
 	}
 }
 
-// runPush passes a new configuration on at once, by a heartbeat to each
-// neighbour, who then asks for what is new.
+// runPush passes a new configuration, or that this box leaves, on at once, by a
+// heartbeat to each neighbour, who then asks for what is new.
 func (b *Box) runPush(ctx context.Context) {
+	left := b.left
 	for {
 		c := b.view.Changed()
 		select {
 		case <-ctx.Done():
 			return
 		case <-c:
-			b.heartbeats(ctx)
+		case <-left:
+			left = nil
 		}
+		b.heartbeats(ctx)
 	}
 }
 
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -132,9 +132,8 @@
 func (s *Server) deleteGeneration(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	v := s.records[r.PathValue("id")]
+	v := s.find(w, r)
 	if v == nil {
-		http.NotFound(w, r)
 		return
 	}
 	if s.scheduler.Cancel(v.generation.ID) {
@@ -142,6 +141,16 @@
 	}
 }
 
+// find returns the record that a request names, or answers that there is none;
+// the lock is held.
+func (s *Server) find(w http.ResponseWriter, r *http.Request) *record {
+	v := s.records[r.PathValue("id")]
+	if v == nil {
+		http.NotFound(w, r)
+	}
+	return v
+}
+
 func (s *Server) getCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	s.mutex.Lock()
@@ -174,9 +183,8 @@
 func (s *Server) getGeneration(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	v := s.records[r.PathValue("id")]
+	v := s.find(w, r)
 	if v == nil {
-		http.NotFound(w, r)
 		return
 	}
 	answer(w, upstream.Position{
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,7 +16,6 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -120,36 +119,6 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// commit writes a row whose last revision is known. Where the answer is lost,
-// it sends the same write again: the condition then fails if the first took
-// effect, and the row tells whose write it was.
-func (s *Server) commit(ctx context.Context, key string, revision int64, v *configuration.Value) (*platform.Row, int64, error) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return nil, 0, err
-	}
-	t := &platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
-		Writes:     []platform.Write{{Key: key, Value: b}},
-	}
-	for try := 1; ; try++ {
-		r, err := s.Commit(ctx, t)
-		switch {
-		case err == nil && r.Committed:
-			return nil, r.Revision, nil
-		case err == nil:
-			return lostRace(r, v.Write)
-		case try == settleTries || !unsettled(err, try):
-			return nil, 0, err
-		}
-		select {
-		case <-ctx.Done():
-			return nil, 0, err
-		case <-time.After(settleWait << try):
-		}
-	}
-}
-
 func (s *Server) deleteResource(w http.ResponseWriter, r *http.Request) {
 	k, n := resource.Kind(r.PathValue("kind")), r.PathValue("name")
 	row, old, err := s.current(r.Context(), k, n)
@@ -171,26 +140,6 @@
 	s.write(w, r, row, &configuration.Value{Deleted: true, Resource: old})
 }
 
-// current returns the row of a resource, and what it holds unless that was deleted.
-func (s *Server) current(ctx context.Context, k resource.Kind, name string) (*platform.Row, *resource.Resource, error) {
-	key := configuration.Key(k, name)
-	row, err := s.Get(ctx, key)
-	if err != nil {
-		return nil, nil, err
-	}
-	if row == nil {
-		return &platform.Row{Key: key}, nil, nil
-	}
-	v := new(configuration.Value)
-	if err := json.Unmarshal(row.Value, v); err != nil {
-		return nil, nil, fail.Wrap(fail.Unknown, fail.Place{Peer: "platform", Step: "read resource"}, "platform_garbled", err)
-	}
-	if v.Deleted {
-		return row, nil, nil
-	}
-	return row, configuration.Versioned(v.Resource, row.Revision), nil
-}
-
 func (s *Server) getList(w http.ResponseWriter, r *http.Request) {
 	// The revision is read first: a change in between is then told twice by a
 	// watch from there, never left out.
@@ -345,18 +294,6 @@
 	writeJSON(w, http.StatusOK, configuration.Versioned(v.Resource, revision))
 }
 
-// lostRace tells a transaction that was refused because an earlier send of it
-// took effect from one that lost to another write.
-func lostRace(r *platform.Result, write string) (*platform.Row, int64, error) {
-	if len(r.Current) != 1 {
-		return nil, 0, errors.New("the platform told no reason for a refused transaction")
-	}
-	if writtenBy(&r.Current[0], write) {
-		return nil, r.Current[0].Revision, nil
-	}
-	return &r.Current[0], 0, nil
-}
-
 func readResource(w http.ResponseWriter, r *http.Request) (*resource.Resource, *Problem) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
@@ -415,12 +352,6 @@
 	return st
 }
 
-// unsettled reports whether a write may have taken effect although it failed:
-// its answer was lost, or that of an earlier try was.
-func unsettled(err error, try int) bool {
-	return errorx.IsOfType(err, fail.Unknown) || (try > 1 && errorx.IsOfType(err, fail.Unavailable))
-}
-
 func watchEvent(c *resource.Change) *WatchEvent {
 	e := &WatchEvent{Resource: c.Resource, Revision: strconv.FormatInt(c.Revision, 10), Type: WatchApplied}
 	if c.Deleted {
@@ -434,8 +365,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-func writtenBy(r *platform.Row, write string) bool {
-	v := new(configuration.Value)
-	return json.Unmarshal(r.Value, v) == nil && v.Write == write
-}
--- /dev/null
+++ b/internal/operator/table.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/configuration"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// commit writes a row whose last revision is known. Where the answer is lost,
+// it sends the same write again: the condition then fails if the first took
+// effect, and the row tells whose write it was.
+func (s *Server) commit(ctx context.Context, key string, revision int64, v *configuration.Value) (*platform.Row, int64, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, 0, err
+	}
+	t := &platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: b}},
+	}
+	for try := 1; ; try++ {
+		r, err := s.Commit(ctx, t)
+		switch {
+		case err == nil && r.Committed:
+			return nil, r.Revision, nil
+		case err == nil:
+			return lostRace(r, v.Write)
+		case try == settleTries || !unsettled(err, try):
+			return nil, 0, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, err
+		case <-time.After(settleWait << try):
+		}
+	}
+}
+
+// current returns the row of a resource, and what it holds unless that was deleted.
+func (s *Server) current(ctx context.Context, k resource.Kind, name string) (*platform.Row, *resource.Resource, error) {
+	key := configuration.Key(k, name)
+	row, err := s.Get(ctx, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	if row == nil {
+		return &platform.Row{Key: key}, nil, nil
+	}
+	v := new(configuration.Value)
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return nil, nil, fail.Wrap(fail.Unknown, fail.Place{Peer: "platform", Step: "read resource"}, "platform_garbled", err)
+	}
+	if v.Deleted {
+		return row, nil, nil
+	}
+	return row, configuration.Versioned(v.Resource, row.Revision), nil
+}
+
+// lostRace tells a transaction that was refused because an earlier send of it
+// took effect from one that lost to another write.
+func lostRace(r *platform.Result, write string) (*platform.Row, int64, error) {
+	if len(r.Current) != 1 {
+		return nil, 0, errors.New("the platform told no reason for a refused transaction")
+	}
+	if writtenBy(&r.Current[0], write) {
+		return nil, r.Current[0].Revision, nil
+	}
+	return &r.Current[0], 0, nil
+}
+
+// unsettled reports whether a write may have taken effect although it failed:
+// its answer was lost, or that of an earlier try was.
+func unsettled(err error, try int) bool {
+	return errorx.IsOfType(err, fail.Unknown) || (try > 1 && errorx.IsOfType(err, fail.Unavailable))
+}
+
+func writtenBy(r *platform.Row, write string) bool {
+	v := new(configuration.Value)
+	return json.Unmarshal(r.Value, v) == nil && v.Write == write
+}
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -20,6 +20,7 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/periodic"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/upstream"
 )
@@ -57,16 +58,7 @@
 
 // Run gives orders until the context ends.
 func (r *Reconciler) Run(ctx context.Context) {
-	t := time.NewTicker(runEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.all(ctx)
-		}
-	}
+	periodic.Run(ctx, runEvery, r.all)
 }
 
 // Step brings one engine one order further. It reports whether an order was given.
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -118,9 +118,8 @@
 	for {
 		select {
 		case r := <-replies:
-			p.Learn(r.Load)
-			if r.Answer != nil && r.Answer.Verdict != policy.VerdictQueue {
-				return r.Answer, nil
+			if a := p.final(r); a != nil {
+				return a, nil
 			}
 		case err := <-failed:
 			return p.afterExchange(ctx, err, replies, owner, place)
@@ -140,9 +139,8 @@
 	for {
 		select {
 		case r := <-replies:
-			p.Learn(r.Load)
-			if r.Answer != nil && r.Answer.Verdict != policy.VerdictQueue {
-				return r.Answer, nil
+			if a := p.final(r); a != nil {
+				return a, nil
 			}
 			continue
 		default:
@@ -219,6 +217,16 @@
 	return p.Call(ctx, owner, a, pass)
 }
 
+// final takes in a reply and returns its answer, unless that is a place in the
+// queue, which another answer follows.
+func (p *Reserved) final(r *box.Reply) *policy.Answer {
+	p.Learn(r.Load)
+	if r.Answer == nil || r.Answer.Verdict == policy.VerdictQueue {
+		return nil
+	}
+	return r.Answer
+}
+
 // late returns the refusal of work whose time ran out, or whose caller went.
 func (p *Reserved) late(ctx context.Context, w *policy.Work) error {
 	place := fail.Place{Peer: "upstreams", Step: "wait for a place"}
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -40,20 +40,6 @@
 	latestSweep time.Time
 }
 
-// Tuning holds the constants of the decisions, so that a measurement can vary
-// them; DefaultTuning tells the values that measurements chose.
-type Tuning struct {
-	CostReserve  float64 // share of memory kept free of costly work
-	NewestFirst  float64 // seconds of cost above which the newest goes first
-	ReserveHalf  float64 // seconds of cost at which half of that is kept
-	MaxUsed      float64 // share of memory in use above which nothing starts
-	StepTarget   float64 // seconds between tokens
-	ZMax         float64 // largest number of standard deviations kept free
-	ZMin         float64 // smallest
-	ZPreemption  float64 // added per preemption seen
-	ZDecaySecond float64 // share by which z falls back to ZMin each second
-}
-
 // running is a generation that holds a reservation or runs.
 type running struct {
 	confirmed bool
@@ -86,14 +72,6 @@
 // OwnerOption sets one thing of an Owner.
 type OwnerOption func(*Owner)
 
-// DefaultTuning returns the values that measurements chose.
-func DefaultTuning() Tuning {
-	return Tuning{
-		CostReserve: 0.2, NewestFirst: 1, ReserveHalf: 2, MaxUsed: 0.98, StepTarget: 0.04,
-		ZMax: 4, ZMin: 0.4, ZPreemption: 0.1, ZDecaySecond: 0.02,
-	}
-}
-
 // NewOwner returns the owner of an upstream, as of now.
 func NewOwner(upstream string, c Capacity, l *Lengths, now time.Time, options ...OwnerOption) *Owner {
 	o := &Owner{
