--- a/internal/client/completion.go
+++ b/internal/client/completion.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	q := &delivery.Request{Print: printOf([]byte(f), b), Prompt: t}
+	q := &delivery.Request{MaxQueued: x.Spec.MaxQueued, Print: printOf([]byte(f), b), Prompt: t}
 	if err := s.readHeaders(r, q, now); err != nil {
 		return nil, false, err
 	}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -27,11 +27,12 @@
 
 // Request is one generation that a client asks for.
 type Request struct {
-	Key    string // the request key, "" where it may be repeated
-	Print  string // hash of what is asked, which a repeat of the key must match
-	Prompt string
-	Resume *EventID // the last token that the client has
-	Work   policy.Work
+	Key       string // the request key, "" where it may be repeated
+	MaxQueued int    // requests of its workspace that may wait at this box; 0 is no bound of its own
+	Print     string // hash of what is asked, which a repeat of the key must match
+	Prompt    string
+	Resume    *EventID // the last token that the client has
+	Work      policy.Work
 }
 
 // EventID names a token that was delivered.
@@ -67,7 +68,9 @@
 	keys    *requestkey.Keys
 	log     *slog.Logger
 	metrics *metric.Set
-	mutex   sync.Mutex // guards retries, held and closing
+	mutex   sync.Mutex     // guards retries, held, closing, holds and waits
+	holds   map[string]int // by workspace: requests in progress
+	waits   map[string]int // by workspace: requests that wait for a place
 	closing bool
 	held    int
 	limit   int
@@ -89,7 +92,10 @@
 	recordRetry   = 5 * time.Second
 	resumePeriod  = 3 * time.Second // of failing resumptions after which a generation is lost
 	resumptionGap = 50 * time.Millisecond
-	startPeriod   = 3 * time.Second // from the claim of a key to the arrival of its start
+	// workspaceShare is how much of the requests that a box may hold one workspace
+	// may have, so that none can shut the others out.
+	workspaceShare = 0.75
+	startPeriod    = 3 * time.Second // from the claim of a key to the arrival of its start
 )
 
 // Option sets one thing of a Deliverer.
@@ -99,6 +105,7 @@
 func New(e *upstream.Engines, k *requestkey.Keys, t *placement.Tracker, v *resource.View, m *metric.Set, l *slog.Logger, options ...Option) *Deliverer {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deliverer{
+		holds: make(map[string]int), waits: make(map[string]int),
 		Fresh:  func(context.Context) {},
 		cancel: cancel, ctx: ctx,
 		engines: e, keys: k, limit: 10_000, log: l, meter: newMeter(m), metrics: m,
@@ -163,10 +170,10 @@
 // Generate carries q to its end. Its error tells what the client may conclude:
 // fail.NotRun, fail.Interrupted, fail.Unknown and the others as they say.
 func (d *Deliverer) Generate(ctx context.Context, q *Request, sink Sink) error {
-	if err := d.enter(); err != nil {
+	if err := d.enter(q.Work.Workspace); err != nil {
 		return d.account(err)
 	}
-	defer d.leave()
+	defer d.leave(q.Work.Workspace)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.ctx, cancel)()
@@ -234,7 +241,7 @@
 	})
 }
 
-func (d *Deliverer) enter() error {
+func (d *Deliverer) enter(workspace string) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p := fail.Place{Peer: "client", Step: "accept"}
@@ -244,25 +251,57 @@
 	if d.held >= d.limit {
 		return fail.WithRetryAt(fail.New(fail.NotRun, p, "too_many_streams", "this box holds its limit of requests"), time.Now().Add(time.Second))
 	}
+	if most := int(workspaceShare * float64(d.limit)); d.holds[workspace] >= max(1, most) {
+		return fail.WithRetryAt(fail.New(fail.NotRun, p, "workspace_streams", "the workspace holds its share of this box's requests"), time.Now().Add(time.Second))
+	}
+	d.holds[workspace]++
 	d.held++
 	d.retries.Request()
 	d.workers.Add(1)
 	return nil
 }
 
-func (d *Deliverer) leave() {
+func (d *Deliverer) leave(workspace string) {
 	d.mutex.Lock()
 	d.held--
+	release(d.holds, workspace)
 	d.mutex.Unlock()
 	d.workers.Done()
 }
 
+// place finds a place for a request, unless too many of its workspace wait for one.
+func (d *Deliverer) place(ctx context.Context, q *Request, avoid map[string]bool) (*placement.Place, error) {
+	w := q.Work.Workspace
+	d.mutex.Lock()
+	if q.MaxQueued > 0 && d.waits[w] >= q.MaxQueued {
+		d.mutex.Unlock()
+		p := fail.Place{Peer: "client", Step: "wait for a place"}
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, p, "workspace_queue_full", "%d requests of the workspace wait here", q.MaxQueued), time.Now().Add(time.Second))
+	}
+	d.waits[w]++
+	d.mutex.Unlock()
+	defer func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		release(d.waits, w)
+	}()
+	return d.Place(ctx, &q.Work, avoid)
+}
+
 func (d *Deliverer) takeRetry() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.retries.Take()
 }
 
+// release takes one from a workspace's count, which goes with the last.
+func release(counts map[string]int, workspace string) {
+	counts[workspace]--
+	if counts[workspace] <= 0 {
+		delete(counts, workspace)
+	}
+}
+
 // newID returns a name that no other box will choose.
 func newID() string {
 	return strings.ToLower(rand.Text())
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -326,6 +326,53 @@
 	}
 }
 
+// TestWorkspacesDoNotShutEachOtherOut lets one workspace ask for more than its
+// share: it is refused, and another is served.
+func TestWorkspacesDoNotShutEachOtherOut(t *testing.T) {
+	for _, x := range []struct {
+		reason  string
+		prepare func(r *rig, q *Request)
+	}{
+		{"workspace_streams", func(r *rig, _ *Request) { r.deliverer.limit = 4 }},
+		{"workspace_queue_full", func(r *rig, q *Request) {
+			q.MaxQueued = 3
+			r.deliverer.Place = func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+				time.Sleep(time.Second)
+				return r.place(ctx, w, avoid)
+			}
+		}},
+	} {
+		t.Run(x.reason, func(t *testing.T) {
+			withRig(t, func(t *testing.T, r *rig) {
+				ask := func(workspace string) chan error {
+					q := r.request("length=50", "")
+					q.Work.Workspace = workspace
+					x.prepare(r, q)
+					done := make(chan error, 1)
+					go func() { done <- r.deliverer.Generate(t.Context(), q, func(*Token) error { return nil }) }()
+					synctest.Wait()
+					return done
+				}
+				var large []chan error
+				for range 4 {
+					large = append(large, ask("large"))
+				}
+				small := ask("small")
+				for i, c := range append(large, small) {
+					want := ""
+					if i == 3 {
+						want = x.reason
+					}
+					err := <-c
+					if got := fail.Reason(err); (err == nil) != (want == "") || (err != nil && got != want) {
+						t.Errorf("request %d: got %v, want %q", i, err, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestLostStartIsNeverNotRun checks that once the first byte has gone out and
 // nothing more is heard, the outcome is not called "not run".
 func TestLostStartIsNeverNotRun(t *testing.T) {
--- a/internal/delivery/session.go
+++ b/internal/delivery/session.go
@@ -63,7 +63,7 @@
 // attempt runs the request at one upstream. It reports whether the request may
 // be tried at another one.
 func (s *session) attempt() (again bool, err error) {
-	p, err := s.deliverer.Place(s.client, &s.request.Work, s.avoid)
+	p, err := s.deliverer.place(s.client, s.request, s.avoid)
 	if err != nil {
 		return false, err
 	}
