Read an engine's cache events

Change: CacheEvents, which tells whether events were lost. The decisions do not use it: a prefix keeps to two upstreams by rendezvous hashing, without an index.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// CacheEvents returns an engine's prefix cache events after number after, and
+// whether some were lost in between. They come late, so they may only inform.
+func (e *Engines) CacheEvents(ctx context.Context, address string, after int64) (l []CacheEvent, gap bool, err error) {
+	path := "/v1/cache/events?after=" + strconv.FormatInt(after, 10)
+	if err := e.call(ctx, "read cache events", http.MethodGet, address, path, nil, &l); err != nil {
+		return nil, false, err
+	}
+	for _, v := range l {
+		gap = gap || v.Number != after+1
+		after = v.Number
+	}
+	return l, gap, nil
+}
+
 // Cancel ends a generation; one that no longer exists is no error.
 func (e *Engines) Cancel(ctx context.Context, address, id string) error {
 	err := e.call(ctx, "cancel", http.MethodDelete, address, generationPath(id), nil, nil)
