--- /dev/null
+++ b/answer.go
@@ -0,0 +1,59 @@
+package linetiller
+
+import (
+	"context"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+)
+
+// answer answers one request of another box.
+func (b *Box) answer(ctx context.Context, q *box.Request, answer func(*box.Reply) error) {
+	b.heard(ctx, q)
+	reply := answer
+	answer = func(r *box.Reply) error {
+		r.Revisions = b.view.Revisions()
+		r.SentAt = time.Now()
+		r.State = b.members.Self().State
+		return reply(r)
+	}
+	switch q.Kind {
+	case box.KindAsk:
+		b.owners.Ask(ctx, q.Ask, answer)
+	case box.KindChanges:
+		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
+	case box.KindHeartbeat:
+		_ = answer(&box.Reply{})
+	case box.KindInForce:
+		_ = answer(&box.Reply{Halls: b.inForceHere(ctx, q.Forward)})
+	case box.KindMembers:
+		_ = answer(&box.Reply{Members: b.members.Members()})
+	case box.KindTurn:
+		b.answerTurn(ctx, q.Turn, answer)
+	case box.KindUpdate:
+		_ = answer(b.owners.Update(q.Update))
+	default:
+		_ = answer(&box.Reply{Error: "bad_message"})
+	}
+}
+
+// answerTurn tells a caller that its run's turn has come, and holds the turn until
+// the caller hangs up.
+func (b *Box) answerTurn(ctx context.Context, t *box.Turn, answer func(*box.Reply) error) {
+	release, err := b.turns.Take(ctx, t.Upstream, &t.Run)
+	if err != nil {
+		return
+	}
+	defer release()
+	if answer(&box.Reply{Turn: &box.TurnAnswer{Granted: true}}) == nil {
+		<-ctx.Done()
+	}
+}
+
+// request fills in what every request carries.
+func (b *Box) request(q box.Request) *box.Request {
+	q.From = b.members.Self()
+	q.Revisions = b.view.Revisions()
+	q.SentAt = time.Now()
+	return &q
+}
--- /dev/null
+++ b/ask.go
@@ -0,0 +1,71 @@
+package linetiller
+
+import (
+	"context"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+const askPeriod = time.Second // for an owner's first answer
+
+// callAsk makes an ask of another box and passes its replies on until the last.
+func (b *Box) callAsk(ctx context.Context, owner string, a *box.Ask, answer func(*box.Reply) error) error {
+	c, err := b.links.Call(ctx, b.members.Address(owner), b.request(box.Request{Ask: a, Kind: box.KindAsk}))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	for first := true; ; first = false {
+		if first {
+			c.ReadTill(time.Now().Add(askPeriod))
+		} else {
+			c.ReadTill(a.Work.Deadline)
+		}
+		r, err := c.Next()
+		if err != nil {
+			return err
+		}
+		if r.State == box.StateLeaving {
+			b.members.Left(owner)
+		}
+		if err := answer(r); err != nil || (r.Answer != nil && r.Answer.Verdict != policy.VerdictQueue) {
+			return err
+		}
+	}
+}
+
+// takeTurn takes the turn to move a run away from an upstream, at its owner.
+func (b *Box) takeTurn(ctx context.Context, upstream string, r *policy.Run) (func(), error) {
+	hall := b.settings.Hall
+	if u := b.view.Upstream(upstream); u != nil {
+		hall = u.Spec.Hall
+	}
+	o := policy.First(upstream, b.members.Alive(hall))
+	if o == b.settings.Box {
+		return b.turns.Take(ctx, upstream, r)
+	}
+	c, err := b.links.Call(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindTurn, Turn: &box.Turn{Run: *r, Upstream: upstream}}))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.Next(); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return func() { _ = c.Close() }, nil
+}
+
+// sendUpdate sends an update to the owner of its upstream.
+func (b *Box) sendUpdate(ctx context.Context, u *box.Update) (*box.Reply, error) {
+	x := b.view.Upstream(u.Upstream)
+	if x == nil {
+		return &box.Reply{}, nil
+	}
+	o := policy.First(x.Name, b.members.Alive(x.Spec.Hall))
+	if o == b.settings.Box {
+		return b.owners.Update(u), nil
+	}
+	return b.links.Once(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindUpdate, Update: u}))
+}
--- /dev/null
+++ b/assemble.go
@@ -0,0 +1,149 @@
+package linetiller
+
+import (
+	"context"
+	crand "crypto/rand"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/linetiller/linetiller/internal/client"
+	"github.com/linetiller/linetiller/internal/configuration"
+	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/lease"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/order"
+	"github.com/linetiller/linetiller/internal/ownership"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/relay"
+	"github.com/linetiller/linetiller/internal/requestkey"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/service"
+	"github.com/linetiller/linetiller/internal/settings"
+	"github.com/linetiller/linetiller/internal/upstream"
+	"github.com/linetiller/linetiller/platform"
+)
+
+// assemble makes the parts and joins them by their seams.
+func (b *Box) assemble() {
+	s := b.settings
+	seed := xxhash.Sum64String(s.Box)
+	lengths := policy.NewLengths()
+	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport))
+	b.store = store.Table()
+	b.engines = upstream.NewEngines(reportPeriod, upstream.WithTransport(b.engineTransport))
+	b.routed = platform.NewEngines(platform.WithEnginesTransport(b.routedTransport))
+	b.keys = requestkey.New(b.store, b.metrics)
+	b.assembleFollower(store)
+
+	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
+		ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
+	b.owners.ReadLoad = b.readLoad
+
+	b.reserved = placement.NewReserved(b.view, b.members, lengths, b.metrics, seed)
+	b.reserved.AskLocal = b.owners.Ask
+	b.reserved.Call = b.callAsk
+	b.tracker = placement.NewTracker(b.reserved.Learn)
+	b.tracker.Send = b.sendUpdate
+
+	b.deliverer = delivery.New(b.engines, b.keys, b.tracker, b.view, b.metrics, b.log,
+		delivery.WithLimit(s.Limits.Streams), delivery.WithSilence(s.Timeouts.Silence.Duration))
+	b.deliverer.Fresh = b.fresh
+	b.deliverer.Place = b.reserved.Place
+	if s.Policy == settings.PolicyNaive {
+		b.naive = placement.NewNaive(b.view, s.Timeouts.Report.Duration, seed)
+		b.naive.ReadLoad = b.engines.Load
+		b.deliverer.Place = b.naive.Place
+	}
+	b.assembleRelay(lengths)
+	b.assembleOrders()
+	b.assembleServers()
+	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
+	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
+}
+
+func (b *Box) assembleFollower(s *platform.Store) {
+	b.follower = configuration.NewFollower(b.view, b.members, b.log)
+	b.follower.Ask = b.links.Once
+	b.follower.Spread = rand.Float64
+	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
+	if b.settings.Entry == (settings.Entry{}) {
+		b.follower.Add(resource.SourceResources, configuration.ResourceReader(s.Changes))
+		return
+	}
+	b.follower.Add(resource.SourceConfiguration, platform.ConfigurationReader(s))
+	b.follower.Add(resource.SourceUpstreams, platform.UpstreamReader(s))
+}
+
+func (b *Box) assembleOrders() {
+	k := lease.NewKeeper(b.settings.Box + "/" + crand.Text())
+	k.Commit = b.store.Commit
+	k.Get = b.store.Get
+	k.Name = crand.Text
+	b.orders = order.New(b.view, k, b.metrics, b.log, b.settings.Limits.WeightLoads)
+	b.orders.Give = b.engines.Order
+	b.orders.Mine = b.owners.Mine
+	b.orders.ReadLoad = b.engines.Load
+}
+
+func (b *Box) assembleRelay(l *policy.Lengths) {
+	g := b.settings.Budget
+	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
+		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count))
+	b.relay.Fresh = b.fresh
+	b.relay.Place = b.reserved.Place
+	b.relay.Turn = b.takeTurn
+	b.relay.Upstreams = relay.Upstreams{Migrate: b.routed.Migrate, Release: b.routed.Release, Send: b.routed.Send}
+}
+
+func (b *Box) assembleServers() {
+	s := b.settings
+	services := service.NewRouter(b.view, b.keys, b.metrics)
+	services.Do = b.engines.Call
+	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration))
+	c.CallService = services.Call
+	c.Generate = b.deliverer.Generate
+	c.Ready = b.ready.Load
+	b.clientServer = b.httpServer(c)
+
+	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
+	o.Commit = b.store.Commit
+	o.Get = b.store.Get
+	o.InForce = b.inForce
+	o.Refresh = b.follower.Refresh
+	b.operatorServer = b.httpServer(o)
+	b.assembleEntry()
+}
+
+// assembleEntry makes the servers of the entry, in the order of their listeners.
+func (b *Box) assembleEntry() {
+	if b.settings.Entry == (settings.Entry{}) {
+		return
+	}
+	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
+	i.Leaving = b.stopping.Load
+	m := http.NewServeMux()
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
+	b.entry[0].server = b.httpServer(i)
+	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.ready.Load() && b.relay.Known() }))
+	b.entry[2].server = b.httpServer(m)
+}
+
+// readLoad reads the load report of an engine, of a declared route or not.
+func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
+	if b.settings.Entry == (settings.Entry{}) {
+		return b.engines.Load(ctx, address)
+	}
+	return b.routed.Load(ctx, address)
+}
+
+func (b *Box) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		ErrorLog: quiet(b.log), Handler: h, IdleTimeout: time.Minute,
+		MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
+	}
+}
--- a/hall_test.go
+++ b/hall_test.go
@@ -16,7 +16,6 @@
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	fakeservice "github.com/linetiller/linetiller/internal/fake/service"
 	"github.com/linetiller/linetiller/internal/operator"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/settings"
 )
@@ -130,7 +129,6 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.platform.SetBox(platform.Box{Address: b.BoxAddress(), Hall: s.Hall, Name: s.Box, State: platform.BoxLive})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- /dev/null
+++ b/heartbeat.go
@@ -0,0 +1,102 @@
+package linetiller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/periodic"
+)
+
+const (
+	beatEvery       = 200 * time.Millisecond
+	beatLate        = time.Second // after which a box takes itself to have been paused
+	heartbeatPeriod = time.Second // for one heartbeat to be answered
+	refreshPeriod   = 500 * time.Millisecond
+)
+
+// fresh makes sure, before something is sent, that the box was not paused a
+// moment ago; if it was, its views are of before the pause and are renewed.
+func (b *Box) fresh(ctx context.Context) {
+	late := time.Since(b.started) - time.Duration(b.beat.Load())
+	if late < beatLate {
+		return
+	}
+	event.ClockJumped.Log(b.log, "late", late.String())
+	b.members.Reconsider()
+	ctx, cancel := context.WithTimeout(ctx, refreshPeriod)
+	defer cancel()
+	if b.follower.Refresh(ctx) != nil {
+		b.heartbeats(ctx)
+	}
+	b.beat.Store(int64(time.Since(b.started)))
+}
+
+// heard takes in that another box lives, and catches up where it is ahead.
+func (b *Box) heard(ctx context.Context, q *box.Request) {
+	if b.members.Heard(q.From, time.Now()) {
+		event.PeerBack.Log(b.log, "box", q.From.Name)
+	}
+	_ = b.follower.CatchUp(ctx, q.From.Address, q.Revisions) // the next message tries again
+}
+
+// heartbeat tells one box that this one lives.
+func (b *Box) heartbeat(ctx context.Context, m box.Member) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
+	defer cancel()
+	r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat}))
+	if err != nil {
+		if b.members.Failed(m.Name, time.Now()) {
+			event.PeerLost.Log(b.log, "box", m.Name, "error", err.Error())
+		}
+		return
+	}
+	m.State = r.State
+	if b.members.Heard(m, time.Now()) {
+		event.PeerBack.Log(b.log, "box", m.Name)
+	}
+	_ = b.follower.CatchUp(ctx, m.Address, r.Revisions) // the next heartbeat tries again
+}
+
+// heartbeats sends a heartbeat to each neighbour and waits for the answers.
+func (b *Box) heartbeats(ctx context.Context) {
+	var g sync.WaitGroup
+	for _, m := range b.members.Neighbours(time.Now()) {
+		g.Go(func() { b.heartbeat(ctx, m) })
+	}
+	g.Wait()
+}
+
+// runBeat beats while the box runs; a late beat tells that it was paused.
+func (b *Box) runBeat(ctx context.Context) {
+	periodic.Run(ctx, beatEvery, func(ctx context.Context) {
+		b.fresh(ctx)
+		b.beat.Store(int64(time.Since(b.started)))
+	})
+}
+
+func (b *Box) runHeartbeats(ctx context.Context) {
+	periodic.Run(ctx, b.settings.Timeouts.Heartbeat.Duration, func(ctx context.Context) {
+		b.heartbeats(ctx)
+		b.members.Expire(time.Now())
+	})
+}
+
+// runPush passes a new configuration, or that this box leaves, on at once, by a
+// heartbeat to each neighbour, who then asks for what is new.
+func (b *Box) runPush(ctx context.Context) {
+	left := b.left
+	for {
+		c := b.view.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+		case <-left:
+			left = nil
+		}
+		b.heartbeats(ctx)
+	}
+}
--- /dev/null
+++ b/inforce.go
@@ -0,0 +1,84 @@
+package linetiller
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// inForceCalls bounds the boxes that are asked at once.
+const inForceCalls = 64
+
+// inForce tells which revisions the boxes of every hall have in force: its own
+// hall's boxes are asked one by one, of each other hall one box is asked for all.
+func (b *Box) inForce(ctx context.Context) []box.HallRevisions {
+	var mutex sync.Mutex
+	l := b.inForceHere(ctx, true)
+	var g errgroup.Group
+	for _, h := range b.members.Halls() {
+		if h == b.settings.Hall {
+			continue
+		}
+		g.Go(func() error {
+			x := b.inForceHall(ctx, h)
+			mutex.Lock()
+			defer mutex.Unlock()
+			l = append(l, x...)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return l
+}
+
+// inForceHall asks a box of another hall for that hall's revisions.
+func (b *Box) inForceHall(ctx context.Context, hall string) []box.HallRevisions {
+	boxes := b.members.Alive(hall)
+	for _, n := range policy.Rank(b.settings.Box, boxes) {
+		r, err := b.links.Once(ctx, b.members.Address(n), b.request(box.Request{Forward: true, Kind: box.KindInForce}))
+		if err == nil {
+			return r.Halls
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return []box.HallRevisions{{Hall: hall, Silent: max(1, len(boxes))}}
+}
+
+// inForceHere returns this box's revision, and where all is set those of the
+// other boxes of its hall.
+func (b *Box) inForceHere(ctx context.Context, all bool) []box.HallRevisions {
+	h := box.HallRevisions{Hall: b.settings.Hall, Revisions: []int64{b.view.Revision()}}
+	if !all {
+		return []box.HallRevisions{h}
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
+	defer cancel()
+	var mutex sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(inForceCalls)
+	for _, m := range b.members.Members()[1:] {
+		if m.Hall != b.settings.Hall || m.State == box.StateLeaving {
+			continue
+		}
+		g.Go(func() error {
+			r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindInForce}))
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil {
+				h.Silent++
+				return nil
+			}
+			h.Revisions = append(h.Revisions, r.Revisions[resource.SourceResources])
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return []box.HallRevisions{h}
+}
--- /dev/null
+++ b/internal/box/clock.go
@@ -0,0 +1,52 @@
+package box
+
+import "time"
+
+// Clocks of boxes may differ by seconds and jump. Times in a message are by the
+// sender's clock; the receiver shifts them by the difference between its own
+// clock at the arrival and the sender's at the send. The way of the message,
+// milliseconds, counts as if it took no time.
+
+// Shift makes the times in q those of a clock that shows now at its arrival.
+func (q *Request) Shift(now time.Time) {
+	if q.SentAt.IsZero() {
+		return
+	}
+	by := now.Sub(q.SentAt)
+	if q.Ask != nil {
+		shift(&q.Ask.Work.Arrived, by)
+		shift(&q.Ask.Work.Deadline, by)
+	}
+	if q.Turn != nil {
+		shift(&q.Turn.Run.Deadline, by)
+	}
+	if q.Update == nil {
+		return
+	}
+	for i := range q.Update.Items {
+		if w := q.Update.Items[i].Work; w != nil {
+			shift(&w.Arrived, by)
+			shift(&w.Deadline, by)
+		}
+	}
+}
+
+// Shift makes the times in r those of a clock that shows now at its arrival.
+func (r *Reply) Shift(now time.Time) {
+	if r.SentAt.IsZero() {
+		return
+	}
+	by := now.Sub(r.SentAt)
+	if r.Answer != nil {
+		shift(&r.Answer.RetryAt, by)
+	}
+	if r.Load != nil {
+		shift(&r.Load.AsOf, by)
+	}
+}
+
+func shift(t *time.Time, by time.Duration) {
+	if !t.IsZero() {
+		*t = t.Add(by)
+	}
+}
--- /dev/null
+++ b/internal/box/clock_test.go
@@ -0,0 +1,31 @@
+package box
+
+import (
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// TestTimesFollowTheReceiversClock sends an ask from a box whose clock is 40
+// minutes ahead: what is left until its deadline must not change.
+func TestTimesFollowTheReceiversClock(t *testing.T) {
+	here := time.Unix(10_000, 0)
+	there := here.Add(40 * time.Minute)
+	q := &Request{SentAt: there, Ask: &Ask{Work: policy.Work{Arrived: there.Add(-time.Second), Deadline: there.Add(5 * time.Second)}}}
+	q.Shift(here)
+	if got, want := q.Ask.Work.Deadline.Sub(here), 5*time.Second; got != want {
+		t.Errorf("left: got %s, want %s", got, want)
+	}
+	if got, want := here.Sub(q.Ask.Work.Arrived), time.Second; got != want {
+		t.Errorf("age: got %s, want %s", got, want)
+	}
+	r := &Reply{SentAt: there, Answer: &policy.Answer{}, Load: &policy.Load{AsOf: there}}
+	r.Shift(here)
+	if got := r.Load.AsOf; !got.Equal(here) {
+		t.Errorf("load as of: got %s, want %s", got, here)
+	}
+	if !r.Answer.RetryAt.IsZero() {
+		t.Errorf("retry at: got %s, want none", r.Answer.RetryAt)
+	}
+}
--- a/internal/box/links.go
+++ b/internal/box/links.go
@@ -20,6 +20,9 @@
 
 // Call is one call in progress. Its fields are seams.
 type Call struct {
+	// End reads on to the end of the replies, where that lets a connection be kept;
+	// nil where it does not.
+	End func()
 	// HangUp ends the call.
 	HangUp func()
 	// Peer names the other box, for errors.
@@ -37,7 +40,11 @@
 		return nil, err
 	}
 	defer func() { _ = c.Close() }()
-	return c.Next()
+	r, err := c.Next()
+	if err == nil && c.End != nil {
+		c.End()
+	}
+	return r, err
 }
 
 // Close hangs up.
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -5,6 +5,8 @@
 package box
 
 import (
+	"time"
+
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -19,6 +21,7 @@
 	KindHeartbeat Kind = "heartbeat" // that the sender lives
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindMembers   Kind = "members"   // the boxes that the other side knows
+	KindTurn      Kind = "turn"      // the turn to move a generation away from a leaving upstream
 	KindUpdate    Kind = "update"    // how far running generations are
 )
 
@@ -41,13 +44,14 @@
 
 // Request is the first message on a stream.
 type Request struct {
-	After    int64   `cbor:"1,keyasint,omitempty"` // changes: the revision held
-	Ask      *Ask    `cbor:"2,keyasint,omitempty"`
-	From     Member  `cbor:"3,keyasint"`
-	Forward  bool    `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
-	Kind     Kind    `cbor:"5,keyasint"`
-	Revision int64   `cbor:"6,keyasint"` // in force at the sender
-	Update   *Update `cbor:"7,keyasint,omitempty"`
+	Ask       *Ask               `cbor:"2,keyasint,omitempty"`
+	From      Member             `cbor:"3,keyasint"`
+	Forward   bool               `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
+	Kind      Kind               `cbor:"5,keyasint"`
+	Revisions resource.Revisions `cbor:"6,keyasint"` // known to the sender
+	SentAt    time.Time          `cbor:"1,keyasint"` // by the sender's clock, which times in the message are by
+	Turn      *Turn              `cbor:"8,keyasint,omitempty"`
+	Update    *Update            `cbor:"7,keyasint,omitempty"`
 }
 
 // Ask asks the owner of an upstream for a place.
@@ -56,6 +60,19 @@
 	Work     policy.Work `cbor:"2,keyasint"`
 }
 
+// Turn asks the owner of a leaving upstream for the turn to move a generation
+// away. The turn lasts until the caller hangs up.
+type Turn struct {
+	Run      policy.Run `cbor:"1,keyasint"`
+	Upstream string     `cbor:"2,keyasint"`
+}
+
+// TurnAnswer tells that a generation's turn has come, or that it stays.
+type TurnAnswer struct {
+	Granted bool   `cbor:"1,keyasint"`
+	Reason  string `cbor:"2,keyasint,omitempty"` // why it stays
+}
+
 // Item is how far one generation is.
 type Item struct {
 	Ended    bool         `cbor:"1,keyasint,omitempty"` // it reached its own end
@@ -73,15 +90,17 @@
 
 // Reply is one answer.
 type Reply struct {
-	Answer   *policy.Answer    `cbor:"1,keyasint,omitempty"` // ask
-	Changes  []resource.Change `cbor:"2,keyasint,omitempty"` // changes
-	Error    string            `cbor:"3,keyasint,omitempty"` // the reason of a refusal by the box itself
-	Halls    []HallRevisions   `cbor:"4,keyasint,omitempty"` // in-force
-	Load     *policy.Load      `cbor:"5,keyasint,omitempty"`
-	Members  []Member          `cbor:"6,keyasint,omitempty"` // members
-	Revision int64             `cbor:"7,keyasint"`           // in force at the sender
-	State    State             `cbor:"8,keyasint,omitempty"` // heartbeat
-	Unknown  []string          `cbor:"9,keyasint,omitempty"` // update: ids the owner does not know
+	Answer    *policy.Answer     `cbor:"1,keyasint,omitempty"` // ask
+	Changes   []resource.Batch   `cbor:"2,keyasint,omitempty"` // changes
+	Error     string             `cbor:"3,keyasint,omitempty"` // the reason of a refusal by the box itself
+	Halls     []HallRevisions    `cbor:"4,keyasint,omitempty"` // in-force
+	Load      *policy.Load       `cbor:"5,keyasint,omitempty"`
+	Members   []Member           `cbor:"6,keyasint,omitempty"`  // members
+	Revisions resource.Revisions `cbor:"7,keyasint"`            // known to the sender
+	SentAt    time.Time          `cbor:"10,keyasint"`           // by the sender's clock, which times in the message are by
+	State     State              `cbor:"8,keyasint,omitempty"`  // heartbeat
+	Turn      *TurnAnswer        `cbor:"11,keyasint,omitempty"` // turn
+	Unknown   []string           `cbor:"9,keyasint,omitempty"`  // update: ids the owner does not know
 }
 
 // HallRevisions tells which revisions the boxes of a hall have in force.
--- /dev/null
+++ b/internal/box/plain.go
@@ -0,0 +1,189 @@
+package box
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/linetiller/linetiller/internal/fail"
+)
+
+// Plain calls other boxes and answers their calls over HTTP on TCP, without
+// encryption and without knowing who calls: it is for networks that only boxes
+// can reach, where nobody hands out certificates. It is safe for concurrent use.
+type Plain struct {
+	cancel   context.CancelFunc
+	client   *http.Client
+	ctx      context.Context
+	handler  Handler
+	listener net.Listener
+	server   *http.Server
+	workers  sync.WaitGroup
+}
+
+const (
+	callPath           = "/call"
+	maxIdlePlain       = 8                      // connections kept to one box
+	plainDialPeriod    = time.Second            // a box that does not answer a connection in that time counts as gone
+	plainEndPeriod     = 100 * time.Millisecond // for the end of an answer after its last reply
+	plainIdlePeriod    = 30 * time.Second       // heartbeats come each second
+	plainWritePeriod   = 2 * time.Second        // for one reply to be taken
+	plainRequestPeriod = 2 * time.Second        // for a request to arrive whole
+)
+
+// ListenPlain returns links at address (IP:port) that answer by h.
+func ListenPlain(address string, h Handler) (*Plain, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fail.Wrap(fail.Unavailable, fail.Place{Peer: "boxes", Step: "listen"}, "listen", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Plain{cancel: cancel, ctx: ctx, handler: h, listener: l}
+	p.client = &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: plainDialPeriod}).DialContext,
+		DisableCompression:  true,
+		IdleConnTimeout:     plainIdlePeriod,
+		MaxIdleConnsPerHost: maxIdlePlain,
+	}}
+	p.server = &http.Server{
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), Handler: http.HandlerFunc(p.serve),
+		IdleTimeout: 2 * plainIdlePeriod, ReadTimeout: plainRequestPeriod,
+	}
+	p.workers.Go(func() { _ = p.server.Serve(l) })
+	return p, nil
+}
+
+// Address returns the address for the other boxes.
+func (p *Plain) Address() string {
+	return p.listener.Addr().String()
+}
+
+// Call sends q to the box at address. The caller closes the call.
+func (p *Plain) Call(ctx context.Context, address string, q *Request) (*Call, error) {
+	place := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
+	b, err := cbor.Marshal(q)
+	if err != nil {
+		return nil, fail.Wrap(fail.BadInput, place, "bad_message", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+callPath, bytes.NewReader(b))
+	if err != nil {
+		cancel()
+		return nil, fail.Wrap(fail.BadInput, place, "bad_message", err)
+	}
+	c := &plainCall{cancel: cancel, sent: make(chan struct{})}
+	go func() {
+		defer close(c.sent)
+		c.response, c.err = p.client.Do(r) //nolint:bodyclose // hangUp closes it.
+	}()
+	return &Call{End: c.end, HangUp: c.hangUp, Peer: place.Peer, Read: c.read, ReadTill: c.readTill}, nil
+}
+
+// Close hangs up on every box and waits for the calls in progress.
+func (p *Plain) Close() error {
+	p.cancel()
+	err := p.server.Close()
+	p.client.CloseIdleConnections()
+	p.workers.Wait()
+	return err
+}
+
+// Links returns the calls.
+func (p *Plain) Links() *Links {
+	return &Links{Address: p.Address, Call: p.Call, Close: p.Close}
+}
+
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	p.workers.Add(1)
+	defer p.workers.Done()
+	e := cbor.NewEncoder(w)
+	b, err := io.ReadAll(io.LimitReader(r.Body, MaxMessageBytes))
+	if err != nil {
+		return
+	}
+	q, err := DecodeRequest(bytes.NewReader(b))
+	if err != nil {
+		_ = e.Encode(&Reply{Error: "bad_message"})
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(p.ctx, cancel)()
+	c := http.NewResponseController(w)
+	p.handler(ctx, q, func(v *Reply) error {
+		_ = c.SetWriteDeadline(time.Now().Add(plainWritePeriod))
+		if err := e.Encode(v); err != nil {
+			return err
+		}
+		return c.Flush()
+	})
+}
+
+// plainCall is one call in progress. It is used by one goroutine.
+type plainCall struct {
+	cancel   context.CancelFunc
+	decoder  *cbor.Decoder
+	err      error
+	response *http.Response
+	sent     chan struct{} // closed once response or err is set
+	timer    *time.Timer
+}
+
+// end reads on to the end of the answer, so that its connection can be kept.
+func (c *plainCall) end() {
+	if c.decoder == nil || c.response == nil {
+		return
+	}
+	t := time.AfterFunc(plainEndPeriod, c.cancel)
+	defer t.Stop()
+	_, _ = io.Copy(io.Discard, c.response.Body)
+}
+
+func (c *plainCall) hangUp() {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.cancel()
+	go func() {
+		<-c.sent
+		if c.response != nil {
+			_ = c.response.Body.Close()
+		}
+	}()
+}
+
+func (c *plainCall) read(r *Reply) error {
+	<-c.sent
+	if c.err != nil {
+		return c.err
+	}
+	if c.response.StatusCode != http.StatusOK {
+		return errors.New("the box answered " + c.response.Status)
+	}
+	if c.decoder == nil {
+		c.decoder = decodeMode.NewDecoder(io.LimitReader(c.response.Body, MaxMessageBytes))
+	}
+	if err := c.decoder.Decode(r); err != nil {
+		return err
+	}
+	r.Shift(time.Now())
+	return nil
+}
+
+func (c *plainCall) readTill(t time.Time) {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if !t.IsZero() {
+		c.timer = time.AfterFunc(time.Until(t), c.cancel)
+	}
+}
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -109,9 +109,15 @@
 	_ = s.Close()
 	d := decodeMode.NewDecoder(io.LimitReader(s, MaxMessageBytes))
 	return &Call{
-		HangUp:   func() { s.CancelRead(codeHungUp) },
-		Peer:     p.Peer,
-		Read:     func(r *Reply) error { return d.Decode(r) },
+		HangUp: func() { s.CancelRead(codeHungUp) },
+		Peer:   p.Peer,
+		Read: func(r *Reply) error {
+			if err := d.Decode(r); err != nil {
+				return err
+			}
+			r.Shift(time.Now())
+			return nil
+		},
 		ReadTill: func(t time.Time) { _ = s.SetReadDeadline(t) },
 	}, nil
 }
@@ -135,9 +141,13 @@
 	if err := decodeMode.NewDecoder(io.LimitReader(r, MaxMessageBytes)).Decode(q); err != nil {
 		return nil, err
 	}
+	q.Shift(time.Now())
 	if q.Kind == KindAsk && q.Ask == nil {
 		return nil, errors.New("an ask without its work")
 	}
+	if q.Kind == KindTurn && q.Turn == nil {
+		return nil, errors.New("a turn without its run")
+	}
 	if q.Kind == KindUpdate && q.Update == nil {
 		return nil, errors.New("an update without its items")
 	}
--- a/internal/box/transport_test.go
+++ b/internal/box/transport_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/linetiller/linetiller/internal/certificate"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -33,48 +34,77 @@
 	return v
 }
 
-func TestCallsAndReplies(t *testing.T) {
-	a := newTransport(t, func(_ context.Context, q *Request, answer func(*Reply) error) {
-		for i := range q.After {
-			_ = answer(&Reply{Revision: i})
-		}
-	})
-	b := newTransport(t, nil)
-	c, err := b.Call(t.Context(), a.Address(), &Request{After: 3, Kind: KindChanges})
+func newPlain(t *testing.T, h Handler) *Plain {
+	t.Helper()
+	v, err := ListenPlain("127.0.0.1:0", h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for want := range int64(3) {
-		r, err := c.Next()
-		if err != nil || r.Revision != want {
-			t.Errorf("got %+v %v, want revision %d", r, err, want)
+	t.Cleanup(func() {
+		if err := v.Close(); err != nil {
+			t.Error(err)
 		}
-	}
-	if _, err := c.Next(); err == nil {
-		t.Error("after the last reply: got no error")
-	}
-	_ = c.Close()
+	})
+	return v
+}
+
+// eachWay runs f over each kind of links.
+func eachWay(t *testing.T, f func(t *testing.T, links func(Handler) *Links)) {
+	t.Helper()
+	t.Run("quic", func(t *testing.T) {
+		f(t, func(h Handler) *Links { return newTransport(t, h).Links() })
+	})
+	t.Run("plain", func(t *testing.T) {
+		f(t, func(h Handler) *Links { return newPlain(t, h).Links() })
+	})
+}
+
+func TestCallsAndReplies(t *testing.T) {
+	eachWay(t, func(t *testing.T, links func(Handler) *Links) {
+		a := links(func(_ context.Context, q *Request, answer func(*Reply) error) {
+			for i := range q.Revisions[resource.SourceBoxes] {
+				_ = answer(&Reply{Revisions: resource.Revisions{resource.SourceBoxes: i}})
+			}
+		})
+		b := links(nil)
+		c, err := b.Call(t.Context(), a.Address(), &Request{Kind: KindChanges, Revisions: resource.Revisions{resource.SourceBoxes: 3}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for want := range int64(3) {
+			r, err := c.Next()
+			if err != nil || r.Revisions[resource.SourceBoxes] != want {
+				t.Errorf("got %+v %v, want revision %d", r, err, want)
+			}
+		}
+		if _, err := c.Next(); err == nil {
+			t.Error("after the last reply: got no error")
+		}
+		_ = c.Close()
+	})
 }
 
 // TestHangingUpEndsTheHandler checks that a box which no longer waits for a
 // place is noticed by its owner.
 func TestHangingUpEndsTheHandler(t *testing.T) {
-	ended := make(chan struct{})
-	a := newTransport(t, func(ctx context.Context, _ *Request, answer func(*Reply) error) {
-		_ = answer(&Reply{})
-		<-ctx.Done()
-		close(ended)
+	eachWay(t, func(t *testing.T, links func(Handler) *Links) {
+		ended := make(chan struct{})
+		a := links(func(ctx context.Context, _ *Request, answer func(*Reply) error) {
+			_ = answer(&Reply{})
+			<-ctx.Done()
+			close(ended)
+		})
+		b := links(nil)
+		c, err := b.Call(t.Context(), a.Address(), &Request{Kind: KindHeartbeat})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Next(); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+		<-ended
 	})
-	b := newTransport(t, nil)
-	c, err := b.Call(t.Context(), a.Address(), &Request{Kind: KindHeartbeat})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := c.Next(); err != nil {
-		t.Fatal(err)
-	}
-	_ = c.Close()
-	<-ended
 }
 
 func TestUnreachableBox(t *testing.T) {
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -21,7 +21,7 @@
 		Usage: "run an entry box",
 		Description: "The first SIGTERM or SIGINT makes the box leave: it finishes every request in progress " +
 			"and exits. A second one stops it at once and says what was left.",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "`FILE` of the settings", Required: true}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Sources: cli.EnvVars("LINETILLER_CONFIG"), Usage: "`FILE` of the settings", Required: true}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runServeCmd(ctx, e, c.String("settings"))
 		},
@@ -33,7 +33,7 @@
 	if err != nil {
 		return errors.Join(errBadInput, err)
 	}
-	l := slog.New(slog.NewJSONHandler(e.errorOutput, &slog.HandlerOptions{Level: s.Level()})).With("box", s.Box)
+	l := slog.New(slog.NewJSONHandler(e.output, &slog.HandlerOptions{Level: s.Level()})).With("box", s.Box)
 	b, err := linetiller.New(s, linetiller.WithLog(l))
 	if err != nil {
 		return err
--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -15,8 +15,8 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/member"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // peer is one box of a schedule.
@@ -31,14 +31,14 @@
 
 // world is some boxes, a table, and what was accepted.
 type world struct {
-	accepted map[string]platform.Row // newest accepted row of each resource
-	history  []platform.Row
+	accepted map[string]table.Row // newest accepted row of each resource
+	history  []table.Row
 	peers    []*peer
 	table    *fakeplatform.Platform
 }
 
 func newWorld(n int) *world {
-	w := &world{accepted: make(map[string]platform.Row), table: fakeplatform.New()}
+	w := &world{accepted: make(map[string]table.Row), table: fakeplatform.New()}
 	for i := range n {
 		w.start(i)
 	}
@@ -50,12 +50,13 @@
 	p := &peer{view: resource.NewView()}
 	m := member.NewTable(box.Member{Address: fmt.Sprint(i), Hall: "a", Name: fmt.Sprint(i), State: box.StateServing})
 	p.follower = NewFollower(p.view, m, slog.New(slog.DiscardHandler))
-	p.follower.Read = func(_ context.Context, after int64) (*platform.Changes, error) { return w.read(p, after) }
+	p.follower.Add(resource.SourceResources, ResourceReader(func(_ context.Context, _ string, after int64, _ time.Duration) (*table.Changes, error) {
+		return w.read(p, after)
+	}))
 	p.follower.Ask = func(_ context.Context, address string, q *box.Request) (*box.Reply, error) {
 		n := 0
 		_, _ = fmt.Sscan(address, &n)
-		c, r := w.peers[n].view.Since(q.After)
-		return &box.Reply{Changes: c, Revision: r}, nil
+		return &box.Reply{Changes: w.peers[n].view.Missing(q.Revisions)}, nil
 	}
 	if i < len(w.peers) {
 		w.peers[i] = p
@@ -65,12 +66,12 @@
 }
 
 // read reads the table as a box sees it: not at all, late, or as it is.
-func (w *world) read(p *peer, after int64) (*platform.Changes, error) {
+func (w *world) read(p *peer, after int64) (*table.Changes, error) {
 	if p.cut {
 		return nil, fail.New(fail.Unavailable, fail.Place{}, "platform_down", "cut")
 	}
-	c := &platform.Changes{}
-	newest := make(map[string]platform.Row)
+	c := &table.Changes{}
+	newest := make(map[string]table.Row)
 	for _, r := range w.history {
 		if r.Revision > after && (p.stale == 0 || r.Revision <= p.stale) {
 			newest[r.Key] = r
@@ -80,7 +81,7 @@
 	for _, r := range newest {
 		c.Rows = append(c.Rows, r)
 	}
-	slices.SortFunc(c.Rows, func(a, b platform.Row) int { return int(a.Revision - b.Revision) })
+	slices.SortFunc(c.Rows, func(a, b table.Row) int { return int(a.Revision - b.Revision) })
 	return c, nil
 }
 
@@ -89,8 +90,8 @@
 	b, _ := json.Marshal(Value{Deleted: deleted, Resource: &resource.Resource{
 		Kind: resource.KindPriority, Metadata: resource.Metadata{Name: name}, Spec: []byte(`{"value":1}`),
 	}})
-	r := w.table.Commit(&platform.Transaction{Writes: []platform.Write{{Key: key, Value: b}}})
-	row := platform.Row{Key: key, Revision: r.Revision, Value: b}
+	r := w.table.Commit(&table.Transaction{Writes: []table.Write{{Key: key, Value: b}}})
+	row := table.Row{Key: key, Revision: r.Revision, Value: b}
 	w.history = append(w.history, row)
 	w.accepted[name] = row
 }
@@ -113,7 +114,7 @@
 				w.write(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
 			},
 			"other write": func(*rapid.T) {
-				w.table.Commit(&platform.Transaction{Writes: []platform.Write{{Key: "request/w/k", Value: []byte("{}")}}})
+				w.table.Commit(&table.Transaction{Writes: []table.Write{{Key: "request/w/k", Value: []byte("{}")}}})
 			},
 			"cut": func(t *rapid.T) {
 				p := w.peers[pick(t)]
@@ -126,12 +127,16 @@
 			"read": func(t *rapid.T) { _ = w.peers[pick(t)].follower.Refresh(context.Background()) },
 			"catch up": func(t *rapid.T) {
 				a, b := pick(t), pick(t)
-				_ = w.peers[a].follower.CatchUp(context.Background(), fmt.Sprint(b), w.peers[b].view.Revision())
+				_ = w.peers[a].follower.CatchUp(context.Background(), fmt.Sprint(b), w.peers[b].view.Revisions())
 			},
 			"ask": func(t *rapid.T) {
 				p := w.peers[pick(t)]
-				c, r := w.peers[pick(t)].view.Since(p.view.Revision())
-				p.held = append(p.held, func() { p.follower.apply(c, r, "late") })
+				l := w.peers[pick(t)].view.Missing(p.view.Revisions())
+				p.held = append(p.held, func() {
+					for i := range l {
+						p.follower.apply(&l[i], "late")
+					}
+				})
 			},
 			"late answer": func(t *rapid.T) {
 				p := w.peers[pick(t)]
@@ -165,7 +170,7 @@
 		w.peers[0].cut, w.peers[0].stale = false, 0
 		_ = w.peers[0].follower.Refresh(context.Background())
 		for i, p := range w.peers {
-			_ = p.follower.CatchUp(context.Background(), "0", w.peers[0].view.Revision())
+			_ = p.follower.CatchUp(context.Background(), "0", w.peers[0].view.Revisions())
 			for name, row := range w.accepted {
 				v := new(Value)
 				_ = json.Unmarshal(row.Value, v)
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -17,6 +17,7 @@
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/meter"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
@@ -74,7 +75,7 @@
 	closing bool
 	held    int
 	limit   int
-	meter   meter
+	meter   *meter.Meter
 	retries *policy.Retries
 	silence time.Duration
 	tracker *placement.Tracker
@@ -108,7 +109,7 @@
 		holds: make(map[string]int), waits: make(map[string]int),
 		Fresh:  func(context.Context) {},
 		cancel: cancel, ctx: ctx,
-		engines: e, keys: k, limit: 10_000, log: l, meter: newMeter(m), metrics: m,
+		engines: e, keys: k, limit: 10_000, log: l, meter: meter.New(m), metrics: m,
 		retries: policy.NewRetries(), silence: 10 * time.Second, tracker: t, view: v,
 	}
 	for _, o := range options {
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -25,11 +25,11 @@
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/requestkey"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/upstream"
+	"github.com/linetiller/linetiller/platform"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -65,7 +65,7 @@
 			}})
 		}
 		r.view.Apply(changes, 2)
-		k := requestkey.New(platform.NewClient("http://platform", platform.WithTransport(r.link)), r.metrics)
+		k := requestkey.New(platform.NewStore("http://platform", platform.WithStoreTransport(r.link)).Table(), r.metrics)
 		e := upstream.NewEngines(2*time.Second, upstream.WithTransport(r.link))
 		r.tracker = placement.NewTracker(func(*policy.Load) {})
 		r.deliverer = New(e, k, r.tracker, r.view, r.metrics, slog.New(slog.DiscardHandler))
--- a/internal/delivery/follower.go
+++ b/internal/delivery/follower.go
@@ -104,7 +104,7 @@
 	if v.Finish == "" {
 		s.delivered = v.Index + 1
 		f.running.Produced.Store(int64(s.delivered))
-		s.deliverer.meter.token(time.Now(), &s.request.Work, &f.session.times)
+		s.deliverer.meter.Tokens(1, time.Now(), s.request.Work.Arrived, &f.session.times)
 	}
 	if s.claim != nil {
 		s.text.Write(v.Text)
--- a/internal/delivery/session.go
+++ b/internal/delivery/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/meter"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/requestkey"
@@ -29,14 +30,14 @@
 	gone      bool // the client has gone
 	stage     stage
 	text      strings.Builder // of a request with a key, to be recorded
-	times     times
+	times     meter.Times
 }
 
 // errGone says that the client has gone and nothing needs the generation.
 var errGone = errors.New("the client has gone")
 
 func (s *session) run() error {
-	defer func() { s.deliverer.meter.end(&s.times) }()
+	defer func() { s.deliverer.meter.End(&s.times) }()
 	if s.request.Resume != nil {
 		return s.resume(s.request.Resume.Upstream, s.request.Resume.Generation, s.request.Resume.Index+1)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,7 +19,6 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/cmd"
 	"github.com/linetiller/linetiller/internal/operator"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -357,7 +356,7 @@
 	return sum, nil
 }
 
-func (d *demo) startBoxes(ctx context.Context) error {
+func (d *demo) startBoxes(context.Context) error {
 	if err := d.makeAuthority(); err != nil {
 		return err
 	}
@@ -374,32 +373,12 @@
 			}
 			d.processes = append(d.processes, p)
 			d.boxes = append(d.boxes, a)
-			if err := d.enter(ctx, platform.Box{Address: a.Boxes, Hall: h, Name: name, State: platform.BoxLive}); err != nil {
-				return err
-			}
 			d.say("box %s in %s: clients %s, operators %s", name, h, a.Clients, a.Operators)
 		}
 	}
 	return nil
 }
 
-// enter makes the platform list a box, as it does for each that it starts.
-func (d *demo) enter(ctx context.Context, b platform.Box) error {
-	v, err := json.Marshal(b)
-	if err != nil {
-		return err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, d.platform+"/fake/boxes/"+b.Name, bytes.NewReader(v))
-	if err != nil {
-		return err
-	}
-	w, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return err
-	}
-	return w.Body.Close()
-}
-
 func (d *demo) startFakes(context.Context) error {
 	p, u, err := startFake(filepath.Join(d.programs, "fakeplatform"), "platform")
 	if err != nil {
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -51,7 +51,7 @@
 // startBox starts a box and returns its addresses.
 func startBox(program, settings, name string) (*process, *boxAddresses, error) {
 	c := exec.Command(program, "serve", "--settings", settings)
-	r, err := c.StderrPipe()
+	r, err := c.StdoutPipe()
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -28,16 +28,25 @@
 	RequestRefused     = Event{slog.LevelInfo, "request refused", 202}
 	RequestInterrupted = Event{slog.LevelWarn, "request interrupted", 203}
 	RequestRetried     = Event{slog.LevelInfo, "request retried", 204}
+	CallerGone         = Event{slog.LevelInfo, "caller gone", 206}
 	StreamResumed      = Event{slog.LevelInfo, "stream resumed", 205}
 	UpstreamFailed     = Event{slog.LevelWarn, "upstream failed", 301}
 	UpstreamMismatch   = Event{slog.LevelError, "upstream sent a frame of another generation", 302}
 	ReportMissing      = Event{slog.LevelWarn, "upstream load report missing", 303}
 	OrderGiven         = Event{slog.LevelInfo, "order given to upstream", 304}
 	OrderFailed        = Event{slog.LevelWarn, "order to upstream failed", 305}
+	UpstreamLapsed     = Event{slog.LevelInfo, "entry of upstream gone while the store was away", 306}
+	UpstreamLeaving    = Event{slog.LevelInfo, "upstream leaving", 307}
+	MoveStarted        = Event{slog.LevelInfo, "move of a generation started", 308}
+	MoveDone           = Event{slog.LevelInfo, "generation moved", 309}
+	MoveFailed         = Event{slog.LevelWarn, "generation not moved", 310}
+	MoveCopied         = Event{slog.LevelInfo, "memory of a generation copied", 312}
+	UpstreamRefused    = Event{slog.LevelInfo, "upstream did not run a request", 311}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
+	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
 	RevisionApplied    = Event{slog.LevelInfo, "configuration revision in force", 601}
 	ResourceWritten    = Event{slog.LevelInfo, "resource written", 602}
@@ -47,10 +56,11 @@
 // All lists every event in order of its number.
 var All = []Event{
 	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped,
-	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed,
+	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
+	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied,
 	PlatformDown, PlatformBack, OutcomeNotRecorded,
-	PeerLost, PeerBack,
+	PeerLost, PeerBack, PeerRemoved,
 	RevisionApplied, ResourceWritten, ResourceRefused,
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
-	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // Record is the value of a lease's row.
@@ -32,9 +32,9 @@
 // Keeper takes and renews leases. It is safe for concurrent use.
 type Keeper struct {
 	// Commit applies a transaction; a seam.
-	Commit func(ctx context.Context, t *platform.Transaction) (*platform.Result, error)
+	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
 	// Get reads a row; a seam.
-	Get func(ctx context.Context, key string) (*platform.Row, error)
+	Get func(ctx context.Context, key string) (*table.Row, error)
 	// Name names a write; a seam.
 	Name func() string
 
@@ -105,9 +105,9 @@
 		return nil, err
 	}
 	l := &Lease{Epoch: r.Epoch, deadline: r.Deadline, key: key}
-	v, err := k.Commit(ctx, &platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
-		Writes:     []platform.Write{{Key: key, Value: b}},
+	v, err := k.Commit(ctx, &table.Transaction{
+		Conditions: []table.Condition{{Key: key, Revision: revision}},
+		Writes:     []table.Write{{Key: key, Value: b}},
 	})
 	if err != nil {
 		return k.settle(ctx, l, r.Write, err)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -24,6 +24,7 @@
 type entry struct {
 	failedAt time.Time // of the last call that failed, zero after one that went well
 	heardAt  time.Time
+	lostAt   time.Time // since when no call has gone well, zero after one that did
 	listed   bool
 	member   box.Member
 }
@@ -35,6 +36,8 @@
 	// failureLife is how long a failed call counts against a box that is still
 	// listed; the next call that fails renews it.
 	failureLife = 30 * time.Second
+	// goneAfter is how long a box that nobody reaches stays listed.
+	goneAfter = 2 * time.Minute
 	// hallLinks is how many boxes of a hall send heartbeats to the other halls.
 	hallLinks = 2
 	// heartbeatNeighbours is how many boxes of its hall each box sends heartbeats to.
@@ -115,12 +118,36 @@
 	}
 	was := e.failedAt.IsZero()
 	e.failedAt = now
+	if e.lostAt.IsZero() {
+		e.lostAt = now
+	}
 	if was {
 		t.bump()
 	}
 	return was
 }
 
+// Count returns how many boxes are known, this one included.
+func (t *Table) Count() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return 1 + len(t.boxes)
+}
+
+// Gone returns the names of boxes that are listed and have not been reached for
+// long.
+func (t *Table) Gone(now time.Time) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var l []string
+	for n, e := range t.boxes {
+		if e.listed && !e.lostAt.IsZero() && now.Sub(e.lostAt) > goneAfter {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // Halls returns the names of the halls that boxes are known in, in order.
 func (t *Table) Halls() []string {
 	t.mutex.Lock()
@@ -149,7 +176,7 @@
 	if back || e.member != m {
 		t.bump()
 	}
-	e.failedAt = time.Time{}
+	e.failedAt, e.lostAt = time.Time{}, time.Time{}
 	e.heardAt = now
 	e.member = m
 	return back
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -23,6 +23,9 @@
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
 	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
 	Reservations    Name = "linetiller_reservations"                 // gauge: at upstreams owned here
+	Moves           Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
+	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
+	Requests        Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
 	Resumptions     Name = "linetiller_resumptions_total"            // counter, by reason
 	Retries         Name = "linetiller_retries_total"                // counter, by reason
 	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
@@ -36,7 +39,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, Generations, KeyCommits, KeyWrites, Orders, Owned, Queued, Refusals, Reservations, Resumptions, Retries,
+	Boxes, Generations, KeyCommits, KeyWrites, Moves, MoveSeconds, Orders, Owned, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamReports,
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -30,16 +30,16 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // Server answers operators. It is an http.Handler.
 type Server struct {
 	// Commit applies a transaction of the table; a seam.
-	Commit func(ctx context.Context, t *platform.Transaction) (*platform.Result, error)
+	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
 	// Get reads a row of the table; a seam.
-	Get func(ctx context.Context, key string) (*platform.Row, error)
+	Get func(ctx context.Context, key string) (*table.Row, error)
 	// InForce tells which revisions the boxes of each hall have in force; a seam.
 	InForce func(ctx context.Context) []box.HallRevisions
 	// Refresh brings the view up to date from the table; a seam.
@@ -270,7 +270,7 @@
 }
 
 // write commits v over row and answers with what now stands.
-func (s *Server) write(w http.ResponseWriter, r *http.Request, row *platform.Row, v *configuration.Value) {
+func (s *Server) write(w http.ResponseWriter, r *http.Request, row *table.Row, v *configuration.Value) {
 	v.Write = rand.Text()
 	v.Resource.Status = nil
 	v.Resource.Metadata.ResourceVersion = ""
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -10,21 +10,21 @@
 
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/fail"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // commit writes a row whose last revision is known. Where the answer is lost,
 // it sends the same write again: the condition then fails if the first took
 // effect, and the row tells whose write it was.
-func (s *Server) commit(ctx context.Context, key string, revision int64, v *configuration.Value) (*platform.Row, int64, error) {
+func (s *Server) commit(ctx context.Context, key string, revision int64, v *configuration.Value) (*table.Row, int64, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return nil, 0, err
 	}
-	t := &platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
-		Writes:     []platform.Write{{Key: key, Value: b}},
+	t := &table.Transaction{
+		Conditions: []table.Condition{{Key: key, Revision: revision}},
+		Writes:     []table.Write{{Key: key, Value: b}},
 	}
 	for try := 1; ; try++ {
 		r, err := s.Commit(ctx, t)
@@ -45,14 +45,14 @@
 }
 
 // current returns the row of a resource, and what it holds unless that was deleted.
-func (s *Server) current(ctx context.Context, k resource.Kind, name string) (*platform.Row, *resource.Resource, error) {
+func (s *Server) current(ctx context.Context, k resource.Kind, name string) (*table.Row, *resource.Resource, error) {
 	key := configuration.Key(k, name)
 	row, err := s.Get(ctx, key)
 	if err != nil {
 		return nil, nil, err
 	}
 	if row == nil {
-		return &platform.Row{Key: key}, nil, nil
+		return &table.Row{Key: key}, nil, nil
 	}
 	v := new(configuration.Value)
 	if err := json.Unmarshal(row.Value, v); err != nil {
@@ -66,7 +66,7 @@
 
 // lostRace tells a transaction that was refused because an earlier send of it
 // took effect from one that lost to another write.
-func lostRace(r *platform.Result, write string) (*platform.Row, int64, error) {
+func lostRace(r *table.Result, write string) (*table.Row, int64, error) {
 	if len(r.Current) != 1 {
 		return nil, 0, errors.New("the platform told no reason for a refused transaction")
 	}
@@ -82,7 +82,7 @@
 	return errorx.IsOfType(err, fail.Unknown) || (try > 1 && errorx.IsOfType(err, fail.Unavailable))
 }
 
-func writtenBy(r *platform.Row, write string) bool {
+func writtenBy(r *table.Row, write string) bool {
 	v := new(configuration.Value)
 	return json.Unmarshal(r.Value, v) == nil && v.Write == write
 }
--- a/internal/order/reconciler_test.go
+++ b/internal/order/reconciler_test.go
@@ -16,9 +16,9 @@
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/upstream"
+	"github.com/linetiller/linetiller/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -45,10 +45,10 @@
 			r.declare(int64(i+2), resource.KindUpstream, n, `{"address":"http://`+n+`","hall":"a","kvTokens":1,"maxBatch":1,"models":["m"],"type":"engine","checksFence":true}`)
 		}
 		calls := upstream.NewEngines(2*time.Second, upstream.WithTransport(r.link))
-		table := platform.NewClient("http://platform", platform.WithTransport(r.link))
+		store := platform.NewStore("http://platform", platform.WithStoreTransport(r.link))
 		for _, n := range []string{"box-1", "box-2"} {
 			k := lease.NewKeeper(n)
-			k.Commit, k.Get, k.Name = table.Commit, table.Get, rand.Text
+			k.Commit, k.Get, k.Name = store.Commit, store.Get, rand.Text
 			b := New(r.view, k, metric.NewSet(), slog.New(slog.DiscardHandler), permits)
 			b.Give, b.ReadLoad = calls.Order, calls.Load
 			b.Mine = func(*resource.Upstream) bool { return true }
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -24,8 +24,8 @@
 	// ReadLoad reads an upstream's load report; a seam for tests.
 	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
 
-	assignedBoxes    uint64 // the versions for which upstreams were assigned;
-	assignedRevision int64  // used by Run alone
+	assignedBoxes uint64 // the versions for which upstreams were assigned;
+	assignedView  uint64 // used by Run alone
 
 	lengths   *policy.Lengths
 	log       *slog.Logger
@@ -90,7 +90,7 @@
 func (o *Owners) Ask(ctx context.Context, a *box.Ask, answer func(*box.Reply) error) {
 	x := o.get(a.Upstream)
 	if x == nil {
-		_ = answer(&box.Reply{Answer: refusal(a, policy.ReasonNoUpstream), Revision: o.view.Revision()})
+		_ = answer(&box.Reply{Answer: refusal(a, policy.ReasonNoUpstream), Revisions: o.view.Revisions()})
 		return
 	}
 	now := time.Now()
@@ -148,12 +148,12 @@
 func (o *Owners) Update(u *box.Update) *box.Reply {
 	x := o.get(u.Upstream)
 	if x == nil {
-		return &box.Reply{Revision: o.view.Revision()}
+		return &box.Reply{Revisions: o.view.Revisions()}
 	}
 	now := time.Now()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	r := &box.Reply{Revision: o.view.Revision()}
+	r := &box.Reply{Revisions: o.view.Revisions()}
 	for n := range u.Items {
 		i := &u.Items[n]
 		switch {
@@ -177,11 +177,11 @@
 // configuration have changed since it last did. It starts owners for them, so
 // that their load is known before the first ask.
 func (o *Owners) assign() {
-	boxes, revision := o.members.Version(), o.view.Revision()
-	if boxes == o.assignedBoxes && revision == o.assignedRevision {
+	boxes, revision := o.members.Version(), o.view.Version()
+	if boxes == o.assignedBoxes && revision == o.assignedView {
 		return
 	}
-	o.assignedBoxes, o.assignedRevision = boxes, revision
+	o.assignedBoxes, o.assignedView = boxes, revision
 	s := o.members.Self()
 	alive := o.members.Alive(s.Hall)
 	for _, u := range o.view.Upstreams(func(u *resource.Upstream) bool {
@@ -305,7 +305,7 @@
 
 // reply returns a reply of its own: the caller may still hold an earlier one.
 func (o *Owners) reply(a policy.Answer, l policy.Load) *box.Reply {
-	return &box.Reply{Answer: &a, Load: &l, Revision: o.view.Revision()}
+	return &box.Reply{Answer: &a, Load: &l, Revisions: o.view.Revisions()}
 }
 
 func (o *Owners) sum(f func(*policy.Owner) int) float64 {
--- /dev/null
+++ b/internal/ownership/turns.go
@@ -0,0 +1,102 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// Turns gives, for each upstream that is leaving, one run at a time the turn to
+// be moved away, so that copies do not wait behind each other on the upstream's
+// link. The zero value is ready. It is safe for concurrent use.
+type Turns struct {
+	mutex  sync.Mutex
+	queues map[string]*turns
+}
+
+// turns are the turns of one upstream.
+type turns struct {
+	taken   bool
+	waiting []*turn
+}
+
+// turn is a run that waits for its turn.
+type turn struct {
+	come chan struct{}
+	run  *policy.Run
+}
+
+// stepAssumed is the time between tokens by which it is judged how long a run
+// lasts; steps of 7 to 15 ms were seen.
+const stepAssumed = 10 * time.Millisecond
+
+// Take waits for a run's turn; release gives it back.
+func (t *Turns) Take(ctx context.Context, upstream string, r *policy.Run) (release func(), err error) {
+	w := &turn{come: make(chan struct{}), run: r}
+	t.mutex.Lock()
+	if t.queues == nil {
+		t.queues = make(map[string]*turns)
+	}
+	q := t.queues[upstream]
+	if q == nil {
+		q = new(turns)
+		t.queues[upstream] = q
+	}
+	q.waiting = append(q.waiting, w)
+	t.next(upstream, q)
+	t.mutex.Unlock()
+	release = sync.OnceFunc(func() { t.giveBack(upstream, q) })
+	select {
+	case <-w.come:
+		return release, nil
+	case <-ctx.Done():
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	select {
+	case <-w.come:
+		q.taken = false
+	default:
+		q.remove(w)
+	}
+	t.next(upstream, q)
+	return nil, ctx.Err()
+}
+
+func (t *Turns) giveBack(upstream string, q *turns) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	q.taken = false
+	t.next(upstream, q)
+}
+
+// next gives the turn to the first of those that wait; the lock is held.
+func (t *Turns) next(upstream string, q *turns) {
+	if q.taken {
+		return
+	}
+	if len(q.waiting) == 0 {
+		delete(t.queues, upstream)
+		return
+	}
+	first := q.waiting[0]
+	for _, w := range q.waiting[1:] {
+		if policy.CompareRuns(w.run, first.run, stepAssumed) < 0 {
+			first = w
+		}
+	}
+	q.remove(first)
+	q.taken = true
+	close(first.come)
+}
+
+func (q *turns) remove(w *turn) {
+	for i, x := range q.waiting {
+		if x == w {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -165,14 +166,15 @@
 // candidates returns the upstreams that run w's model, may get new work, and have
 // a box in their hall that could own them.
 func (p *Reserved) candidates(w *policy.Work, skip map[string]bool) []policy.Candidate {
-	hall := p.members.Self().Hall
+	hall := cmp.Or(w.Hall, p.members.Self().Hall)
+	now := time.Now()
 	reachable := make(map[string]bool)
 	for _, h := range p.members.Halls() {
 		reachable[h] = len(p.members.Alive(h)) > 0
 	}
 	var l []policy.Candidate
 	for _, u := range p.view.UpstreamsOf(w.Model) {
-		if u.Spec.Leaving || skip[u.Name] || !reachable[u.Spec.Hall] {
+		if !u.Takes(now) || skip[u.Name] || !reachable[u.Spec.Hall] {
 			continue
 		}
 		c := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
@@ -238,8 +240,9 @@
 
 // left reports whether an upstream is left that runs w's model and takes new work.
 func (p *Reserved) left(w *policy.Work, skip map[string]bool) bool {
+	now := time.Now()
 	for _, u := range p.view.UpstreamsOf(w.Model) {
-		if !u.Spec.Leaving && !skip[u.Name] {
+		if u.Takes(now) && !skip[u.Name] {
 			return true
 		}
 	}
--- a/internal/policy/forecast.go
+++ b/internal/policy/forecast.go
@@ -62,6 +62,22 @@
 	return e
 }
 
+// Left returns how many output tokens are expected still to come of a generation
+// that is at token age and ends at limit at the latest.
+func (l *Lengths) Left(k Key, age, limit int) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	h := l.curve(k)
+	base := h.integral(age)
+	left := 0.0
+	for b := bucketOf(age); b < buckets && bucketStart(b) < limit; b++ {
+		start := max(age, bucketStart(b))
+		width := float64(min(limit, bucketStart(b+1)) - start)
+		left += math.Exp(base-h.integral(start)-h.rate[b]*width/2) * width
+	}
+	return left
+}
+
 func forecastOf(h *hazard, prompt, age, limit int) forecast {
 	var f forecast
 	base := h.integral(age)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -12,6 +12,9 @@
 type Work struct {
 	Arrived   time.Time
 	Deadline  time.Time // of the whole answer
+	FirstBy   time.Time // by which its first token is wanted; zero where nobody says
+	Hall      string    // the data hall that it should stay in; "" is that of its box
+	Hint      int       // the caller's estimate of the output tokens; 0 where it has none
 	ID        string
 	Kind      string // what the caller calls it; "" where it does not say
 	MaxTokens int    // output tokens at most
@@ -98,3 +101,14 @@
 
 // DefaultStepSeconds stands in for a step time that was not reported yet.
 const DefaultStepSeconds = 0.03
+
+// Run describes a running generation that is to be moved to another upstream.
+type Run struct {
+	Deadline time.Time // of the whole answer
+	ID       string
+	Kind     string
+	Left     int // output tokens expected still to come
+	Model    string
+	Priority int
+	Tokens   int // of memory
+}
--- /dev/null
+++ b/internal/relay/move.go
@@ -0,0 +1,265 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// move is the way of one running generation from an engine that is leaving to
+// another one: its memory is copied while it runs, then it is stopped, the rest
+// is copied, and its stream goes on at the other engine.
+type move struct {
+	done chan struct{} // closed at its end
+	from *resource.Upstream
+
+	mutex   sync.Mutex // guards the fields below until done is closed
+	copy    *Copy      // the newest copy, nil where there is none
+	running *placement.Running
+	stopped bool // the source was told to stop
+	to      *resource.Upstream
+}
+
+const (
+	// copyPeriod bounds one copy: a notice lasts about two seconds.
+	copyPeriod = 3 * time.Second
+	// moveTries bounds the engines that a move is tried to.
+	moveTries = 4
+	// movePlacePeriod bounds the search for an engine to move to. What finds no
+	// place by then is tried again.
+	movePlacePeriod = 250 * time.Millisecond
+	// moveRetry is the wait before a move is tried again.
+	moveRetry     = 20 * time.Millisecond
+	releasePeriod = 2 * time.Second
+)
+
+// copied reports whether the generation can go on from a copy.
+func (m *move) copied() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.copy != nil && m.to != nil
+}
+
+// stopping reports whether the source was told to stop.
+func (m *move) stopping() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.stopped
+}
+
+// moveAway starts the moves of all generations whose engines are leaving.
+func (x *Relay) moveAway() {
+	now := time.Now()
+	x.mutex.Lock()
+	l := make([]*session, 0, len(x.sessions))
+	for s := range x.sessions {
+		l = append(l, s)
+	}
+	x.mutex.Unlock()
+	for _, s := range l {
+		u := s.at()
+		v := x.view.Upstream(u.Name)
+		if v != nil && v.Takes(now) {
+			continue
+		}
+		if g := u.Engine(); g == nil || !g.Migrates {
+			continue
+		}
+		s.startMove(v == nil)
+	}
+}
+
+// startMove starts a move, unless one is under way.
+func (s *session) startMove(gone bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.move != nil {
+		return
+	}
+	m := &move{done: make(chan struct{}), from: s.upstream}
+	s.move = m
+	x := s.exchange.relay
+	event.UpstreamLeaving.Log(x.log, "request", s.exchange.request.ID, "upstream", m.from.Name, "entry_gone", gone, "events", s.events)
+	x.workers.Go(func() {
+		ctx, cancel := context.WithCancel(s.exchange.client)
+		defer cancel()
+		defer context.AfterFunc(x.ctx, cancel)()
+		go func() {
+			select {
+			case <-s.ended:
+				cancel()
+			case <-m.done:
+			}
+		}()
+		err := s.runMove(ctx, m)
+		close(m.done)
+		s.endMove(m, err)
+	})
+}
+
+// runMove makes a move, up to the copy from which the stream goes on.
+func (s *session) runMove(ctx context.Context, m *move) error {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	x := s.exchange.relay
+	s.mutex.Lock()
+	r := s.describe()
+	s.mutex.Unlock()
+	release, err := x.Turn(ctx, m.from.Name, r)
+	if err != nil {
+		return err
+	}
+	defer release()
+	avoid := map[string]bool{m.from.Name: true}
+	for try := 1; ; try++ {
+		err := s.copyTo(ctx, m, avoid)
+		if err == nil || ctx.Err() != nil || try >= moveTries || errorx.IsOfType(err, fail.NotFound) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(moveRetry):
+		}
+	}
+}
+
+// copyTo copies the generation to one engine and stops it.
+func (s *session) copyTo(ctx context.Context, m *move, avoid map[string]bool) error {
+	e := s.exchange
+	x := e.relay
+	to, err := s.placeMove(ctx, m, avoid)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	event.MoveStarted.Log(x.log, "request", e.request.ID, "from", m.from.Name, "to", to.Name, "events", s.eventsPassed())
+	ctx, cancel := context.WithTimeout(ctx, copyPeriod)
+	defer cancel()
+	c, err := x.Upstreams.Migrate(ctx, m.from, to, e.request.ID, false)
+	if err != nil {
+		avoid[to.Name] = !errorx.IsOfType(err, fail.Conflict)
+		m.drop(x)
+		return err
+	}
+	m.mutex.Lock()
+	m.copy, m.to, m.stopped = c, to, true
+	m.mutex.Unlock()
+	first := time.Since(began)
+	c, err = x.Upstreams.Migrate(ctx, m.from, to, e.request.ID, true)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if c != nil {
+		m.copy = c
+	}
+	event.MoveCopied.Log(x.log, "request", e.request.ID, "from", m.from.Name, "to", to.Name, "first_ms", first.Milliseconds(),
+		"rest_ms", (time.Since(began) - first).Milliseconds(), "made", m.copy.Made, "error", errorText(err))
+	if err != nil && errorx.IsOfType(err, fail.NotFound) {
+		m.stopped = false // it had ended by itself
+	}
+	return nil
+}
+
+// placeMove finds an engine to move to and reserves a place there.
+func (s *session) placeMove(ctx context.Context, m *move, avoid map[string]bool) (*resource.Upstream, error) {
+	x := s.exchange.relay
+	ctx, cancel := context.WithTimeout(ctx, movePlacePeriod)
+	defer cancel()
+	w := s.exchange.work()
+	s.mutex.Lock()
+	made := s.events * s.tokensAnEvent()
+	w.ID += moveSuffix(s.hops)
+	s.mutex.Unlock()
+	w.Hall = m.from.Spec.Hall
+	w.Hint = max(0, w.Hint-made)
+	w.MaxTokens = max(1, w.MaxTokens-made)
+	w.Prompt += made
+	p, err := x.Place(ctx, w, avoid)
+	if err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.running = x.tracker.Start(w, p.Upstream.Name)
+	m.to = p.Upstream
+	return p.Upstream, nil
+}
+
+// endMove gives back what a move that failed holds, so that another one may be tried.
+func (s *session) endMove(m *move, err error) {
+	x := s.exchange.relay
+	if err == nil {
+		return
+	}
+	m.drop(x)
+	s.mutex.Lock()
+	if s.move == m {
+		s.move = nil
+	}
+	s.mutex.Unlock()
+	select {
+	case <-s.ended:
+		return
+	default:
+	}
+	x.metrics.Count(metric.Moves, "result", fail.Reason(err))
+	event.MoveFailed.Log(x.log, "request", s.exchange.request.ID, "from", m.from.Name, "reason", fail.Reason(err), "step", fail.Step(err), "error", err.Error())
+}
+
+// abandon gives up a move whose generation has ended or whose caller has gone.
+func (m *move) abandon(x *Relay) {
+	x.workers.Go(func() {
+		<-m.done
+		m.mutex.Lock()
+		c := m.copy
+		m.mutex.Unlock()
+		m.drop(x)
+		if c == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), releasePeriod)
+		defer cancel()
+		if err := x.Upstreams.Release(ctx, m.from, c.Handle); err != nil {
+			event.MoveFailed.Log(x.log, "from", m.from.Name, "reason", "release_failed", "error", err.Error())
+		}
+	})
+}
+
+// drop gives back the place that was reserved at the engine to move to.
+func (m *move) drop(x *Relay) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running != nil {
+		x.tracker.Finish(m.running, false)
+	}
+	m.running, m.to = nil, nil
+}
+
+func (s *session) eventsPassed() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.events
+}
+
+// moveSuffix makes the id of a generation that was moved differ from that of the
+// one before, so that their reservations can be told apart.
+func moveSuffix(hops int) string {
+	return "+" + string(rune('1'+hops%9))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,209 @@
+// Package relay carries requests unchanged to the upstreams of declared routes
+// and their answers back: it finds a place, sends, tries again where that is
+// allowed, passes streams on event by event, and moves running generations away
+// from engines that are leaving.
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/meter"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// Relay carries requests. It is safe for concurrent use; Close waits for those
+// in progress.
+type Relay struct {
+	// Fresh makes sure that the box's views are not those of before a pause; a seam.
+	Fresh func(ctx context.Context)
+	// Place finds an engine for a generation; a seam, set to a placement's method.
+	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
+	// Turn asks for the turn to move a run; a seam.
+	Turn Turns
+	// Upstreams are the calls to engines and services; seams.
+	Upstreams Upstreams
+
+	budget   *budget
+	cancel   context.CancelFunc
+	ctx      context.Context // ends with Abort
+	health   *health
+	lengths  *policy.Lengths
+	log      *slog.Logger
+	meter    *meter.Meter
+	metrics  *metric.Set
+	mutex    sync.Mutex // guards closing, held and sessions; no other lock is taken under it
+	closing  bool
+	held     int
+	sessions map[*session]bool
+	tracker  *placement.Tracker
+	view     *resource.View
+	workers  sync.WaitGroup
+}
+
+// Option sets one thing of a Relay.
+type Option func(*Relay)
+
+const (
+	forgetEvery = 10 * time.Second
+	// refusedPeriod is when a caller may come back where nothing better is known.
+	refusedPeriod = 500 * time.Millisecond
+	// startPeriod is when a caller may come back to a box that does not know the
+	// configuration yet.
+	startPeriod = time.Second
+)
+
+// New returns a relay over the routes and upstreams in v, for a box of a hall.
+func New(v *resource.View, t *placement.Tracker, l *policy.Lengths, hall string, m *metric.Set, log *slog.Logger, options ...Option) *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &Relay{
+		Fresh:  func(context.Context) {},
+		budget: newBudget(0.2, 0, 10*time.Second, func() int { return 1 }),
+		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		sessions: make(map[*session]bool), tracker: t, view: v,
+	}
+	for _, o := range options {
+		o(x)
+	}
+	return x
+}
+
+// WithBudget bounds the tries beyond the first of each request: in any window,
+// for each service and over all boxes, a ratio of its requests and some extra.
+func WithBudget(ratio float64, extra int, window time.Duration, boxes func() int) Option {
+	return func(x *Relay) { x.budget = newBudget(ratio, extra, window, boxes) }
+}
+
+// Abort ends the requests in progress and waits for them.
+func (x *Relay) Abort() error {
+	x.cancel()
+	return x.Close()
+}
+
+// Close refuses new requests and waits for those in progress.
+func (x *Relay) Close() error {
+	x.mutex.Lock()
+	x.closing = true
+	x.mutex.Unlock()
+	x.workers.Wait()
+	return nil
+}
+
+// Held returns how many requests are in progress.
+func (x *Relay) Held() int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.held
+}
+
+// Known reports whether the relay has a configuration to go by.
+func (x *Relay) Known() bool {
+	return x.view.Revisions()[resource.SourceConfiguration] > 0
+}
+
+// Run watches for upstreams that leave, until the context ends.
+func (x *Relay) Run(ctx context.Context) {
+	t := time.NewTicker(forgetEvery)
+	defer t.Stop()
+	for {
+		c := x.view.Changed()
+		x.moveAway()
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+		case now := <-t.C:
+			x.health.forget(now)
+		}
+	}
+}
+
+// Serve carries q and writes its final answer to w. The context ends when the
+// caller has gone.
+func (x *Relay) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
+	e := &exchange{client: ctx, relay: x, request: q, writer: w}
+	var err error
+	if err = x.enter(); err == nil {
+		err = e.run()
+		x.leave()
+	}
+	x.account(e, err)
+	if err != nil {
+		e.fail(err)
+	}
+}
+
+// account counts and logs how a request ended.
+func (x *Relay) account(e *exchange, err error) {
+	now := time.Now()
+	l := []any{"request", e.request.ID, "route", e.routeName(), "upstream", e.upstreamName(), "took_ms", now.Sub(e.request.Arrived).Milliseconds(), "tries", e.tries}
+	if err == nil {
+		x.metrics.Count(metric.Requests, "outcome", "answered")
+		event.RequestFinished.Log(x.log, append(l, "status", e.status)...)
+		return
+	}
+	l = append(l, "reason", fail.Reason(err), "step", fail.Step(err), "peer", fail.Peer(err))
+	switch {
+	case e.client.Err() != nil:
+		x.metrics.Count(metric.Requests, "outcome", "caller_gone")
+		event.CallerGone.Log(x.log, l...)
+	case errorx.IsOfType(err, fail.Interrupted), errorx.IsOfType(err, fail.Unknown):
+		x.metrics.Count(metric.Requests, "outcome", "failed")
+		event.RequestInterrupted.Log(x.log, append(l, "error", err.Error())...)
+	default:
+		x.metrics.Count(metric.Requests, "outcome", "refused")
+		x.metrics.Count(metric.Refusals, "reason", fail.Reason(err))
+		event.RequestRefused.Log(x.log, append(l, "error", err.Error())...)
+	}
+}
+
+func (x *Relay) enter() error {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.closing {
+		return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("accept"), "box_leaving", "this box is leaving"), time.Now())
+	}
+	x.held++
+	x.workers.Add(1)
+	return nil
+}
+
+func (x *Relay) leave() {
+	x.mutex.Lock()
+	x.held--
+	x.mutex.Unlock()
+	x.workers.Done()
+}
+
+// serviceOf draws one of a route's services by their shares.
+func serviceOf(s *resource.RouteSpec) string {
+	sum := 0
+	for _, v := range s.Services {
+		sum += v.Weight
+	}
+	if sum <= 0 {
+		return s.Services[0].Name
+	}
+	n := rand.IntN(sum)
+	for _, v := range s.Services {
+		if n -= v.Weight; n < 0 {
+			return v.Name
+		}
+	}
+	return s.Services[0].Name
+}
+
+func clientPlace(step string) fail.Place {
+	return fail.Place{Peer: "client", Step: step}
+}
--- a/internal/requestkey/requestkey.go
+++ b/internal/requestkey/requestkey.go
@@ -15,7 +15,7 @@
 
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // State is what became of a request with a key.
@@ -55,9 +55,9 @@
 // waits for its worker.
 type Keys struct {
 	// Commit applies a transaction; a seam for tests.
-	Commit func(ctx context.Context, t *platform.Transaction) (*platform.Result, error)
+	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
 	// Get reads a row; a seam for tests.
-	Get func(ctx context.Context, key string) (*platform.Row, error)
+	Get func(ctx context.Context, key string) (*table.Row, error)
 	// GetObject reads an object; a seam for tests.
 	GetObject func(ctx context.Context, name string) ([]byte, error)
 	// PutObject writes an object; a seam for tests.
@@ -80,7 +80,7 @@
 )
 
 // New returns keys that are kept in the platform's table.
-func New(c *platform.Client, m *metric.Set) *Keys {
+func New(c *table.Store, m *metric.Set) *Keys {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keys{
 		Commit: c.Commit, Get: c.Get, GetObject: c.Object, PutObject: c.PutObject,
@@ -116,7 +116,7 @@
 // have reached the table is taken back as soon as it answers.
 func (k *Keys) Insert(ctx context.Context, key string, r Record) (*Claim, bool, error) {
 	o := k.write(ctx, &item{
-		condition: platform.Condition{Key: key}, insert: true, write: platform.Write{Key: key, Value: encode(&r)},
+		condition: table.Condition{Key: key}, insert: true, write: table.Write{Key: key, Value: encode(&r)},
 	})
 	if o.err != nil {
 		return nil, false, o.err
@@ -140,7 +140,7 @@
 // Release removes a claim on a key whose request did not run.
 func (k *Keys) Release(ctx context.Context, c *Claim) error {
 	o := k.write(ctx, &item{
-		condition: platform.Condition{Key: c.Key, Revision: c.Revision}, write: platform.Write{Delete: true, Key: c.Key},
+		condition: table.Condition{Key: c.Key, Revision: c.Revision}, write: table.Write{Delete: true, Key: c.Key},
 	})
 	return o.err
 }
@@ -158,7 +158,7 @@
 // Update writes a new record under a claim and moves the claim on.
 func (k *Keys) Update(ctx context.Context, c *Claim, r Record) error {
 	o := k.write(ctx, &item{
-		condition: platform.Condition{Key: c.Key, Revision: c.Revision}, write: platform.Write{Key: c.Key, Value: encode(&r)},
+		condition: table.Condition{Key: c.Key, Revision: c.Revision}, write: table.Write{Key: c.Key, Value: encode(&r)},
 	})
 	if o.err != nil {
 		return o.err
@@ -170,7 +170,7 @@
 	return nil
 }
 
-func claimOf(r *platform.Row) (*Claim, error) {
+func claimOf(r *table.Row) (*Claim, error) {
 	c := &Claim{Key: r.Key, Revision: r.Revision}
 	if r.Deleted {
 		return nil, fail.New(fail.Conflict, place(), "key_taken", "the key's row was removed meanwhile")
--- a/internal/requestkey/requestkey_test.go
+++ b/internal/requestkey/requestkey_test.go
@@ -15,13 +15,13 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// table is a table whose commits take a while and may lose their answers.
-type table struct {
+// slowTable is a table whose commits take a while and may lose their answers.
+type slowTable struct {
 	commits int
 	delay   time.Duration
 	lose    func(commit int) bool // takes effect without an answer
@@ -30,7 +30,7 @@
 	stand   *fakeplatform.Platform
 }
 
-func (b *table) commit(ctx context.Context, t *platform.Transaction) (*platform.Result, error) {
+func (b *slowTable) commit(ctx context.Context, t *table.Transaction) (*table.Result, error) {
 	b.mutex.Lock()
 	b.commits++
 	n := b.commits
@@ -50,14 +50,14 @@
 	return &r, nil
 }
 
-func withKeys(t *testing.T, b *table, f func(t *testing.T, k *Keys, m *metric.Set)) {
+func withKeys(t *testing.T, b *slowTable, f func(t *testing.T, k *Keys, m *metric.Set)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b.stand = fakeplatform.New()
 		m := metric.NewSet()
-		k := New(platform.NewClient("http://none"), m)
+		k := New(new(table.Store), m)
 		k.Commit = b.commit
-		k.Get = func(_ context.Context, key string) (*platform.Row, error) { return b.stand.Row(key), nil }
+		k.Get = func(_ context.Context, key string) (*table.Row, error) { return b.stand.Row(key), nil }
 		f(t, k, m)
 		if err := k.Close(); err != nil {
 			t.Error(err)
@@ -70,7 +70,7 @@
 // TestInsertsShareTransactions measures writes per key where many boxes' worth
 // of requests come at once: 400 keys in the time of a few transactions.
 func TestInsertsShareTransactions(t *testing.T) {
-	b := &table{delay: 20 * time.Millisecond}
+	b := &slowTable{delay: 20 * time.Millisecond}
 	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
 		var g sync.WaitGroup
 		for i := range 400 {
@@ -91,7 +91,7 @@
 // TestLostAnswersAreSettled loses every other answer: each key is held by
 // exactly the try that inserted it first.
 func TestLostAnswersAreSettled(t *testing.T) {
-	b := &table{delay: time.Millisecond, lose: func(n int) bool { return n%2 == 1 }}
+	b := &slowTable{delay: time.Millisecond, lose: func(n int) bool { return n%2 == 1 }}
 	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
 		var mutex sync.Mutex
 		owners := make(map[int]int)
@@ -128,7 +128,7 @@
 // box does that refuses with "not run": the row must not stay.
 func TestGivenUpInsertIsTakenBack(t *testing.T) {
 	var down atomic.Bool
-	b := &table{delay: time.Millisecond, lose: func(n int) bool { return n == 1 }}
+	b := &slowTable{delay: time.Millisecond, lose: func(n int) bool { return n == 1 }}
 	b.refuse = down.Load
 	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -149,7 +149,7 @@
 }
 
 func TestUpdateOfATakenKeyFails(t *testing.T) {
-	withKeys(t, &table{}, func(t *testing.T, k *Keys, _ *metric.Set) {
+	withKeys(t, &slowTable{}, func(t *testing.T, k *Keys, _ *metric.Set) {
 		c, _, err := k.Insert(t.Context(), "k", record("t"))
 		if err != nil {
 			t.Fatal(err)
@@ -171,7 +171,7 @@
 }
 
 func TestLargeAnswersGoToTheObjectStore(t *testing.T) {
-	withKeys(t, &table{}, func(t *testing.T, k *Keys, _ *metric.Set) {
+	withKeys(t, &slowTable{}, func(t *testing.T, k *Keys, _ *metric.Set) {
 		objects := make(map[string][]byte)
 		k.PutObject = func(_ context.Context, n string, b []byte) error {
 			objects[n] = b
@@ -195,7 +195,7 @@
 }
 
 func TestCloseAnswersWhoWaits(t *testing.T) {
-	b := &table{delay: time.Hour}
+	b := &slowTable{delay: time.Hour}
 	withKeys(t, b, func(t *testing.T, k *Keys, _ *metric.Set) {
 		done := make(chan error, 1)
 		go func() {
--- a/internal/requestkey/writer.go
+++ b/internal/requestkey/writer.go
@@ -10,21 +10,21 @@
 
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/platform"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // item is one row that waits to be written.
 type item struct {
 	abandoned atomic.Bool // nobody waits for it any more
-	condition platform.Condition
+	condition table.Condition
 	done      chan outcome
 	insert    bool
-	write     platform.Write
+	write     table.Write
 }
 
 // outcome is what became of an item.
 type outcome struct {
-	current  *platform.Row // the row that stood in the way
+	current  *table.Row // the row that stood in the way
 	err      error
 	revision int64
 }
@@ -110,8 +110,8 @@
 }
 
 // sortOut answers the items whose conditions fail and returns the others.
-func (k *Keys) sortOut(batch []*item, current []platform.Row) []*item {
-	rows := make(map[string]*platform.Row, len(current))
+func (k *Keys) sortOut(batch []*item, current []table.Row) []*item {
+	rows := make(map[string]*table.Row, len(current))
 	for n := range current {
 		rows[current[n].Key] = &current[n]
 	}
@@ -132,9 +132,9 @@
 
 func (k *Keys) takeBack(i *item, revision int64) {
 	b := &item{
-		condition: platform.Condition{Key: i.write.Key, Revision: revision},
+		condition: table.Condition{Key: i.write.Key, Revision: revision},
 		done:      make(chan outcome, 1),
-		write:     platform.Write{Delete: true, Key: i.write.Key},
+		write:     table.Write{Delete: true, Key: i.write.Key},
 	}
 	select {
 	case k.pending <- b:
@@ -175,7 +175,7 @@
 }
 
 // took reports whether r is what i wants to write, written by an earlier send.
-func (i *item) took(r *platform.Row) bool {
+func (i *item) took(r *table.Row) bool {
 	if i.write.Delete {
 		return r.Deleted
 	}
@@ -197,8 +197,8 @@
 	return rest
 }
 
-func transaction(batch []*item) *platform.Transaction {
-	t := new(platform.Transaction)
+func transaction(batch []*item) *table.Transaction {
+	t := new(table.Transaction)
 	for _, i := range batch {
 		t.Conditions = append(t.Conditions, i.condition)
 		t.Writes = append(t.Writes, i.write)
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -16,8 +16,10 @@
 
 const (
 	keyHashBytes  = 32
+	maxAttempts   = 16
 	maxNameBytes  = 63
 	maxSpecBytes  = 64 << 10
+	maxTimeout    = 24 * 60 * 60 * 1000 // milliseconds
 	maxTokensTop  = 1 << 20
 	maxWeight     = 1000
 	maxWorkspaceQ = 1 << 20
@@ -99,6 +101,10 @@
 			f.addRange("spec.value", s.Value, -100, 100)
 			return f
 		})
+	case KindRoute:
+		return checkWith(r, checkRoute)
+	case KindService:
+		return checkWith(r, checkService)
 	case KindUpstream:
 		return checkWith(r, checkUpstream)
 	case KindVersion:
@@ -109,6 +115,37 @@
 	return nil
 }
 
+func checkRoute(s *RouteSpec) Faults {
+	var f Faults
+	f.addRange("spec.attempts", s.Attempts, 1, maxAttempts)
+	if s.Host == "" {
+		f.add("spec.host", "must be set")
+	}
+	if !strings.HasPrefix(s.PathPrefix, "/") || !strings.HasSuffix(s.PathPrefix, "/") {
+		f.add("spec.pathPrefix", "must begin and end with a slash")
+	}
+	if s.Repeat != RepeatNever && s.Repeat != RepeatSafely {
+		f.add("spec.repeat", "must be %q or %q, not %q", RepeatNever, RepeatSafely, s.Repeat)
+	}
+	if len(s.Services) == 0 {
+		f.add("spec.services", "must name at least one service")
+	}
+	for i, x := range s.Services {
+		f.addRange(fmt.Sprintf("spec.services[%d].weight", i), x.Weight, 0, maxWeight)
+	}
+	f.addRange("spec.timeoutMilliseconds", int(s.Timeout), 1, maxTimeout)
+	return f
+}
+
+func checkService(s *ServiceSpec) Faults {
+	var f Faults
+	if s.Engine != nil {
+		f.addRange("spec.engine.kvTokens", s.Engine.KVTokens, 1, 1<<30)
+		f.addRange("spec.engine.maxBatch", s.Engine.MaxBatch, 1, 1<<14)
+	}
+	return f
+}
+
 func checkUpstream(s *UpstreamSpec) Faults {
 	var f Faults
 	checkAddress(&f, s.Address)
--- a/internal/resource/reference.go
+++ b/internal/resource/reference.go
@@ -34,11 +34,28 @@
 		if s, err := Decode[WorkspaceSpec](r); err == nil && s.Priority != "" {
 			return []Reference{{"spec.priority", KindPriority, s.Priority}}
 		}
-	case KindModel, KindPriority:
+	case KindRoute:
+		return routeReferences(r)
+	case KindBox, KindModel, KindPriority, KindService:
 	}
 	return nil
 }
 
+func routeReferences(r *Resource) []Reference {
+	s, err := Decode[RouteSpec](r)
+	if err != nil {
+		return nil
+	}
+	var l []Reference
+	for i, x := range s.Services {
+		l = append(l, Reference{fmt.Sprintf("spec.services[%d].name", i), KindService, x.Name})
+	}
+	if s.Priority != "" {
+		l = append(l, Reference{"spec.priority", KindPriority, s.Priority})
+	}
+	return l
+}
+
 func upstreamReferences(r *Resource) []Reference {
 	s, err := Decode[UpstreamSpec](r)
 	if err != nil {
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -1,5 +1,6 @@
 // Package resource defines what operators declare: models, versions,
-// workspaces, priorities and upstreams, with their checks and status.
+// workspaces, priorities, services, routes and upstreams, with their checks and
+// status. Boxes keep what they know of each other in the same form.
 package resource
 
 import (
@@ -13,15 +14,19 @@
 
 // The kinds of resources.
 const (
+	KindBox       Kind = "Box"
 	KindModel     Kind = "Model"
 	KindPriority  Kind = "Priority"
+	KindRoute     Kind = "Route"
+	KindService   Kind = "Service"
 	KindUpstream  Kind = "Upstream"
 	KindVersion   Kind = "Version"
 	KindWorkspace Kind = "Workspace"
 )
 
-// Kinds lists every kind in the order in which they are applied.
-var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindUpstream}
+// Kinds lists every kind that operators declare, in the order in which they are
+// applied.
+var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindService, KindUpstream, KindRoute}
 
 // Metadata identifies a resource and its version.
 type Metadata struct {
@@ -117,6 +122,7 @@
 	ChecksFence bool         `json:"checksFence,omitempty"` // it refuses orders with an old fence
 	Hall        string       `json:"hall"`                  // the data hall it stands in
 	KVTokens    int          `json:"kvTokens,omitempty"`    // engine: memory for prompts and outputs, in tokens
+	Lapsed      bool         `json:"lapsed,omitempty"`      // its entry went while the platform's store was away; it may be back
 	Leaving     bool         `json:"leaving,omitempty"`     // it gets no new work
 	MaxBatch    int          `json:"maxBatch,omitempty"`    // engine: generations at once within the inter-token target
 	Models      []string     `json:"models,omitempty"`      // engine: the models it runs
@@ -124,3 +130,21 @@
 	Service     string       `json:"service,omitempty"`     // service: the name in /services/NAME/
 	Type        UpstreamType `json:"type"`
 }
+
+// Lapsed returns a copy of an upstream's resource whose entry has gone while the
+// platform's store was away.
+func Lapsed(r *Resource, revision int64) (*Resource, error) {
+	s, err := Decode[UpstreamSpec](r)
+	if err != nil {
+		return nil, err
+	}
+	s.Lapsed = true
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	c := *r
+	c.Metadata.ResourceVersion = strconv.FormatInt(revision, 10)
+	c.Spec = b
+	return &c, nil
+}
--- /dev/null
+++ b/internal/resource/source.go
@@ -0,0 +1,45 @@
+package resource
+
+// Source names where resources come from. Each source has revisions of its own,
+// which only rise.
+type Source string
+
+// The sources.
+const (
+	SourceBoxes         Source = "boxes"         // what boxes write of themselves
+	SourceConfiguration Source = "configuration" // the platform's configuration, whole each time
+	SourceResources     Source = "resources"     // what operators declare by the operator interface
+	SourceUpstreams     Source = "upstreams"     // the platform's list of upstreams
+)
+
+// Revisions holds, for each source, the revision up to which it is known.
+type Revisions map[Source]int64
+
+// Batch is some changes of one source.
+type Batch struct {
+	Changes []Change `json:"changes"`
+	// Revision is that of the newest change; of a whole batch it is what removals
+	// that the batch implies are dated by.
+	Revision int64  `json:"revision"`
+	Source   Source `json:"source"`
+	Whole    bool   `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
+}
+
+// Newest returns the highest revision of the changes.
+func (b *Batch) Newest() int64 {
+	r := int64(0)
+	for i := range b.Changes {
+		r = max(r, b.Changes[i].Revision)
+	}
+	return r
+}
+
+// Behind reports whether o knows of more than r.
+func (r Revisions) Behind(o Revisions) bool {
+	for s, v := range o {
+		if v > r[s] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -5,90 +5,59 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
-// Change is one write or removal of a resource at a revision.
+// Change is one write or removal of a resource at a revision of its source.
 type Change struct {
 	Deleted  bool      `json:"deleted,omitempty"`
 	Resource *Resource `json:"resource"`
 	Revision int64     `json:"revision"`
 }
 
-// Upstream is an upstream with its decoded spec.
-type Upstream struct {
-	Name string
-	Spec UpstreamSpec
+// entry is the newest change of a resource.
+type entry struct {
+	Change
+	source Source
 }
 
-// Workspace is a workspace with its decoded spec.
-type Workspace struct {
-	Name string
-	Spec WorkspaceSpec
-}
-
-// View is the configuration that one box has in force.
+// View is what one box knows of the resources.
 //
-// Its revision only rises. It is safe for concurrent use; readers get values
-// that are never changed afterwards. View's lock is the innermost of a box: no
-// other lock is taken while it is held.
+// The revision of each source only rises. It is safe for concurrent use; readers
+// get values that are never changed afterwards. View's lock is the innermost of
+// a box: no other lock is taken while it is held.
 type View struct {
 	mutex     sync.RWMutex
 	changed   chan struct{}
-	log       []Change // every change after logFrom, in order of revision
-	logFrom   int64
-	revision  int64
-	resources map[string]Change // by kind and name; removals stay as marks
+	marks     []string // keys of removed resources, oldest first
+	now       func() time.Time
+	resources map[string]entry // by kind and name; removals stay as marks
+	revisions Revisions
+	version   uint64
 
-	// Decoded copies, so that a request decodes nothing.
-	byModel    map[string][]*Upstream // by model, in order of name; made when asked for
-	upstreams  map[string]*Upstream   // by name
-	workspaces map[string]*Workspace  // by key hash
+	index index
 }
 
-const (
-	maxModelsCached = 1024 // callers name models; unknown names must not fill the memory
-	viewLogLength   = 4096
-)
+// maxMarks bounds the removals that are remembered. An older change of a
+// resource whose mark was dropped could bring it back; such a change would have
+// to be older than the last maxMarks removals.
+const maxMarks = 4096
 
-// NewView returns an empty view at revision 0.
+// NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		byModel:    make(map[string][]*Upstream),
-		changed:    make(chan struct{}),
-		resources:  make(map[string]Change),
-		upstreams:  make(map[string]*Upstream),
-		workspaces: make(map[string]*Workspace),
+		changed: make(chan struct{}), index: newIndex(), now: time.Now,
+		resources: make(map[string]entry), revisions: make(Revisions),
 	}
 }
 
-// Apply takes in changes and then stands at revision r.
-//
-// A change at or below the revision in force of its own resource is passed
-// over, and r below the current revision leaves the revision as it is, so that
-// neither ever falls. It reports whether anything was taken in.
+// Apply takes in changes that operators declared; see Take.
 func (v *View) Apply(changes []Change, r int64) bool {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	moved := r > v.revision
-	for _, c := range changes {
-		k := key(c.Resource.Kind, c.Resource.Metadata.Name)
-		if old, ok := v.resources[k]; ok && old.Revision >= c.Revision {
-			continue
-		}
-		v.resources[k] = c
-		v.index(c)
-		v.appendLog(c)
-		moved = true
-	}
-	v.revision = max(v.revision, r)
-	if moved {
-		close(v.changed)
-		v.changed = make(chan struct{})
-	}
-	return moved
+	return v.Take(&Batch{Changes: changes, Revision: r, Source: SourceResources})
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -125,94 +94,85 @@
 	return l
 }
 
-// Revision returns the revision in force.
-func (v *View) Revision() int64 {
+// Missing returns what a box with these revisions lacks of every source.
+func (v *View) Missing(have Revisions) []Batch {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	return v.revision
+	var l []Batch
+	for _, s := range slices.Sorted(maps.Keys(v.revisions)) {
+		if v.revisions[s] > have[s] {
+			l = append(l, Batch{Changes: v.since(s, have[s]), Revision: v.revisions[s], Source: s})
+		}
+	}
+	return l
 }
 
-// Since returns the newest change of every resource changed after r, in order
-// of revision, removals included, with the revision in force.
-func (v *View) Since(r int64) ([]Change, int64) {
+// Revision returns the revision in force of what operators declared.
+func (v *View) Revision() int64 {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	if r >= v.logFrom {
-		i, _ := slices.BinarySearchFunc(v.log, r+1, func(c Change, t int64) int { return cmp.Compare(c.Revision, t) })
-		return slices.Clone(v.log[i:]), v.revision
-	}
-	var l []Change
-	for _, c := range v.resources {
-		if c.Revision > r {
-			l = append(l, c)
-		}
-	}
-	slices.SortFunc(l, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	return l, v.revision
+	return v.revisions[SourceResources]
 }
 
-// Upstream returns the decoded upstream of that name, or nil.
-func (v *View) Upstream(name string) *Upstream {
+// Revisions returns the revisions of all sources.
+func (v *View) Revisions() Revisions {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	return v.upstreams[name]
+	return maps.Clone(v.revisions)
 }
 
-// Upstreams returns the decoded upstreams for which keep says so, by name.
-func (v *View) Upstreams(keep func(*Upstream) bool) []*Upstream {
+// Since returns the newest change of every declared resource changed after r, in
+// order of revision, removals included, with the revision in force.
+func (v *View) Since(r int64) ([]Change, int64) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	var l []*Upstream
-	for _, u := range v.upstreams {
-		if keep(u) {
-			l = append(l, u)
-		}
-	}
-	slices.SortFunc(l, func(a, b *Upstream) int { return strings.Compare(a.Name, b.Name) })
-	return l
+	return v.since(SourceResources, r), v.revisions[SourceResources]
 }
 
-// UpstreamsOf returns the engines that run a model, by name. Callers must not
-// change the list.
-func (v *View) UpstreamsOf(model string) []*Upstream {
+// SourceOf returns the source of a resource that the view holds.
+func (v *View) SourceOf(r *Resource) Source {
 	v.mutex.RLock()
-	l, ok := v.byModel[model]
-	v.mutex.RUnlock()
-	if ok {
-		return l
-	}
+	defer v.mutex.RUnlock()
+	return v.resources[key(r.Kind, r.Metadata.Name)].source
+}
+
+// Take takes in changes of one source and then stands at their revision.
+//
+// A change at or below the revision in force of its own resource is passed
+// over, and a revision below the current one leaves that as it is, so that
+// neither ever falls. It reports whether anything was taken in.
+func (v *View) Take(b *Batch) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	for _, u := range v.upstreams {
-		if slices.Contains(u.Spec.Models, model) {
-			l = append(l, u)
-		}
+	r := b.Revision
+	moved := false
+	named := make(map[string]bool, len(b.Changes))
+	for _, c := range b.Changes {
+		k := key(c.Resource.Kind, c.Resource.Metadata.Name)
+		named[k] = true
+		moved = v.set(k, entry{c, b.Source}) || moved
 	}
-	slices.SortFunc(l, func(a, b *Upstream) int { return strings.Compare(a.Name, b.Name) })
-	if len(v.byModel) < maxModelsCached {
-		v.byModel[model] = l
+	if b.Whole && !v.removeOthers(b, named) {
+		r = b.Newest()
+	} else {
+		moved = moved || b.Whole
 	}
-	return l
+	moved = moved || r > v.revisions[b.Source]
+	v.revisions[b.Source] = max(v.revisions[b.Source], r)
+	if moved {
+		v.version++
+		v.index.rebuild()
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+	return moved
 }
 
-// WorkspaceByKey returns the workspace that bearer key opens, or nil.
-//
-// The hash is found by its value and then compared in constant time, so that
-// the time taken tells nothing about a key.
-func (v *View) WorkspaceByKey(bearer string) *Workspace {
-	h := HashKey(bearer)
+// Version rises with every change of the view.
+func (v *View) Version() uint64 {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	w := v.workspaces[h]
-	if w == nil {
-		return nil
-	}
-	for _, k := range w.Spec.KeyHashes {
-		if subtle.ConstantTimeCompare([]byte(k), []byte(h)) == 1 {
-			return w
-		}
-	}
-	return nil
+	return v.version
 }
 
 // HashKey returns the hex SHA-256 hash under which a bearer key is declared.
@@ -221,53 +181,59 @@
 	return hex.EncodeToString(h[:])
 }
 
-// appendLog keeps the newest changes, dropping the log where a change arrives
-// out of order: readers then fall back to the resources themselves.
-func (v *View) appendLog(c Change) {
-	newest := v.logFrom
-	if n := len(v.log); n > 0 {
-		newest = v.log[n-1].Revision
-	}
-	if c.Revision <= newest {
-		v.log, v.logFrom = nil, newest
-		return
-	}
-	v.log = append(v.log, c)
-	if drop := len(v.log) - viewLogLength/2; len(v.log) > viewLogLength {
-		v.logFrom = v.log[drop-1].Revision
-		v.log = slices.Clone(v.log[drop:])
+// dropMarks forgets the oldest removals beyond maxMarks.
+func (v *View) dropMarks() {
+	for len(v.marks) > maxMarks {
+		if e, ok := v.resources[v.marks[0]]; ok && e.Deleted {
+			delete(v.resources, v.marks[0])
+		}
+		v.marks = v.marks[1:]
 	}
 }
 
-// index keeps the decoded copies in step with one change.
-func (v *View) index(c Change) {
-	n := c.Resource.Metadata.Name
-	switch c.Resource.Kind {
-	case KindUpstream:
-		clear(v.byModel)
-		delete(v.upstreams, n)
-		if s, err := Decode[UpstreamSpec](c.Resource); err == nil && !c.Deleted {
-			v.upstreams[n] = &Upstream{Name: n, Spec: *s}
+// removeOthers removes what a whole batch does not name.
+func (v *View) removeOthers(b *Batch, named map[string]bool) bool {
+	moved := false
+	for k, e := range v.resources {
+		if e.source != b.Source || e.Deleted || named[k] || e.Revision >= b.Revision {
+			continue
 		}
-	case KindWorkspace:
-		v.indexWorkspace(c, n)
-	case KindModel, KindPriority, KindVersion:
+		e.Deleted, e.Revision = true, b.Revision
+		moved = v.set(k, e) || moved
 	}
+	return moved
 }
 
-func (v *View) indexWorkspace(c Change, name string) {
-	for h, w := range v.workspaces {
-		if w.Name == name {
-			delete(v.workspaces, h)
-		}
+// set takes in one change, unless the view has a newer one.
+func (v *View) set(k string, e entry) bool {
+	if old, ok := v.resources[k]; ok && old.Revision >= e.Revision {
+		return false
 	}
-	s, err := Decode[WorkspaceSpec](c.Resource)
-	if err != nil || c.Deleted {
-		return
+	v.resources[k] = e
+	v.index.put(e.Change, v.now())
+	if e.Deleted {
+		v.marks = append(v.marks, k)
+		v.dropMarks()
 	}
-	for _, h := range s.KeyHashes {
-		v.workspaces[h] = &Workspace{Name: name, Spec: *s}
+	return true
+}
+
+func (v *View) since(s Source, r int64) []Change {
+	var l []Change
+	for _, e := range v.resources {
+		if e.source == s && e.Revision > r {
+			l = append(l, e.Change)
+		}
 	}
+	slices.SortFunc(l, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Resource.Metadata.Name, b.Resource.Metadata.Name))
+	})
+	return l
+}
+
+// sameKey compares in constant time, so that the time taken tells nothing of a key.
+func sameKey(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
 func key(k Kind, name string) string {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,31 @@
 	PolicyReserved Policy = "reserved"
 )
 
+// Links names how boxes speak to each other.
+type Links string
+
+// The ways in which boxes speak to each other.
+const (
+	LinksPlain Links = "plain" // HTTP over TCP, for networks that only boxes can reach
+	LinksQUIC  Links = "quic"  // encrypted, and both ends known
+)
+
+// Budget bounds the tries beyond the first of each request of a route, over all
+// boxes.
+type Budget struct {
+	Extra  int     `toml:"extra"`  // tries in any window, beside the ratio
+	Ratio  float64 `toml:"ratio"`  // of tries to requests
+	Window Span    `toml:"window"` // that the bound holds for
+}
+
+// Entry is where requests of declared routes come in, from the platform's
+// balancer. Without it a box takes none.
+type Entry struct {
+	Address   string `toml:"address"`   // IP:port for the balancer's connections
+	Metrics   string `toml:"metrics"`   // IP:port for metrics
+	Readiness string `toml:"readiness"` // IP:port for the balancer's questions
+}
+
 // Limits bounds what one caller or peer can make the box hold.
 type Limits struct {
 	BodyBytes   int64 `toml:"body_bytes"`   // of one request
@@ -57,10 +82,13 @@
 // Settings is what one process is told at its start.
 type Settings struct {
 	Box             string   `toml:"box"`              // this box's name
-	BoxAddress      string   `toml:"box_address"`      // IP:port (UDP) for other boxes
+	BoxAddress      string   `toml:"box_address"`      // IP:port for other boxes, UDP or, with plain links, TCP
+	Budget          Budget   `toml:"budget"`           // of tries
 	ClientAddress   string   `toml:"client_address"`   // IP:port for clients
+	Entry           Entry    `toml:"entry"`            // of requests of declared routes
 	Hall            string   `toml:"hall"`             // the data hall this box stands in
 	Limits          Limits   `toml:"limits"`           // bounds
+	Links           Links    `toml:"links"`            // quic or plain
 	LogLevel        string   `toml:"log_level"`        // debug, info, warn or error
 	OperatorAddress string   `toml:"operator_address"` // IP:port for operators
 	OperatorKeyHash string   `toml:"operator_key_hash"`
@@ -87,6 +115,8 @@
 // Default returns the settings that hold where a file names nothing else.
 func Default() Settings {
 	return Settings{
+		Budget:   Budget{Extra: 50, Ratio: 0.2, Window: Span{10 * time.Second}},
+		Links:    LinksQUIC,
 		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000, WeightLoads: 2},
 		LogLevel: "info",
 		Policy:   PolicyReserved,
@@ -178,11 +208,24 @@
 			add(x.key, "must be IP:port")
 		}
 	}
+	if s.Entry != (Entry{}) {
+		checkEntry(s, add)
+	}
 	if !strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://") {
 		add("platform", "must be http://IP:port or https://IP:port")
 	}
 }
 
+func checkEntry(s *Settings, add func(key, message string)) {
+	for _, x := range []struct{ key, value string }{
+		{"address", s.Entry.Address}, {"metrics", s.Entry.Metrics}, {"readiness", s.Entry.Readiness},
+	} {
+		if _, err := netip.ParseAddrPort(x.value); err != nil {
+			add("entry."+x.key, "must be IP:port")
+		}
+	}
+}
+
 func checkChoices(s *Settings, add func(key, message string)) {
 	var l slog.Level
 	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
@@ -191,6 +234,9 @@
 	if s.Policy != PolicyNaive && s.Policy != PolicyReserved {
 		add("policy", "must be naive or reserved")
 	}
+	if s.Links != LinksPlain && s.Links != LinksQUIC {
+		add("links", "must be quic or plain")
+	}
 	if s.OperatorKeyHash != "" && len(s.OperatorKeyHash) != 64 {
 		add("operator_key_hash", "must be a SHA-256 hash of 64 hex digits")
 	}
@@ -216,6 +262,7 @@
 		value int64
 	}{
 		{"body_bytes", s.Limits.BodyBytes},
+		{"extra", int64(s.Budget.Extra)},
 		{"header_bytes", int64(s.Limits.HeaderBytes)},
 		{"queued", int64(s.Limits.Queued)},
 		{"streams", int64(s.Limits.Streams)},
@@ -227,6 +274,7 @@
 		{"report", int64(s.Timeouts.Report.Duration)},
 		{"request", int64(s.Timeouts.Request.Duration)},
 		{"silence", int64(s.Timeouts.Silence.Duration)},
+		{"window", int64(s.Budget.Window.Duration)},
 	} {
 		if x.value <= 0 {
 			add(x.key, "must be above 0")
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -108,6 +108,11 @@
 	}
 }
 
+// revisions are those of a box that knows every source.
+var revisions = resource.Revisions{
+	resource.SourceBoxes: 1 << 20, resource.SourceConfiguration: 1 << 20, resource.SourceResources: 1 << 20, resource.SourceUpstreams: 1 << 20,
+}
+
 func aliveTime(n int) func() {
 	m := newMembers(n * 11)
 	alive := m.Alive("h0")
@@ -129,10 +134,10 @@
 	w := newWork(1)
 	a := &policy.Answer{ID: w.ID, Verdict: policy.VerdictStart}
 	l := &policy.Load{AsOf: time.Now(), Peak: 0.7, Upstream: engineName}
-	one := size(&box.Request{Ask: &box.Ask{Upstream: engineName, Work: *w}, From: newMember(1), Kind: box.KindAsk, Revision: 1 << 20}) +
-		size(&box.Reply{Answer: a, Load: l, Revision: 1 << 20, State: box.StateServing}) +
-		size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Revision: 1 << 20, Update: &box.Update{Items: []box.Item{{Ended: true, Gone: true, ID: w.ID, Produced: 400}}, Upstream: engineName}}) +
-		size(&box.Reply{Load: l, Revision: 1 << 20})
+	one := size(&box.Request{Ask: &box.Ask{Upstream: engineName, Work: *w}, From: newMember(1), Kind: box.KindAsk, Revisions: revisions}) +
+		size(&box.Reply{Answer: a, Load: l, Revisions: revisions, State: box.StateServing}) +
+		size(&box.Request{From: newMember(1), Kind: box.KindUpdate, Revisions: revisions, Update: &box.Update{Items: []box.Item{{Ended: true, Gone: true, ID: w.ID, Produced: 400}}, Upstream: engineName}}) +
+		size(&box.Reply{Load: l, Revisions: revisions})
 	return float64(n) * one
 }
 
@@ -148,13 +153,12 @@
 }
 
 func changeBytes(n int) float64 {
-	c, _ := newView(n).Since(0)
-	return size(&box.Reply{Changes: c, Revision: int64(n)})
+	return size(&box.Reply{Changes: newView(n).Missing(nil), Revisions: revisions})
 }
 
 func heartbeatBytes(n int) float64 {
-	return float64(n) * (size(&box.Request{From: newMember(1), Kind: box.KindHeartbeat, Revision: 1 << 20}) +
-		size(&box.Reply{Revision: 1 << 20, State: box.StateServing}))
+	return float64(n) * (size(&box.Request{From: newMember(1), Kind: box.KindHeartbeat, Revisions: revisions}) +
+		size(&box.Reply{Revisions: revisions, State: box.StateServing}))
 }
 
 func heartbeatTime(n int) float64 {
@@ -163,7 +167,7 @@
 		panic(err)
 	}
 	h := func(_ context.Context, _ *box.Request, answer func(*box.Reply) error) {
-		_ = answer(&box.Reply{Revision: 1})
+		_ = answer(&box.Reply{Revisions: revisions})
 	}
 	a, err := box.Listen("127.0.0.1:0", server, client, h)
 	if err != nil {
--- /dev/null
+++ b/internal/sse/splitter.go
@@ -0,0 +1,54 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// Splitter cuts a stream into its events without changing them.
+type Splitter struct {
+	event  []byte
+	id     []byte
+	reader *bufio.Reader
+}
+
+// NewSplitter returns a splitter of the events in r.
+func NewSplitter(r io.Reader) *Splitter {
+	return &Splitter{reader: bufio.NewReaderSize(r, firstBufferBytes)}
+}
+
+// Next returns the next whole event as it came, its last empty line included,
+// and its id. Both are valid until the next call. An event that the stream's end
+// cut off is dropped; the error is then io.ErrUnexpectedEOF in place of io.EOF.
+func (s *Splitter) Next() (event, id []byte, err error) {
+	s.event, s.id = s.event[:0], s.id[:0]
+	for {
+		l, err := s.reader.ReadSlice('\n')
+		s.event = append(s.event, l...)
+		if len(s.event) > MaxLineBytes {
+			return nil, nil, ErrTooLarge
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err != nil {
+			if err == io.EOF && len(s.event) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, nil, err
+		}
+		if s.ends(l) {
+			return s.event, s.id, nil
+		}
+	}
+}
+
+// ends takes in one line and reports whether it ends an event.
+func (s *Splitter) ends(line []byte) bool {
+	line = bytes.TrimRight(line, "\r\n")
+	if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		s.id = append(s.id[:0], bytes.TrimSpace(v)...)
+	}
+	return len(line) == 0 && len(bytes.TrimSpace(s.event)) > 0
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -9,40 +9,30 @@
 
 import (
 	"context"
-	crand "crypto/rand"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/linetiller/linetiller/internal/box"
-	"github.com/linetiller/linetiller/internal/certificate"
-	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/event"
-	"github.com/linetiller/linetiller/internal/fail"
-	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/operator"
 	"github.com/linetiller/linetiller/internal/order"
 	"github.com/linetiller/linetiller/internal/ownership"
 	"github.com/linetiller/linetiller/internal/placement"
-	"github.com/linetiller/linetiller/internal/platform"
-	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/requestkey"
 	"github.com/linetiller/linetiller/internal/resource"
-	"github.com/linetiller/linetiller/internal/service"
 	"github.com/linetiller/linetiller/internal/settings"
+	"github.com/linetiller/linetiller/internal/table"
 	"github.com/linetiller/linetiller/internal/upstream"
+	"github.com/linetiller/linetiller/platform"
 )
 
 // Box is one entry box. Serve runs it; Close stops it and waits.
@@ -64,15 +54,21 @@
 	operatorServer   *http.Server
 	orders           *order.Reconciler
 	owners           *ownership.Owners
-	platform         *platform.Client
+	relay            *relay.Relay
 	reserved         *placement.Reserved
+	routed           *platform.Engines // the upstreams of declared routes
+	store            *table.Store
 	tracker          *placement.Tracker
+	turns            ownership.Turns
 	view             *resource.View
 
+	entry []served // the listeners of the entry from the platform's balancer
+
 	// Seams: how the box is joined to its peers.
 	connect           func() error
 	engineTransport   http.RoundTripper
 	platformTransport http.RoundTripper
+	routedTransport   http.RoundTripper
 
 	beat     atomic.Int64 // nanoseconds since started, of the last beat
 	cancel   context.CancelFunc
@@ -84,6 +80,12 @@
 	workers  sync.WaitGroup
 }
 
+// served is a server with its listener.
+type served struct {
+	listener net.Listener
+	server   *http.Server
+}
+
 // Option sets one thing of a Box.
 type Option func(*Box)
 
@@ -131,19 +133,20 @@
 		if b.cancel != nil {
 			b.cancel()
 		}
-		err = errors.Join(b.clientServer.Close(), b.operatorServer.Close())
-		if b.clientListener != nil {
-			_ = b.clientListener.Close()
-			_ = b.operatorListener.Close()
+		for _, v := range b.listeners() {
+			err = errors.Join(err, v.server.Close())
+			if v.listener != nil {
+				_ = v.listener.Close()
+			}
 		}
 		b.workers.Wait()
-		err = errors.Join(err, b.deliverer.Abort(), b.keys.Close(), b.links.Close(), b.engines.Close(), b.platform.Close())
+		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort(), b.keys.Close(), b.links.Close(), b.engines.Close(), b.routed.Close(), b.store.Close())
 	})
 	return err
 }
 
 // Held returns how many requests are in progress.
-func (b *Box) Held() int { return b.deliverer.Held() }
+func (b *Box) Held() int { return b.deliverer.Held() + b.relay.Held() }
 
 // Leave makes Serve finish what is in progress and return: other boxes are
 // told, the balancer sees it as not ready, new requests are refused.
@@ -167,18 +170,16 @@
 	b.cancel = cancel
 	defer cancel()
 	b.join(ctx)
-	for _, f := range []func(context.Context){
-		b.follower.Run, b.owners.Run, b.tracker.Run, b.orders.Run, b.runHeartbeats, b.runList, b.runBeat, b.runPush,
-	} {
+	for _, f := range b.loops() {
 		b.workers.Go(func() { f(ctx) })
 	}
-	if b.naive != nil {
-		b.workers.Go(func() { b.naive.Run(ctx) })
+	failed := make(chan error, len(b.listeners()))
+	for _, v := range b.listeners() {
+		if v.listener != nil {
+			b.workers.Go(func() { failed <- v.server.Serve(v.listener) })
+		}
 	}
-	failed := make(chan error, 2)
 	if b.clientListener != nil {
-		b.workers.Go(func() { failed <- b.clientServer.Serve(b.clientListener) })
-		b.workers.Go(func() { failed <- b.operatorServer.Serve(b.operatorListener) })
 		event.BoxStarted.Log(b.log, "hall", b.settings.Hall, "clients", b.ClientAddress(), "operators", b.OperatorAddress(), "boxes", b.BoxAddress())
 	}
 	b.ready.Store(true)
@@ -206,6 +207,7 @@
 	defer cancel()
 	done := make(chan struct{})
 	b.workers.Go(func() {
+		_ = b.relay.Close()
 		_ = b.deliverer.Close()
 		close(done)
 	})
@@ -218,132 +220,27 @@
 	s, cancel := context.WithTimeout(ctx, shutPeriod)
 	defer cancel()
 	_ = b.clientServer.Shutdown(s)
-}
-
-// assemble makes the parts and joins them by their seams.
-func (b *Box) assemble() {
-	s := b.settings
-	seed := xxhash.Sum64String(s.Box)
-	lengths := policy.NewLengths()
-	b.platform = platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.Platform.Duration), platform.WithTransport(b.platformTransport))
-	b.engines = upstream.NewEngines(reportPeriod, upstream.WithTransport(b.engineTransport))
-	b.keys = requestkey.New(b.platform, b.metrics)
-
-	b.follower = configuration.NewFollower(b.view, b.members, b.log)
-	b.follower.Ask = b.links.Once
-	b.follower.Read = func(ctx context.Context, after int64) (*platform.Changes, error) {
-		return b.platform.Changes(ctx, configuration.Prefix, after)
-	}
-	b.follower.Spread = rand.Float64
-
-	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
-		ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
-	b.owners.ReadLoad = b.engines.Load
-
-	b.reserved = placement.NewReserved(b.view, b.members, lengths, b.metrics, seed)
-	b.reserved.AskLocal = b.owners.Ask
-	b.reserved.Call = b.callAsk
-	b.tracker = placement.NewTracker(b.reserved.Learn)
-	b.tracker.Send = b.sendUpdate
-
-	b.deliverer = delivery.New(b.engines, b.keys, b.tracker, b.view, b.metrics, b.log,
-		delivery.WithLimit(s.Limits.Streams), delivery.WithSilence(s.Timeouts.Silence.Duration))
-	b.deliverer.Fresh = b.fresh
-	b.deliverer.Place = b.reserved.Place
-	if s.Policy == settings.PolicyNaive {
-		b.naive = placement.NewNaive(b.view, s.Timeouts.Report.Duration, seed)
-		b.naive.ReadLoad = b.engines.Load
-		b.deliverer.Place = b.naive.Place
-	}
-	b.assembleOrders()
-	b.assembleServers()
-	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
-	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
-}
-
-func (b *Box) assembleOrders() {
-	k := lease.NewKeeper(b.settings.Box + "/" + crand.Text())
-	k.Commit = b.platform.Commit
-	k.Get = b.platform.Get
-	k.Name = crand.Text
-	b.orders = order.New(b.view, k, b.metrics, b.log, b.settings.Limits.WeightLoads)
-	b.orders.Give = b.engines.Order
-	b.orders.Mine = b.owners.Mine
-	b.orders.ReadLoad = b.engines.Load
-}
-
-func (b *Box) assembleServers() {
-	s := b.settings
-	services := service.NewRouter(b.view, b.keys, b.metrics)
-	services.Do = b.engines.Call
-	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration))
-	c.CallService = services.Call
-	c.Generate = b.deliverer.Generate
-	c.Ready = b.ready.Load
-	b.clientServer = b.httpServer(c)
-
-	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
-	o.Commit = b.platform.Commit
-	o.Get = b.platform.Get
-	o.InForce = b.inForce
-	o.Refresh = b.follower.Refresh
-	b.operatorServer = b.httpServer(o)
-}
-
-func (b *Box) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		ErrorLog: slog.NewLogLogger(b.log.Handler(), slog.LevelDebug), Handler: h,
-		IdleTimeout: time.Minute, MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
+	for _, v := range b.entry {
+		_ = v.server.Shutdown(s)
 	}
+	b.unregister(s)
 }
 
-// listen opens the box's three addresses.
-func (b *Box) listen() error {
-	s := b.settings
-	server, dial, err := b.linkSecurity()
-	if err != nil {
-		return fail.Wrap(fail.BadInput, fail.Place{Peer: "boxes", Step: "load certificates"}, "bad_certificate", err)
-	}
-	t, err := box.Listen(s.BoxAddress, server, dial, b.answer)
-	if err != nil {
-		return err
-	}
-	b.links = t.Links()
-	b.members.SetAddress(b.links.Address())
-	b.clientListener, err = b.listenHTTP(s.ClientAddress)
-	if err != nil {
-		return errors.Join(err, b.links.Close())
-	}
-	b.operatorListener, err = b.listenHTTP(s.OperatorAddress)
-	if err != nil {
-		return errors.Join(err, b.links.Close(), b.clientListener.Close())
-	}
-	return nil
+// listeners returns all servers of the box with their listeners.
+func (b *Box) listeners() []served {
+	return append([]served{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
 }
 
-func (b *Box) listenHTTP(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fail.Wrap(fail.Unavailable, fail.Place{Peer: "callers", Step: "listen"}, "listen", err)
+// loops returns what runs as long as the box does.
+func (b *Box) loops() []func(context.Context) {
+	l := []func(context.Context){
+		b.follower.Run, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
-	return certificate.Wrap(l, b.settings.TLS.Clients, b.settings.TLS.Certificate, b.settings.TLS.Key)
-}
-
-// linkSecurity returns how the links between boxes are secured. Without
-// certificates, only boxes on one machine can be linked.
-func (b *Box) linkSecurity() (server, dial *tlsConfig, err error) {
-	t := b.settings.TLS
-	if t.Certificate != "" {
-		return certificate.Load(t.Authority, t.Certificate, t.Key, box.Protocol)
+	if b.settings.Entry == (settings.Entry{}) {
+		l = append(l, b.orders.Run) // the platform orders its engines itself
 	}
-	if h, _, _ := net.SplitHostPort(b.settings.BoxAddress); !net.ParseIP(h).IsLoopback() {
-		return nil, nil, errors.New("box_address is not a loopback address, so the tls settings must be given")
+	if b.naive != nil {
+		l = append(l, b.naive.Run)
 	}
-	return certificate.Ephemeral(box.Protocol)
-}
-
-func init() {
-	// The library's advice on the size of the socket's buffer goes to standard
-	// error unasked; docs/operator/install.md gives it instead.
-	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
+	return l
 }
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -31,7 +31,6 @@
 	"github.com/linetiller/linetiller/internal/fake/link"
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/operator"
-	"github.com/linetiller/linetiller/internal/platform"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/settings"
 )
@@ -159,7 +158,6 @@
 	r.mutex.Unlock()
 	r.link.Join(name, b.clientServer.Handler)
 	r.link.Join(name+"-operator", b.operatorServer.Handler)
-	r.platform.SetBox(platform.Box{Address: name, Hall: s.Hall, Name: name, State: platform.BoxLive})
 	r.done.Go(func() { _ = b.Serve(context.Background()) })
 	synctest.Wait()
 }
