Leave room for a notice's copies, and keep streams in their hall

Streams across halls ended with a cut between halls. While the store was away no notice was heard at all. A box that started waited a second for neighbours that were gone.

Change: the router counts copying beyond 1.3 s against an engine; another hall counts for 1.5 s of backlog; heartbeats carry the loads of owned upstreams; a place to move to is found while waiting for the turn; reports are read four times a second while the store is away, and a box that reads of a leaving tells the others; SIGHUP and a changed file reload; the start waits for no neighbour.

--- a/answer.go
+++ b/answer.go
@@ -23,9 +23,12 @@
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
 	case box.KindHeartbeat:
-		_ = answer(&box.Reply{})
+		_ = answer(&box.Reply{Loads: b.owners.Loads()})
 	case box.KindInForce:
 		_ = answer(&box.Reply{Halls: b.inForceHere(ctx, q.Forward)})
+	case box.KindLeaving:
+		b.noteLeaving(q.Leaving, q.From.Name)
+		_ = answer(&box.Reply{})
 	case box.KindMembers:
 		_ = answer(&box.Reply{Members: b.members.Members()})
 	case box.KindTurn:
--- a/assemble.go
+++ b/assemble.go
@@ -42,12 +42,14 @@
 
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
 		ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
+	b.owners.Away = b.follower.Away
+	b.owners.Leaving = b.tellLeaving
 	b.owners.ReadLoad = b.readLoad
 
 	b.reserved = placement.NewReserved(b.view, b.members, lengths, b.metrics, seed)
 	b.reserved.AskLocal = b.owners.Ask
 	b.reserved.Call = b.callAsk
-	b.tracker = placement.NewTracker(b.reserved.Learn)
+	b.tracker = placement.NewTracker(b.learn)
 	b.tracker.Send = b.sendUpdate
 
 	b.deliverer = delivery.New(b.engines, b.keys, b.tracker, b.view, b.metrics, b.log,
@@ -95,6 +97,7 @@
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
 		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count))
 	b.relay.Fresh = b.fresh
+	b.relay.Guess = b.reserved.Guess
 	b.relay.Place = b.reserved.Place
 	b.relay.Turn = b.takeTurn
 	b.relay.Upstreams = relay.Upstreams{Migrate: b.routed.Migrate, Release: b.routed.Release, Send: b.routed.Send}
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -39,6 +39,7 @@
 	if b.members.Heard(q.From, time.Now()) {
 		event.PeerBack.Log(b.log, "box", q.From.Name)
 	}
+	b.learnAll(q.Loads)
 	_ = b.follower.CatchUp(ctx, q.From.Address, q.Revisions) // the next message tries again
 }
 
@@ -46,7 +47,7 @@
 func (b *Box) heartbeat(ctx context.Context, m box.Member) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
-	r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat}))
+	r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat, Loads: b.owners.Loads()}))
 	if err != nil {
 		if b.members.Failed(m.Name, time.Now()) {
 			event.PeerLost.Log(b.log, "box", m.Name, "error", err.Error())
@@ -54,6 +55,7 @@
 		return
 	}
 	m.State = r.State
+	b.learnAll(r.Loads)
 	if b.members.Heard(m, time.Now()) {
 		event.PeerBack.Log(b.log, "box", m.Name)
 	}
--- a/internal/box/clock.go
+++ b/internal/box/clock.go
@@ -20,6 +20,9 @@
 	if q.Turn != nil {
 		shift(&q.Turn.Run.Deadline, by)
 	}
+	for i := range q.Loads {
+		shift(&q.Loads[i].AsOf, by)
+	}
 	if q.Update == nil {
 		return
 	}
@@ -43,6 +46,9 @@
 	if r.Load != nil {
 		shift(&r.Load.AsOf, by)
 	}
+	for i := range r.Loads {
+		shift(&r.Loads[i].AsOf, by)
+	}
 }
 
 func shift(t *time.Time, by time.Duration) {
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -20,6 +20,7 @@
 	KindChanges   Kind = "changes"   // configuration after a revision
 	KindHeartbeat Kind = "heartbeat" // that the sender lives
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
+	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
 	KindMembers   Kind = "members"   // the boxes that the other side knows
 	KindTurn      Kind = "turn"      // the turn to move a generation away from a leaving upstream
 	KindUpdate    Kind = "update"    // how far running generations are
@@ -48,8 +49,10 @@
 	From      Member             `cbor:"3,keyasint"`
 	Forward   bool               `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
 	Kind      Kind               `cbor:"5,keyasint"`
-	Revisions resource.Revisions `cbor:"6,keyasint"` // known to the sender
-	SentAt    time.Time          `cbor:"1,keyasint"` // by the sender's clock, which times in the message are by
+	Leaving   string             `cbor:"9,keyasint,omitempty"`  // leaving: the upstream
+	Loads     []policy.Load      `cbor:"10,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
+	Revisions resource.Revisions `cbor:"6,keyasint"`            // known to the sender
+	SentAt    time.Time          `cbor:"1,keyasint"`            // by the sender's clock, which times in the message are by
 	Turn      *Turn              `cbor:"8,keyasint,omitempty"`
 	Update    *Update            `cbor:"7,keyasint,omitempty"`
 }
@@ -95,6 +98,7 @@
 	Error     string             `cbor:"3,keyasint,omitempty"` // the reason of a refusal by the box itself
 	Halls     []HallRevisions    `cbor:"4,keyasint,omitempty"` // in-force
 	Load      *policy.Load       `cbor:"5,keyasint,omitempty"`
+	Loads     []policy.Load      `cbor:"12,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
 	Members   []Member           `cbor:"6,keyasint,omitempty"`  // members
 	Revisions resource.Revisions `cbor:"7,keyasint"`            // known to the sender
 	SentAt    time.Time          `cbor:"10,keyasint"`           // by the sender's clock, which times in the message are by
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -41,6 +41,7 @@
 	// The box has its own handling of signals: the first one lets it finish.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	defer watchSettings(ctx, path, b.Reload)()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -64,6 +64,16 @@
 	return &Follower{log: l, members: m, Spread: func() float64 { return 0.5 }, turn: make(chan struct{}, 1), view: v}
 }
 
+// Away reports whether the platform's list of upstreams could not be read lately.
+func (f *Follower) Away() bool {
+	for _, s := range f.sources {
+		if s.name == resource.SourceUpstreams {
+			return s.failures.Load() > 0
+		}
+	}
+	return false
+}
+
 // Add adds a source before Run is called.
 func (f *Follower) Add(name resource.Source, r Reader) {
 	f.sources = append(f.sources, &source{name: name, read: r})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	BoxStopped         = Event{slog.LevelInfo, "box stopped", 103}
 	BoxStopIncomplete  = Event{slog.LevelWarn, "box stopped with requests unfinished", 104}
 	ClockJumped        = Event{slog.LevelWarn, "clock jumped, views refreshed", 105}
+	Reloaded           = Event{slog.LevelInfo, "settings read anew", 106}
+	ReloadFailed       = Event{slog.LevelWarn, "settings not read anew", 107}
 	RequestFinished    = Event{slog.LevelDebug, "request finished", 201}
 	RequestRefused     = Event{slog.LevelInfo, "request refused", 202}
 	RequestInterrupted = Event{slog.LevelWarn, "request interrupted", 203}
@@ -41,6 +43,7 @@
 	MoveDone           = Event{slog.LevelInfo, "generation moved", 309}
 	MoveFailed         = Event{slog.LevelWarn, "generation not moved", 310}
 	MoveCopied         = Event{slog.LevelInfo, "memory of a generation copied", 312}
+	LeavingHeard       = Event{slog.LevelInfo, "upstream told that it is leaving", 313}
 	UpstreamRefused    = Event{slog.LevelInfo, "upstream did not run a request", 311}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
@@ -55,10 +58,10 @@
 
 // All lists every event in order of its number.
 var All = []Event{
-	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped,
+	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, Reloaded, ReloadFailed,
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
-	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied,
+	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard,
 	PlatformDown, PlatformBack, OutcomeNotRecorded,
 	PeerLost, PeerBack, PeerRemoved,
 	RevisionApplied, ResourceWritten, ResourceRefused,
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -21,6 +21,10 @@
 // use. Lock order: Owners.mutex, then owned.mutex, then the locks of member,
 // resource and policy, which are leaves.
 type Owners struct {
+	// Away reports whether the platform's list of upstreams cannot be had; a seam.
+	Away func() bool
+	// Leaving takes in that an upstream's report says that it is leaving; a seam.
+	Leaving func(ctx context.Context, upstream string)
 	// ReadLoad reads an upstream's load report; a seam for tests.
 	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
 
@@ -54,9 +58,12 @@
 type Option func(*Owners)
 
 const (
-	reportWorkers = 16
-	tickEvery     = 20 * time.Millisecond
-	tickWorkers   = 4
+	// awayReportEvery is how often reports are read while the platform's list
+	// cannot be had: notices are of 1.5 to 2.1 s, and a report is priced.
+	awayReportEvery = 250 * time.Millisecond
+	reportWorkers   = 16
+	tickEvery       = 20 * time.Millisecond
+	tickWorkers     = 4
 )
 
 // New returns owners that answer for the upstreams in v.
@@ -115,6 +122,20 @@
 	}
 }
 
+// Loads returns the loads of the upstreams that fall to this box.
+func (o *Owners) Loads() []policy.Load {
+	now := time.Now()
+	var l []policy.Load
+	for _, x := range o.list() {
+		x.mutex.Lock()
+		if x.mine {
+			l = append(l, x.owner.Load(now))
+		}
+		x.mutex.Unlock()
+	}
+	return l
+}
+
 // Run reads load reports and hands out places until the context ends, with a
 // pool of workers over the owners.
 func (o *Owners) Run(ctx context.Context) {
@@ -210,7 +231,7 @@
 				return
 			}
 		}
-		if x.dueReport(now, o.report) {
+		if x.dueReport(now, o.reportEvery()) {
 			select {
 			case reports <- x:
 			case <-ctx.Done():
@@ -278,9 +299,12 @@
 	if u == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, o.report)
+	r, cancel := context.WithTimeout(ctx, o.report)
 	defer cancel()
-	l, err := o.ReadLoad(ctx, u.Spec.Address)
+	l, err := o.ReadLoad(r, u.Spec.Address)
+	if err == nil && l.Leaving && o.Leaving != nil {
+		o.Leaving(ctx, u.Name)
+	}
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if err != nil {
@@ -303,6 +327,15 @@
 	}, time.Now())
 }
 
+// reportEvery returns how often reports are read: more often while the platform's
+// list cannot be had, since they are then the only word of an upstream's leaving.
+func (o *Owners) reportEvery() time.Duration {
+	if o.Away != nil && o.Away() {
+		return min(o.report, awayReportEvery)
+	}
+	return o.report
+}
+
 // reply returns a reply of its own: the caller may still hold an earlier one.
 func (o *Owners) reply(a policy.Answer, l policy.Load) *box.Reply {
 	return &box.Reply{Answer: &a, Load: &l, Revisions: o.view.Revisions()}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -47,7 +47,7 @@
 
 const (
 	asksMost       = 3                // upstreams whose refusal for want of room is taken
-	otherHallDelay = 0.5              // seconds of backlog that the way to another hall counts for
+	otherHallDelay = 1.5              // seconds of backlog that another hall counts for: a cut between halls ends its streams
 	ownerPeriod    = 10 * time.Second // of finding no owner that answers, after which work is refused
 	placeLife      = time.Second
 	rerouteEvery   = time.Second
@@ -101,6 +101,16 @@
 	}
 }
 
+// Guess returns the upstream that seems best for w without asking its owner, or
+// nil. It is for work that is better run without a place than not at all.
+func (p *Reserved) Guess(w *policy.Work, avoid map[string]bool) *resource.Upstream {
+	c := p.candidates(w, avoid)
+	p.mutex.Lock()
+	n := p.router.Choose(w, c, time.Now(), func(string) bool { return true })
+	p.mutex.Unlock()
+	return p.view.Upstream(n)
+}
+
 // ask asks u's owner and waits while w is queued, or until a much better
 // upstream is known.
 func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work) (*policy.Answer, error) {
@@ -173,11 +183,21 @@
 		reachable[h] = len(p.members.Alive(h)) > 0
 	}
 	var l []policy.Candidate
-	for _, u := range p.view.UpstreamsOf(w.Model) {
+	all := p.view.UpstreamsOf(w.Model)
+	inHall := make(map[string]int)
+	for _, u := range all {
+		if u.Takes(now) {
+			inHall[u.Spec.Hall]++
+		}
+	}
+	for _, u := range all {
 		if !u.Takes(now) || skip[u.Name] || !reachable[u.Spec.Hall] {
 			continue
 		}
-		c := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+		c := policy.Candidate{Alone: inHall[u.Spec.Hall] == 1, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+		if g := u.Engine(); g != nil && g.Migrates {
+			c.Capacity.CopyToken = g.CopyTime(1)
+		}
 		if u.Spec.Hall != hall {
 			c.Delay = otherHallDelay
 		}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,8 +28,9 @@
 
 // Capacity describes an engine.
 type Capacity struct {
-	KVTokens int // memory for prompts and outputs, in tokens
-	MaxBatch int // generations in one batch at most
+	CopyToken time.Duration // that copying a token of memory to another engine of its hall takes; 0 where it cannot
+	KVTokens  int           // memory for prompts and outputs, in tokens
+	MaxBatch  int           // generations in one batch at most
 }
 
 // Report is what an engine last told of itself; it is late.
@@ -80,7 +81,9 @@
 	// of the engine's time.
 	Ahead    [Classes]float64 `cbor:"2,keyasint"`
 	AsOf     time.Time        `cbor:"1,keyasint"`
-	Peak     float64          `cbor:"3,keyasint"` // predicted peak of memory over capacity
+	Held     int              `cbor:"6,keyasint"`           // tokens of memory that known generations hold
+	Leaving  bool             `cbor:"5,keyasint,omitempty"` // the upstream told that it is leaving
+	Peak     float64          `cbor:"3,keyasint"`           // predicted peak of memory over capacity
 	Upstream string           `cbor:"4,keyasint"`
 }
 
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -16,6 +16,7 @@
 
 // known is the last load heard of an upstream, with what was sent there since.
 type known struct {
+	held  int // tokens of memory placed there by this box since
 	load  Load
 	since float64 // seconds of the engine's time placed there by this box since
 }
@@ -23,20 +24,28 @@
 // Candidate is an upstream that may be chosen.
 type Candidate struct {
 	Capacity Capacity
+	Alone    bool    // no other engine of its hall could take its generations over
 	Delay    float64 // seconds of backlog that the way to it counts for
 	Name     string
 }
 
 const (
-	affinityPlaces  = 2   // upstreams that a prefix keeps to while they are not crowded
-	affinityBonus   = 0.5 // seconds of backlog that a warm prefix is worth
-	loadLife        = 5 * time.Second
-	moveEvery       = time.Second // between two moves away from one upstream
-	moveGain        = 2.0         // seconds of backlog by which another upstream must be better
-	moveShare       = 0.5         // and the share of the present backlog that it may have
-	peakSeconds     = 1.0         // seconds of backlog that a full memory counts for
-	sampleSize      = 8           // upstreams looked at where there are many
-	unknownBacklog  = 0.5         // seconds, assumed where nothing is known
+	affinityPlaces = 2   // upstreams that a prefix keeps to while they are not crowded
+	affinityBonus  = 0.5 // seconds of backlog that a warm prefix is worth
+	loadLife       = 5 * time.Second
+	moveEvery      = time.Second // between two moves away from one upstream
+	moveGain       = 2.0         // seconds of backlog by which another upstream must be better
+	moveShare      = 0.5         // and the share of the present backlog that it may have
+	peakSeconds    = 1.0         // seconds of backlog that a full memory counts for
+	sampleSize     = 8           // upstreams looked at where there are many
+	// noticeSeconds is how much copying fits into the shortest notice that engines
+	// give, 1.5 s, and noticeCost how many seconds of backlog each second beyond
+	// it counts for: what does not fit is lost where the engine is reclaimed.
+	noticeSeconds = 1.3
+	noticeCost    = 3.0
+	// aloneFactor is by how much a copy to another hall takes longer.
+	aloneFactor     = 2
+	unknownBacklog  = 0.5 // seconds, assumed where nothing is known
 	tieBreakSeconds = 1e-3
 )
 
@@ -77,7 +86,7 @@
 	warm := warmNames(w, c)
 	best, least := "", 0.0
 	for _, x := range c {
-		s := r.score(x, class, now)
+		s := r.score(x, class, now) + r.excess(w, x, now)
 		if warm[x.Name] {
 			s -= affinityBonus
 		}
@@ -88,6 +97,7 @@
 	}
 	if k := r.loads[best]; k != nil {
 		k.since += cost
+		k.held += w.Prompt
 	}
 	return best
 }
@@ -117,7 +127,7 @@
 		return
 	}
 	k.load = l
-	k.since = 0
+	k.since, k.held = 0, 0
 }
 
 func (r *Router) backlog(name string, class int, now time.Time) float64 {
@@ -140,6 +150,20 @@
 	return classOf(cost), cost
 }
 
+// excess returns what the copying counts for that would not fit into a notice of
+// the upstream, if w ran there, too.
+func (r *Router) excess(w *Work, c Candidate, now time.Time) float64 {
+	k := r.loads[c.Name]
+	if k == nil || c.Capacity.CopyToken == 0 || now.Sub(k.load.AsOf) > loadLife {
+		return 0
+	}
+	s := float64(k.load.Held+k.held+w.Prompt) * c.Capacity.CopyToken.Seconds()
+	if c.Alone {
+		s *= aloneFactor
+	}
+	return noticeCost * max(0, s-noticeSeconds)
+}
+
 // random returns a number in [0, 1) from the router's own sequence.
 func (r *Router) random() float64 {
 	r.seed ^= r.seed << 13
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -35,6 +35,17 @@
 	return &budget{boxes: boxes, extra: extra, ratio: ratio, span: window, spans: make(map[string]*span)}
 }
 
+// set changes what is allowed; what was counted stays.
+func (b *budget) set(ratio float64, extra int, window time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.ratio, b.extra = ratio, extra
+	if b.span != window {
+		b.span = window
+		clear(b.spans)
+	}
+}
+
 // request counts a request for a service.
 func (b *budget) request(service string, now time.Time) {
 	b.mutex.Lock()
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -33,9 +33,9 @@
 	copyPeriod = 3 * time.Second
 	// moveTries bounds the engines that a move is tried to.
 	moveTries = 4
-	// movePlacePeriod bounds the search for an engine to move to. What finds no
-	// place by then is tried again.
-	movePlacePeriod = 250 * time.Millisecond
+	// movePlacePeriod bounds the wait for a place at an engine to move to: notices
+	// are short, and an owner answers within milliseconds.
+	movePlacePeriod = 150 * time.Millisecond
 	// moveRetry is the wait before a move is tried again.
 	moveRetry     = 20 * time.Millisecond
 	releasePeriod = 2 * time.Second
@@ -116,17 +116,23 @@
 	s.mutex.Lock()
 	r := s.describe()
 	s.mutex.Unlock()
+	avoid := map[string]bool{m.from.Name: true}
+	to := s.placeMove(ctx, m, avoid) // while others have their turns
 	release, err := x.Turn(ctx, m.from.Name, r)
 	if err != nil {
 		return err
 	}
 	defer release()
-	avoid := map[string]bool{m.from.Name: true}
 	for try := 1; ; try++ {
-		err := s.copyTo(ctx, m, avoid)
+		if to == nil || !x.takes(to) {
+			m.drop(x)
+			to = s.placeMove(ctx, m, avoid)
+		}
+		err := s.copyTo(ctx, m, to, avoid)
 		if err == nil || ctx.Err() != nil || try >= moveTries || errorx.IsOfType(err, fail.NotFound) {
 			return err
 		}
+		to = nil
 		select {
 		case <-ctx.Done():
 		case <-time.After(moveRetry):
@@ -134,13 +140,18 @@
 	}
 }
 
+// takes reports whether an upstream may be given work, as far as is known now.
+func (x *Relay) takes(u *resource.Upstream) bool {
+	v := x.view.Upstream(u.Name)
+	return v != nil && v.Takes(time.Now())
+}
+
 // copyTo copies the generation to one engine and stops it.
-func (s *session) copyTo(ctx context.Context, m *move, avoid map[string]bool) error {
+func (s *session) copyTo(ctx context.Context, m *move, to *resource.Upstream, avoid map[string]bool) error {
 	e := s.exchange
 	x := e.relay
-	to, err := s.placeMove(ctx, m, avoid)
-	if err != nil {
-		return err
+	if to == nil {
+		return fail.New(fail.Unavailable, fail.Place{Peer: "upstreams", Step: "choose"}, "no_room", "no engine is left to move to")
 	}
 	began := time.Now()
 	event.MoveStarted.Log(x.log, "request", e.request.ID, "from", m.from.Name, "to", to.Name, "events", s.eventsPassed())
@@ -170,11 +181,11 @@
 	return nil
 }
 
-// placeMove finds an engine to move to and reserves a place there.
-func (s *session) placeMove(ctx context.Context, m *move, avoid map[string]bool) (*resource.Upstream, error) {
+// placeMove finds an engine to move to and reserves a place there. Where no owner
+// answers in time it guesses: the alternative is to lose the generation. It
+// returns nil where no engine is left.
+func (s *session) placeMove(ctx context.Context, m *move, avoid map[string]bool) *resource.Upstream {
 	x := s.exchange.relay
-	ctx, cancel := context.WithTimeout(ctx, movePlacePeriod)
-	defer cancel()
 	w := s.exchange.work()
 	s.mutex.Lock()
 	made := s.events * s.tokensAnEvent()
@@ -184,15 +195,19 @@
 	w.Hint = max(0, w.Hint-made)
 	w.MaxTokens = max(1, w.MaxTokens-made)
 	w.Prompt += made
-	p, err := x.Place(ctx, w, avoid)
-	if err != nil {
-		return nil, err
+	place, cancel := context.WithTimeout(ctx, movePlacePeriod)
+	defer cancel()
+	var to *resource.Upstream
+	if p, err := x.Place(place, w, avoid); err == nil {
+		to = p.Upstream
+	} else if to = x.Guess(w, avoid); to == nil {
+		return nil
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.running = x.tracker.Start(w, p.Upstream.Name)
-	m.to = p.Upstream
-	return p.Upstream, nil
+	m.running = x.tracker.Start(w, to.Name)
+	m.to = to
+	return to
 }
 
 // endMove gives back what a move that failed holds, so that another one may be tried.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,8 @@
 type Relay struct {
 	// Fresh makes sure that the box's views are not those of before a pause; a seam.
 	Fresh func(ctx context.Context)
+	// Guess chooses an engine without asking for a place; a seam.
+	Guess func(w *policy.Work, avoid map[string]bool) *resource.Upstream
 	// Place finds an engine for a generation; a seam, set to a placement's method.
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
 	// Turn asks for the turn to move a run; a seam.
@@ -144,6 +146,11 @@
 	}
 }
 
+// SetBudget changes the bound on tries beyond the first.
+func (x *Relay) SetBudget(ratio float64, extra int, window time.Duration) {
+	x.budget.set(ratio, extra, window)
+}
+
 // account counts and logs how a request ended.
 func (x *Relay) account(e *exchange, err error) {
 	now := time.Now()
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -142,6 +142,26 @@
 	return v.index.joined[name]
 }
 
+// NoteLeaving takes in that an upstream itself told that it is leaving, until a
+// newer word of it comes from its source. It reports whether that is news.
+func (v *View) NoteLeaving(name string) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	u := v.index.upstreams[name]
+	if u == nil || u.Spec.Leaving {
+		return false
+	}
+	c := *u
+	c.Spec.Leaving = true
+	v.index.upstreams[name] = &c
+	v.index.outdated = true
+	v.index.rebuild()
+	v.version++
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return true
+}
+
 // Upstreams returns the upstreams for which keep says so, by name.
 func (v *View) Upstreams(keep func(*Upstream) bool) []*Upstream {
 	v.mutex.RLock()
--- a/join.go
+++ b/join.go
@@ -32,7 +32,7 @@
 	}
 	_ = b.follower.Refresh(ctx) // the follower logs a failure, and tries again
 	b.listMembers()
-	b.heartbeats(ctx)
+	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
 	b.beat.Store(int64(time.Since(b.started)))
 }
 
--- a/linetiller.go
+++ b/linetiller.go
@@ -75,6 +75,7 @@
 	closing  sync.Once
 	left     chan struct{} // closed when a stop was asked for
 	ready    atomic.Bool
+	running  context.Context // ends with Serve
 	started  time.Time
 	stopping atomic.Bool
 	workers  sync.WaitGroup
@@ -167,7 +168,7 @@
 // called and every request has had its final answer.
 func (b *Box) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	b.cancel = cancel
+	b.cancel, b.running = cancel, ctx
 	defer cancel()
 	b.join(ctx)
 	for _, f := range b.loops() {
