Notice a silent store after 4 s

Cause: a read of the list of upstreams waited 15 s; while the store was silent, no notice was heard and reports were read once a second only.

Change: reads of that list wait 3 s, calls of the store 1 s beyond that.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -57,6 +57,9 @@
 	// watchPeriod is how long one read waits for changes. Reads are priced, and a
 	// lost connection is noticed only after it.
 	watchPeriod = 15 * time.Second
+	// upstreamsWatchPeriod is the same for the list of upstreams: it also bounds
+	// how late a silent store is noticed, after which engines are asked themselves.
+	upstreamsWatchPeriod = 3 * time.Second
 )
 
 // NewFollower returns a follower that keeps v up to date.
@@ -149,7 +152,7 @@
 			pause(ctx, idleEvery)
 			continue
 		}
-		if f.readOnce(ctx, s, watchPeriod) != nil {
+		if f.readOnce(ctx, s, s.watch()) != nil {
 			pause(ctx, f.backoff(int(s.failures.Load())))
 		}
 	}
@@ -230,6 +233,14 @@
 	return len(l) == 0
 }
 
+// watch returns how long one read of the source waits.
+func (s *source) watch() time.Duration {
+	if s.name == resource.SourceUpstreams {
+		return upstreamsWatchPeriod
+	}
+	return watchPeriod
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
