--- a/docs_test.go
+++ b/docs_test.go
@@ -106,3 +106,29 @@
 		}
 	}
 }
+
+// TestWireNamesStandInOnePlace checks that no name of the users' platform's wire
+// stands outside platform/ and the stand-ins.
+func TestWireNamesStandInOnePlace(t *testing.T) {
+	names := regexp.MustCompile(`X-Linetiller-|(?i:kv-(?:from|backup|move|handle|fetch|pin)|hold-take)|rows-(?:tx|get|feed)|blob-(?:put|get)|target_version|expected_rev|after_rev|api_keys|path_prefix`)
+	seen := 0
+	err := filepath.WalkDir(".", func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (path == "platform" || path == filepath.Join("internal", "fake") || strings.HasPrefix(path, ".git")) {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		seen++
+		if n := names.FindString(read(t, path)); n != "" {
+			t.Errorf("%s: got %q, which belongs into platform/", path, n)
+		}
+		return nil
+	})
+	if err != nil || seen < 50 {
+		t.Errorf("files read: got %d, %v", seen, err)
+	}
+}
--- a/internal/fake/link/link.go
+++ b/internal/fake/link/link.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 )
 
@@ -85,6 +86,13 @@
 	a := &answer{header: make(http.Header), ready: make(chan struct{}), status: http.StatusOK, writer: pw}
 	ctx, cancel := context.WithCancel(r.Context())
 	served := r.Clone(ctx)
+	served.RequestURI = r.URL.RequestURI()
+	if u, err := url.ParseRequestURI(served.RequestURI); err == nil {
+		served.URL = u
+	}
+	if served.Host == "" {
+		served.Host = r.URL.Host
+	}
 	if served.Body == nil {
 		served.Body = http.NoBody
 	}
@@ -99,7 +107,7 @@
 	select {
 	case <-a.ready:
 		return &http.Response{
-			Body: &body{PipeReader: pr, cancel: cancel}, Header: a.header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r,
+			Body: &body{PipeReader: pr, cancel: cancel}, ContentLength: -1, Header: a.header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r,
 			Status: http.StatusText(a.status), StatusCode: a.status,
 		}, nil
 	case <-r.Context().Done():
--- /dev/null
+++ b/internal/relay/move_test.go
@@ -0,0 +1,152 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/metric"
+)
+
+// pauseAim is the longest pause that keeps a plan in time.
+const pauseAim = 180 * time.Millisecond
+
+// moveCase is a move under one fault.
+type moveCase struct {
+	name   string
+	at     int // events after which fault strikes
+	fault  func(r *rig)
+	events int // that must come at least
+	whole  bool
+	inTime bool
+}
+
+// TestMoves moves a generation of 600 tokens from u1 while it streams, under faults
+// on the way. Whatever happens, its events are those of one run, in order and once.
+func TestMoves(t *testing.T) {
+	notice := func(r *rig) { r.list("u1", "llm", true) }
+	for _, x := range []moveCase{
+		{"notice, then the engine goes", 20, func(r *rig) {
+			notice(r)
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+		}, 150, true, true},
+		{"the entry goes without a notice", 20, func(r *rig) {
+			r.remove("u1")
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+		}, 150, true, true},
+		{"a notice before the first event", 0, func(r *rig) {
+			notice(r)
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+		}, 150, true, true},
+		{"the notice is withdrawn", 20, func(r *rig) {
+			notice(r)
+			r.list("u1", "llm", false)
+		}, 150, true, true},
+		{"no engine has room", 20, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{FailCopies: http.StatusServiceUnavailable})
+			notice(r)
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+		}, 20, false, true},
+		{"the engine ends the generation meanwhile", 20, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{FailCopies: http.StatusNotFound})
+			notice(r)
+		}, 150, true, true},
+		{"the answers to the copies are lost", 20, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{LoseCopies: true})
+			notice(r)
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+		}, 20, false, true},
+		{"the next engine refuses", 20, func(r *rig) {
+			r.engines["u2"].SetFaults(routed.Faults{Refuse: http.StatusServiceUnavailable})
+			notice(r)
+		}, 20, false, true},
+		{"the next engine leaves at once, too", 20, func(r *rig) {
+			notice(r)
+			time.AfterFunc(400*time.Millisecond, func() { r.list("u2", "llm", true) })
+			time.AfterFunc(1500*time.Millisecond, func() { r.die("u1") })
+			time.AfterFunc(1900*time.Millisecond, func() { r.die("u2") })
+		}, 150, true, true},
+		{"the engine crashes", 20, func(r *rig) { r.die("u1") }, 20, false, true},
+	} {
+		t.Run(x.name, func(t *testing.T) { runMove(t, &x) })
+	}
+}
+
+func runMove(t *testing.T, x *moveCase) {
+	t.Helper()
+	withRig(t, 3, 0, func(t *testing.T, r *rig) {
+		if x.at == 0 {
+			time.AfterFunc(10*time.Millisecond, func() { x.fault(r) })
+		}
+		s, err := r.read(plan(t.Context(), "id", 600), func(events int) {
+			if events == x.at {
+				x.fault(r)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.whole != x.whole || s.events < x.events {
+			t.Errorf("got %+v, want at least %d events, whole %v", s, x.events, x.whole)
+		}
+		if x.inTime && s.longest > pauseAim {
+			t.Errorf("longest pause: got %s, want at most %s", s.longest, pauseAim)
+		}
+		if got := r.started("id"); got != 1 {
+			t.Errorf("runs from the beginning: got %d, want 1", got)
+		}
+	})
+}
+
+// TestManyRunsLeaveWithinANotice checks that the runs of an engine get away one
+// after another, and the pauses that their callers see stay short.
+func TestManyRunsLeaveWithinANotice(t *testing.T) {
+	const runs = 6
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		var g sync.WaitGroup
+		for i := range runs {
+			g.Go(func() {
+				s, err := r.read(plan(t.Context(), fmt.Sprint("id-", i), 1200), nil)
+				if err != nil || !s.whole || s.longest > pauseAim {
+					t.Errorf("run %d: got %+v %v, want a whole stream in time", i, s, err)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		r.list("u1", "llm", true)
+		time.AfterFunc(1600*time.Millisecond, func() { r.die("u1") })
+		g.Wait()
+		if got := r.metrics.Value(metric.Moves, "result", "moved"); got != runs {
+			t.Errorf("moves: got %d, want %d", got, runs)
+		}
+	})
+}
+
+// TestCallerLeavesDuringAMove checks that nothing is left of a move whose caller
+// has gone: no run at work and no copy.
+func TestCallerLeavesDuringAMove(t *testing.T) {
+	for _, after := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 250 * time.Millisecond} {
+		withRig(t, 2, 0, func(t *testing.T, r *rig) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() {
+				_, _ = r.read(plan(ctx, "id", 1200), func(events int) {
+					if events == 20 {
+						r.list("u1", "llm", true)
+						time.AfterFunc(after, cancel)
+					}
+				})
+			}()
+			time.Sleep(4 * time.Second)
+			for n, e := range r.engines {
+				if e.Running() != 0 && n != "u1" {
+					t.Errorf("left after %s: %s still works", after, n)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,320 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/relay"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestRequestsGoUnchanged checks what reaches an upstream: method, path, query,
+// body and the caller's headers as they came, but for those that are the system's.
+func TestRequestsGoUnchanged(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		q := request(t.Context(), http.MethodPost, "/once/a%2Fb//c?x=1&y=%20", "id-1", "the body")
+		q.Header.Set("X-Linetiller-Deadline-Ms", "1200")
+		q.Header.Set("X-Custom", "kept")
+		q.Header.Set("Priority", "0")
+		q.Header.Set("Kv-From", "1.2.3.4:5/h")
+		q.Header.Set("Kv-Backup", "1.2.3.4:5")
+		q.Header.Set("Hold", "h")
+		q.Header.Set("Pin-Ms", "5")
+		q.Header.Set("X-Linetiller-Tenant", "forged")
+		q.Header.Set("Connection", "X-Hop")
+		q.Header.Set("X-Hop", "dropped")
+		w, body, err := r.do(q)
+		if err != nil || w.StatusCode != http.StatusOK {
+			t.Fatal(w, err)
+		}
+		if want := "s1 of id-1: POST /once/a%2Fb//c?x=1&y=%20 the body"; body != want {
+			t.Errorf("got %q, want %q", body, want)
+		}
+		h := r.engines["s1"].Requests()[0]
+		for k, want := range map[string]string{
+			"Authorization": "", "Hold": "", "Kv-From": "", "Kv-Backup": "", "Pin-Ms": "", "Priority": "", "X-Hop": "",
+			"X-Custom": "kept", "X-Linetiller-Deadline-Ms": "1200", "X-Linetiller-Expect-Instance": "s1",
+			"X-Linetiller-Request-Id": "id-1", "X-Linetiller-Tenant": "quotes",
+		} {
+			if got := h.Get(k); got != want {
+				t.Errorf("%s: got %q, want %q", k, got, want)
+			}
+		}
+	})
+}
+
+// TestRefusalsBeforeTheSend checks the answers to what no upstream gets.
+func TestRefusalsBeforeTheSend(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		for _, x := range []struct {
+			name   string
+			change func(q *http.Request)
+			want   int
+		}{
+			{"a path without a route", func(q *http.Request) { q.URL.Path = "/nowhere/" }, http.StatusNotFound},
+			{"another host", func(q *http.Request) { q.Host = "other.example" }, http.StatusNotFound},
+			{"no key", func(q *http.Request) { q.Header.Del("Authorization") }, http.StatusUnauthorized},
+			{"an unknown key", func(q *http.Request) { q.Header.Set("Authorization", "Bearer x") }, http.StatusUnauthorized},
+			{"a host with its port", func(q *http.Request) { q.Host = rigHost + ":8080" }, http.StatusOK},
+		} {
+			q := request(t.Context(), http.MethodPost, "/once/x", "id", "")
+			x.change(q)
+			if w, _, err := r.do(q); err != nil || w.StatusCode != x.want {
+				t.Errorf("%s: got %v %v, want %d", x.name, w, err, x.want)
+			}
+		}
+		q := request(t.Context(), http.MethodPost, "/open/x", "id", "")
+		q.Header.Del("Authorization")
+		if w, _, err := r.do(q); err != nil || w.StatusCode != http.StatusOK {
+			t.Errorf("a public route without a key: got %v %v, want 200", w, err)
+		}
+	})
+}
+
+// TestUnknownConfigurationIsNoRefusalForGood checks that a box which knows no
+// configuration yet says so, and not that a route or key does not exist.
+func TestUnknownConfigurationIsNoRefusalForGood(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		*r.view = *resource.NewView()
+		w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "id", ""))
+		if err != nil || w.StatusCode != http.StatusServiceUnavailable || w.Header.Get("Retry-After") == "" {
+			t.Errorf("got %v %v, want 503 with a time to come back", w, err)
+		}
+	})
+}
+
+// TestKeyTakenAway checks that a key stops opening as soon as its removal is known.
+func TestKeyTakenAway(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		r.put(resource.SourceConfiguration, resource.KindWorkspace, "quotes", `{"keyHashes":[]}`, false)
+		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "id", "")); err != nil || w.StatusCode != http.StatusUnauthorized {
+			t.Errorf("got %v %v, want 401", w, err)
+		}
+		if got := r.started("id"); got != 0 {
+			t.Errorf("runs: got %d, want 0", got)
+		}
+	})
+}
+
+// TestOutcomes checks the final answer and the number of runs under one fault of
+// every upstream, for requests that may be repeated and that may not.
+func TestOutcomes(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		faults      routed.Faults
+		once, often int // statuses
+		runs        int // of the request that may not be repeated, at most
+		repeats     int // of the other one
+	}{
+		{"sound", routed.Faults{}, 200, 200, 1, 1},
+		{"nothing runs", routed.Faults{Refuse: 503}, 503, 503, 0, 0},
+		{"too many", routed.Faults{Refuse: 429}, 503, 503, 0, 0},
+		{"a failure", routed.Faults{Status: 500}, 500, 500, 1, 2},
+		{"the caller's fault", routed.Faults{Status: 400}, 400, 400, 1, 1},
+		{"a promise that the upstream did not make", routed.Faults{Status: 503}, 502, 502, 1, 2},
+		{"another request's answer", routed.Faults{OtherEcho: true}, 502, 502, 1, 2},
+		{"an answer without a mark", routed.Faults{Unsigned: true}, 502, 502, 1, 2},
+		{"silence", routed.Faults{Silent: true}, 504, 504, 0, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withRig(t, 0, 3, func(t *testing.T, r *rig) {
+				for _, e := range r.engines {
+					e.SetFaults(x.faults)
+				}
+				began := time.Now()
+				w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "once", "b"))
+				if err != nil || w.StatusCode != x.once {
+					t.Errorf("once: got %v %v, want %d", w, err, x.once)
+				}
+				if got := time.Since(began); got > 1500*time.Millisecond {
+					t.Errorf("once: answered after %s, want the route's timeout at most", got)
+				}
+				if got := r.started("once"); got != x.runs {
+					t.Errorf("once: got %d runs, want %d", got, x.runs)
+				}
+				w, _, err = r.do(request(t.Context(), http.MethodGet, "/often/x", "often", ""))
+				if err != nil || w.StatusCode != x.often {
+					t.Errorf("often: got %v %v, want %d", w, err, x.often)
+				}
+				if got := r.started("often"); got != x.repeats {
+					t.Errorf("often: got %d runs, want %d", got, x.repeats)
+				}
+				if got := w.Header.Get("X-Linetiller-Server-Stamp") != ""; got != (x.often == 200 || x.often == 500 || x.often == 400) {
+					t.Errorf("often: stamped: got %v with status %d", got, w.StatusCode)
+				}
+			})
+		})
+	}
+}
+
+// TestRefusalGoesElsewhere checks that what one upstream did not run is run once
+// by another one.
+func TestRefusalGoesElsewhere(t *testing.T) {
+	withRig(t, 0, 2, func(t *testing.T, r *rig) {
+		r.engines["s1"].SetFaults(routed.Faults{Refuse: http.StatusServiceUnavailable})
+		for i := range 20 {
+			id := fmt.Sprint("id-", i)
+			w, body, err := r.do(request(t.Context(), http.MethodPost, "/once/x", id, ""))
+			if err != nil || w.StatusCode != http.StatusOK || !strings.HasPrefix(body, "s2 ") {
+				t.Fatalf("got %v %q %v, want 200 of s2", w, body, err)
+			}
+			if got := r.started(id); got != 1 {
+				t.Errorf("runs: got %d, want 1", got)
+			}
+		}
+	})
+}
+
+// TestUnreachableUpstreamCostsNothing checks that an upstream which takes no
+// connection is passed over, and that this takes nothing from the budget.
+func TestUnreachableUpstreamCostsNothing(t *testing.T) {
+	withRig(t, 0, 2, func(t *testing.T, r *rig) {
+		r.link.Down("s1", true)
+		for i := range 20 {
+			w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", fmt.Sprint("id-", i), ""))
+			if err != nil || w.StatusCode != http.StatusOK {
+				t.Fatalf("got %v %v, want 200", w, err)
+			}
+		}
+	}, relay.WithBudget(0, 0, 10*time.Second, func() int { return 1 }))
+}
+
+// TestBudgetBoundsTries sends many requests that fail everywhere and counts what
+// reaches the upstreams beyond the first try of each, in any window.
+func TestBudgetBoundsTries(t *testing.T) {
+	const boxes, extra, ratio, requests = 4, 40, 0.2, 200
+	withRig(t, 0, 3, func(t *testing.T, r *rig) {
+		for _, e := range r.engines {
+			e.SetFaults(routed.Faults{Status: http.StatusInternalServerError})
+		}
+		for i := range requests {
+			_, _, _ = r.do(request(t.Context(), http.MethodGet, "/often/x", fmt.Sprint("id-", i), ""))
+			time.Sleep(40 * time.Millisecond)
+		}
+		arrived := 0
+		for _, e := range r.engines {
+			arrived += len(e.Requests())
+		}
+		if got, most := arrived-requests, int(ratio*requests)+extra/boxes; got > most || got == 0 {
+			t.Errorf("tries beyond the first: got %d, want 1 to %d", got, most)
+		}
+	}, relay.WithBudget(ratio, extra, 10*time.Second, func() int { return boxes }))
+}
+
+// TestCallerLeaves checks that the upstream's work ends within half a second of
+// the caller's going, before the first event and after some.
+func TestCallerLeaves(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, time.Second} {
+		withRig(t, 1, 0, func(t *testing.T, r *rig) {
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _, _ = r.read(plan(ctx, "id", 2000), nil) }()
+			time.Sleep(after)
+			if got := r.engines["u1"].Running(); got != 1 {
+				t.Fatalf("runs at work: got %d, want 1", got)
+			}
+			cancel()
+			time.Sleep(500 * time.Millisecond)
+			if got := r.engines["u1"].Running(); got != 0 {
+				t.Errorf("runs at work half a second after the caller left: got %d, want 0", got)
+			}
+			if got := len(r.engines["u1"].Requests()); got != 1 {
+				t.Errorf("requests: got %d, want 1", got)
+			}
+		})
+	}
+}
+
+// TestBrokenStreamDoesNotLookWhole checks that a stream which ends early breaks
+// off, that half an event is not passed on, and that it is not run again.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		r.engines["u1"].SetFaults(routed.Faults{BreakAfter: 10})
+		s, err := r.read(plan(t.Context(), "id", 400), nil)
+		if err != nil || s.events != 10 || s.whole {
+			t.Errorf("got %+v %v, want 10 events and no end", s, err)
+		}
+		if got := r.started("id"); got != 1 {
+			t.Errorf("runs: got %d, want 1", got)
+		}
+	})
+}
+
+// TestGapIsNotPassedOn checks that an event is not passed on after one is missing.
+func TestGapIsNotPassedOn(t *testing.T) {
+	withRig(t, 1, 0, func(t *testing.T, r *rig) {
+		r.engines["u1"].SetFaults(routed.Faults{Gap: true})
+		s, err := r.read(plan(t.Context(), "id", 400), nil)
+		if err != nil || s.events != 2 || s.whole {
+			t.Errorf("got %+v %v, want 2 events and no end", s, err)
+		}
+	})
+}
+
+// TestPausedBoxLooksAgain checks that a box which was paused since it was given a
+// place sends nothing to an engine that has left meanwhile.
+func TestPausedBoxLooksAgain(t *testing.T) {
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		r.fresh = func() { r.remove("u1") }
+		s, err := r.read(plan(t.Context(), "id", 40), nil)
+		if err != nil || !s.whole {
+			t.Errorf("got %+v %v, want a whole stream", s, err)
+		}
+		if got := len(r.engines["u1"].Requests()); got != 0 {
+			t.Errorf("requests to the engine that left: got %d, want 0", got)
+		}
+	})
+}
+
+// TestLapsedUpstreamServesForAMoment checks that an upstream whose entry went
+// while the store was away is used for a moment and not for longer.
+func TestLapsedUpstreamServesForAMoment(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		r.put(resource.SourceUpstreams, resource.KindUpstream, "s1", `{"address":"http://s1","hall":"a","service":"desk","lapsed":true,"type":""}`, false)
+		for _, x := range []struct {
+			after time.Duration
+			want  int
+		}{{0, http.StatusOK}, {resource.LapsePeriod, http.StatusServiceUnavailable}} {
+			time.Sleep(x.after)
+			if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "id", "")); err != nil || w.StatusCode != x.want {
+				t.Errorf("after %s: got %v %v, want %d", x.after, w, err, x.want)
+			}
+		}
+		r.list("s1", "desk", false)
+		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "id", "")); err != nil || w.StatusCode != http.StatusOK {
+			t.Errorf("once its entry is back: got %v %v, want 200", w, err)
+		}
+	})
+}
+
+// TestCloseWaitsForStreams checks that a relay that stops finishes what it holds
+// and refuses what comes, as not run.
+func TestCloseWaitsForStreams(t *testing.T) {
+	withRig(t, 1, 1, func(t *testing.T, r *rig) {
+		var g sync.WaitGroup
+		g.Go(func() {
+			s, err := r.read(plan(t.Context(), "id", 400), nil)
+			if err != nil || !s.whole || s.events != 100 {
+				t.Errorf("got %+v %v, want 100 events and an end", s, err)
+			}
+		})
+		time.Sleep(time.Second)
+		closed := make(chan struct{})
+		go func() {
+			_ = r.relay.Close()
+			close(closed)
+		}()
+		synctest.Wait()
+		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "late", "")); err != nil || w.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("while closing: got %v %v, want 503", w, err)
+		}
+		g.Wait()
+		<-closed
+	})
+}
--- /dev/null
+++ b/internal/relay/rig_test.go
@@ -0,0 +1,233 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/fake/link"
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/ownership"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/relay"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	rigHost = "quotes.example"
+	rigKey  = "key-of-quotes"
+)
+
+// rig is a relay behind the platform's ingress, before engines u1, u2, … and
+// services s1, s2, …, in virtual time.
+type rig struct {
+	engines  map[string]*routed.Engine
+	fresh    func()
+	link     *link.Link
+	metrics  *metric.Set
+	mutex    sync.Mutex // guards revision
+	relay    *relay.Relay
+	revision int64
+	t        *testing.T
+	turns    ownership.Turns
+	view     *resource.View
+}
+
+// withRig runs f with that many engines and services.
+func withRig(t *testing.T, engines, services int, f func(t *testing.T, r *rig), options ...relay.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{engines: make(map[string]*routed.Engine), fresh: func() {}, link: link.New(), metrics: metric.NewSet(), t: t, view: resource.NewView()}
+		tracker := placement.NewTracker(func(*policy.Load) {})
+		tracker.Send = func(context.Context, *box.Update) (*box.Reply, error) { return &box.Reply{}, nil }
+		options = append([]relay.Option{relay.WithBudget(0.2, 50, 10*time.Second, func() int { return 1 })}, options...)
+		r.relay = relay.New(r.view, tracker, policy.NewLengths(), "a", r.metrics, slog.New(slog.DiscardHandler), options...)
+		calls := platform.NewEngines(platform.WithEnginesTransport(r.link))
+		r.relay.Upstreams = relay.Upstreams{Migrate: calls.Migrate, Release: calls.Release, Send: calls.Send}
+		r.relay.Fresh = func(context.Context) { r.fresh() }
+		r.relay.Place = r.place
+		r.relay.Guess = r.guess
+		r.relay.Turn = r.turns.Take
+		r.link.Join("box", platform.NewIngress(r.relay, 1<<20))
+		r.declare()
+		for i := range engines {
+			r.start(fmt.Sprintf("u%d", i+1), "llm")
+		}
+		for i := range services {
+			r.start(fmt.Sprintf("s%d", i+1), "desk")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.relay.Run(ctx)
+		f(t, r)
+		cancel()
+		_ = r.relay.Abort()
+		synctest.Wait()
+	})
+}
+
+// declare puts the routes and services in force: /plans/ streams, /once/ may not
+// be repeated, /often/ may.
+func (r *rig) declare() {
+	r.put(resource.SourceConfiguration, resource.KindPriority, "first", `{"value":9}`, false)
+	r.put(resource.SourceConfiguration, resource.KindWorkspace, "quotes", `{"keyHashes":["`+resource.HashKey(rigKey)+`"]}`, false)
+	r.put(resource.SourceConfiguration, resource.KindService, "llm", `{"engine":{"kvTokens":34500,"maxBatch":64,"linkMbps":2700,"tokenBytes":18432,"migrates":true,"tokensAnEvent":4}}`, false)
+	r.put(resource.SourceConfiguration, resource.KindService, "desk", `{}`, false)
+	route := `{"host":"` + rigHost + `","pathPrefix":"/%s/","attempts":%d,"repeat":"%s","stream":%v,"services":[{"name":"%s","weight":1}],"timeoutMilliseconds":%d,"targetMilliseconds":1800,"priority":"first","public":%v}`
+	r.put(resource.SourceConfiguration, resource.KindRoute, "plans", fmt.Sprintf(route, "plans", 1, "never", true, "llm", 39_000, false), false)
+	r.put(resource.SourceConfiguration, resource.KindRoute, "once", fmt.Sprintf(route, "once", 1, "never", false, "desk", 1500, false), false)
+	r.put(resource.SourceConfiguration, resource.KindRoute, "often", fmt.Sprintf(route, "often", 2, "safely", false, "desk", 1500, false), false)
+	r.put(resource.SourceConfiguration, resource.KindRoute, "open", fmt.Sprintf(route, "open", 1, "never", false, "desk", 1500, true), false)
+}
+
+// put changes one resource.
+func (r *rig) put(s resource.Source, k resource.Kind, name, spec string, deleted bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	c := resource.Change{Deleted: deleted, Revision: r.revision, Resource: &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: json.RawMessage(spec)}}
+	r.view.Take(&resource.Batch{Changes: []resource.Change{c}, Revision: r.revision, Source: s})
+}
+
+// start starts an upstream of a service and lists it.
+func (r *rig) start(name, service string) {
+	e := routed.New(name, routed.DefaultSettings())
+	e.Peer = func(address string) *routed.Engine { return r.engines[address] }
+	r.engines[name] = e
+	r.link.Join(name, e)
+	r.list(name, service, false)
+}
+
+// list changes what the platform's list says of an upstream.
+func (r *rig) list(name, service string, leaving bool) {
+	r.put(resource.SourceUpstreams, resource.KindUpstream, name, fmt.Sprintf(`{"address":"http://%s","hall":"a","service":%q,"models":["%s/m"],"leaving":%v,"type":""}`, name, service, service, leaving), false)
+}
+
+// remove takes an upstream off the platform's list.
+func (r *rig) remove(name string) {
+	r.put(resource.SourceUpstreams, resource.KindUpstream, name, "{}", true)
+}
+
+// die ends an upstream's process.
+func (r *rig) die(name string) {
+	r.engines[name].Die()
+	r.link.Down(name, true)
+}
+
+// place takes the first engine that may be used.
+func (r *rig) place(_ context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+	if u := r.guess(w, avoid); u != nil {
+		return &placement.Place{Granted: time.Now(), Upstream: u}, nil
+	}
+	return nil, fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"}, "no_upstream", "none"), time.Now().Add(time.Second))
+}
+
+func (r *rig) guess(w *policy.Work, avoid map[string]bool) *resource.Upstream {
+	for _, u := range r.view.UpstreamsOf(w.Model) {
+		if u.Takes(time.Now()) && !avoid[u.Name] {
+			return u
+		}
+	}
+	return nil
+}
+
+// request returns a request to a route.
+func request(ctx context.Context, method, path, id, body string) *http.Request {
+	q, err := http.NewRequestWithContext(ctx, method, "http://box"+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	q.Host = rigHost
+	q.Header.Set("Authorization", "Bearer "+rigKey)
+	q.Header.Set("X-Linetiller-Request-Id", id)
+	return q
+}
+
+// plan returns a request for a stream of that many tokens.
+func plan(ctx context.Context, id string, tokens int) *http.Request {
+	q := request(ctx, http.MethodPost, "/plans/x", id, "prompt")
+	q.Header.Set("X-Linetiller-Model", "m")
+	q.Header.Set("X-Linetiller-Token-Count", "3000,2224")
+	q.Header.Set("Length-Hint", fmt.Sprint(tokens))
+	return q
+}
+
+// do sends a request and returns its status and body; err is set where the answer
+// ended before its end.
+func (r *rig) do(q *http.Request) (w *http.Response, body string, err error) {
+	w, err = r.link.RoundTrip(q)
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(w.Body)
+	_ = w.Body.Close()
+	return w, string(b), err
+}
+
+// stream is a stream as its caller sees it.
+type stream struct {
+	events  int
+	longest time.Duration // between two events
+	whole   bool          // it ended, and not by breaking off
+}
+
+// read sends a plan and checks that its events are those of one generation, in
+// order and once; each is called with the number of events that have come.
+func (r *rig) read(q *http.Request, each func(events int)) (*stream, error) {
+	w, err := r.link.RoundTrip(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", w.StatusCode)
+	}
+	s, last := new(stream), time.Time{}
+	id := q.Header.Get("X-Linetiller-Request-Id")
+	x := bufio.NewScanner(w.Body)
+	for x.Scan() {
+		data, ok := strings.CutPrefix(x.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		s.events++
+		if want := routed.Event(id, s.events); data != want {
+			return s, fmt.Errorf("event %d: got %q, want %q", s.events, data, want)
+		}
+		if !last.IsZero() {
+			s.longest = max(s.longest, time.Since(last))
+		}
+		last = time.Now()
+		if each != nil {
+			each(s.events)
+		}
+	}
+	s.whole = x.Err() == nil
+	return s, nil
+}
+
+// started returns how often a request was run from its beginning, at all upstreams.
+func (r *rig) started(id string) int {
+	n := 0
+	for _, e := range r.engines {
+		n += e.Started(id)
+	}
+	return n
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,9 +48,6 @@
 	moveWaitPeriod = 2 * time.Second
 )
 
-// errBroken says that a stream ended before its last event.
-var errBroken = errors.New("the stream ended before its last event")
-
 // newSession returns the session of e at u; running is nil where u is no engine.
 func newSession(e *exchange, u *resource.Upstream, r *placement.Running) *session {
 	s := &session{
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -94,6 +94,8 @@
 
 func checkSpec(r *Resource) Faults {
 	switch r.Kind {
+	case KindBox:
+		return checkWith(r, func(*BoxSpec) Faults { return nil }) // written by boxes
 	case KindModel:
 		return checkWith(r, checkModel)
 	case KindPriority:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -240,6 +240,10 @@
 	if s.OperatorKeyHash != "" && len(s.OperatorKeyHash) != 64 {
 		add("operator_key_hash", "must be a SHA-256 hash of 64 hex digits")
 	}
+	checkTLS(s, add)
+}
+
+func checkTLS(s *Settings, add func(key, message string)) {
 	if given := s.TLS.Authority != "" || s.TLS.Certificate != "" || s.TLS.Key != ""; given || s.TLS.Clients {
 		if s.TLS.Authority == "" || s.TLS.Certificate == "" || s.TLS.Key == "" {
 			add("tls", "authority, certificate and key must all be set")
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -29,11 +30,11 @@
 		if len(s.event) > MaxLineBytes {
 			return nil, nil, ErrTooLarge
 		}
-		if err == bufio.ErrBufferFull {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			if err == io.EOF && len(s.event) > 0 {
+			if errors.Is(err, io.EOF) && len(s.event) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return nil, nil, err
