Prove whole boxes behind routes in virtual time

Boxes that know nothing but the store: a notice moves every run, an engine's own report is believed while the store is away, boxes that the store turns away hear of keys, configuration and notices from others, all boxes lose power at once, entries lapse with the store, few readers and rare calls.

Found: a box that starts while the store turns it away was called by its neighbours after 5 s only (test failed with revision 0). Boxes that failed are tried again after 1.5 s now.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,8 +42,9 @@
 	hallLinks = 2
 	// heartbeatNeighbours is how many boxes of its hall each box sends heartbeats to.
 	heartbeatNeighbours = 4
-	// retryFailedAfter is when a box that failed is tried again.
-	retryFailedAfter = 5 * time.Second
+	// retryFailedAfter is when a box that failed is tried again. One that starts anew
+	// without the store has the configuration from whoever calls it first.
+	retryFailedAfter = 1500 * time.Millisecond
 )
 
 // NewTable returns a table that knows only the box itself.
--- /dev/null
+++ b/routed_test.go
@@ -0,0 +1,350 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/settings"
+)
+
+// routes is the region of the virtual tests with the entry of the users' platform:
+// boxes that know nothing but the store, and engines that list themselves there.
+type routes struct {
+	*region
+	routed map[string]*routed.Engine
+}
+
+const (
+	routedHost = "h.example"
+	routedKey  = "routed-key"
+)
+
+// withRoutes runs f with two halls of two boxes and two engines each.
+func withRoutes(t *testing.T, f func(t *testing.T, r *routes)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &routes{region: newRegion(t), routed: make(map[string]*routed.Engine)}
+		defer r.close()
+		r.configure(1, routedKey)
+		for _, n := range []string{"i-a1", "i-a2", "i-b1", "i-b2"} {
+			r.startRouted(n)
+		}
+		for _, n := range []string{"box-a1", "box-a2", "box-b1", "box-b2"} {
+			r.startRouter(n)
+		}
+		time.Sleep(5 * time.Second)
+		f(t, r)
+	})
+}
+
+// configure writes a version of the operators' configuration, with one key.
+func (r *routes) configure(version int, key string) {
+	r.platform.Put("op/config", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"r-plan","host":%q,"path_prefix":"/plan/","kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,"priority":0,"service":"llm","max_attempts":1,"gap_aim_ms":180}],
+"services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]}}],
+"tenants":[{"name":"w","api_keys":[%q]}]}`, version, routedHost, key)))
+}
+
+// routedAddress returns where an engine listens; links are in memory.
+func routedAddress(name string) string {
+	return fmt.Sprintf("127.0.2.%d:1", int(name[2]-'a')*10+int(name[3]-'0'))
+}
+
+func (r *routes) startRouted(name string) {
+	e := routed.New(name, routed.DefaultSettings())
+	e.Peer = func(address string) *routed.Engine {
+		for n, x := range r.routed {
+			if routedAddress(n) == address {
+				return x
+			}
+		}
+		return nil
+	}
+	r.routed[name] = e
+	r.hallOf[routedAddress(name)] = name[2:3]
+	r.link.Join(routedAddress(name), e)
+	r.listRouted(name, "ready")
+}
+
+func (r *routes) listRouted(name, state string) {
+	r.platform.Put("servers/"+name, json.RawMessage(fmt.Sprintf(
+		`{"service":"llm","address":%q,"zone":%q,"state":%q,"models":[{"name":"m"}]}`, routedAddress(name), name[2:3], state)))
+}
+
+// die ends an engine.
+func (r *routes) die(name string) {
+	r.routed[name].Die()
+	r.link.Down(routedAddress(name), true)
+	r.platform.Remove("servers/" + name)
+}
+
+func (r *routes) startRouter(name string) {
+	r.startBox(name, func(s *settings.Settings) {
+		s.Entry = settings.Entry{Address: name + ":1", Metrics: name + ":2", Readiness: name + ":3"}
+		s.Timeouts.Platform.Duration = time.Second
+	})
+	r.link.Join(name+"-entry", r.boxes[name].entry[0].server.Handler)
+}
+
+// plan streams a plan of that many tokens through a box and returns its events.
+func (r *routes) plan(box, id, key string, tokens int, each func(events int)) (events int, whole bool, status int) {
+	q, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, "http://"+box+"-entry/plan/x", strings.NewReader("p"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Host = routedHost
+	for k, v := range map[string]string{
+		"Authorization": "Bearer " + key, "X-Linetiller-Request-Id": id, "X-Linetiller-Model": "m",
+		"X-Linetiller-Token-Count": "3000,2224", "Length-Hint": fmt.Sprint(tokens),
+	} {
+		q.Header.Set(k, v)
+	}
+	w, err := r.link.RoundTrip(q)
+	if err != nil {
+		return 0, false, 0
+	}
+	defer func() { _ = w.Body.Close() }()
+	x := bufio.NewScanner(w.Body)
+	for x.Scan() {
+		data, ok := strings.CutPrefix(x.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		events++
+		if want := routed.Event(id, events); data != want {
+			r.t.Errorf("%s: event %d: got %q, want %q", id, events, data, want)
+		}
+		if each != nil {
+			each(events)
+		}
+	}
+	return events, x.Err() == nil && w.StatusCode == http.StatusOK, w.StatusCode
+}
+
+// runs returns how often a request was run from its beginning.
+func (r *routes) runs(id string) int {
+	n := 0
+	for _, e := range r.routed {
+		n += e.Started(id)
+	}
+	return n
+}
+
+// TestRouteIsServedByEveryBox serves a plan through each box, whole and once.
+func TestRouteIsServedByEveryBox(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		for n := range r.boxes {
+			events, whole, _ := r.plan(n, "id-"+n, routedKey, 400, nil)
+			if events != 100 || !whole || r.runs("id-"+n) != 1 {
+				t.Errorf("%s: got %d events, whole %v, %d runs; want 100, whole, 1 run", n, events, whole, r.runs("id-"+n))
+			}
+		}
+	})
+}
+
+// TestNoticeMovesEveryRun gives an engine notice while plans of all boxes run
+// there: none is lost, and none runs twice.
+func TestNoticeMovesEveryRun(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		var g sync.WaitGroup
+		for i := range 8 {
+			box := []string{"box-a1", "box-a2"}[i%2]
+			id := fmt.Sprint("id-", i)
+			g.Go(func() {
+				events, whole, _ := r.plan(box, id, routedKey, 1200, nil)
+				if events != 300 || !whole || r.runs(id) != 1 {
+					t.Errorf("%s: got %d events, whole %v, %d runs; want 300, whole, 1 run", id, events, whole, r.runs(id))
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		if r.routed["i-a1"].Running() == 0 {
+			t.Fatal("no plan runs at i-a1")
+		}
+		r.listRouted("i-a1", "draining")
+		time.Sleep(1500 * time.Millisecond)
+		r.die("i-a1")
+		g.Wait()
+	})
+}
+
+// TestNoticeWhileTheStoreIsAway checks that an engine's own report is believed
+// where the platform's list cannot be had, and by boxes that do not read it.
+func TestNoticeWhileTheStoreIsAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		var g sync.WaitGroup
+		for _, b := range []string{"box-a1", "box-a2"} {
+			g.Go(func() {
+				if events, whole, _ := r.plan(b, "id-"+b, routedKey, 1600, nil); events != 400 || !whole {
+					t.Errorf("%s: got %d events, whole %v; want 400, whole", b, events, whole)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		r.routed["i-a1"].Leave()
+		r.routed["i-a2"].Leave()
+		time.Sleep(1600 * time.Millisecond)
+		for _, n := range []string{"i-a1", "i-a2"} {
+			r.routed[n].Die()
+			r.link.Down(routedAddress(n), true)
+		}
+		g.Wait()
+	})
+}
+
+// TestStoreTurnsBoxesAway has the store refuse all boxes but one: the others hear
+// of a key that was taken away, of one that was given, and of a notice all the same.
+func TestStoreTurnsBoxesAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.refuse("box-a1", "box-a2", "box-b1")
+		time.Sleep(3 * time.Second)
+		r.configure(2, "new-key")
+		r.listRouted("i-a1", "draining")
+		time.Sleep(2 * time.Second)
+		for n, b := range r.boxes {
+			if _, _, status := r.plan(n, "old-"+n, routedKey, 40, nil); status != http.StatusUnauthorized {
+				t.Errorf("%s: the old key: got status %d, want 401", n, status)
+			}
+			if _, whole, status := r.plan(n, "new-"+n, "new-key", 40, nil); !whole {
+				t.Errorf("%s: the new key: got status %d, want a whole stream", n, status)
+			}
+			if u := b.view.Upstream("i-a1"); u != nil && u.Takes(time.Now()) {
+				t.Errorf("%s: the engine that gave notice is still used", n)
+			}
+		}
+	})
+}
+
+// TestBoxStartsWhileTheStoreIsAway replaces a box during an outage: its neighbours
+// call it, and it serves with what they know. Before that it refuses for a moment,
+// and not for good.
+func TestBoxStartsWhileTheStoreIsAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		r.kill("box-a2")
+		time.Sleep(time.Second)
+		r.link.Down("box-a2", false)
+		r.startRouter("box-a2")
+		if _, _, status := r.plan("box-a2", "early", routedKey, 40, nil); status != http.StatusServiceUnavailable && status != http.StatusOK {
+			t.Errorf("at once: got status %d, want 503 or 200", status)
+		}
+		time.Sleep(10 * time.Second)
+		if _, whole, status := r.plan("box-a2", "late", routedKey, 40, nil); !whole {
+			t.Errorf("after 10 s: got status %d, want a whole stream", status)
+		}
+	})
+}
+
+// TestAllBoxesLosePower starts every box anew at once: all serve within seconds.
+func TestAllBoxesLosePower(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		var names []string
+		for n := range r.boxes {
+			names = append(names, n)
+		}
+		for _, n := range names {
+			r.kill(n)
+		}
+		time.Sleep(time.Second)
+		for _, n := range names {
+			r.link.Down(n, false)
+			r.startRouter(n)
+		}
+		time.Sleep(2 * time.Second)
+		for _, n := range names {
+			if _, whole, status := r.plan(n, "id-"+n, routedKey, 40, nil); !whole {
+				t.Errorf("%s: got status %d, want a whole stream", n, status)
+			}
+		}
+	})
+}
+
+// TestEntriesLapseWithTheStore removes all engines' entries as the store comes back
+// after an outage, and brings them back a second later: nothing is refused meanwhile.
+func TestEntriesLapseWithTheStore(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		for n := range r.routed {
+			r.platform.Remove("servers/" + n)
+		}
+		r.platform.SetFaults(fakeplatform.Faults{})
+		back := time.Now()
+		time.AfterFunc(1500*time.Millisecond, func() {
+			for n := range r.routed {
+				r.listRouted(n, "ready")
+			}
+		})
+		for i := 0; time.Since(back) < 4*time.Second; i++ {
+			id := fmt.Sprint("id-", i)
+			if _, whole, status := r.plan("box-a1", id, routedKey, 8, nil); !whole {
+				t.Errorf("%s after the store's return: got status %d, want a whole stream", time.Since(back), status)
+			}
+		}
+	})
+}
+
+// TestReadersAreFewAndCallsRare counts the store's calls in steady state.
+func TestReadersAreFewAndCallsRare(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		before := r.platform.Counters()
+		const period = 60
+		time.Sleep(period * time.Second)
+		after := r.platform.Counters()
+		if got, most := float64(after.Reads-before.Reads)/period, 2.5; got > most {
+			t.Errorf("reads a second: got %.2f, want at most %.1f", got, most)
+		}
+		if got := after.Writes - before.Writes; got != 0 {
+			t.Errorf("writes: got %d, want none", got)
+		}
+	})
+}
+
+// TestFreshBoxBelievesTheNewestConfiguration checks that a box which starts while
+// it cannot reach the store does not go back behind its neighbours.
+func TestFreshBoxBelievesTheNewestConfiguration(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.configure(2, "new-key")
+		time.Sleep(time.Second)
+		r.refuse("box-b2")
+		r.kill("box-b2")
+		r.link.Down("box-b2", false)
+		r.startRouter("box-b2")
+		time.Sleep(5 * time.Second)
+		want := r.boxes["box-b1"].view.Revisions()[resource.SourceConfiguration]
+		if got := r.boxes["box-b2"].view.Revisions()[resource.SourceConfiguration]; got != want {
+			t.Errorf("revision: got %d, want %d", got, want)
+		}
+		if got := r.boxes["box-b1"].metrics.Value(metric.Refusals, "reason", "configuration_unknown"); got != 0 {
+			t.Errorf("refusals for want of a configuration at a box that has one: got %d", got)
+		}
+	})
+}
+
+// refuse makes the store turn boxes away.
+func (r *routes) refuse(boxes ...string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, b := range boxes {
+		r.refused[b] = true
+	}
+}
+
+// errRefused is what a call on a store that turns a box away ends with.
+var errRefused = &net.OpError{Op: "dial", Net: "link", Err: fmt.Errorf("turned away")}
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -46,6 +46,7 @@
 	link     *link.Link
 	mutex    sync.Mutex // guards the maps
 	platform *fakeplatform.Platform
+	refused  map[string]bool // boxes that the platform's store turns away
 	t        *testing.T
 }
 
@@ -59,11 +60,7 @@
 func withRegion(t *testing.T, f func(t *testing.T, r *region)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &region{
-			boxes: make(map[string]*Box), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
-			frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(), t: t,
-		}
-		r.link.Join("platform", r.platform)
+		r := newRegion(t)
 		defer r.close()
 		for _, n := range []string{"engine-a", "engine-b"} {
 			r.startEngine(n)
@@ -77,6 +74,17 @@
 	})
 }
 
+// newRegion returns a region without boxes and engines.
+func newRegion(t *testing.T) *region {
+	r := &region{
+		boxes: make(map[string]*Box), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
+		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
+		refused: make(map[string]bool), t: t,
+	}
+	r.link.Join("platform", r.platform)
+	return r
+}
+
 func (r *region) close() {
 	for n := range r.boxes {
 		r.kill(n)
@@ -145,10 +153,15 @@
 	b, err := New(&s, func(b *Box) {
 		b.connect = func() error {
 			b.links = r.links(name)
+			b.members.SetAddress(name)
+			if b.settings.Entry != (settings.Entry{}) {
+				b.entry = make([]served, 3)
+			}
 			return nil
 		}
 		b.engineTransport = &reach{from: name, region: r}
 		b.platformTransport = &reach{from: name, region: r}
+		b.routedTransport = &reach{from: name, region: r}
 	})
 	if err != nil {
 		r.t.Fatal(err)
@@ -204,6 +217,12 @@
 }
 
 func (h *reach) RoundTrip(q *http.Request) (*http.Response, error) {
+	h.region.mutex.Lock()
+	refused := h.region.refused[h.from] && q.URL.Host == "platform"
+	h.region.mutex.Unlock()
+	if refused {
+		return nil, errRefused
+	}
 	if h.region.apart(h.from, q.URL.Host) {
 		select {
 		case <-q.Context().Done():
