Tell a source whole where removals may not be known

Ruled out: late readers; each box of the hall had the revision 0.7 s after the change.

Change: a view remembers when it was given a source whole, and tells boxes that are behind that the whole source.

--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -141,3 +141,58 @@
 		}
 	})
 }
+
+// TestRemovalsReachBoxesThroughThoseThatNeverSawThem gives one box a configuration
+// with a route, another one only the next configuration, without it: what the second
+// tells the first must remove the route.
+func TestRemovalsReachBoxesThroughThoseThatNeverSawThem(t *testing.T) {
+	whole := func(s Source, revision int64, names ...string) *Batch {
+		b := &Batch{Revision: revision, Source: s, Whole: true}
+		for _, n := range names {
+			b.Changes = append(b.Changes, Change{Revision: revision, Resource: &Resource{Kind: KindPriority, Metadata: Metadata{Name: n}, Spec: json.RawMessage(`{"value":1}`)}})
+		}
+		return b
+	}
+	for _, s := range []Source{SourceConfiguration, SourceUpstreams} {
+		behind, ahead := NewView(), NewView()
+		behind.Take(whole(s, 5, "stays", "goes"))
+		ahead.Take(whole(s, 9, "stays"))
+		ahead.Take(&Batch{Revision: 12, Source: s, Changes: []Change{{Revision: 12, Resource: &Resource{Kind: KindPriority, Metadata: Metadata{Name: "comes"}, Spec: json.RawMessage(`{"value":1}`)}}}})
+		l := ahead.Missing(behind.Revisions())
+		for i := range l {
+			behind.Take(&l[i])
+		}
+		for n, want := range map[string]bool{"stays": true, "goes": false, "comes": true} {
+			if got := behind.Get(KindPriority, n) != nil; got != want {
+				t.Errorf("%s: %s: got %v, want %v", s, n, got, want)
+			}
+		}
+		if got, want := behind.Revisions()[s], int64(12); got != want {
+			t.Errorf("%s: revision: got %d, want %d", s, got, want)
+		}
+	}
+}
+
+// TestCatchingUpEnds checks that a box has nothing left to ask for once it has taken
+// in what another one told, also where a removal that it never saw came last.
+func TestCatchingUpEnds(t *testing.T) {
+	ahead, behind := NewView(), NewView()
+	put := func(names ...string) *Batch {
+		b := &Batch{Source: SourceUpstreams, Whole: true}
+		for i, n := range names {
+			b.Changes = append(b.Changes, Change{Revision: int64(i + 1), Resource: &Resource{Kind: KindPriority, Metadata: Metadata{Name: n}, Spec: json.RawMessage(`{"value":1}`)}})
+		}
+		return b
+	}
+	first, second := put("a", "b"), put("a")
+	first.Revision, second.Revision = 20, 30
+	ahead.Take(first)
+	ahead.Take(second)
+	l := ahead.Missing(behind.Revisions())
+	for i := range l {
+		behind.Take(&l[i])
+	}
+	if behind.Revisions().Behind(ahead.Revisions()) {
+		t.Errorf("got revisions %v, want %v", behind.Revisions(), ahead.Revisions())
+	}
+}
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -20,8 +20,11 @@
 	Changes []Change `json:"changes"`
 	// Revision is that of the newest change; of a whole batch it is what removals
 	// that the batch implies are dated by.
-	Revision int64  `json:"revision"`
-	Source   Source `json:"source"`
+	Revision int64 `json:"revision"`
+	// Settled is set where Revision is that of a box's view, and not only the
+	// moment at which the store was read.
+	Settled bool   `json:"settled,omitempty"`
+	Source  Source `json:"source"`
 	Whole    bool   `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
 }
 
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -38,6 +38,7 @@
 	resources map[string]entry // by kind and name; removals stay as marks
 	revisions Revisions
 	version   uint64
+	wholeAt   Revisions // of the newest whole batch of each source
 
 	index index
 }
@@ -51,7 +52,7 @@
 func NewView() *View {
 	return &View{
 		changed: make(chan struct{}), index: newIndex(), now: time.Now,
-		resources: make(map[string]entry), revisions: make(Revisions),
+		resources: make(map[string]entry), revisions: make(Revisions), wholeAt: make(Revisions),
 	}
 }
 
@@ -94,15 +95,24 @@
 	return l
 }
 
-// Missing returns what a box with these revisions lacks of every source.
+// Missing returns what a box with these revisions lacks of every source: what has
+// changed since, or the whole source where this view was given it whole since, and
+// may never have known what was removed by that.
 func (v *View) Missing(have Revisions) []Batch {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
 	var l []Batch
 	for _, s := range slices.Sorted(maps.Keys(v.revisions)) {
-		if v.revisions[s] > have[s] {
-			l = append(l, Batch{Changes: v.since(s, have[s]), Revision: v.revisions[s], Source: s})
+		if v.revisions[s] <= have[s] {
+			continue
+		}
+		b := Batch{Revision: v.revisions[s], Settled: true, Source: s, Whole: have[s] < v.wholeAt[s]}
+		if b.Whole {
+			b.Changes = v.live(s)
+		} else {
+			b.Changes = v.since(s, have[s])
 		}
+		l = append(l, b)
 	}
 	return l
 }
@@ -152,11 +162,14 @@
 		named[k] = true
 		moved = v.set(k, entry{c, b.Source}) || moved
 	}
-	if b.Whole && !v.removeOthers(b, named) {
+	if b.Whole && !v.removeOthers(b, named) && !b.Settled {
 		r = b.Newest()
 	} else {
 		moved = moved || b.Whole
 	}
+	if b.Whole {
+		v.wholeAt[b.Source] = max(v.wholeAt[b.Source], r)
+	}
 	moved = moved || r > v.revisions[b.Source]
 	v.revisions[b.Source] = max(v.revisions[b.Source], r)
 	if moved {
@@ -191,6 +204,17 @@
 	}
 }
 
+// live returns all resources of a source that stand.
+func (v *View) live(s Source) []Change {
+	var l []Change
+	for _, e := range v.resources {
+		if e.source == s && !e.Deleted {
+			l = append(l, e.Change)
+		}
+	}
+	return l
+}
+
 // removeOthers removes what a whole batch does not name.
 func (v *View) removeOthers(b *Batch, named map[string]bool) bool {
 	moved := false
