Make news small, and failures of calls count from when they began

Cause (2): TestFrozenBoxRefreshesBeforeItSends failed once in about 5 runs of the whole package: a heartbeat that began while the box was frozen failed after it had thawed, and its neighbours counted as lost.

A failed call tells nothing of a box that was heard since it began.

TestViewsAgreeWhicheverWayNewsComes found two faults of the first tries.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -25,7 +25,7 @@
 		return
 	}
 	event.ClockJumped.Log(b.log, "late", late.String())
-	b.members.Reconsider()
+	b.members.Reconsider(time.Now())
 	ctx, cancel := context.WithTimeout(ctx, refreshPeriod)
 	defer cancel()
 	if b.follower.Refresh(ctx) != nil {
@@ -47,9 +47,10 @@
 func (b *Box) heartbeat(ctx context.Context, m box.Member) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
+	began := time.Now()
 	r, err := b.links.Once(ctx, m.Address, b.request(box.Request{Kind: box.KindHeartbeat, Loads: b.owners.Loads()}))
 	if err != nil {
-		if b.members.Failed(m.Name, time.Now()) {
+		if b.members.Failed(m.Name, began, time.Now()) {
 			event.PeerLost.Log(b.log, "box", m.Name, "error", err.Error())
 		}
 		return
--- a/internal/box/plain.go
+++ b/internal/box/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"io"
@@ -49,7 +50,6 @@
 	p := &Plain{cancel: cancel, ctx: ctx, handler: h, listener: l}
 	p.client = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: plainDialPeriod}).DialContext,
-		DisableCompression:  true,
 		IdleConnTimeout:     plainIdlePeriod,
 		MaxIdleConnsPerHost: maxIdlePlain,
 	}}
@@ -120,6 +120,9 @@
 	c := http.NewResponseController(w)
 	p.handler(ctx, q, func(v *Reply) error {
 		_ = c.SetWriteDeadline(time.Now().Add(plainWritePeriod))
+		if len(v.Changes) > 0 {
+			return writeCompressed(w, v)
+		}
 		if err := e.Encode(v); err != nil {
 			return err
 		}
@@ -127,6 +130,20 @@
 	})
 }
 
+// writeCompressed writes the one reply of a call, which may be large: a
+// configuration of 1,600 routes has half a megabyte, and some boxes 10 Mbit/s.
+func writeCompressed(w http.ResponseWriter, v *Reply) error {
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if err := cbor.NewEncoder(z).Encode(v); err != nil {
+		return err
+	}
+	return z.Close()
+}
+
 // plainCall is one call in progress. It is used by one goroutine.
 type plainCall struct {
 	cancel   context.CancelFunc
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -46,8 +46,8 @@
 }
 
 const (
-	catchUpPeriod  = time.Second
-	idleEvery      = time.Second // between looks whether this box has become a reader
+	catchUpPeriod  = 3 * time.Second // a large configuration takes half a second over 10 Mbit/s
+	idleEvery      = time.Second     // between looks whether this box has become a reader
 	readersPerHall = 2
 	retryFirst     = 250 * time.Millisecond
 	retryMost      = 2 * time.Second // the store's return is to be noticed well within a second change's bound
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -14,11 +14,12 @@
 
 // Table holds the boxes. It is safe for concurrent use; its lock is a leaf.
 type Table struct {
-	mutex   sync.Mutex
-	boxes   map[string]*entry
-	self    box.Member
-	version uint64 // rises whenever what Alive answers may have changed
-	watch   chan struct{}
+	mutex        sync.Mutex
+	boxes        map[string]*entry
+	reconsidered time.Time // when failures were last forgotten
+	self         box.Member
+	version      uint64 // rises whenever what Alive answers may have changed
+	watch        chan struct{}
 }
 
 type entry struct {
@@ -108,13 +109,14 @@
 	}
 }
 
-// Failed says that a call to a box failed. It reports whether the box was
-// believed to serve until now.
-func (t *Table) Failed(name string, now time.Time) bool {
+// Failed says that a call to a box failed that began at a time. It reports whether
+// the box was believed to serve until now. What was heard or reconsidered since the
+// call began goes before it.
+func (t *Table) Failed(name string, began, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	e := t.boxes[name]
-	if e == nil {
+	if e == nil || e.heardAt.After(began) || t.reconsidered.After(began) {
 		return false
 	}
 	was := e.failedAt.IsZero()
@@ -260,9 +262,10 @@
 
 // Reconsider forgets all failures: the box itself was paused, and it was not
 // the others that did not answer.
-func (t *Table) Reconsider() {
+func (t *Table) Reconsider(now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.reconsidered = now
 	for _, e := range t.boxes {
 		if !e.failedAt.IsZero() {
 			e.failedAt = time.Time{}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -40,7 +40,7 @@
 // neither a failure nor a sign of life.
 func TestEvidenceGoesBeforeTheList(t *testing.T) {
 	b := newTable()
-	b.Failed("b1", now)
+	b.Failed("b1", now, now)
 	b.List([]box.Member{member("b1", "a", box.StateServing), member("b2", "a", box.StateServing)}, now.Add(time.Second))
 	checkAlive(t, b, "a", "b2", "self")
 	b.Heard(member("b3", "a", box.StateServing), now)
@@ -53,7 +53,7 @@
 
 func TestFailedBoxIsTriedAgain(t *testing.T) {
 	b := newTable()
-	if !b.Failed("b1", now) || b.Failed("b1", now) {
+	if !b.Failed("b1", now, now) || b.Failed("b1", now, now) {
 		t.Error("a failure must be new once only")
 	}
 	for _, m := range b.Neighbours(now.Add(time.Second)) {
@@ -78,7 +78,7 @@
 // count for ever against a box that this one sends no heartbeats to.
 func TestFailedBoxThatIsNoNeighbourIsTriedAgain(t *testing.T) {
 	b := newTable()
-	b.Failed("b1", now)
+	b.Failed("b1", now, now)
 	b.Expire(now.Add(failureLife + time.Second))
 	checkAlive(t, b, "a", "b1", "b2", "self")
 }
@@ -157,7 +157,7 @@
 func TestChangedTellsOfEveryChange(t *testing.T) {
 	b := newTable()
 	for _, f := range []func(){
-		func() { b.Failed("b1", now) },
+		func() { b.Failed("b1", now, now) },
 		func() { b.Heard(member("b1", "a", box.StateServing), now) },
 		func() { b.Heard(member("new", "a", box.StateServing), now) },
 		func() { b.Left("b2") },
@@ -175,3 +175,21 @@
 		}
 	}
 }
+
+// TestLateFailuresCountForNothing checks that a call which began before a box was
+// heard again, or before this box found that it had been paused itself, tells nothing.
+func TestLateFailuresCountForNothing(t *testing.T) {
+	b, began := newTable(), time.Unix(1000, 0)
+	m := box.Member{Hall: "a", Name: "b1", State: box.StateServing}
+	b.Heard(m, began.Add(time.Second))
+	if b.Failed("b1", began, began.Add(2*time.Second)) {
+		t.Error("a call that began before the box was heard: got a failure, want none")
+	}
+	b.Reconsider(began.Add(4 * time.Second))
+	if b.Failed("b1", began.Add(3*time.Second), began.Add(5*time.Second)) {
+		t.Error("a call that began before the pause was noticed: got a failure, want none")
+	}
+	if !b.Failed("b1", began.Add(5*time.Second), began.Add(6*time.Second)) {
+		t.Error("a call that began afterwards: got no failure, want one")
+	}
+}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -121,6 +121,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	replies := make(chan *box.Reply, 2)
 	failed := make(chan error, 1)
 	go func() { failed <- p.exchange(ctx, owner, &box.Ask{Upstream: u.Name, Work: *w}, replies) }()
@@ -133,7 +134,7 @@
 				return a, nil
 			}
 		case err := <-failed:
-			return p.afterExchange(ctx, err, replies, owner, place)
+			return p.afterExchange(ctx, err, replies, owner, began, place)
 		case <-t.C:
 			if to := p.better(w, u.Name); to != "" {
 				return nil, movedError{to}
@@ -146,7 +147,7 @@
 
 // afterExchange returns the answer that may still stand in replies once the
 // exchange has ended, or its error.
-func (p *Reserved) afterExchange(ctx context.Context, err error, replies <-chan *box.Reply, owner string, place fail.Place) (*policy.Answer, error) {
+func (p *Reserved) afterExchange(ctx context.Context, err error, replies <-chan *box.Reply, owner string, began time.Time, place fail.Place) (*policy.Answer, error) {
 	for {
 		select {
 		case r := <-replies:
@@ -157,7 +158,7 @@
 		default:
 		}
 		if ctx.Err() == nil && owner != p.members.Self().Name {
-			p.members.Failed(owner, time.Now())
+			p.members.Failed(owner, began, time.Now())
 		}
 		if err == nil {
 			err = fail.New(fail.Unavailable, place, "owner_lost", "the owner hung up")
--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -156,6 +156,7 @@
 	for _, s := range []Source{SourceConfiguration, SourceUpstreams} {
 		behind, ahead := NewView(), NewView()
 		behind.Take(whole(s, 5, "stays", "goes"))
+		ahead.Take(whole(s, 3, "stays")) // before there was the one that goes
 		ahead.Take(whole(s, 9, "stays"))
 		ahead.Take(&Batch{Revision: 12, Source: s, Changes: []Change{{Revision: 12, Resource: &Resource{Kind: KindPriority, Metadata: Metadata{Name: "comes"}, Spec: json.RawMessage(`{"value":1}`)}}}})
 		l := ahead.Missing(behind.Revisions())
@@ -196,3 +197,60 @@
 		t.Errorf("got revisions %v, want %v", behind.Revisions(), ahead.Revisions())
 	}
 }
+
+// TestViewsAgreeWhicheverWayNewsComes gives some boxes some versions of a whole
+// configuration and lets them catch up from each other at random: in the end each has
+// exactly the newest version, however many it missed.
+func TestViewsAgreeWhicheverWayNewsComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const boxes = 4
+		views := make([]*View, boxes)
+		for i := range views {
+			views[i] = NewView()
+		}
+		var newest map[string]int
+		revision := int64(0)
+		for range rapid.IntRange(1, 12).Draw(t, "versions") {
+			revision += int64(rapid.IntRange(1, 5).Draw(t, "step"))
+			newest = rapid.MapOfN(rapid.SampledFrom([]string{"a", "b", "c", "d"}), rapid.IntRange(0, 1), 1, 4).Draw(t, "configuration")
+			b := &Batch{Revision: revision, Source: SourceConfiguration, Whole: true}
+			for n, value := range newest {
+				b.Changes = append(b.Changes, Change{Revision: revision, Resource: &Resource{
+					Kind: KindPriority, Metadata: Metadata{Name: n}, Spec: json.RawMessage(fmt.Sprintf(`{"value":%d}`, value)),
+				}})
+			}
+			views[rapid.IntRange(0, boxes-1).Draw(t, "reader")].Take(b)
+			for range rapid.IntRange(0, 3).Draw(t, "catch-ups") {
+				catchUp(views[rapid.IntRange(0, boxes-1).Draw(t, "from")], views[rapid.IntRange(0, boxes-1).Draw(t, "to")])
+			}
+		}
+		for range boxes { // the newest goes from box to box
+			for i := range views {
+				catchUp(views[i], views[(i+1)%boxes])
+			}
+		}
+		for i, v := range views {
+			if got := len(v.List(KindPriority)); got != len(newest) {
+				t.Errorf("box %d: got %d resources, want %d", i, got, len(newest))
+			}
+			for n, value := range newest {
+				if r := v.Get(KindPriority, n); r == nil || string(r.Spec) != fmt.Sprintf(`{"value":%d}`, value) {
+					t.Errorf("box %d: %s: got %+v, want value %d", i, n, r, value)
+				}
+			}
+			if got := v.Revisions()[SourceConfiguration]; got != revision {
+				t.Errorf("box %d: revision: got %d, want %d", i, got, revision)
+			}
+		}
+	})
+}
+
+func catchUp(from, to *View) {
+	if !to.Revisions().Behind(from.Revisions()) {
+		return
+	}
+	l := from.Missing(to.Revisions())
+	for i := range l {
+		to.Take(&l[i])
+	}
+}
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -25,7 +25,7 @@
 	// moment at which the store was read.
 	Settled bool   `json:"settled,omitempty"`
 	Source  Source `json:"source"`
-	Whole    bool   `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
+	Whole   bool   `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
 }
 
 // Newest returns the highest revision of the changes.
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -38,11 +39,19 @@
 	resources map[string]entry // by kind and name; removals stay as marks
 	revisions Revisions
 	version   uint64
-	wholeAt   Revisions // of the newest whole batch of each source
+	floors    Revisions // of each source: older changes are accounted for
+	leaps     map[Source][]leap
 
 	index index
 }
 
+// leap is a step from one revision of a source to another between which something
+// may have come and gone that the view never knew.
+type leap struct{ from, to int64 }
+
+// maxLeaps bounds the leaps that are remembered; the oldest are taken together.
+const maxLeaps = 32
+
 // maxMarks bounds the removals that are remembered. An older change of a
 // resource whose mark was dropped could bring it back; such a change would have
 // to be older than the last maxMarks removals.
@@ -52,7 +61,8 @@
 func NewView() *View {
 	return &View{
 		changed: make(chan struct{}), index: newIndex(), now: time.Now,
-		resources: make(map[string]entry), revisions: make(Revisions), wholeAt: make(Revisions),
+		resources: make(map[string]entry), revisions: make(Revisions),
+		floors: make(Revisions), leaps: make(map[Source][]leap),
 	}
 }
 
@@ -96,8 +106,8 @@
 }
 
 // Missing returns what a box with these revisions lacks of every source: what has
-// changed since, or the whole source where this view was given it whole since, and
-// may never have known what was removed by that.
+// changed since, or the whole source where the box knows things that this view may
+// never have known, and so cannot name as removed.
 func (v *View) Missing(have Revisions) []Batch {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
@@ -106,7 +116,7 @@
 		if v.revisions[s] <= have[s] {
 			continue
 		}
-		b := Batch{Revision: v.revisions[s], Settled: true, Source: s, Whole: have[s] < v.wholeAt[s]}
+		b := Batch{Revision: v.revisions[s], Settled: true, Source: s, Whole: v.leapt(s, have[s])}
 		if b.Whole {
 			b.Changes = v.live(s)
 		} else {
@@ -150,27 +160,42 @@
 //
 // A change at or below the revision in force of its own resource is passed
 // over, and a revision below the current one leaves that as it is, so that
-// neither ever falls. It reports whether anything was taken in.
+// neither ever falls. A resource that a whole batch tells again as it stands keeps the
+// revision of its last change. Take reports whether anything was taken in.
 func (v *View) Take(b *Batch) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	r := b.Revision
+	complete := b.Whole || b.Settled
+	if complete && b.Revision < v.revisions[b.Source] {
+		return false // the view is ahead of it
+	}
 	moved := false
 	named := make(map[string]bool, len(b.Changes))
 	for _, c := range b.Changes {
 		k := key(c.Resource.Kind, c.Resource.Metadata.Name)
 		named[k] = true
-		moved = v.set(k, entry{c, b.Source}) || moved
+		if c.Revision <= v.floors[b.Source] && !complete {
+			continue // it is accounted for
+		}
+		e := entry{c, b.Source}
+		if b.Whole && v.stands(k, &e) {
+			continue
+		}
+		if b.Whole && c.Revision <= v.revisions[b.Source] {
+			e.Revision = b.Revision // it was otherwise at the revision known here, and has changed since
+		}
+		moved = v.set(k, e) || moved
 	}
+	r := b.Revision
 	if b.Whole && !v.removeOthers(b, named) && !b.Settled {
 		r = b.Newest()
 	} else {
 		moved = moved || b.Whole
 	}
-	if b.Whole {
-		v.wholeAt[b.Source] = max(v.wholeAt[b.Source], r)
-	}
 	moved = moved || r > v.revisions[b.Source]
+	if complete {
+		v.leap(b.Source, r)
+	}
 	v.revisions[b.Source] = max(v.revisions[b.Source], r)
 	if moved {
 		v.version++
@@ -204,6 +229,31 @@
 	}
 }
 
+// leap takes in that the view goes to revision r of a source in one step.
+func (v *View) leap(s Source, r int64) {
+	v.floors[s] = max(v.floors[s], r)
+	from := v.revisions[s]
+	if r <= from {
+		return
+	}
+	l := append(v.leaps[s], leap{from, r})
+	if len(l) > maxLeaps {
+		l[1].from = l[0].from
+		l = l[1:]
+	}
+	v.leaps[s] = l
+}
+
+// leapt reports whether a revision of a source lies inside a leap of the view.
+func (v *View) leapt(s Source, r int64) bool {
+	for _, l := range v.leaps[s] {
+		if l.from < r && r < l.to {
+			return true
+		}
+	}
+	return false
+}
+
 // live returns all resources of a source that stand.
 func (v *View) live(s Source) []Change {
 	var l []Change
@@ -255,6 +305,12 @@
 	return l
 }
 
+// stands reports whether a resource stands as e says.
+func (v *View) stands(k string, e *entry) bool {
+	old, ok := v.resources[k]
+	return ok && !old.Deleted && !e.Deleted && old.source == e.source && bytes.Equal(old.Resource.Spec, e.Resource.Spec)
+}
+
 // sameKey compares in constant time, so that the time taken tells nothing of a key.
 func sameKey(a, b string) bool {
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
