--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -79,7 +79,7 @@
 		},
 		Commands: []*cli.Command{
 			newServeCmd(e), newApplyCmd(e), newGetCmd(e), newWatchCmd(e), newDeleteCmd(e),
-			newGenerateCmd(e), newCheckCmd(e), newCertificateCmd(e), newKeyCmd(e),
+			newGenerateCmd(e), newCheckCmd(e), newExplainCmd(e), newCertificateCmd(e), newKeyCmd(e),
 		},
 	}
 }
--- /dev/null
+++ b/internal/cmd/explaincmd.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/linetiller/linetiller/internal/explain"
+)
+
+func newExplainCmd(e *environment) *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell what became of one request",
+		ArgsUsage: "ID [FILE...]",
+		Description: "Reads the logs of boxes, from the files or from standard input, and tells what became of the request " +
+			"of that id, step by step, and why it ended as it did.",
+		Flags: []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return errors.Join(errBadInput, errors.New("name the id of a request"))
+			}
+			return runExplainCmd(e, c.Args().First(), c.Args().Tail(), c.String(flagOutput))
+		},
+	}
+}
+
+func runExplainCmd(e *environment, id string, files []string, form string) error {
+	lines, err := readLogs(e, files)
+	if err != nil {
+		return errors.Join(errBadInput, err)
+	}
+	s, err := explain.Tell(lines, id)
+	if err != nil {
+		return fmt.Errorf("%s: %w", id, err)
+	}
+	if form == outputJSON {
+		return json.NewEncoder(e.output).Encode(s)
+	}
+	_, err = io.WriteString(e.output, s.String())
+	return err
+}
+
+// readLogs reads the files, or standard input where there are none.
+func readLogs(e *environment, files []string) ([]explain.Line, error) {
+	if len(files) == 0 {
+		return explain.Read(e.input)
+	}
+	var all []explain.Line
+	for _, n := range files {
+		f, err := os.Open(n)
+		if err != nil {
+			return nil, err
+		}
+		l, err := explain.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", n, err)
+		}
+		all = append(all, l...)
+	}
+	return all, nil
+}
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/linetiller/linetiller"
+	"github.com/linetiller/linetiller/internal/logging"
 	"github.com/linetiller/linetiller/internal/settings"
 )
 
@@ -33,7 +34,9 @@
 	if err != nil {
 		return errors.Join(errBadInput, err)
 	}
-	l := slog.New(slog.NewJSONHandler(e.output, &slog.HandlerOptions{Level: s.Level()})).With("box", s.Box)
+	h, lines := logging.New(e.output, s.Level())
+	defer func() { _ = lines.Close() }()
+	l := slog.New(h).With("box", s.Box)
 	b, err := linetiller.New(s, linetiller.WithLog(l))
 	if err != nil {
 		return err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,11 +26,13 @@
 	ClockJumped        = Event{slog.LevelWarn, "clock jumped, views refreshed", 105}
 	Reloaded           = Event{slog.LevelInfo, "settings read anew", 106}
 	ReloadFailed       = Event{slog.LevelWarn, "settings not read anew", 107}
-	RequestFinished    = Event{slog.LevelDebug, "request finished", 201}
+	LinesOmitted       = Event{slog.LevelWarn, "log lines left out", 108}
+	RequestFinished    = Event{slog.LevelInfo, "request finished", 201}
 	RequestRefused     = Event{slog.LevelInfo, "request refused", 202}
 	RequestInterrupted = Event{slog.LevelWarn, "request interrupted", 203}
 	RequestRetried     = Event{slog.LevelInfo, "request retried", 204}
 	CallerGone         = Event{slog.LevelInfo, "caller gone", 206}
+	RequestPlaced      = Event{slog.LevelInfo, "request placed", 207}
 	StreamResumed      = Event{slog.LevelInfo, "stream resumed", 205}
 	UpstreamFailed     = Event{slog.LevelWarn, "upstream failed", 301}
 	UpstreamMismatch   = Event{slog.LevelError, "upstream sent a frame of another generation", 302}
@@ -58,8 +60,8 @@
 
 // All lists every event in order of its number.
 var All = []Event{
-	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, Reloaded, ReloadFailed,
-	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone,
+	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, Reloaded, ReloadFailed, LinesOmitted,
+	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard,
 	PlatformDown, PlatformBack, OutcomeNotRecorded,
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,98 @@
+package explain
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestStories tells the stories of a refused, a cut and a late request from the
+// recorded logs of two boxes, and compares them with golden files.
+func TestStories(t *testing.T) {
+	var all []Line
+	for _, n := range []string{"box-1.log", "box-2.log"} {
+		f, err := os.Open(filepath.Join("testdata", n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := Read(f)
+		_ = f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, l...)
+	}
+	for _, id := range []string{"refused", "cut", "late", "moved", "lost"} {
+		s, err := Tell(all, id)
+		if err != nil {
+			t.Errorf("%s: %v", id, err)
+			continue
+		}
+		path := filepath.Join("testdata", id+".golden")
+		if *update {
+			if err := os.WriteFile(path, []byte(s.String()), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.String(); got != string(want) {
+			t.Errorf("%s: got\n%s\nwant\n%s", id, got, want)
+		}
+	}
+	if _, err := Tell(all, "none"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a request that no line names: got %v, want %v", err, ErrUnknown)
+	}
+}
+
+// TestReasonsAreExplained checks that each reason which the relay and the calls to
+// upstreams give is told in plain words.
+func TestReasonsAreExplained(t *testing.T) {
+	given := regexp.MustCompile(`fail\.(?:New|Wrap)\(.*?"([a-z]+_[a-z_]+)"`) // step names are words apart
+	seen := 0
+	for _, p := range []string{"../relay/*.go", "../../platform/engines.go"} {
+		files, _ := filepath.Glob(p)
+		for _, f := range files {
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range given.FindAllStringSubmatch(string(b), -1) {
+				if strings.HasSuffix(f, "_test.go") || m[1] == "bad_upstream_request" || m[1] == "upstream_garbled" {
+					continue
+				}
+				seen++
+				if reasons[m[1]] == "" {
+					t.Errorf("%s: reason %q is not told in plain words", f, m[1])
+				}
+			}
+		}
+	}
+	if seen < 15 {
+		t.Errorf("reasons found: got %d, want at least 15", seen)
+	}
+}
+
+// FuzzRead reads any log and tells any request's story without a panic.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-12-02T10:00:00Z","msg":"x","event":203,"request":"r","reason":7}`), "r")
+	f.Add([]byte("12.3 box-1 {\"event\":\"x\",\"request\":\"r\"}\n{}\nnothing"), "r")
+	f.Fuzz(func(t *testing.T, b []byte, id string) {
+		l, err := Read(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		if s, err := Tell(l, id); err == nil && s.Cause == "" {
+			t.Error("a story without a cause")
+		}
+	})
+}
--- /dev/null
+++ b/internal/explain/reason.go
@@ -0,0 +1,39 @@
+package explain
+
+// reasons tells the reasons of failures in plain words; a test holds them and those
+// that the relay gives together.
+var reasons = map[string]string{
+	"answer_crossed":        "the upstream answered another request",
+	"answer_cut":            "the upstream's answer broke off",
+	"box_leaving":           "the box was being stopped",
+	"caller_gone":           "the caller had gone",
+	"configuration_unknown": "the box did not know the configuration yet",
+	"copy_under_way":        "another copy of it was under way",
+	"deadline":              "its time ran out",
+	"key_unknown":           "its key opens no workspace",
+	"leaving":               "the upstream was leaving",
+	"move_lost":             "it had been copied to another engine, which did not take it up",
+	"no_owner":              "no box answered for the engines",
+	"no_room":               "no engine had room",
+	"no_upstream":           "no upstream takes new work",
+	"queue_full":            "too much waited for the engine",
+	"retry_budget":          "too many requests had been tried again of late",
+	"route_unknown":         "no route leads there",
+	"run_unknown":           "the engine did not run it any more, or not yet",
+	"service_unknown":       "the service of its route is not declared",
+	"stale_place":           "its place was given too long ago",
+	"stream_broken":         "the stream broke off before its end",
+	"stream_gap":            "an event was missing in the upstream's stream",
+	"upstream_failed":       "the upstream failed",
+	"upstream_lost":         "the connection to the upstream was lost",
+	"upstream_refused":      "the upstream refused to run it",
+	"upstream_unreachable":  "the upstream could not be reached",
+}
+
+// reasonText returns a reason in plain words, or as it stands.
+func reasonText(r string) string {
+	if t := reasons[r]; t != "" {
+		return t
+	}
+	return r
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,87 @@
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+)
+
+// lines returns the decoded lines of a log.
+func lines(t *testing.T, b *bytes.Buffer) []map[string]any {
+	t.Helper()
+	var l []map[string]any
+	for s := range strings.Lines(b.String()) {
+		m := make(map[string]any)
+		if err := json.Unmarshal([]byte(s), &m); err != nil {
+			t.Fatalf("line %q: %v", s, err)
+		}
+		l = append(l, m)
+	}
+	return l
+}
+
+// TestBudgetOfAKindOfEvent writes many lines of one kind in a second: the first are
+// written, the others counted, those of another kind and of failures still written.
+func TestBudgetOfAKindOfEvent(t *testing.T) {
+	var b bytes.Buffer
+	now := time.Unix(100, 0)
+	h, w := New(&b, slog.LevelDebug, WithBudget(3), WithNow(func() time.Time { return now }))
+	l := slog.New(h).With("box", "b")
+	for range 10 {
+		event.RequestFinished.Log(l)
+	}
+	for range 10 {
+		event.RequestInterrupted.Log(l)
+	}
+	event.RequestRefused.Log(l)
+	now = now.Add(time.Second)
+	event.RequestRefused.Log(l)
+	_ = w.Close()
+	count, omitted := make(map[float64]int), 0.0
+	for _, m := range lines(t, &b) {
+		count[m["event"].(float64)]++
+		if m["event"] == float64(event.LinesOmitted.Number) && m["of"] == float64(event.RequestFinished.Number) {
+			omitted = m["lines"].(float64)
+		}
+	}
+	for e, want := range map[event.Event]int{event.RequestFinished: 3, event.RequestInterrupted: 10, event.RequestRefused: 2} {
+		if got := count[float64(e.Number)]; got != want {
+			t.Errorf("%s: got %d lines, want %d", e.Name, got, want)
+		}
+	}
+	if got, want := omitted, 7.0; got != want {
+		t.Errorf("left out: got %v, want %v", got, want)
+	}
+}
+
+// stuck is an output that takes nothing until it is let go.
+type stuck struct{ release chan struct{} }
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// TestStuckOutputHoldsNobodyUp writes far more than is kept to an output that
+// stands still: every call returns, and what was dropped is told in the end.
+func TestStuckOutputHoldsNobodyUp(t *testing.T) {
+	s := &stuck{release: make(chan struct{})}
+	w := NewWriter(s)
+	const more = 500
+	for range linesKept + more {
+		if _, err := io.WriteString(w, "x\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := w.takeDropped(); got < more-1 || got > more {
+		t.Errorf("dropped: got %d, want %d or one less, which the output holds", got, more)
+	}
+	close(s.release)
+	_ = w.Close()
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -29,6 +29,7 @@
 	e.tries++
 	e.upstream = u
 	o := &Offer{Deadline: e.deadline, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
+	e.logPlaced(u, r)
 	a, err = x.Upstreams.Send(ctx, u, e.request, o)
 	now := time.Now()
 	if errorx.IsOfType(err, fail.NotRun) {
@@ -52,6 +53,16 @@
 	return a, false, nil
 }
 
+// logPlaced tells where the request goes, how long that took and by which news it
+// was decided.
+func (e *exchange) logPlaced(u *resource.Upstream, r *Resume) {
+	v := e.relay.view.Revisions()
+	event.RequestPlaced.Log(e.relay.log, "request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
+		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
+		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
+		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams])
+}
+
 // judge takes in what an answer tells, and returns an error where it is not one
 // to pass on.
 func (e *exchange) judge(u *resource.Upstream, a *Answer) error {
