Ask elsewhere before waiting at one engine

Cause: work that an owner put into its queue waited there for a second before another engine was looked at; with 45 engines a box knows the load of few.

Change: up to 4 engines are asked without waiting before work waits at one.

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -46,7 +47,9 @@
 }
 
 const (
-	asksMost       = 3                // upstreams whose refusal for want of room is taken
+	asksMost = 3 // upstreams whose refusal for want of room is taken
+	// looksMost is how many upstreams are asked before work waits at one.
+	looksMost      = 4
 	otherHallDelay = 1.5              // seconds of backlog that another hall counts for: a cut between halls ends its streams
 	ownerPeriod    = 10 * time.Second // of finding no owner that answers, after which work is refused
 	placeLife      = time.Second
@@ -59,11 +62,15 @@
 	lostSince time.Time // when the first of them failed
 	next      string    // the upstream to ask about, where one is known to be better
 	placement *Reserved
-	refused   int // upstreams that refused for want of room
+	queued    map[string]bool // upstreams where it would have to wait
+	refused   int             // upstreams that refused for want of room
 	skip      map[string]bool
 	work      *policy.Work
 }
 
+// errQueued says that work would have to wait where it was asked for.
+var errQueued = errors.New("it would have to wait")
+
 // movedError says that an ask is better made at another upstream.
 type movedError struct{ to string }
 
@@ -89,7 +96,7 @@
 func (p *Reserved) Place(ctx context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
-	s := &search{placement: p, skip: make(map[string]bool, len(avoid)), work: w}
+	s := &search{placement: p, queued: make(map[string]bool), skip: make(map[string]bool, len(avoid)), work: w}
 	for n := range avoid {
 		s.skip[n] = true
 	}
@@ -113,7 +120,9 @@
 
 // ask asks u's owner and waits while w is queued, or until a much better
 // upstream is known.
-func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work) (*policy.Answer, error) {
+//
+// Unless patient, it returns errQueued in place of waiting.
+func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work, patient bool) (*policy.Answer, error) {
 	owner := policy.First(u.Name, p.members.Alive(u.Spec.Hall))
 	place := fail.Place{Peer: "box " + owner, Step: "ask"}
 	if owner == "" {
@@ -133,6 +142,9 @@
 			if a := p.final(r); a != nil {
 				return a, nil
 			}
+			if r.Answer != nil && !patient {
+				return nil, errQueued
+			}
 		case err := <-failed:
 			return p.afterExchange(ctx, err, replies, owner, began, place)
 		case <-t.C:
@@ -286,17 +298,19 @@
 // search goes on.
 func (s *search) step(ctx context.Context) (*Place, error) {
 	p := s.placement
-	u, err := p.choose(s.work, s.skip, s.next)
-	s.next = ""
+	u, patient, err := s.choose()
 	if err != nil {
 		return nil, err
 	}
 	var a *policy.Answer
 	if u != nil {
-		a, err = p.ask(ctx, u, s.work)
+		a, err = p.ask(ctx, u, s.work, patient)
 	}
 	var m movedError
 	switch {
+	case errors.Is(err, errQueued):
+		s.queued[u.Name] = true
+		return nil, nil
 	case errors.As(err, &m):
 		s.next = m.to
 		p.metrics.Count(metric.Retries, "reason", "better_upstream")
@@ -311,6 +325,23 @@
 	return nil, s.takeFailure(ctx, err)
 }
 
+// choose returns the upstream to ask about next, and whether to wait there. Those
+// where the work would have to wait are passed over a few times, while there are others.
+func (s *search) choose() (u *resource.Upstream, patient bool, err error) {
+	p := s.placement
+	next := s.next
+	s.next = ""
+	if next == "" && len(s.queued) > 0 && len(s.queued) < looksMost {
+		others := maps.Clone(s.skip)
+		maps.Copy(others, s.queued)
+		if u, err := p.choose(s.work, others, ""); err == nil && u != nil {
+			return u, false, nil
+		}
+	}
+	u, err = p.choose(s.work, s.skip, next)
+	return u, len(s.queued) > 0, err
+}
+
 // takeFailure waits after an ask to which no owner answered, and gives up where
 // none has answered for long.
 func (s *search) takeFailure(ctx context.Context, err error) error {
