Let one copy at a time arrive at an engine

Cause: the short copy of a run that stands still waited behind another run's long one on the link of the engine that both moved to (rest 133 to 391 ms where pauses passed 180 ms); turns were kept for the engine that leaves only.

Change: an engine's owner also gives turns to arrive; where one does not come within 40 ms, another engine is tried.

--- a/ask.go
+++ b/ask.go
@@ -36,25 +36,34 @@
 	}
 }
 
-// takeTurn takes the turn to move a run away from an upstream, at its owner.
-func (b *Box) takeTurn(ctx context.Context, upstream string, r *policy.Run) (func(), error) {
+// takeTurn takes the turn to move a run away from an upstream, or there, at its owner.
+func (b *Box) takeTurn(ctx context.Context, upstream string, arriving bool, r *policy.Run) (func(), error) {
 	hall := b.settings.Hall
 	if u := b.view.Upstream(upstream); u != nil {
 		hall = u.Spec.Hall
 	}
 	o := policy.First(upstream, b.members.Alive(hall))
 	if o == b.settings.Box {
-		return b.turns.Take(ctx, upstream, r)
+		return b.turns.Take(ctx, upstream, arriving, r)
 	}
-	c, err := b.links.Call(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindTurn, Turn: &box.Turn{Run: *r, Upstream: upstream}}))
+	// The wait ends with ctx; the turn, once it has come, only with its release.
+	call, hangUp := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, hangUp)
+	c, err := b.links.Call(call, b.members.Address(o), b.request(box.Request{Kind: box.KindTurn, Turn: &box.Turn{Arriving: arriving, Run: *r, Upstream: upstream}}))
 	if err != nil {
+		hangUp()
 		return nil, err
 	}
-	if _, err := c.Next(); err != nil {
+	release := func() {
 		_ = c.Close()
+		hangUp()
+	}
+	if _, err := c.Next(); err != nil {
+		release()
 		return nil, err
 	}
-	return func() { _ = c.Close() }, nil
+	stop()
+	return release, nil
 }
 
 // sendUpdate sends an update to the owner of its upstream.
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -22,7 +22,7 @@
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
 	KindMembers   Kind = "members"   // the boxes that the other side knows
-	KindTurn      Kind = "turn"      // the turn to move a generation away from a leaving upstream
+	KindTurn      Kind = "turn"      // the turn to move a generation away from an upstream, or to one
 	KindUpdate    Kind = "update"    // how far running generations are
 )
 
@@ -63,9 +63,10 @@
 	Work     policy.Work `cbor:"2,keyasint"`
 }
 
-// Turn asks the owner of a leaving upstream for the turn to move a generation
-// away. The turn lasts until the caller hangs up.
+// Turn asks the owner of an upstream for the turn to move a generation away, or
+// there. The turn lasts until the caller hangs up.
 type Turn struct {
+	Arriving bool       `cbor:"3,keyasint,omitempty"` // to the upstream, and not away from it
 	Run      policy.Run `cbor:"1,keyasint"`
 	Upstream string     `cbor:"2,keyasint"`
 }
--- a/internal/ownership/turns.go
+++ b/internal/ownership/turns.go
@@ -8,9 +8,10 @@
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
-// Turns gives, for each upstream that is leaving, one run at a time the turn to
-// be moved away, so that copies do not wait behind each other on the upstream's
-// link. The zero value is ready. It is safe for concurrent use.
+// Turns gives, for each upstream, one run at a time the turn to be moved away and
+// one the turn to arrive, so that the short copy of a run that stands still does not
+// wait behind another run's long one on a link. The zero value is ready. It is safe
+// for concurrent use.
 type Turns struct {
 	mutex  sync.Mutex
 	queues map[string]*turns
@@ -28,12 +29,18 @@
 	run  *policy.Run
 }
 
+// arrivingSuffix parts the turns to arrive at an upstream from those to leave it.
+const arrivingSuffix = "/arriving"
+
 // stepAssumed is the time between tokens by which it is judged how long a run
 // lasts; steps of 7 to 15 ms were seen.
 const stepAssumed = 10 * time.Millisecond
 
 // Take waits for a run's turn; release gives it back.
-func (t *Turns) Take(ctx context.Context, upstream string, r *policy.Run) (release func(), err error) {
+func (t *Turns) Take(ctx context.Context, upstream string, arriving bool, r *policy.Run) (release func(), err error) {
+	if arriving {
+		upstream += arrivingSuffix
+	}
 	w := &turn{come: make(chan struct{}), run: r}
 	t.mutex.Lock()
 	if t.queues == nil {
--- /dev/null
+++ b/internal/ownership/turns_test.go
@@ -0,0 +1,87 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// TestTurnsGoOneByOneInOrder asks for the turns of several runs while one has it: they
+// come one at a time, the urgent first, then those that outlast a notice, the smaller
+// first, then those with most left.
+func TestTurnsGoOneByOneInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var turns Turns
+		release, err := turns.Take(t.Context(), "u", false, &policy.Run{ID: "holder"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan string, 8)
+		for _, r := range []policy.Run{
+			{ID: "ends-soon", Priority: 9, Left: 20, Tokens: 100}, {ID: "ends-later", Priority: 9, Left: 90, Tokens: 100},
+			{ID: "long-large", Priority: 9, Left: 900, Tokens: 5000}, {ID: "long-small", Priority: 9, Left: 900, Tokens: 3000},
+			{ID: "less-urgent", Priority: 8, Left: 900, Tokens: 10},
+		} {
+			go func() {
+				release, err := turns.Take(t.Context(), "u", false, &r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				got <- r.ID
+				time.Sleep(time.Second)
+				release()
+			}()
+		}
+		synctest.Wait()
+		if len(got) != 0 {
+			t.Errorf("turns while one is taken: got %d, want none", len(got))
+		}
+		other, err := turns.Take(t.Context(), "u", true, &policy.Run{ID: "arrives"})
+		if err != nil {
+			t.Errorf("the turn to arrive: got %v, want it beside that to leave", err)
+		}
+		other()
+		release()
+		for _, want := range []string{"long-small", "long-large", "ends-later", "ends-soon", "less-urgent"} {
+			if id := <-got; id != want {
+				t.Errorf("got %s, want %s", id, want)
+			}
+		}
+		time.Sleep(2 * time.Second) // until the last turn is given back
+	})
+}
+
+// TestTurnsPassThoseWhoGiveUp ends the wait of some, also at the moment their turn
+// comes: the turn goes on to the next.
+func TestTurnsPassThoseWhoGiveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var turns Turns
+		release, _ := turns.Take(t.Context(), "u", false, &policy.Run{ID: "holder"})
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 3 {
+			go func() {
+				if _, err := turns.Take(ctx, "u", false, &policy.Run{ID: fmt.Sprint(i), Priority: 9}); err == nil {
+					t.Error("a turn for who had given up")
+				}
+			}()
+		}
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		release()
+		release()
+		last, err := turns.Take(t.Context(), "u", false, &policy.Run{ID: "last"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		last()
+		if len(turns.queues) != 0 {
+			t.Errorf("queues left: got %d, want none", len(turns.queues))
+		}
+	})
+}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -29,6 +31,11 @@
 }
 
 const (
+	// arrivePeriod bounds the wait for the turn at an engine to move to: a copy takes
+	// about 190 ms, and another engine may be free.
+	arrivePeriod = 40 * time.Millisecond
+	// arriveTries bounds the engines whose turn is waited for.
+	arriveTries = 3
 	// copyPeriod bounds one copy: a notice lasts about two seconds.
 	copyPeriod = 3 * time.Second
 	// moveTries bounds the engines that a move is tried to.
@@ -118,7 +125,7 @@
 	s.mutex.Unlock()
 	avoid := map[string]bool{m.from.Name: true}
 	to := s.placeMove(ctx, m, avoid) // while others have their turns
-	release, err := x.Turn(ctx, m.from.Name, r)
+	release, err := x.Turn(ctx, m.from.Name, false, r)
 	if err != nil {
 		return err
 	}
@@ -128,7 +135,9 @@
 			m.drop(x)
 			to = s.placeMove(ctx, m, avoid)
 		}
+		arrived := s.arrive(ctx, m, &to, avoid, r)
 		err := s.copyTo(ctx, m, to, avoid)
+		arrived()
 		if err == nil || ctx.Err() != nil || try >= moveTries || errorx.IsOfType(err, fail.NotFound) {
 			return err
 		}
@@ -140,6 +149,33 @@
 	}
 }
 
+// arrive takes the turn at the engine to move to, or at another one where that is
+// taken for long. Without a turn the copy may wait behind another one, which is better
+// than to wait here.
+func (s *session) arrive(ctx context.Context, m *move, to **resource.Upstream, avoid map[string]bool, r *policy.Run) (release func()) {
+	x := s.exchange.relay
+	busy := maps.Clone(avoid)
+	for range arriveTries {
+		if *to == nil {
+			break
+		}
+		turn, cancel := context.WithTimeout(ctx, arrivePeriod)
+		release, err := x.Turn(turn, (*to).Name, true, r)
+		cancel()
+		if err == nil {
+			return release
+		}
+		busy[(*to).Name] = true
+		m.drop(x)
+		next := s.placeMove(ctx, m, busy)
+		if next == nil {
+			next = s.placeMove(ctx, m, avoid)
+		}
+		*to = next
+	}
+	return func() {}
+}
+
 // takes reports whether an upstream may be given work, as far as is known now.
 func (x *Relay) takes(u *resource.Upstream) bool {
 	v := x.view.Upstream(u.Name)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -87,7 +87,7 @@
 	Send func(ctx context.Context, u *resource.Upstream, q *Request, o *Offer) (*Answer, error)
 }
 
-// Turns asks for the turn to move a run away from an upstream. It returns when
-// the turn has come, and release gives it back. An error means that the run
-// stays where it is.
-type Turns func(ctx context.Context, upstream string, r *policy.Run) (release func(), err error)
+// Turns asks for the turn to move a run away from an upstream, or, where arriving is
+// set, to one. It returns when the turn has come, and release gives it back. An error
+// means that the turn has not come.
+type Turns func(ctx context.Context, upstream string, arriving bool, r *policy.Run) (release func(), err error)
