A fault soak of real boxes as processes

cmd/soak starts boxes as processes, each behind loopback proxies to its callers, the store and the upstreams, draws faults by a seed (kills, pauses, stops, notices, crashes, spoilt answers, cut, silent and slow links, a store that refuses, loses or forgets), and checks from what callers and upstreams see: events whole, in order and once, one run at most, refusals that are true, every box serving in the end.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The targets that developers and CI use.
 
-programs := linetiller fakeengine fakeplatform fakeservice demo
+programs := linetiller soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
 .PHONY: all build demo lint measure slopes test tidy format
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,17 +19,18 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/cmd"
 	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/process"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
 // demo is one demonstration.
 type demo struct {
-	boxes     []*boxAddresses
+	boxes     []*process.BoxAddresses
 	directory string // for settings and keys
 	engines   map[string]string
 	output    io.Writer
 	platform  string
-	processes []*process
+	processes []*process.Process
 	programs  string // the folder of the built programs
 	service   string
 }
@@ -172,7 +173,7 @@
 		_, _ = fmt.Fprint(d.output, text)
 		if len(ids) == 40 {
 			d.say("\n   ** box %s is killed **", "a-1")
-			d.processNamed("a-1").kill()
+			d.processNamed("a-1").Kill()
 		}
 		return nil
 	}
@@ -191,11 +192,11 @@
 // hall, thaws it, and asks the thawed one.
 func (d *demo) freezeBox(ctx context.Context) error {
 	p := d.processNamed("b-1")
-	if err := p.command.Process.Signal(syscall.SIGSTOP); err != nil {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
 	err := d.whole(ctx, 3, 50, nil)
-	if e := p.command.Process.Signal(syscall.SIGCONT); e != nil || err != nil {
+	if e := p.Signal(syscall.SIGCONT); e != nil || err != nil {
 		return errors.Join(err, e)
 	}
 	d.say("\n   whole while b-1 was frozen; b-1 goes on")
@@ -208,19 +209,19 @@
 	err := d.whole(ctx, 3, 150, func(taken int) {
 		if taken == 20 {
 			d.say("\n   ** box b-2 is asked to stop **")
-			_ = p.command.Process.Signal(syscall.SIGTERM)
+			_ = p.Signal(syscall.SIGTERM)
 		}
 	})
 	if err != nil {
 		return err
 	}
 	select {
-	case <-p.exited:
+	case <-p.Exited:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	d.say("\n   b-2 ended with exit code %d", p.command.ProcessState.ExitCode())
-	if p.command.ProcessState.ExitCode() != cmd.ExitOK {
+	d.say("\n   b-2 ended with exit code %d", p.ExitCode())
+	if p.ExitCode() != cmd.ExitOK {
 		return errors.New("the box did not end well")
 	}
 	return nil
@@ -298,9 +299,9 @@
 	return nil
 }
 
-func (d *demo) processNamed(name string) *process {
+func (d *demo) processNamed(name string) *process.Process {
 	for _, p := range d.processes {
-		if p.name == name {
+		if p.Name == name {
 			return p
 		}
 	}
@@ -367,7 +368,7 @@
 			if err != nil {
 				return err
 			}
-			p, a, err := startBox(filepath.Join(d.programs, "linetiller"), path, name)
+			p, a, err := process.StartBox(filepath.Join(d.programs, "linetiller"), path, name, nil)
 			if err != nil {
 				return err
 			}
@@ -380,7 +381,7 @@
 }
 
 func (d *demo) startFakes(context.Context) error {
-	p, u, err := startFake(filepath.Join(d.programs, "fakeplatform"), "platform")
+	p, u, err := process.StartFake(filepath.Join(d.programs, "fakeplatform"), "platform")
 	if err != nil {
 		return err
 	}
@@ -388,14 +389,14 @@
 	for _, h := range halls {
 		for n := 1; n <= 2; n++ {
 			name := fmt.Sprintf("%s-%d", h, n)
-			p, u, err := startFake(filepath.Join(d.programs, "fakeengine"), name, "-step", "20ms")
+			p, u, err := process.StartFake(filepath.Join(d.programs, "fakeengine"), name, "-step", "20ms")
 			if err != nil {
 				return err
 			}
 			d.processes, d.engines[name] = append(d.processes, p), u
 		}
 	}
-	p, u, err = startFake(filepath.Join(d.programs, "fakeservice"), "service")
+	p, u, err = process.StartFake(filepath.Join(d.programs, "fakeservice"), "service")
 	if err != nil {
 		return err
 	}
@@ -406,7 +407,7 @@
 // stopAll stops every process that was started, the newest first.
 func (d *demo) stopAll() {
 	for i := len(d.processes) - 1; i >= 0; i-- {
-		d.processes[i].stop()
+		d.processes[i].Stop()
 	}
 }
 
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/fake/routed"
+)
+
+// fault is one kind of fault. It strikes and, after a while, ends.
+type fault struct {
+	name   string
+	strike func(w *world, r *rand.Rand) (end func(), err error)
+}
+
+// faults are all kinds, in order of name.
+var faults = []fault{
+	{"answers spoilt", spoilAnswers},
+	{"box killed", killBox},
+	{"box paused", pauseBox},
+	{"box stopped", stopBox},
+	{"configuration changed", func(w *world, _ *rand.Rand) (func(), error) {
+		w.configure()
+		return nil, nil
+	}},
+	{"connections of callers reset", func(w *world, r *rand.Rand) (func(), error) {
+		w.boxes[r.IntN(len(w.boxes))].entry.reset()
+		return nil, nil
+	}},
+	{"engine crashed", func(w *world, r *rand.Rand) (func(), error) { return replaceUpstream(w, r, 0) }},
+	{"engine given notice", func(w *world, r *rand.Rand) (func(), error) { return replaceUpstream(w, r, time.Second) }},
+	{"link to an upstream bad", func(w *world, r *rand.Rand) (func(), error) { return proxyFault(pickUpstream(w, r, "").proxy, r) }},
+	{"link to the store bad", func(w *world, r *rand.Rand) (func(), error) {
+		return proxyFault(w.boxes[r.IntN(len(w.boxes))].store, r)
+	}},
+	{"store bad", storeFault},
+}
+
+// killBox kills a box and starts it again.
+func killBox(w *world, r *rand.Rand) (func(), error) {
+	b := w.boxes[r.IntN(len(w.boxes))]
+	b.mutex.Lock()
+	p := b.process
+	b.process = nil
+	b.mutex.Unlock()
+	if p == nil {
+		return nil, nil // another fault has it
+	}
+	_ = p.Signal(syscall.SIGCONT) // it may be paused
+	p.Kill()
+	return func() { w.restart(b) }, nil
+}
+
+// pauseBox stops a box's clock for a while.
+func pauseBox(w *world, r *rand.Rand) (func(), error) {
+	b := w.boxes[r.IntN(len(w.boxes))]
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	p := b.process
+	if p == nil {
+		return nil, nil
+	}
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return nil, err
+	}
+	return func() { _ = p.Signal(syscall.SIGCONT) }, nil // it may have been killed meanwhile
+}
+
+// stopBox asks a box to stop, which cuts off nothing, and starts it again.
+func stopBox(w *world, r *rand.Rand) (func(), error) {
+	b := w.boxes[r.IntN(len(w.boxes))]
+	b.mutex.Lock()
+	p := b.process
+	b.process = nil
+	b.mutex.Unlock()
+	if p == nil {
+		return nil, nil
+	}
+	_ = p.Signal(syscall.SIGCONT) // it may be paused
+	p.Stop()
+	return func() { w.restart(b) }, nil
+}
+
+// restart starts a box again.
+func (w *world) restart(b *soakBox) {
+	if err := w.startBox(b); err != nil {
+		fmt.Println("restart:", err)
+	}
+}
+
+// pickUpstream returns an upstream of a service, or of any.
+func pickUpstream(w *world, r *rand.Rand, service string) *soakUpstream {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var names []string
+	for _, h := range []string{"a", "b"} {
+		for n := range 1000 {
+			for _, kind := range []string{"i", "s"} {
+				name := fmt.Sprintf("%s-%s%d", kind, h, n)
+				if u := w.upstreams[name]; u != nil && (service == "" || u.service == service) {
+					names = append(names, name)
+				}
+			}
+		}
+	}
+	return w.upstreams[names[r.IntN(len(names))]]
+}
+
+// proxyFault delays, silences, halves or resets a proxy's connections.
+func proxyFault(p *proxy, r *rand.Rand) (func(), error) {
+	m := []proxyMode{modeDelay, modeOneWay, modeSilent, modePass}[r.IntN(4)]
+	if m == modePass {
+		p.reset()
+		return nil, nil
+	}
+	p.set(m)
+	return func() {
+		p.set(modePass)
+		p.reset() // what a cut has held back does not come later
+	}, nil
+}
+
+// replaceUpstream ends an engine, after a notice where there is one, and starts
+// another one in its hall.
+func replaceUpstream(w *world, r *rand.Rand, notice time.Duration) (func(), error) {
+	if len(w.all()) <= enginesCount+servicesEach-2 {
+		return nil, nil // enough are gone
+	}
+	u := pickUpstream(w, r, serviceLLM)
+	if notice > 0 {
+		w.list(u, "draining")
+		time.Sleep(notice)
+	}
+	w.loseUpstream(u)
+	w.mutex.Lock()
+	w.version++
+	name := fmt.Sprintf("i-%c%d", u.name[2], 100+w.version)
+	w.mutex.Unlock()
+	return func() {
+		if err := w.startUpstream(name, serviceLLM); err != nil {
+			fmt.Println("replace:", err)
+		}
+	}, nil
+}
+
+// spoilAnswers makes an upstream misbehave.
+func spoilAnswers(w *world, r *rand.Rand) (func(), error) {
+	u := pickUpstream(w, r, "")
+	u.engine.SetFaults([]routed.Faults{
+		{BreakAfter: 20}, {Gap: true}, {OtherEcho: true}, {Refuse: 503}, {Status: 500}, {Unsigned: true}, {Refuse: 429}, {FailCopies: 503}, {LoseCopies: true},
+	}[r.IntN(9)])
+	return func() { u.engine.SetFaults(routed.Faults{}) }, nil
+}
+
+// storeFault makes the store refuse, answer late, lose answers or forget its history.
+func storeFault(w *world, r *rand.Rand) (func(), error) {
+	switch r.IntN(4) {
+	case 0:
+		w.platform.SetFaults(fakeplatform.Faults{Down: true})
+	case 1:
+		w.platform.SetFaults(fakeplatform.Faults{DelayMilliseconds: 400})
+	case 2:
+		w.platform.SetFaults(fakeplatform.Faults{LateMilliseconds: 1500, LoseAnswers: 3})
+	default:
+		w.platform.ForgetHistory()
+	}
+	return func() { w.platform.SetFaults(fakeplatform.Faults{}) }, nil
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyMode tells what a proxy does with the bytes of its connections.
+type proxyMode string
+
+// The modes of a proxy.
+const (
+	modeDelay  proxyMode = "delay"   // bytes come late
+	modeOneWay proxyMode = "one-way" // nothing comes back
+	modePass   proxyMode = "pass"
+	modeSilent proxyMode = "silent" // nothing passes, and nobody is told
+)
+
+// proxy passes the connections of one address on to another one, on loopback, under
+// faults that are switched on and off.
+type proxy struct {
+	closed      chan struct{}
+	connections map[net.Conn]bool
+	listener    net.Listener
+	mode        proxyMode
+	mutex       sync.Mutex // guards connections, mode and target
+	target      string
+	workers     sync.WaitGroup
+}
+
+const (
+	proxyDelay = 150 * time.Millisecond // well beyond any answer's time on loopback
+	proxyLook  = 20 * time.Millisecond  // between looks whether a silent proxy passes again
+)
+
+// newProxy returns a proxy to target.
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{closed: make(chan struct{}), connections: make(map[net.Conn]bool), listener: l, mode: modePass, target: target}
+	p.workers.Go(p.accept)
+	return p, nil
+}
+
+// address returns where the proxy listens.
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// close ends the proxy and all its connections, and waits.
+func (p *proxy) close() {
+	close(p.closed)
+	_ = p.listener.Close()
+	p.reset()
+	p.workers.Wait()
+}
+
+// reset resets every connection.
+func (p *proxy) reset() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.connections {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	clear(p.connections)
+}
+
+// set switches to a mode.
+func (p *proxy) set(m proxyMode) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.mode = m
+}
+
+// setTarget makes new connections go to another address.
+func (p *proxy) setTarget(a string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = a
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.workers.Go(func() { p.serve(c) })
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	p.mutex.Lock()
+	target := p.target
+	p.mutex.Unlock()
+	d, err := net.DialTimeout("tcp", target, time.Second)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mutex.Lock()
+	p.connections[c], p.connections[d] = true, true
+	p.mutex.Unlock()
+	var g sync.WaitGroup
+	g.Go(func() { p.pass(d, c, modeSilent) })
+	g.Go(func() { p.pass(c, d, modeSilent, modeOneWay) })
+	g.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.connections, c)
+	delete(p.connections, d)
+}
+
+// pass copies from one connection to the other; it holds bytes back while the proxy
+// is in one of the modes.
+func (p *proxy) pass(to, from net.Conn, held ...proxyMode) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 && p.wait(held) {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// wait waits until bytes may pass, and reports whether the proxy still stands.
+func (p *proxy) wait(held []proxyMode) bool {
+	for {
+		p.mutex.Lock()
+		m := p.mode
+		p.mutex.Unlock()
+		wait := time.Duration(0)
+		if m == modeDelay {
+			wait = proxyDelay
+		}
+		for _, h := range held {
+			if m == h {
+				wait = proxyLook
+			}
+		}
+		select {
+		case <-p.closed:
+			return false
+		case <-time.After(wait):
+		}
+		if wait != proxyLook {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,140 @@
+// Package soak runs real boxes as processes against stand-ins, injects faults from
+// outside them, and checks the promises from what callers and upstreams see.
+//
+// The order of faults and requests follows from a seed; when a process gets its turn
+// does not, so that a seed is a case to run again and not a recording.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	callersCount = 12
+	exitBroken   = 1
+	exitUsage    = 2
+	faultEvery   = 700 * time.Millisecond // at the mean, so that faults overlap
+	faultLong    = 2500 * time.Millisecond
+	quietPeriod  = 3 * time.Second  // for the boxes to find each other again
+	servePeriod  = 20 * time.Second // after which every box must serve again
+)
+
+// quietLog swallows what stand-ins' servers say of connections that faults broke.
+var quietLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
+
+// Main runs a soak and returns an exit code.
+func Main(arguments []string, output io.Writer) int {
+	f := flag.NewFlagSet("soak", flag.ContinueOnError)
+	f.SetOutput(output)
+	programs := f.String("programs", "bin", "`folder` of the built programs")
+	seed := f.Uint64("seed", 0, "`number` by which faults are drawn; 0 draws one")
+	span := f.Duration("for", 20*time.Second, "how long faults strike")
+	if f.Parse(arguments[1:]) != nil {
+		return exitUsage
+	}
+	log.SetOutput(io.Discard) // of the standard library's servers
+	if *seed == 0 {
+		*seed = rand.Uint64N(1 << 32)
+	}
+	broken, err := run(*programs, *seed, *span, output)
+	if err != nil {
+		_, _ = fmt.Fprintln(output, "soak:", err)
+		return exitBroken
+	}
+	for _, b := range broken {
+		_, _ = fmt.Fprintln(output, "BROKEN", b)
+	}
+	if len(broken) > 0 {
+		_, _ = fmt.Fprintf(output, "soak: seed %d broke %d promises\n", *seed, len(broken))
+		return exitBroken
+	}
+	return 0
+}
+
+// run runs one soak and returns the promises that were broken.
+func run(programs string, seed uint64, span time.Duration, output io.Writer) (broken []string, err error) {
+	w, err := newWorld(programs)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { w.close(len(broken) > 0) }()
+	c := newCallers(w)
+	if !c.allServe() {
+		return nil, fmt.Errorf("the boxes did not serve before any fault: %v", c.counts)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	var g sync.WaitGroup
+	for i := range callersCount {
+		g.Go(func() { c.run(ctx, i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
+	}
+	struck := w.strikeAll(ctx, rand.New(rand.NewPCG(seed, 0)))
+	g.Wait()
+	time.Sleep(quietPeriod)
+	if !c.allServe() {
+		c.fail("not every box serves %s after the last fault", servePeriod)
+	}
+	c.settle()
+	_, _ = fmt.Fprintf(output, "soak: seed %d: %d requests that may run once, answers by status %v, faults %v\n", seed, len(c.unsafely), c.counts, struck)
+	if len(c.broken) > 0 {
+		_, _ = fmt.Fprintln(output, "soak: logs of the boxes:", w.logs.path)
+	}
+	return c.broken, nil
+}
+
+// allServe waits until every box serves a plan and a call.
+func (c *callers) allServe() bool {
+	until := time.Now().Add(servePeriod)
+	for i, b := range c.world.boxes {
+		for try := 0; ; try++ {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			id := fmt.Sprintf("serve-%d-%d-%d", i, try, time.Now().UnixNano())
+			ok := c.call(ctx, b, &sent{id: id + "p", path: "/plan/x", method: "POST", tokens: 40}) &&
+				c.call(ctx, b, &sent{id: id + "c", path: "/often/x", method: "GET"})
+			cancel()
+			if ok {
+				break
+			}
+			if time.Now().After(until) {
+				return false
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return true
+}
+
+// strikeAll lets faults strike until the context ends, in series and overlapping, and
+// ends them all. It returns how often each kind struck.
+func (w *world) strikeAll(ctx context.Context, r *rand.Rand) map[string]int {
+	struck := make(map[string]int)
+	var g sync.WaitGroup
+	for ctx.Err() == nil {
+		x := faults[r.IntN(len(faults))]
+		long := time.Duration(r.Int64N(int64(faultLong)))
+		struck[x.name]++
+		own := rand.New(rand.NewPCG(r.Uint64(), 0))
+		g.Go(func() {
+			end, err := x.strike(w, own)
+			if err != nil || end == nil {
+				return
+			}
+			time.Sleep(long)
+			end()
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(r.Int64N(int64(2 * faultEvery)))):
+		}
+	}
+	g.Wait()
+	return struck
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,302 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/process"
+)
+
+// world is what a soak runs: boxes as processes, each behind a proxy of its own and
+// with one to the store; engines and services of this process, behind proxies.
+type world struct {
+	boxes     []*soakBox
+	directory string
+	logs      *logFile
+	mutex     sync.Mutex // guards upstreams, dead and version
+	dead      []*soakUpstream
+	platform  *fakeplatform.Platform
+	programs  string
+	store     *httptest.Server
+	upstreams map[string]*soakUpstream
+	version   int
+	workers   sync.WaitGroup
+}
+
+// soakBox is one box.
+type soakBox struct {
+	entry    *proxy // between callers and the box
+	mutex    sync.Mutex
+	name     string
+	process  *process.Process
+	settings string
+	store    *proxy // between the box and the store
+}
+
+// soakUpstream is one engine or service.
+type soakUpstream struct {
+	engine  *routed.Engine
+	name    string
+	proxy   *proxy
+	server  *httptest.Server
+	service string
+}
+
+const (
+	boxesCount   = 4
+	enginesCount = 4
+	serviceDesk  = "desk"
+	serviceLLM   = "llm"
+	soakHost     = "soak.example"
+	soakKey      = "soak-key"
+	servicesEach = 2
+)
+
+// newWorld starts everything, in two data halls.
+func newWorld(programs string) (*world, error) {
+	d, err := os.MkdirTemp("", "linetiller-soak-")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
+	w.store = httptest.NewServer(w.platform)
+	w.configure()
+	for i := range enginesCount {
+		if err := w.startUpstream(fmt.Sprintf("i-%c%d", 'a'+i%2, i), serviceLLM); err != nil {
+			return nil, err
+		}
+	}
+	for i := range servicesEach {
+		if err := w.startUpstream(fmt.Sprintf("s-%c%d", 'a'+i%2, i), serviceDesk); err != nil {
+			return nil, err
+		}
+	}
+	for i := range boxesCount {
+		if err := w.addBox(i); err != nil {
+			w.close(false)
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// addBox makes a box with its proxies and starts it.
+func (w *world) addBox(i int) error {
+	b := &soakBox{name: fmt.Sprintf("box-%c%d", 'a'+i%2, i)}
+	w.boxes = append(w.boxes, b)
+	addresses, err := freeAddresses(6)
+	if err != nil {
+		return err
+	}
+	if b.store, err = newProxy(w.store.Listener.Addr().String()); err != nil {
+		return err
+	}
+	if b.entry, err = newProxy(addresses[3]); err != nil {
+		return err
+	}
+	b.settings = filepath.Join(w.directory, b.name+".toml")
+	s := fmt.Sprintf(`box = %q
+hall = "%c"
+links = "plain"
+box_address = %q
+client_address = %q
+operator_address = %q
+platform = "http://%s"
+[entry]
+address = %q
+readiness = %q
+metrics = %q
+[timeouts]
+platform = "1s"
+drain = "500ms"
+leave = "3s"
+`, b.name, 'a'+i%2, addresses[0], addresses[1], addresses[2], b.store.address(), addresses[3], addresses[4], addresses[5])
+	if err := os.WriteFile(b.settings, []byte(s), 0o600); err != nil {
+		return err
+	}
+	if err := w.startBox(b); err != nil {
+		return fmt.Errorf("%w; another program may have taken one of %v", err, addresses)
+	}
+	return nil
+}
+
+// close ends everything that was started; the logs stay where keep is set.
+func (w *world) close(keep bool) {
+	for _, b := range w.boxes {
+		b.mutex.Lock()
+		if b.process != nil {
+			_ = b.process.Signal(syscall.SIGCONT) // it may be paused, or have ended
+			b.process.Kill()
+		}
+		b.mutex.Unlock()
+		b.entry.close()
+		b.store.close()
+	}
+	for _, u := range append(w.all(), w.dead...) {
+		u.engine.Die()
+		u.proxy.close()
+		u.server.CloseClientConnections()
+		u.server.Close()
+	}
+	w.store.CloseClientConnections()
+	w.store.Close()
+	w.workers.Wait()
+	w.logs.close()
+	if !keep {
+		_ = os.RemoveAll(w.directory)
+	}
+}
+
+// all returns the upstreams that stand.
+func (w *world) all() []*soakUpstream {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var l []*soakUpstream
+	for _, u := range w.upstreams {
+		l = append(l, u)
+	}
+	return l
+}
+
+// configure writes a new version of the configuration.
+func (w *world) configure() {
+	w.mutex.Lock()
+	w.version++
+	v := w.version
+	w.mutex.Unlock()
+	route := `{"name":%q,"host":"` + soakHost + `","path_prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":1800,"priority":0,"service":%q,"max_attempts":%d}`
+	w.platform.Put("op/config", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[`+
+		fmt.Sprintf(route, "plan", "plan", "streaming", 20_000, serviceLLM, 1)+","+
+		fmt.Sprintf(route, "once", "once", "unsafe", 2000, serviceDesk, 1)+","+
+		fmt.Sprintf(route, "often", "often", "safe", 2000, serviceDesk, 2)+","+
+		fmt.Sprintf(route, "extra", fmt.Sprintf("extra%d", v), "safe", 2000, serviceDesk, 2)+
+		`],"services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]}},{"name":"desk"}],
+"tenants":[{"name":"w","api_keys":[%q]}]}`, v, soakKey)))
+}
+
+// list writes an upstream's entry.
+func (w *world) list(u *soakUpstream, state string) {
+	w.platform.Put("servers/"+u.name, json.RawMessage(fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"%c","state":%q,"models":[{"name":"m"}]}`, u.service, u.proxy.address(), u.name[2], state)))
+}
+
+// loseUpstream ends an upstream, whose entry goes later.
+func (w *world) loseUpstream(u *soakUpstream) {
+	w.mutex.Lock()
+	lost := w.upstreams[u.name] != u
+	if !lost {
+		delete(w.upstreams, u.name)
+		w.dead = append(w.dead, u)
+	}
+	w.mutex.Unlock()
+	if lost {
+		return // another fault was first
+	}
+	u.engine.Die()
+	u.server.CloseClientConnections()
+	u.proxy.reset()
+	w.platform.Remove("servers/" + u.name)
+}
+
+// peer returns the engine at an address.
+func (w *world) peer(address string) *routed.Engine {
+	for _, u := range w.all() {
+		if u.proxy.address() == address {
+			return u.engine
+		}
+	}
+	return nil
+}
+
+func (w *world) startBox(b *soakBox) error {
+	p, _, err := process.StartBox(filepath.Join(w.programs, "linetiller"), b.settings, b.name, w.logs)
+	if err != nil {
+		return err
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.process = p
+	return nil
+}
+
+func (w *world) startUpstream(name, service string) error {
+	s := routed.DefaultSettings()
+	s.EventEvery, s.CopyToken = 10*time.Millisecond, 20*time.Microsecond
+	u := &soakUpstream{engine: routed.New(name, s), name: name, service: service}
+	u.engine.Peer = w.peer
+	u.server = httptest.NewUnstartedServer(u.engine)
+	u.server.Config.ErrorLog = quietLog
+	u.server.Start()
+	var err error
+	if u.proxy, err = newProxy(u.server.Listener.Addr().String()); err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	w.upstreams[name] = u
+	w.mutex.Unlock()
+	w.list(u, "ready")
+	return nil
+}
+
+// freeAddresses returns addresses on loopback that nobody listens at.
+func freeAddresses(n int) ([]string, error) {
+	var l []string
+	for range n {
+		x, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = x.Close() }()
+		l = append(l, x.Addr().String())
+	}
+	return l, nil
+}
+
+// logFile takes the lines of all boxes. It is safe for concurrent use.
+type logFile struct {
+	file  *os.File
+	mutex sync.Mutex
+	path  string
+}
+
+func newLogFile(path string) *logFile {
+	f, err := os.Create(path)
+	if err != nil {
+		return &logFile{path: path} // without logs, a soak still tells what broke
+	}
+	return &logFile{file: f, path: path}
+}
+
+// Write takes in a part of a box's log.
+func (l *logFile) Write(b []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.file == nil {
+		return len(b), nil
+	}
+	return l.file.Write(b)
+}
+
+func (l *logFile) close() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.file != nil {
+		_ = l.file.Close()
+		l.file = nil
+	}
+}
+
+// transport makes calls of callers: a connection for each, as many callers do.
+func transport() *http.Transport {
+	return &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+}
