--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure slopes test tidy format
+.PHONY: all build demo lint measure slopes soak test tidy format
 
 all: build
 
@@ -29,6 +29,12 @@
 measure:
 	go run ./cmd/measure
 
+SEED ?= 0
+FOR ?= 20s
+
+soak: build
+	bin/soak -programs bin -seed $(SEED) -for $(FOR)
+
 slopes:
 	go run ./cmd/slopes
 
