Judge the end of a run that is being moved by the answer to the stop

Ruled out: a spoilt stream; the copy's answer says that there was no such run.

Before: TestRunEndsWhileItIsMoved fails without the fix; the stand-in makes one event at least when a run is taken up, as was seen. After: it passes.

--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -27,16 +27,17 @@
 
 // Faults are the switches of the stand-in.
 type Faults struct {
-	BreakAfter int    // streams break off in the middle of an event after that many
-	FailCopies int    // status of the next copies, 0 for none
-	Gap        bool   // streams leave out their third event
-	OtherEcho  bool   // answers name another request
-	Refuse     int    // status of answers that say that nothing ran, 0 for none
-	Silent     bool   // nothing is answered
-	Status     int    // of answers in place of 200, 0 for none
-	Unsigned   bool   // answers lack the engine's mark
-	LoseCopies bool   // copies are made and their answers lost
-	Body       string // of answers that are no streams
+	BreakAfter int           // streams break off in the middle of an event after that many
+	FailCopies int           // status of the next copies, 0 for none
+	LateStops  time.Duration // after which an order to stop a run is looked at
+	Gap        bool          // streams leave out their third event
+	OtherEcho  bool          // answers name another request
+	Refuse     int           // status of answers that say that nothing ran, 0 for none
+	Silent     bool          // nothing is answered
+	Status     int           // of answers in place of 200, 0 for none
+	Unsigned   bool          // answers lack the engine's mark
+	LoseCopies bool          // copies are made and their answers lost
+	Body       string        // of answers that are no streams
 }
 
 // Engine is the stand-in. It is an http.Handler.
@@ -225,6 +226,9 @@
 		To   string `json:"target_version"`
 	}
 	_ = json.NewDecoder(r.Body).Decode(&o)
+	if o.Last {
+		time.Sleep(f.LateStops)
+	}
 	e.mutex.Lock()
 	x := e.runs[o.ID]
 	e.mutex.Unlock()
@@ -355,6 +359,9 @@
 	if r.Header.Get("Kv-From") == "" {
 		time.Sleep(time.Duration(x.memory.tokens) * e.settings.PrefillToken)
 	}
+	if x.memory.events >= events {
+		x.memory.events = events - 1 // a run that is taken up makes one event at least
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for n := x.memory.events + 1; n <= events; n++ {
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -62,6 +62,15 @@
 	return m.stopped
 }
 
+// wait waits for the move's end, but not for long: callers leave after a pause.
+func (m *move) wait(ctx context.Context) {
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	case <-time.After(moveWaitPeriod):
+	}
+}
+
 // moveAway starts the moves of all generations whose engines are leaving.
 func (x *Relay) moveAway() {
 	now := time.Now()
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -150,3 +150,24 @@
 		})
 	}
 }
+
+// TestRunEndsWhileItIsMoved gives notice at every moment of a run's last second: where
+// it ends by itself between the copy and the stop, its stream is whole, and is not
+// taken up again from the copy.
+func TestRunEndsWhileItIsMoved(t *testing.T) {
+	const events = 150
+	for at := events - 30; at < events; at++ {
+		withRig(t, 2, 0, func(t *testing.T, r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{LateStops: 40 * time.Millisecond})
+			s, err := r.read(plan(t.Context(), "id", 4*events), func(n int) {
+				if n == at {
+					r.list("u1", "llm", true)
+				}
+			})
+			if err != nil || !s.whole || s.events != events {
+				t.Errorf("notice at event %d: got %+v %v, want %d events and an end", at, s, err, events)
+			}
+			time.Sleep(time.Second) // until the last order is answered
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,7 +111,7 @@
 	x := sse.NewSplitter(a.Body)
 	for {
 		b, id, err := x.Next()
-		if errors.Is(err, io.EOF) && s.endsWhole() {
+		if errors.Is(err, io.EOF) && s.endsWhole(ctx) {
 			return nil
 		}
 		if err != nil {
@@ -127,12 +127,16 @@
 	}
 }
 
-// endsWhole reports whether a stream that ends now has reached its own end: it
-// was not stopped for a move.
-func (s *session) endsWhole() bool {
+// endsWhole reports whether a stream that ends now has reached its own end: it was
+// not stopped for a move. An order to stop may come too late, which its answer tells.
+func (s *session) endsWhole(ctx context.Context) bool {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.events > 0 && (s.move == nil || !s.move.stopping())
+	m, events := s.move, s.events
+	s.mutex.Unlock()
+	if m != nil && m.stopping() {
+		m.wait(ctx)
+	}
+	return events > 0 && (m == nil || !m.stopping())
 }
 
 // follows returns an error where an event is not the one that is next.
@@ -181,11 +185,7 @@
 	if m == nil {
 		return nil, lost
 	}
-	select {
-	case <-m.done:
-	case <-ctx.Done():
-	case <-time.After(moveWaitPeriod):
-	}
+	m.wait(ctx)
 	if !m.copied() {
 		return nil, lost
 	}
