Give each resource type a file of its own, and the view one signal

What read badly: view.go held bearer keys and leaps besides the view, index.go and route.go the decoded types and specs of boxes, services, engines and upstreams; a change of the view was told in two places; View's fields stood in no order.

Change: declarations are moved unchanged to files named for them; View.signal tells of a change, for Take and NoteLeaving; NoteLeaving stands with View; fields are in order.

Behaviour is unchanged. Run: go vet ./..., go test ./internal/... ./platform, all passed.

--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -8,45 +8,6 @@
 	"time"
 )
 
-// Box is a box with its decoded spec.
-type Box struct {
-	Name string
-	Spec BoxSpec
-}
-
-// Route is a route with its decoded spec.
-type Route struct {
-	Name     string
-	Priority int // the value of its Priority; higher goes first
-	Spec     RouteSpec
-}
-
-// Service is a service with its decoded spec.
-type Service struct {
-	Name string
-	Spec ServiceSpec
-}
-
-// Upstream is an upstream with its decoded spec, completed from its service.
-type Upstream struct {
-	LapsedAt time.Time // when this box learned that its entry had gone; zero where it stands
-	Name     string
-	Service  *Service // nil where its service is not declared
-	Spec     UpstreamSpec
-}
-
-// Workspace is a workspace with its decoded spec.
-type Workspace struct {
-	Name     string
-	Priority int  // the value of its Priority
-	Ranked   bool // it has a Priority
-	Spec     WorkspaceSpec
-}
-
-// LapsePeriod is how long an upstream whose entry went while the store was away
-// is still used: entries of those that live are back within about two seconds.
-const LapsePeriod = 1800 * time.Millisecond
-
 const maxModelsCached = 1024 // callers name models; unknown names must not fill the memory
 
 // index holds decoded copies of resources, so that a request decodes nothing.
@@ -75,28 +36,6 @@
 	}
 }
 
-// HostPort returns the IP:port of the upstream.
-func (u *Upstream) HostPort() string {
-	_, a, _ := strings.Cut(u.Spec.Address, "://")
-	return a
-}
-
-// Engine returns the description of the upstream's engines, or nil.
-func (u *Upstream) Engine() *EngineSpec {
-	if u.Service == nil {
-		return nil
-	}
-	return u.Service.Spec.Engine
-}
-
-// Takes reports whether the upstream may be given new work.
-func (u *Upstream) Takes(now time.Time) bool {
-	if u.Spec.Leaving {
-		return false
-	}
-	return u.LapsedAt.IsZero() || now.Sub(u.LapsedAt) < LapsePeriod
-}
-
 // Boxes returns the boxes that wrote where they are, by name.
 func (v *View) Boxes() []*Box {
 	v.mutex.RLock()
@@ -142,26 +81,6 @@
 	return v.index.joined[name]
 }
 
-// NoteLeaving takes in that an upstream itself told that it is leaving, until a
-// newer word of it comes from its source. It reports whether that is news.
-func (v *View) NoteLeaving(name string) bool {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	u := v.index.upstreams[name]
-	if u == nil || u.Spec.Leaving {
-		return false
-	}
-	c := *u
-	c.Spec.Leaving = true
-	v.index.upstreams[name] = &c
-	v.index.outdated = true
-	v.index.rebuild()
-	v.version++
-	close(v.changed)
-	v.changed = make(chan struct{})
-	return true
-}
-
 // Upstreams returns the upstreams for which keep says so, by name.
 func (v *View) Upstreams(keep func(*Upstream) bool) []*Upstream {
 	v.mutex.RLock()
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -90,61 +90,7 @@
 	Weights string `json:"weights"` // the weight store's name of the object
 }
 
-// WorkspaceSpec declares a workspace.
-type WorkspaceSpec struct {
-	// KeyHashes are hex SHA-256 hashes of the bearer keys that open it.
-	KeyHashes []string `json:"keyHashes"`
-	// MaxQueued bounds the requests of it that wait at one box.
-	MaxQueued int `json:"maxQueued,omitempty"`
-	// Priority names the Priority used where a request names none.
-	Priority string `json:"priority,omitempty"`
-	// Weight is its share of a crowded upstream relative to the others.
-	Weight float64 `json:"weight,omitempty"`
-}
-
 // PrioritySpec declares a priority; higher values go first.
 type PrioritySpec struct {
 	Value int `json:"value"`
 }
-
-// UpstreamType tells a model engine from a plain service.
-type UpstreamType string
-
-// The types of upstreams.
-const (
-	UpstreamEngine  UpstreamType = "engine"
-	UpstreamService UpstreamType = "service"
-)
-
-// UpstreamSpec declares an engine or a plain service.
-type UpstreamSpec struct {
-	Address     string       `json:"address"`               // http://IP:port
-	ChecksFence bool         `json:"checksFence,omitempty"` // it refuses orders with an old fence
-	Hall        string       `json:"hall"`                  // the data hall it stands in
-	KVTokens    int          `json:"kvTokens,omitempty"`    // engine: memory for prompts and outputs, in tokens
-	Lapsed      bool         `json:"lapsed,omitempty"`      // its entry went while the platform's store was away; it may be back
-	Leaving     bool         `json:"leaving,omitempty"`     // it gets no new work
-	MaxBatch    int          `json:"maxBatch,omitempty"`    // engine: generations at once within the inter-token target
-	Models      []string     `json:"models,omitempty"`      // engine: the models it runs
-	Repeatable  []string     `json:"repeatable,omitempty"`  // service: methods that may be repeated
-	Service     string       `json:"service,omitempty"`     // service: the name in /services/NAME/
-	Type        UpstreamType `json:"type"`
-}
-
-// Lapsed returns a copy of an upstream's resource whose entry has gone while the
-// platform's store was away.
-func Lapsed(r *Resource, revision int64) (*Resource, error) {
-	s, err := Decode[UpstreamSpec](r)
-	if err != nil {
-		return nil, err
-	}
-	s.Lapsed = true
-	b, err := json.Marshal(s)
-	if err != nil {
-		return nil, err
-	}
-	c := *r
-	c.Metadata.ResourceVersion = strconv.FormatInt(revision, 10)
-	c.Spec = b
-	return &c, nil
-}
--- a/internal/resource/route.go
+++ b/internal/resource/route.go
@@ -1,7 +1,5 @@
 package resource
 
-import "time"
-
 // Repeat tells what may be done again with a request of a route.
 type Repeat string
 
@@ -44,46 +42,9 @@
 	Weight int    `json:"weight"`
 }
 
-// ServiceSpec declares a service: upstreams that are alike.
-type ServiceSpec struct {
-	// Engine describes its upstreams where they are model engines.
-	Engine *EngineSpec `json:"engine,omitempty"`
-	// HealthPath is where an upstream tells whether it is well.
-	HealthPath string `json:"healthPath,omitempty"`
-	// MaxConnections is how many connections an upstream takes from all boxes.
-	MaxConnections int `json:"maxConnections,omitempty"`
-}
-
-// EngineSpec describes the model engines of a service.
-type EngineSpec struct {
-	KVTokens      int      `json:"kvTokens"`                // memory for prompts and outputs, in tokens
-	LinkMbps      float64  `json:"linkMbps,omitempty"`      // of the link over which memory is copied
-	MaxBatch      int      `json:"maxBatch"`                // generations at once
-	Migrates      bool     `json:"migrates,omitempty"`      // running generations can be moved to another engine
-	Models        []string `json:"models,omitempty"`        // that its engines run
-	Standby       bool     `json:"standby,omitempty"`       // an engine can send a running generation's memory to another one
-	TokenBytes    float64  `json:"tokenBytes,omitempty"`    // of memory a token
-	TokensAnEvent int      `json:"tokensAnEvent,omitempty"` // of a stream
-}
-
-// BoxSpec tells where a box is. Each box writes its own.
-type BoxSpec struct {
-	Address string `json:"address"` // IP:port for other boxes
-	Hall    string `json:"hall"`
-}
-
-// Milliseconds is a length of time, written as a number of milliseconds.
-type Milliseconds int64
-
-// Duration returns m in the standard library's type.
-func (m Milliseconds) Duration() time.Duration {
-	return time.Duration(m) * time.Millisecond
-}
-
-// CopyTime returns how long the link takes to copy the memory of that many tokens.
-func (e *EngineSpec) CopyTime(tokens int) time.Duration {
-	if e.LinkMbps <= 0 {
-		return 0
-	}
-	return time.Duration(float64(tokens) * e.TokenBytes * 8 / e.LinkMbps * float64(time.Microsecond))
+// Route is a route with its decoded spec.
+type Route struct {
+	Name     string
+	Priority int // the value of its Priority; higher goes first
+	Spec     RouteSpec
 }
--- /dev/null
+++ b/internal/resource/service.go
@@ -0,0 +1,17 @@
+package resource
+
+// Service is a service with its decoded spec.
+type Service struct {
+	Name string
+	Spec ServiceSpec
+}
+
+// ServiceSpec declares a service: upstreams that are alike.
+type ServiceSpec struct {
+	// Engine describes its upstreams where they are model engines.
+	Engine *EngineSpec `json:"engine,omitempty"`
+	// HealthPath is where an upstream tells whether it is well.
+	HealthPath string `json:"healthPath,omitempty"`
+	// MaxConnections is how many connections an upstream takes from all boxes.
+	MaxConnections int `json:"maxConnections,omitempty"`
+}
--- /dev/null
+++ b/internal/resource/upstream.go
@@ -0,0 +1,84 @@
+package resource
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Upstream is an upstream with its decoded spec, completed from its service.
+type Upstream struct {
+	LapsedAt time.Time // when this box learned that its entry had gone; zero where it stands
+	Name     string
+	Service  *Service // nil where its service is not declared
+	Spec     UpstreamSpec
+}
+
+// UpstreamSpec declares an engine or a plain service.
+type UpstreamSpec struct {
+	Address     string       `json:"address"`               // http://IP:port
+	ChecksFence bool         `json:"checksFence,omitempty"` // it refuses orders with an old fence
+	Hall        string       `json:"hall"`                  // the data hall it stands in
+	KVTokens    int          `json:"kvTokens,omitempty"`    // engine: memory for prompts and outputs, in tokens
+	Lapsed      bool         `json:"lapsed,omitempty"`      // its entry went while the platform's store was away; it may be back
+	Leaving     bool         `json:"leaving,omitempty"`     // it gets no new work
+	MaxBatch    int          `json:"maxBatch,omitempty"`    // engine: generations at once within the inter-token target
+	Models      []string     `json:"models,omitempty"`      // engine: the models it runs
+	Repeatable  []string     `json:"repeatable,omitempty"`  // service: methods that may be repeated
+	Service     string       `json:"service,omitempty"`     // service: the name in /services/NAME/
+	Type        UpstreamType `json:"type"`
+}
+
+// UpstreamType tells a model engine from a plain service.
+type UpstreamType string
+
+// The types of upstreams.
+const (
+	UpstreamEngine  UpstreamType = "engine"
+	UpstreamService UpstreamType = "service"
+)
+
+// LapsePeriod is how long an upstream whose entry went while the store was away
+// is still used: entries of those that live are back within about two seconds.
+const LapsePeriod = 1800 * time.Millisecond
+
+// Lapsed returns a copy of an upstream's resource whose entry has gone while the
+// platform's store was away.
+func Lapsed(r *Resource, revision int64) (*Resource, error) {
+	s, err := Decode[UpstreamSpec](r)
+	if err != nil {
+		return nil, err
+	}
+	s.Lapsed = true
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	c := *r
+	c.Metadata.ResourceVersion = strconv.FormatInt(revision, 10)
+	c.Spec = b
+	return &c, nil
+}
+
+// Engine returns the description of the upstream's engines, or nil.
+func (u *Upstream) Engine() *EngineSpec {
+	if u.Service == nil {
+		return nil
+	}
+	return u.Service.Spec.Engine
+}
+
+// HostPort returns the IP:port of the upstream.
+func (u *Upstream) HostPort() string {
+	_, a, _ := strings.Cut(u.Spec.Address, "://")
+	return a
+}
+
+// Takes reports whether the upstream may be given new work.
+func (u *Upstream) Takes(now time.Time) bool {
+	if u.Spec.Leaving {
+		return false
+	}
+	return u.LapsedAt.IsZero() || now.Sub(u.LapsedAt) < LapsePeriod
+}
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"maps"
 	"slices"
 	"strings"
@@ -13,13 +10,6 @@
 	"time"
 )
 
-// Change is one write or removal of a resource at a revision of its source.
-type Change struct {
-	Deleted  bool      `json:"deleted,omitempty"`
-	Resource *Resource `json:"resource"`
-	Revision int64     `json:"revision"`
-}
-
 // entry is the newest change of a resource.
 type entry struct {
 	Change
@@ -32,26 +22,18 @@
 // get values that are never changed afterwards. View's lock is the innermost of
 // a box: no other lock is taken while it is held.
 type View struct {
-	mutex     sync.RWMutex
-	changed   chan struct{}
+	mutex     sync.RWMutex  // guards the fields below
+	changed   chan struct{} // closed at the next change
+	floors    Revisions     // of each source: older changes are accounted for
+	index     index
+	leaps     map[Source][]leap
 	marks     []string // keys of removed resources, oldest first
 	now       func() time.Time
 	resources map[string]entry // by kind and name; removals stay as marks
 	revisions Revisions
 	version   uint64
-	floors    Revisions // of each source: older changes are accounted for
-	leaps     map[Source][]leap
-
-	index index
 }
 
-// leap is a step from one revision of a source to another between which something
-// may have come and gone that the view never knew.
-type leap struct{ from, to int64 }
-
-// maxLeaps bounds the leaps that are remembered; the oldest are taken together.
-const maxLeaps = 32
-
 // maxMarks bounds the removals that are remembered. An older change of a
 // resource whose mark was dropped could bring it back; such a change would have
 // to be older than the last maxMarks removals.
@@ -60,9 +42,8 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		changed: make(chan struct{}), index: newIndex(), now: time.Now,
-		resources: make(map[string]entry), revisions: make(Revisions),
-		floors: make(Revisions), leaps: make(map[Source][]leap),
+		changed: make(chan struct{}), floors: make(Revisions), index: newIndex(), leaps: make(map[Source][]leap),
+		now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
 	}
 }
 
@@ -127,6 +108,23 @@
 	return l
 }
 
+// NoteLeaving takes in that an upstream itself told that it is leaving, until a
+// newer word of it comes from its source. It reports whether that is news.
+func (v *View) NoteLeaving(name string) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	u := v.index.upstreams[name]
+	if u == nil || u.Spec.Leaving {
+		return false
+	}
+	c := *u
+	c.Spec.Leaving = true
+	v.index.upstreams[name] = &c
+	v.index.outdated = true
+	v.signal()
+	return true
+}
+
 // Revision returns the revision in force of what operators declared.
 func (v *View) Revision() int64 {
 	v.mutex.RLock()
@@ -182,10 +180,7 @@
 	}
 	v.revisions[b.Source] = max(v.revisions[b.Source], r)
 	if moved {
-		v.version++
-		v.index.rebuild()
-		close(v.changed)
-		v.changed = make(chan struct{})
+		v.signal()
 	}
 	return moved
 }
@@ -197,12 +192,6 @@
 	return v.version
 }
 
-// HashKey returns the hex SHA-256 hash under which a bearer key is declared.
-func HashKey(bearer string) string {
-	h := sha256.Sum256([]byte(bearer))
-	return hex.EncodeToString(h[:])
-}
-
 // dropMarks forgets the oldest removals beyond maxMarks.
 func (v *View) dropMarks() {
 	for len(v.marks) > maxMarks {
@@ -213,30 +202,6 @@
 	}
 }
 
-// leap takes in that the view goes to revision r of a source in one step.
-func (v *View) leap(s Source, r int64) {
-	v.floors[s] = max(v.floors[s], r)
-	from := v.revisions[s]
-	if r <= from {
-		return
-	}
-	v.leaps[s] = append(v.leaps[s], leap{from, r})
-	if l := v.leaps[s]; len(l) > maxLeaps {
-		l[1].from = l[0].from
-		v.leaps[s] = l[1:]
-	}
-}
-
-// leapt reports whether a revision of a source lies inside a leap of the view.
-func (v *View) leapt(s Source, r int64) bool {
-	for _, l := range v.leaps[s] {
-		if l.from < r && r < l.to {
-			return true
-		}
-	}
-	return false
-}
-
 // live returns all resources of a source that stand.
 func (v *View) live(s Source) []Change {
 	var l []Change
@@ -275,19 +240,6 @@
 	return true
 }
 
-func (v *View) since(s Source, r int64) []Change {
-	var l []Change
-	for _, e := range v.resources {
-		if e.source == s && e.Revision > r {
-			l = append(l, e.Change)
-		}
-	}
-	slices.SortFunc(l, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Resource.Metadata.Name, b.Resource.Metadata.Name))
-	})
-	return l
-}
-
 // setAll takes in the changes of a batch. It returns whether any was news, and the
 // keys of the resources that the batch names.
 func (v *View) setAll(b *Batch, complete bool) (moved bool, named map[string]bool) {
@@ -310,17 +262,36 @@
 	return moved, named
 }
 
+// signal makes the indices those of the resources as they stand and tells of the
+// change; the lock is held.
+func (v *View) signal() {
+	v.index.rebuild()
+	v.version++
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// since returns the newest change of each resource of a source changed after r, in
+// order of revision.
+func (v *View) since(s Source, r int64) []Change {
+	var l []Change
+	for _, e := range v.resources {
+		if e.source == s && e.Revision > r {
+			l = append(l, e.Change)
+		}
+	}
+	slices.SortFunc(l, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Resource.Metadata.Name, b.Resource.Metadata.Name))
+	})
+	return l
+}
+
 // stands reports whether a resource stands as e says.
 func (v *View) stands(k string, e *entry) bool {
 	old, ok := v.resources[k]
 	return ok && !old.Deleted && !e.Deleted && old.source == e.source && bytes.Equal(old.Resource.Spec, e.Resource.Spec)
 }
 
-// sameKey compares in constant time, so that the time taken tells nothing of a key.
-func sameKey(a, b string) bool {
-	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
-}
-
 func key(k Kind, name string) string {
 	return string(k) + "/" + name
 }
