Part the relay by its steps, and name a generation's answer a stream

What read badly: move.go held both a move and how a generation makes it, stream.go held a type of another name with its resumption, exchange.go and send.go mixed admission, attempts, delivery and failures. An engine to move to was handed down by a pointer to a pointer. Tokens passed on were computed in two places, and the step of the last check was written twice. The comments on two locks said that no other lock is taken under them, which holds for one of them only.

Change: attempt.go, deliver.go and failure.go are parted from the exchange, resume.go from the stream, away.go from the move, upstreams.go and turns.go from the request. The type is called stream. arrive returns the engine. stream.made and stepCheck replace the doubled logic. Comments on locks, constants and fields say what holds; methods are in order.

Behaviour is unchanged. Run: go vet ./..., go test ./internal/... ./platform, all passed.

--- /dev/null
+++ b/internal/relay/away.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+const (
+	// arrivePeriod bounds the wait for the turn at an engine to move to: a copy takes
+	// about 190 ms, and another engine may be free.
+	arrivePeriod = 40 * time.Millisecond
+	// arriveTries bounds the engines whose turn is waited for.
+	arriveTries = 3
+	// copyPeriod bounds one copy: a notice lasts about two seconds.
+	copyPeriod = 3 * time.Second
+	// moveTries bounds the engines that a move is tried to.
+	moveTries = 4
+	// movePlacePeriod bounds the wait for a place at an engine to move to: notices
+	// are short, and an owner answers within milliseconds.
+	movePlacePeriod = 150 * time.Millisecond
+	// moveRetry is the wait before a move is tried again.
+	moveRetry = 20 * time.Millisecond
+)
+
+// moveAway starts the moves of all generations whose engines are leaving.
+func (x *Relay) moveAway() {
+	now := time.Now()
+	x.mutex.Lock()
+	l := make([]*stream, 0, len(x.streams))
+	for s := range x.streams {
+		l = append(l, s)
+	}
+	x.mutex.Unlock()
+	for _, s := range l {
+		u := s.at()
+		v := x.view.Upstream(u.Name)
+		if v != nil && v.Takes(now) {
+			continue
+		}
+		if g := u.Engine(); g == nil || !g.Migrates {
+			continue
+		}
+		s.startMove(v == nil)
+	}
+}
+
+// takes reports whether an upstream may be given work, as far as is known now.
+func (x *Relay) takes(u *resource.Upstream) bool {
+	v := x.view.Upstream(u.Name)
+	return v != nil && v.Takes(time.Now())
+}
+
+// arrive takes the turn at the engine to move to, or at another one where that is
+// taken for long, and returns the engine, or nil where none is left. Without a turn
+// the copy may wait behind another one, which is better than to wait here.
+func (s *stream) arrive(ctx context.Context, m *move, to *resource.Upstream, avoid map[string]bool, r *policy.Run) (at *resource.Upstream, release func()) {
+	x := s.exchange.relay
+	busy := maps.Clone(avoid)
+	for range arriveTries {
+		if to == nil {
+			break
+		}
+		turn, cancel := context.WithTimeout(ctx, arrivePeriod)
+		release, err := x.Turn(turn, to.Name, true, r)
+		cancel()
+		if err == nil {
+			return to, release
+		}
+		busy[to.Name] = true
+		m.drop(x)
+		if to = s.placeMove(ctx, m, busy); to == nil {
+			to = s.placeMove(ctx, m, avoid)
+		}
+	}
+	return to, func() {}
+}
+
+// copyTo copies the generation to one engine and stops it.
+func (s *stream) copyTo(ctx context.Context, m *move, to *resource.Upstream, avoid map[string]bool) error {
+	e := s.exchange
+	x := e.relay
+	if to == nil {
+		return fail.New(fail.Unavailable, fail.Place{Peer: "upstreams", Step: "choose"}, "no_room", "no engine is left to move to")
+	}
+	began := time.Now()
+	event.MoveStarted.Log(x.log, "request", e.request.ID, "from", m.from.Name, "to", to.Name, "events", s.eventsPassed())
+	ctx, cancel := context.WithTimeout(ctx, copyPeriod)
+	defer cancel()
+	c, err := x.Upstreams.Migrate(ctx, m.from, to, e.request.ID, false)
+	if err != nil {
+		avoid[to.Name] = !errorx.IsOfType(err, fail.Conflict)
+		m.drop(x)
+		return err
+	}
+	m.mutex.Lock()
+	m.copy, m.to, m.stopped = c, to, true
+	m.mutex.Unlock()
+	first := time.Since(began)
+	c, err = x.Upstreams.Migrate(ctx, m.from, to, e.request.ID, true)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if c != nil {
+		m.copy = c
+	}
+	event.MoveCopied.Log(x.log, "request", e.request.ID, "from", m.from.Name, "to", to.Name, "first_ms", first.Milliseconds(),
+		"rest_ms", (time.Since(began) - first).Milliseconds(), "made", m.copy.Made, "error", errorText(err))
+	if err != nil && errorx.IsOfType(err, fail.NotFound) {
+		m.stopped = false // it had ended by itself
+	}
+	return nil
+}
+
+// endMove gives back what a move that failed holds, so that another one may be tried.
+func (s *stream) endMove(m *move, err error) {
+	x := s.exchange.relay
+	if err == nil {
+		return
+	}
+	m.drop(x)
+	s.mutex.Lock()
+	if s.move == m {
+		s.move = nil
+	}
+	s.mutex.Unlock()
+	select {
+	case <-s.ended:
+		return
+	default:
+	}
+	x.metrics.Count(metric.Moves, "result", fail.Reason(err))
+	event.MoveFailed.Log(x.log, "request", s.exchange.request.ID, "from", m.from.Name, "reason", fail.Reason(err), "step", fail.Step(err), "error", err.Error())
+}
+
+// placeMove finds an engine to move to and reserves a place there. Where no owner
+// answers in time it guesses: the alternative is to lose the generation. It
+// returns nil where no engine is left.
+func (s *stream) placeMove(ctx context.Context, m *move, avoid map[string]bool) *resource.Upstream {
+	x := s.exchange.relay
+	w := s.exchange.work()
+	s.mutex.Lock()
+	made := s.made()
+	w.ID += moveSuffix(s.hops)
+	s.mutex.Unlock()
+	w.Hall = m.from.Spec.Hall
+	w.Hint = max(0, w.Hint-made)
+	w.MaxTokens = max(1, w.MaxTokens-made)
+	w.Prompt += made
+	place, cancel := context.WithTimeout(ctx, movePlacePeriod)
+	defer cancel()
+	var to *resource.Upstream
+	if p, err := x.Place(place, w, avoid); err == nil {
+		to = p.Upstream
+	} else if to = x.Guess(w, avoid); to == nil {
+		return nil
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.running = x.tracker.Start(w, to.Name)
+	m.to = to
+	return to
+}
+
+// runMove makes a move, up to the copy from which the stream goes on.
+func (s *stream) runMove(ctx context.Context, m *move) error {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	x := s.exchange.relay
+	s.mutex.Lock()
+	r := s.describe()
+	s.mutex.Unlock()
+	avoid := map[string]bool{m.from.Name: true}
+	to := s.placeMove(ctx, m, avoid) // while others have their turns
+	release, err := x.Turn(ctx, m.from.Name, false, r)
+	if err != nil {
+		return err
+	}
+	defer release()
+	for try := 1; ; try++ {
+		if to == nil || !x.takes(to) {
+			m.drop(x)
+			to = s.placeMove(ctx, m, avoid)
+		}
+		at, arrived := s.arrive(ctx, m, to, avoid, r)
+		err := s.copyTo(ctx, m, at, avoid)
+		arrived()
+		if err == nil || ctx.Err() != nil || try >= moveTries || errorx.IsOfType(err, fail.NotFound) {
+			return err
+		}
+		to = nil
+		select {
+		case <-ctx.Done():
+		case <-time.After(moveRetry):
+		}
+	}
+}
+
+// startMove starts a move, unless one is under way.
+func (s *stream) startMove(gone bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.move != nil {
+		return
+	}
+	m := &move{done: make(chan struct{}), from: s.upstream}
+	s.move = m
+	x := s.exchange.relay
+	event.UpstreamLeaving.Log(x.log, "request", s.exchange.request.ID, "upstream", m.from.Name, "entry_gone", gone, "events", s.events)
+	x.workers.Go(func() {
+		ctx, cancel := context.WithCancel(s.exchange.client)
+		defer cancel()
+		defer context.AfterFunc(x.ctx, cancel)()
+		go func() {
+			select {
+			case <-s.ended:
+				cancel()
+			case <-m.done:
+			}
+		}()
+		err := s.runMove(ctx, m)
+		close(m.done)
+		s.endMove(m, err)
+	})
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// moveSuffix makes the id of a generation that was moved differ from that of the
+// one before, so that their reservations can be told apart.
+func moveSuffix(hops int) string {
+	return "+" + string(rune('1'+hops%9))
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -13,7 +11,6 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -38,16 +35,11 @@
 	workspace *resource.Workspace
 }
 
-// wholeAnswer is an answer that was read to its end.
-type wholeAnswer struct {
-	Answer
-	body []byte
-}
-
 // triesMost bounds the upstreams that are tried while each says that it did not
 // run the request.
 const triesMost = 4
 
+// run carries the request to its answer, or returns why it has none.
 func (e *exchange) run() error {
 	if err := e.admit(); err != nil {
 		return err
@@ -93,90 +85,6 @@
 	return nil
 }
 
-// attempt sends the request to one upstream and passes its answer on. It reports
-// whether another upstream may be tried.
-func (e *exchange) attempt(ctx context.Context) (again bool, err error) {
-	if e.service.Spec.Engine != nil {
-		return e.attemptEngine(ctx)
-	}
-	now := time.Now()
-	l := e.relay.view.Upstreams(func(u *resource.Upstream) bool { return u.Spec.Service == e.service.Name && u.Takes(now) })
-	u := e.relay.health.choose(l, e.avoid, now)
-	if u == nil {
-		return false, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
-	}
-	defer e.relay.health.begin(u.Name)()
-	a, again, err := e.send(ctx, u, nil)
-	if err != nil {
-		return again, err
-	}
-	defer func() { _ = a.Body.Close() }()
-	if e.route.Spec.Stream {
-		s := newSession(e, u, nil)
-		defer s.close()
-		return false, s.run(ctx, a)
-	}
-	return e.deliver(ctx, a)
-}
-
-// attemptEngine sends a generation to an engine that has a place for it.
-func (e *exchange) attemptEngine(ctx context.Context) (again bool, err error) {
-	x := e.relay
-	w := e.work()
-	p, err := x.Place(ctx, w, e.avoid)
-	if err != nil {
-		return false, err
-	}
-	r := x.tracker.Start(w, p.Upstream.Name)
-	s := newSession(e, p.Upstream, r)
-	defer s.close()
-	u, err := e.check(ctx, p)
-	if err != nil {
-		return true, err
-	}
-	a, again, err := e.send(ctx, u, nil)
-	if err != nil {
-		return again, err
-	}
-	defer func() { _ = a.Body.Close() }()
-	if !e.route.Spec.Stream {
-		return e.deliver(ctx, a)
-	}
-	return false, s.run(ctx, a)
-}
-
-// check makes sure, just before the send, that the place may still be used: the
-// box may have been paused since it was given.
-func (e *exchange) check(ctx context.Context, p *placement.Place) (*resource.Upstream, error) {
-	e.relay.Fresh(ctx)
-	now := time.Now()
-	place := fail.Place{Peer: "upstream " + p.Upstream.Name, Step: "check before the send"}
-	u := e.relay.view.Upstream(p.Upstream.Name)
-	if u == nil || !u.Takes(now) {
-		e.avoid[p.Upstream.Name] = true
-		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonLeaving), "the upstream is leaving"), now)
-	}
-	if p.Stale(now) {
-		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, "stale_place", "the place was given too long ago"), now)
-	}
-	return u, nil
-}
-
-// fail writes the final answer of a request that failed.
-func (e *exchange) fail(err error) {
-	if e.client.Err() != nil || e.status != 0 {
-		// The caller has gone, or it has a part of an answer, which must not look whole.
-		panic(http.ErrAbortHandler)
-	}
-	h := e.writer.Header()
-	if t := fail.RetryAt(err); !t.IsZero() {
-		h.Set("Retry-After", retryAfter(time.Until(t)))
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	e.writer.WriteHeader(statusOf(err))
-	_, _ = e.writer.Write([]byte(fail.Reason(err) + "\n"))
-}
-
 // outcome makes sure that what the caller is told is true: nothing is called not
 // run once something may have run.
 func (e *exchange) outcome(ctx context.Context, err error) error {
@@ -266,33 +174,3 @@
 	}
 	return e.workspace.Name
 }
-
-// errDeadline says that the deadline passed while an upstream may have been at work.
-var errDeadline = fail.Unknown.NewSubtype("deadline")
-
-// reached reports whether the upstream that err came from got the request.
-func reached(err error) bool {
-	return fail.Reason(err) != reasonUnreachable && fail.Step(err) != "check before the send"
-}
-
-// retryAfter returns a time to come back in, in seconds.
-func retryAfter(d time.Duration) string {
-	s := math.Max(0, math.Ceil(d.Seconds()*100)/100)
-	return strconv.FormatFloat(s, 'f', -1, 64)
-}
-
-func statusOf(err error) int {
-	switch {
-	case errorx.IsOfType(err, fail.NotRun), errorx.IsOfType(err, fail.Unavailable):
-		return http.StatusServiceUnavailable
-	case errorx.IsOfType(err, fail.NotFound):
-		return http.StatusNotFound
-	case errorx.IsOfType(err, fail.Unauthorized):
-		return http.StatusUnauthorized
-	case errorx.IsOfType(err, fail.BadInput):
-		return http.StatusBadRequest
-	case errorx.IsOfType(err, errDeadline):
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusBadGateway
-}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -28,20 +28,46 @@
 }
 
 const (
-	awayPeriod     = time.Second // that an upstream which could not be reached is passed over
-	evidenceLife   = 30 * time.Second
+	awayPeriod     = time.Second            // that an upstream which could not be reached is passed over
+	evidenceLife   = 30 * time.Second       // that evidence is kept after the last look at it
 	failureWeight  = 0.2                    // of one answer in the share of failures
 	failureHalf    = 3 * time.Second        // in which the share of failures halves, so that an upstream is tried again
 	failurePenalty = 6.0                    // load that an upstream which always fails counts for
 	hallPenalty    = 0.05                   // load that the way to another hall counts for
 	loadHalf       = 500 * time.Millisecond // in which a load that was told is half forgotten
-	slotsDefault   = 6
+	slotsDefault   = 6                      // requests in progress of this box that count as a load of 1
 )
 
 func newHealth(hall string) *health {
 	return &health{hall: hall, seen: make(map[string]*evidence)}
 }
 
+// answered notes an answer, or the lack of one.
+func (h *health) answered(name string, failed bool, l *ServerLoad, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	e := h.at(name)
+	e.decay(now)
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	e.failures += failureWeight * (v - e.failures)
+	if l != nil && l.Slots > 0 {
+		e.load, e.loadAt = float64(l.Running+l.Waiting)/float64(l.Slots), now
+	}
+}
+
+// at returns the evidence of an upstream; the lock is held.
+func (h *health) at(name string) *evidence {
+	e := h.seen[name]
+	if e == nil {
+		e = new(evidence)
+		h.seen[name] = e
+	}
+	return e
+}
+
 // away notes that an upstream could not be reached.
 func (h *health) away(name string, now time.Time) {
 	h.mutex.Lock()
@@ -62,22 +88,6 @@
 	}
 }
 
-// answered notes an answer, or the lack of one.
-func (h *health) answered(name string, failed bool, l *ServerLoad, now time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	e := h.at(name)
-	e.decay(now)
-	v := 0.0
-	if failed {
-		v = 1
-	}
-	e.failures += failureWeight * (v - e.failures)
-	if l != nil && l.Slots > 0 {
-		e.load, e.loadAt = float64(l.Running+l.Waiting)/float64(l.Slots), now
-	}
-}
-
 // choose returns the best of the upstreams, or nil where there is none. Of two
 // drawn at random the better one is taken, so that boxes which know the same do
 // not all choose alike.
@@ -105,15 +115,6 @@
 	return best
 }
 
-func (h *health) at(name string) *evidence {
-	e := h.seen[name]
-	if e == nil {
-		e = new(evidence)
-		h.seen[name] = e
-	}
-	return e
-}
-
 // forget drops what is old.
 func (h *health) forget(now time.Time) {
 	h.mutex.Lock()
@@ -125,7 +126,7 @@
 	}
 }
 
-// score returns how much load an upstream counts as having.
+// score returns how much load an upstream counts as having; the lock is held.
 func (h *health) score(u *resource.Upstream, now time.Time) float64 {
 	e := h.at(u.Name)
 	e.decay(now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,27 +37,29 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
-	budget   *budget
-	cancel   context.CancelFunc
-	ctx      context.Context // ends with Abort
-	health   *health
-	lengths  *policy.Lengths
-	log      *slog.Logger
-	meter    *meter.Meter
-	metrics  *metric.Set
-	mutex    sync.Mutex // guards closing, held and sessions; no other lock is taken under it
-	closing  bool
-	held     int
-	sessions map[*session]bool
-	tracker  *placement.Tracker
-	view     *resource.View
-	workers  sync.WaitGroup
+	budget  *budget
+	cancel  context.CancelFunc
+	ctx     context.Context // ends with Abort
+	health  *health
+	lengths *policy.Lengths
+	log     *slog.Logger
+	meter   *meter.Meter
+	metrics *metric.Set
+	tracker *placement.Tracker
+	view    *resource.View
+	workers sync.WaitGroup
+
+	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
+	closing bool
+	held    int
+	streams map[*stream]bool // of engines
 }
 
 // Option sets one thing of a Relay.
 type Option func(*Relay)
 
 const (
+	// forgetEvery is the time between looks for evidence that is old.
 	forgetEvery = 10 * time.Second
 	// refusedPeriod is when a caller may come back where nothing better is known.
 	refusedPeriod = 500 * time.Millisecond
@@ -73,7 +75,7 @@
 		Fresh:  func(context.Context) {},
 		budget: newBudget(0.2, 0, 10*time.Second, func() int { return 1 }),
 		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
-		sessions: make(map[*session]bool), tracker: t, view: v,
+		streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
 		o(x)
@@ -193,6 +195,15 @@
 	x.workers.Done()
 }
 
+// left returns how many tokens are expected still to come: up to the caller's
+// estimate, where there is one, and what was learned beyond it.
+func (x *Relay) left(w *policy.Work, made int) int {
+	if made < w.Hint {
+		return w.Hint - made
+	}
+	return int(x.lengths.Left(policy.KeyOf(w), made, w.MaxTokens))
+}
+
 // serviceOf draws one of a route's services by their shares.
 func serviceOf(s *resource.RouteSpec) string {
 	sum := 0
--- /dev/null
+++ b/internal/relay/turns.go
@@ -0,0 +1,12 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// Turns asks for the turn to move a run away from an upstream, or, where arriving is
+// set, to one. It returns when the turn has come, and release gives it back. An error
+// means that the turn has not come.
+type Turns func(ctx context.Context, upstream string, arriving bool, r *policy.Run) (release func(), err error)
--- /dev/null
+++ b/internal/relay/upstreams.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// Answer is an upstream's answer, as its header tells it.
+type Answer struct {
+	Body       io.ReadCloser
+	Header     http.Header // to be passed on
+	Length     int64       // of the body, -1 where it is not told
+	Load       *ServerLoad // nil where it is not told
+	NotRun     bool        // the upstream says that it did not run the request
+	OtherEcho  bool        // it names another request than the one that was sent
+	RetryAfter time.Duration
+	Signed     bool // it carries the upstream's own mark
+	Status     int
+}
+
+// Copy is a copy of a running generation's memory at another engine.
+type Copy struct {
+	Handle string // by which the generation can be resumed
+	Made   int    // events made so far
+}
+
+// Offer is how a request is sent to one upstream.
+type Offer struct {
+	Deadline  time.Time // at which the upstream stops working on it
+	Priority  int       // higher goes first
+	Resume    *Resume   // nil where the request starts from its beginning
+	Workspace string
+}
+
+// Resume tells where a generation goes on that another engine has begun.
+type Resume struct {
+	Handle      string // of the copy of its memory
+	LastEventID string // of the last event that the caller has, "" where it has none
+	Source      string // IP:port of the engine that made the copy
+}
+
+// ServerLoad is what an upstream tells of its load with an answer.
+type ServerLoad struct {
+	Running int
+	Slots   int
+	Waiting int
+}
+
+// Upstreams are the calls to engines and services. Its fields are seams.
+type Upstreams struct {
+	// Migrate copies the memory of the run of a request from one engine to
+	// another, and stops it there where last is set. A fail.NotFound error means
+	// that no such run exists, fail.Conflict that another copy of it is under way,
+	// fail.Unavailable that there is no room or no way. A copy may be returned
+	// with an error: its memory is then still at the source.
+	Migrate func(ctx context.Context, from, to *resource.Upstream, id string, last bool) (*Copy, error)
+	// Release gives up a copy.
+	Release func(ctx context.Context, from *resource.Upstream, handle string) error
+	// Send sends a request. A fail.NotRun error means that nothing was sent.
+	Send func(ctx context.Context, u *resource.Upstream, q *Request, o *Offer) (*Answer, error)
+}
