Part the search for a place from the asks of owners

What read badly: reserved.go held a place, the search for one, and the asks of owners; its constants belonged to three things, two without a word; Reserved kept a budget of retries that nothing used; the lock's comment said that no other is taken under it, while the router looks at lengths, which have one.

Change: place.go and search.go hold the types named so with their constants, methods are in order, the unused field is gone, comments say what holds.

Behaviour is unchanged. Run: go vet ./..., go test ./internal/... ./platform, all passed.

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -5,8 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,17 +17,6 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// Place is an upstream at which a generation may start.
-type Place struct {
-	Granted  time.Time // when; a place is for using at once
-	Upstream *resource.Upstream
-}
-
-// Stale reports whether the place is too old to be used.
-func (p *Place) Stale(now time.Time) bool {
-	return now.Sub(p.Granted) > placeLife
-}
-
 // Reserved asks the owner of an upstream before anything is sent there. It is
 // safe for concurrent use.
 type Reserved struct {
@@ -40,45 +27,29 @@
 
 	members *member.Table
 	metrics *metric.Set
-	mutex   sync.Mutex // guards router; no other lock is taken under it
-	retries *policy.Retries
+	mutex   sync.Mutex // guards router; only that of its lengths is taken under it
 	router  *policy.Router
 	view    *resource.View
 }
 
 const (
-	asksMost = 3 // upstreams whose refusal for want of room is taken
-	// looksMost is how many upstreams are asked before work waits at one.
-	looksMost      = 4
-	otherHallDelay = 1.5              // seconds of backlog that another hall counts for: a cut between halls ends its streams
-	ownerPeriod    = 10 * time.Second // of finding no owner that answers, after which work is refused
-	placeLife      = time.Second
-	rerouteEvery   = time.Second
+	otherHallDelay = 1.5         // seconds of backlog that another hall counts for: a cut between halls ends its streams
+	rerouteEvery   = time.Second // between looks for a better upstream while work waits at one
 )
 
-// search is the search for one place. It is used by one goroutine.
-type search struct {
-	failures  int       // asks in a row to which no owner answered
-	lostSince time.Time // when the first of them failed
-	next      string    // the upstream to ask about, where one is known to be better
-	placement *Reserved
-	queued    map[string]bool // upstreams where it would have to wait
-	refused   int             // upstreams that refused for want of room
-	skip      map[string]bool
-	work      *policy.Work
-}
-
-// errQueued says that work would have to wait where it was asked for.
-var errQueued = errors.New("it would have to wait")
-
-// movedError says that an ask is better made at another upstream.
-type movedError struct{ to string }
-
-func (e movedError) Error() string { return "moved to " + e.to }
-
 // NewReserved returns a placement over the upstreams in v.
 func NewReserved(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, seed uint64) *Reserved {
-	return &Reserved{members: m, metrics: s, retries: policy.NewRetries(), router: policy.NewRouter(l, seed), view: v}
+	return &Reserved{members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
+}
+
+// Guess returns the upstream that seems best for w without asking its owner, or
+// nil. It is for work that is better run without a place than not at all.
+func (p *Reserved) Guess(w *policy.Work, avoid map[string]bool) *resource.Upstream {
+	c := p.candidates(w, avoid)
+	p.mutex.Lock()
+	n := p.router.Choose(w, c, time.Now(), func(string) bool { return true })
+	p.mutex.Unlock()
+	return p.view.Upstream(n)
 }
 
 // Learn takes in a load that an owner told.
@@ -108,14 +79,26 @@
 	}
 }
 
-// Guess returns the upstream that seems best for w without asking its owner, or
-// nil. It is for work that is better run without a place than not at all.
-func (p *Reserved) Guess(w *policy.Work, avoid map[string]bool) *resource.Upstream {
-	c := p.candidates(w, avoid)
-	p.mutex.Lock()
-	n := p.router.Choose(w, c, time.Now(), func(string) bool { return true })
-	p.mutex.Unlock()
-	return p.view.Upstream(n)
+// afterExchange returns the answer that may still stand in replies once the
+// exchange has ended, or its error.
+func (p *Reserved) afterExchange(ctx context.Context, err error, replies <-chan *box.Reply, owner string, began time.Time, place fail.Place) (*policy.Answer, error) {
+	for {
+		select {
+		case r := <-replies:
+			if a := p.final(r); a != nil {
+				return a, nil
+			}
+			continue
+		default:
+		}
+		if ctx.Err() == nil && owner != p.members.Self().Name {
+			p.members.Failed(owner, began, time.Now())
+		}
+		if err == nil {
+			err = fail.New(fail.Unavailable, place, "owner_lost", "the owner hung up")
+		}
+		return nil, err
+	}
 }
 
 // ask asks u's owner and waits while w is queued, or until a much better
@@ -157,28 +140,8 @@
 	}
 }
 
-// afterExchange returns the answer that may still stand in replies once the
-// exchange has ended, or its error.
-func (p *Reserved) afterExchange(ctx context.Context, err error, replies <-chan *box.Reply, owner string, began time.Time, place fail.Place) (*policy.Answer, error) {
-	for {
-		select {
-		case r := <-replies:
-			if a := p.final(r); a != nil {
-				return a, nil
-			}
-			continue
-		default:
-		}
-		if ctx.Err() == nil && owner != p.members.Self().Name {
-			p.members.Failed(owner, began, time.Now())
-		}
-		if err == nil {
-			err = fail.New(fail.Unavailable, place, "owner_lost", "the owner hung up")
-		}
-		return nil, err
-	}
-}
-
+// better returns an upstream that is much better for w than the one where it waits,
+// or "".
 func (p *Reserved) better(w *policy.Work, at string) string {
 	c := p.candidates(w, map[string]bool{})
 	p.mutex.Lock()
@@ -282,6 +245,8 @@
 	return false
 }
 
+// pause waits before the next ask after some failures in a row, of which err was the
+// last, and counts it.
 func (p *Reserved) pause(ctx context.Context, failures int, err error) {
 	r := string(policy.ReasonMoved)
 	if err != nil {
@@ -293,94 +258,3 @@
 	case <-time.After(time.Until(policy.Backoff(time.Now(), failures, rand.Float64()))):
 	}
 }
-
-// step asks about one upstream. It returns neither a place nor an error where the
-// search goes on.
-func (s *search) step(ctx context.Context) (*Place, error) {
-	p := s.placement
-	u, patient, err := s.choose()
-	if err != nil {
-		return nil, err
-	}
-	var a *policy.Answer
-	if u != nil {
-		a, err = p.ask(ctx, u, s.work, patient)
-	}
-	var m movedError
-	switch {
-	case errors.Is(err, errQueued):
-		s.queued[u.Name] = true
-		return nil, nil
-	case errors.As(err, &m):
-		s.next = m.to
-		p.metrics.Count(metric.Retries, "reason", "better_upstream")
-		return nil, nil
-	case ctx.Err() != nil:
-		return nil, p.late(ctx, s.work)
-	case a != nil && a.Verdict == policy.VerdictStart:
-		return &Place{Granted: time.Now(), Upstream: u}, nil
-	case a != nil && a.Reason != policy.ReasonMoved:
-		return nil, s.takeRefusal(u, a)
-	}
-	return nil, s.takeFailure(ctx, err)
-}
-
-// choose returns the upstream to ask about next, and whether to wait there. Those
-// where the work would have to wait are passed over a few times, while there are others.
-func (s *search) choose() (u *resource.Upstream, patient bool, err error) {
-	p := s.placement
-	next := s.next
-	s.next = ""
-	if next == "" && len(s.queued) > 0 && len(s.queued) < looksMost {
-		others := maps.Clone(s.skip)
-		maps.Copy(others, s.queued)
-		if u, err := p.choose(s.work, others, ""); err == nil && u != nil {
-			return u, false, nil
-		}
-	}
-	u, err = p.choose(s.work, s.skip, next)
-	return u, len(s.queued) > 0, err
-}
-
-// takeFailure waits after an ask to which no owner answered, and gives up where
-// none has answered for long.
-func (s *search) takeFailure(ctx context.Context, err error) error {
-	s.failures++
-	if s.lostSince.IsZero() {
-		s.lostSince = time.Now()
-	}
-	if time.Since(s.lostSince) > ownerPeriod {
-		return noOwner(s.work, err)
-	}
-	s.placement.pause(ctx, s.failures, err)
-	return nil
-}
-
-// takeRefusal goes on at another upstream after a refusal, while there is one
-// and not too many have refused.
-func (s *search) takeRefusal(u *resource.Upstream, a *policy.Answer) error {
-	s.skip[u.Name] = true
-	s.refused++
-	s.lostSince, s.failures = time.Time{}, 0
-	if s.refused == asksMost || !s.placement.left(s.work, s.skip) {
-		return refusalError(u.Name, a)
-	}
-	return nil
-}
-
-// noOwner refuses work for whose upstreams no owner could be asked.
-func noOwner(w *policy.Work, err error) error {
-	p := fail.Place{Peer: "boxes", Step: "ask"}
-	if err == nil {
-		err = fail.New(fail.NotRun, p, "no_owner", "no box is known that owns an upstream of model %q", w.Model)
-	}
-	return fail.WithRetryAt(fail.Wrap(fail.NotRun, p, fail.Reason(err), err), time.Now().Add(ownerPeriod))
-}
-
-func refusalError(upstream string, a *policy.Answer) error {
-	err := fail.New(fail.NotRun, fail.Place{Peer: "upstream " + upstream, Step: "ask"}, string(a.Reason), "refused: %s", a.Reason)
-	if a.RetryAt.IsZero() {
-		return err
-	}
-	return fail.WithRetryAt(err, a.RetryAt)
-}
