--- a/assemble.go
+++ b/assemble.go
@@ -28,6 +28,12 @@
 	"github.com/linetiller/linetiller/platform"
 )
 
+// Bounds of the connections from clients, operators and the balancer.
+const (
+	headerPeriod = 10 * time.Second // for a request's header to arrive whole
+	idlePeriod   = time.Minute      // that a connection without a request is kept
+)
+
 // assemble makes the parts and joins them by their seams.
 func (b *Box) assemble() {
 	s := b.settings
@@ -35,7 +41,7 @@
 	lengths := policy.NewLengths()
 	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport))
 	b.store = store.Table()
-	b.engines = upstream.NewEngines(reportPeriod, upstream.WithTransport(b.engineTransport))
+	b.engines = upstream.NewEngines(engineCallPeriod, upstream.WithTransport(b.engineTransport))
 	b.routed = platform.NewEngines(platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
@@ -73,7 +79,7 @@
 	b.follower.Ask = b.links.Once
 	b.follower.Spread = rand.Float64
 	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
-	if b.settings.Entry == (settings.Entry{}) {
+	if !b.hasEntry() {
 		b.follower.Add(resource.SourceResources, configuration.ResourceReader(s.Changes))
 		return
 	}
@@ -124,7 +130,7 @@
 
 // assembleEntry makes the servers of the entry, in the order of their listeners.
 func (b *Box) assembleEntry() {
-	if b.settings.Entry == (settings.Entry{}) {
+	if !b.hasEntry() {
 		return
 	}
 	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
@@ -138,15 +144,16 @@
 
 // readLoad reads the load report of an engine, of a declared route or not.
 func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
-	if b.settings.Entry == (settings.Entry{}) {
+	if !b.hasEntry() {
 		return b.engines.Load(ctx, address)
 	}
 	return b.routed.Load(ctx, address)
 }
 
+// httpServer returns a server that answers by h, within the bounds of the settings.
 func (b *Box) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		ErrorLog: quiet(b.log), Handler: h, IdleTimeout: time.Minute,
-		MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
+		ErrorLog: quiet(b.log), Handler: h, IdleTimeout: idlePeriod,
+		MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: headerPeriod,
 	}
 }
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	beatEvery       = 200 * time.Millisecond
-	beatLate        = time.Second // after which a box takes itself to have been paused
-	heartbeatPeriod = time.Second // for one heartbeat to be answered
-	refreshPeriod   = 500 * time.Millisecond
+	beatEvery       = 200 * time.Millisecond // between beats, by which a pause of the box is noticed
+	beatLate        = time.Second            // after which a box takes itself to have been paused
+	heartbeatPeriod = time.Second            // for one heartbeat to be answered
+	refreshPeriod   = 500 * time.Millisecond // for the views to be renewed after a pause
 )
 
 // fresh makes sure, before something is sent, that the box was not paused a
--- a/linetiller.go
+++ b/linetiller.go
@@ -91,8 +91,8 @@
 type Option func(*Box)
 
 const (
-	reportPeriod = 2 * time.Second
-	shutPeriod   = 5 * time.Second // for the last answers to reach their clients
+	engineCallPeriod = 2 * time.Second // for a call of a declared engine, but for streams
+	shutPeriod       = 5 * time.Second // for the last answers to reach their clients
 )
 
 // New returns a box that listens at its addresses, but does not serve yet.
@@ -237,7 +237,7 @@
 	l := []func(context.Context){
 		b.follower.Run, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
-	if b.settings.Entry == (settings.Entry{}) {
+	if !b.hasEntry() {
 		l = append(l, b.orders.Run) // the platform orders its engines itself
 	}
 	if b.naive != nil {
--- a/listen.go
+++ b/listen.go
@@ -14,6 +14,12 @@
 	"github.com/linetiller/linetiller/internal/settings"
 )
 
+// hasEntry reports whether requests of declared routes come in from the platform's
+// balancer.
+func (b *Box) hasEntry() bool {
+	return b.settings.Entry != (settings.Entry{})
+}
+
 // listen opens the box's addresses.
 func (b *Box) listen() error {
 	s := b.settings
@@ -57,10 +63,10 @@
 // listenEntry opens the addresses of the entry: for requests, for the balancer's
 // questions and for metrics.
 func (b *Box) listenEntry() error {
-	n := b.settings.Entry
-	if n == (settings.Entry{}) {
+	if !b.hasEntry() {
 		return nil
 	}
+	n := b.settings.Entry
 	for _, a := range []string{n.Address, n.Readiness, n.Metrics} {
 		l, err := net.Listen("tcp", a)
 		if err != nil {
@@ -94,7 +100,7 @@
 
 func init() {
 	// The library's advice on the size of the socket's buffer goes to standard
-	// error unasked; docs/operator/install.md gives it instead.
+	// error unasked; docs/operator-guide.md gives it instead.
 	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
 }
 
