Part sources from the follower, plain calls from their links, and name a queue

What read badly: follower.go held a source, what becomes of lapsed entries and the constants of all; plain.go held listening and one call; ownership had Turns, turns and turn; some methods stood out of order or without a word; the comment on Links left out one of the two that fill them.

Behaviour is unchanged. Run: go vet ./..., go test ./internal/... ./platform, all passed.

--- a/internal/box/links.go
+++ b/internal/box/links.go
@@ -8,7 +8,7 @@
 )
 
 // Links are the calls that a box makes to others. Its fields are seams: a
-// Transport fills them with QUIC, tests with links in memory.
+// Transport fills them with QUIC, a Plain with HTTP, tests with links in memory.
 type Links struct {
 	// Address returns the address for the other boxes.
 	Address func() string
--- a/internal/box/plain.go
+++ b/internal/box/plain.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -35,9 +34,9 @@
 	maxIdlePlain       = 8                      // connections kept to one box
 	plainDialPeriod    = time.Second            // a box that does not answer a connection in that time counts as gone
 	plainEndPeriod     = 100 * time.Millisecond // for the end of an answer after its last reply
-	plainIdlePeriod    = 30 * time.Second       // heartbeats come each second
-	plainWritePeriod   = 2 * time.Second        // for one reply to be taken
+	plainIdlePeriod    = 30 * time.Second       // that an unused connection is kept: heartbeats come each second
 	plainRequestPeriod = 2 * time.Second        // for a request to arrive whole
+	plainWritePeriod   = 2 * time.Second        // for one reply to be taken
 )
 
 // ListenPlain returns links at address (IP:port) that answer by h.
@@ -101,6 +100,7 @@
 	return &Links{Address: p.Address, Call: p.Call, Close: p.Close}
 }
 
+// serve answers one call by the handler.
 func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
 	p.workers.Add(1)
 	defer p.workers.Done()
@@ -143,64 +143,3 @@
 	}
 	return z.Close()
 }
-
-// plainCall is one call in progress. It is used by one goroutine.
-type plainCall struct {
-	cancel   context.CancelFunc
-	decoder  *cbor.Decoder
-	err      error
-	response *http.Response
-	sent     chan struct{} // closed once response or err is set
-	timer    *time.Timer
-}
-
-// end reads on to the end of the answer, so that its connection can be kept.
-func (c *plainCall) end() {
-	if c.decoder == nil || c.response == nil {
-		return
-	}
-	t := time.AfterFunc(plainEndPeriod, c.cancel)
-	defer t.Stop()
-	_, _ = io.Copy(io.Discard, c.response.Body)
-}
-
-func (c *plainCall) hangUp() {
-	if c.timer != nil {
-		c.timer.Stop()
-	}
-	c.cancel()
-	go func() {
-		<-c.sent
-		if c.response != nil {
-			_ = c.response.Body.Close()
-		}
-	}()
-}
-
-func (c *plainCall) read(r *Reply) error {
-	<-c.sent
-	if c.err != nil {
-		return c.err
-	}
-	if c.response.StatusCode != http.StatusOK {
-		return errors.New("the box answered " + c.response.Status)
-	}
-	if c.decoder == nil {
-		c.decoder = decodeMode.NewDecoder(io.LimitReader(c.response.Body, MaxMessageBytes))
-	}
-	if err := c.decoder.Decode(r); err != nil {
-		return err
-	}
-	r.Shift(time.Now())
-	return nil
-}
-
-func (c *plainCall) readTill(t time.Time) {
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
-	if !t.IsZero() {
-		c.timer = time.AfterFunc(time.Until(t), c.cancel)
-	}
-}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
@@ -36,30 +35,12 @@
 	view    *resource.View
 }
 
-// source is one source that the follower reads.
-type source struct {
-	after    atomic.Int64 // the store's revision up to which this box has read
-	backAt   atomic.Int64 // Unix nanoseconds of the return of the store after an outage
-	failures atomic.Int64 // reads that failed in a row
-	name     resource.Source
-	read     Reader
-}
-
 const (
-	catchUpPeriod  = 3 * time.Second // a large configuration takes half a second over 10 Mbit/s
-	idleEvery      = time.Second     // between looks whether this box has become a reader
-	readersPerHall = 2
-	retryFirst     = 250 * time.Millisecond
-	retryMost      = 2 * time.Second // the store's return is to be noticed well within a second change's bound
-	// returnPeriod is how long after the store's return a removal may be that of
-	// an entry which lapsed meanwhile: the platform says two seconds.
-	returnPeriod = 2500 * time.Millisecond
-	// watchPeriod is how long one read waits for changes. Reads are priced, and a
-	// lost connection is noticed only after it.
-	watchPeriod = 15 * time.Second
-	// upstreamsWatchPeriod is the same for the list of upstreams: it also bounds
-	// how late a silent store is noticed, after which engines are asked themselves.
-	upstreamsWatchPeriod = 3 * time.Second
+	catchUpPeriod  = 3 * time.Second        // for one catch-up: a large configuration takes half a second over 10 Mbit/s
+	idleEvery      = time.Second            // between looks whether this box has become a reader
+	readersPerHall = 2                      // boxes of a hall that read the store
+	retryFirst     = 250 * time.Millisecond // of the wait after one failure, doubled at each more
+	retryMost      = 2 * time.Second        // of the wait at most: the store's return is to be noticed well within a second change's bound
 )
 
 // NewFollower returns a follower that keeps v up to date.
@@ -67,6 +48,11 @@
 	return &Follower{log: l, members: m, Spread: func() float64 { return 0.5 }, turn: make(chan struct{}, 1), view: v}
 }
 
+// Add adds a source before Run is called.
+func (f *Follower) Add(name resource.Source, r Reader) {
+	f.sources = append(f.sources, &source{name: name, read: r})
+}
+
 // Away reports whether the platform's list of upstreams could not be read lately.
 func (f *Follower) Away() bool {
 	for _, s := range f.sources {
@@ -77,11 +63,6 @@
 	return false
 }
 
-// Add adds a source before Run is called.
-func (f *Follower) Add(name resource.Source, r Reader) {
-	f.sources = append(f.sources, &source{name: name, read: r})
-}
-
 // CatchUp brings the view to at least the given revisions by asking the box at
 // address. One catch-up goes at a time, so that many messages from a box that is
 // ahead make one; waiting for its turn ends with the context. Reads of the store
@@ -138,12 +119,19 @@
 	g.Wait()
 }
 
+// apply takes a batch into the view.
 func (f *Follower) apply(b *resource.Batch, from string) {
 	if f.view.Take(b) {
 		event.RevisionApplied.Log(f.log, "source", string(b.Source), "revision", b.Revision, "changes", len(b.Changes), "whole", b.Whole, "from", from)
 	}
 }
 
+// backoff returns the wait after some failures in a row.
+func (f *Follower) backoff(failures int) time.Duration {
+	wait := min(retryMost, retryFirst<<min(max(failures-1, 0), 5))
+	return wait/2 + time.Duration(f.Spread()*float64(wait)/2)
+}
+
 // follow reads one source again and again. After a failure it waits longer each
 // time, spread out, so that boxes do not all return at once.
 func (f *Follower) follow(ctx context.Context, s *source) {
@@ -158,48 +146,6 @@
 	}
 }
 
-func (f *Follower) backoff(failures int) time.Duration {
-	wait := min(retryMost, retryFirst<<min(max(failures-1, 0), 5))
-	return wait/2 + time.Duration(f.Spread()*float64(wait)/2)
-}
-
-// lapse keeps, for a moment, upstreams whose entries went while the store was
-// away: they may live and be about to come back.
-func (f *Follower) lapse(s *source, b *resource.Batch) {
-	if s.name != resource.SourceUpstreams || time.Since(time.Unix(0, s.backAt.Load())) > returnPeriod {
-		return
-	}
-	if b.Whole {
-		f.nameMissing(b)
-	}
-	for i := range b.Changes {
-		c := &b.Changes[i]
-		old := f.view.Get(resource.KindUpstream, c.Resource.Metadata.Name)
-		if !c.Deleted || old == nil {
-			continue
-		}
-		x, err := resource.Lapsed(old, c.Revision)
-		if err != nil {
-			continue
-		}
-		event.UpstreamLapsed.Log(f.log, "upstream", x.Metadata.Name, "revision", c.Revision)
-		*c = resource.Change{Resource: x, Revision: c.Revision}
-	}
-}
-
-// nameMissing adds to a whole batch the removals that it implies.
-func (f *Follower) nameMissing(b *resource.Batch) {
-	named := make(map[string]bool, len(b.Changes))
-	for _, c := range b.Changes {
-		named[c.Resource.Metadata.Name] = true
-	}
-	for _, x := range f.view.List(resource.KindUpstream) {
-		if !named[x.Metadata.Name] && f.view.SourceOf(x) == b.Source {
-			b.Changes = append(b.Changes, resource.Change{Deleted: true, Resource: x, Revision: b.Revision})
-		}
-	}
-}
-
 // readOnce reads one source and takes in what it holds.
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
 	after := max(s.after.Load(), f.view.Revisions()[s.name])
@@ -233,14 +179,6 @@
 	return len(l) == 0
 }
 
-// watch returns how long one read of the source waits.
-func (s *source) watch() time.Duration {
-	if s.name == resource.SourceUpstreams {
-		return upstreamsWatchPeriod
-	}
-	return watchPeriod
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/configuration/lapse.go
@@ -0,0 +1,49 @@
+package configuration
+
+import (
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// returnPeriod is how long after the store's return a removal may be that of
+// an entry which lapsed meanwhile: the platform says two seconds.
+const returnPeriod = 2500 * time.Millisecond
+
+// lapse keeps, for a moment, upstreams whose entries went while the store was
+// away: they may live and be about to come back.
+func (f *Follower) lapse(s *source, b *resource.Batch) {
+	if s.name != resource.SourceUpstreams || time.Since(time.Unix(0, s.backAt.Load())) > returnPeriod {
+		return
+	}
+	if b.Whole {
+		f.nameMissing(b)
+	}
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		old := f.view.Get(resource.KindUpstream, c.Resource.Metadata.Name)
+		if !c.Deleted || old == nil {
+			continue
+		}
+		x, err := resource.Lapsed(old, c.Revision)
+		if err != nil {
+			continue
+		}
+		event.UpstreamLapsed.Log(f.log, "upstream", x.Metadata.Name, "revision", c.Revision)
+		*c = resource.Change{Resource: x, Revision: c.Revision}
+	}
+}
+
+// nameMissing adds to a whole batch the removals that it implies.
+func (f *Follower) nameMissing(b *resource.Batch) {
+	named := make(map[string]bool, len(b.Changes))
+	for _, c := range b.Changes {
+		named[c.Resource.Metadata.Name] = true
+	}
+	for _, x := range f.view.List(resource.KindUpstream) {
+		if !named[x.Metadata.Name] && f.view.SourceOf(x) == b.Source {
+			b.Changes = append(b.Changes, resource.Change{Deleted: true, Resource: x, Revision: b.Revision})
+		}
+	}
+}
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -18,6 +18,11 @@
 // changesFunc reads changes of one table of the store.
 type changesFunc func(ctx context.Context, name string, after int64, wait time.Duration) (*table.Changes, error)
 
+// BoxKey returns the key of a box's row.
+func BoxKey(name string) string {
+	return TableBoxes + "/" + name
+}
+
 // BoxReader reads where boxes wrote that they are.
 func BoxReader(changes changesFunc) Reader {
 	return func(ctx context.Context, after int64, wait time.Duration) (*resource.Batch, int64, error) {
@@ -35,6 +40,24 @@
 	}
 }
 
+// Dated sets the revision of a batch made from c.
+//
+// The store's revision rises with rows of other tables, too; a batch is dated by
+// its own rows, unless rows may have gone unseen.
+func Dated(b *resource.Batch, c *table.Changes) *resource.Batch {
+	b.Whole = c.Whole
+	b.Revision = b.Newest()
+	if c.Whole {
+		b.Revision = c.Revision
+	}
+	return b
+}
+
+// Key returns the key of a resource's row.
+func Key(k resource.Kind, name string) string {
+	return TableResources + "/" + string(k) + "/" + name
+}
+
 // ResourceReader reads what operators declared by the operator interface.
 // A removed resource keeps its row, so that nothing is implied by what is absent.
 func ResourceReader(changes changesFunc) Reader {
@@ -49,29 +72,6 @@
 	}
 }
 
-// Key returns the key of a resource's row.
-func Key(k resource.Kind, name string) string {
-	return TableResources + "/" + string(k) + "/" + name
-}
-
-// BoxKey returns the key of a box's row.
-func BoxKey(name string) string {
-	return TableBoxes + "/" + name
-}
-
-// Dated sets the revision of a batch made from c.
-//
-// The store's revision rises with rows of other tables, too; a batch is dated by
-// its own rows, unless rows may have gone unseen.
-func Dated(b *resource.Batch, c *table.Changes) *resource.Batch {
-	b.Whole = c.Whole
-	b.Revision = b.Newest()
-	if c.Whole {
-		b.Revision = c.Revision
-	}
-	return b
-}
-
 // fromRows returns the changes that rows of declared resources hold.
 func fromRows(rows []table.Row) []resource.Change {
 	var l []resource.Change
--- a/internal/ownership/turns.go
+++ b/internal/ownership/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,18 +15,19 @@
 // for concurrent use.
 type Turns struct {
 	mutex  sync.Mutex
-	queues map[string]*turns
+	queues map[string]*queue // by upstream and kind of turn
 }
 
-// turns are the turns of one upstream.
-type turns struct {
-	taken   bool
+// queue is what waits for the turns at one upstream of one kind. The lock of Turns
+// guards it.
+type queue struct {
+	taken   bool // a run has the turn
 	waiting []*turn
 }
 
 // turn is a run that waits for its turn.
 type turn struct {
-	come chan struct{}
+	come chan struct{} // closed when the turn has come
 	run  *policy.Run
 }
 
@@ -44,11 +46,11 @@
 	w := &turn{come: make(chan struct{}), run: r}
 	t.mutex.Lock()
 	if t.queues == nil {
-		t.queues = make(map[string]*turns)
+		t.queues = make(map[string]*queue)
 	}
 	q := t.queues[upstream]
 	if q == nil {
-		q = new(turns)
+		q = new(queue)
 		t.queues[upstream] = q
 	}
 	q.waiting = append(q.waiting, w)
@@ -72,7 +74,8 @@
 	return nil, ctx.Err()
 }
 
-func (t *Turns) giveBack(upstream string, q *turns) {
+// giveBack ends the turn of the run that has it.
+func (t *Turns) giveBack(upstream string, q *queue) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	q.taken = false
@@ -80,7 +83,7 @@
 }
 
 // next gives the turn to the first of those that wait; the lock is held.
-func (t *Turns) next(upstream string, q *turns) {
+func (t *Turns) next(upstream string, q *queue) {
 	if q.taken {
 		return
 	}
@@ -99,11 +102,7 @@
 	close(first.come)
 }
 
-func (q *turns) remove(w *turn) {
-	for i, x := range q.waiting {
-		if x == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
-		}
-	}
+// remove takes a run out of those that wait.
+func (q *queue) remove(w *turn) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(x *turn) bool { return x == w })
 }
