Part the stand-ins of the platform and of its engines by what they do

What read badly: engine.go of the routed stand-in and platform.go of the store's stand-in were near 400 lines each, with settings, faults, copies, streams, rows and objects one after another.

Change: copies.go, streams.go, faults.go and settings.go; rows.go, objects.go and discard.go. Declarations are moved unchanged; comments are added, fields are in order.

Behaviour is unchanged.

--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -5,12 +5,9 @@
 package platform
 
 import (
-	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -45,34 +42,8 @@
 	rows     map[string]table.Row // by table and key; removed ones stay as marks
 }
 
-// wireRow is a row on the wire.
-type wireRow struct {
-	Gone  bool   `json:"gone,omitempty"`
-	Key   string `json:"key"`
-	Part  string `json:"part"`
-	Table string `json:"table"`
-	Value []byte `json:"value,omitempty"`
-	Ver   int64  `json:"ver,omitempty"`
-}
-
-// wireTransaction is a transaction on the wire.
-type wireTransaction struct {
-	Expected []wireRow `json:"expected_rev"`
-	Put      []wireRow `json:"put"`
-	Remove   []wireRow `json:"remove"`
-}
-
-type wireRows struct {
-	More  bool      `json:"more"`
-	NowMS int64     `json:"now_ms"`
-	Rows  []wireRow `json:"rows"`
-	Ver   int64     `json:"ver"`
-}
-
-const (
-	maxBodyBytes = 16 << 20
-	maxRows      = 500
-)
+// maxBodyBytes bounds the body of a call that is read.
+const maxBodyBytes = 16 << 20
 
 // New returns an empty platform.
 func New() *Platform {
@@ -209,69 +180,6 @@
 	answer(w, p.Counters())
 }
 
-// getFeed answers the changes of a table after a version, as soon as there are some.
-func (p *Platform) getFeed(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseInt(r.FormValue("after_rev"), 10, 64)
-	if err != nil {
-		http.Error(w, "after_rev must be a number", http.StatusBadRequest)
-		return
-	}
-	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
-	t := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer t.Stop()
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.counters.Reads++
-	for {
-		if after < p.forgot {
-			http.Error(w, "history is gone", http.StatusGone)
-			return
-		}
-		if p.faults.Down {
-			panic(http.ErrAbortHandler)
-		}
-		if l := p.since(r.FormValue("table"), after); len(l) > 0 || wait == 0 {
-			answer(w, wireRows{Rows: l, Ver: p.revision})
-			return
-		}
-		c := p.changed
-		p.mutex.Unlock()
-		select {
-		case <-c:
-		case <-t.C:
-			wait = 0
-		case <-r.Context().Done():
-			wait = 0
-		}
-		p.mutex.Lock()
-	}
-}
-
-func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
-	p.mutex.Lock()
-	b, ok := p.objects[r.PathValue("name")]
-	p.mutex.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(b)
-}
-
-func (p *Platform) getRows(w http.ResponseWriter, r *http.Request) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.counters.Reads++
-	limit, err := strconv.Atoi(r.FormValue("limit"))
-	if err != nil || limit > maxRows {
-		limit = maxRows
-	}
-	l := p.since(r.FormValue("table"), 0)
-	l = slices.DeleteFunc(l, func(x wireRow) bool { return x.Gone || x.Key < r.FormValue("from") })
-	slices.SortFunc(l, func(a, b wireRow) int { return strings.Compare(a.Key, b.Key) })
-	answer(w, wireRows{More: len(l) > limit, Rows: l[:min(limit, len(l))], Ver: p.revision})
-}
-
 // lose lets a write take effect, at once or later, and answers nothing.
 func (p *Platform) lose(r *http.Request, late time.Duration) {
 	b, _ := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
@@ -288,38 +196,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (p *Platform) postTransaction(w http.ResponseWriter, r *http.Request) {
-	x := new(wireTransaction)
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(x); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	t := new(table.Transaction)
-	for _, c := range x.Expected {
-		t.Conditions = append(t.Conditions, table.Condition{Key: c.Table + "/" + c.Key, Revision: c.Ver})
-	}
-	for _, v := range x.Put {
-		t.Writes = append(t.Writes, table.Write{Key: v.Table + "/" + v.Key, Value: v.Value})
-	}
-	for _, v := range x.Remove {
-		t.Writes = append(t.Writes, table.Write{Delete: true, Key: v.Table + "/" + v.Key})
-	}
-	v := p.Commit(t)
-	if v.Committed {
-		answer(w, wireRows{Rows: []wireRow{}, Ver: v.Revision})
-		return
-	}
-	a := wireRows{Rows: []wireRow{}, Ver: v.Revision}
-	for _, c := range v.Current {
-		if !c.Deleted {
-			a.Rows = append(a.Rows, wireOf(c))
-		}
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusPreconditionFailed)
-	_ = json.NewEncoder(w).Encode(a)
-}
-
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -329,57 +205,13 @@
 	p.SetFaults(f)
 }
 
-func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.objects[r.PathValue("name")] = b
-}
-
-// putRow writes a row, for the demonstration.
-func (p *Platform) putRow(_ http.ResponseWriter, r *http.Request) {
-	b, _ := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	p.Commit(&table.Transaction{Writes: []table.Write{{Key: r.PathValue("table") + "/" + r.PathValue("key"), Value: b}}})
-}
-
 // signal wakes the feeds; the lock is held.
 func (p *Platform) signal() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// since returns the rows of a table written after a revision, in its order; the
-// lock is held.
-func (p *Platform) since(name string, after int64) []wireRow {
-	l := []wireRow{}
-	for k, r := range p.rows {
-		if strings.HasPrefix(k, name+"/") && r.Revision > after {
-			l = append(l, wireOf(r))
-		}
-	}
-	slices.SortFunc(l, func(a, b wireRow) int {
-		return cmp.Or(cmp.Compare(a.Ver, b.Ver), strings.Compare(a.Key, b.Key))
-	})
-	return l
-}
-
 func answer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-func wireOf(r table.Row) wireRow {
-	n, k, _ := strings.Cut(r.Key, "/")
-	return wireRow{Gone: r.Deleted, Key: k, Table: n, Value: r.Value, Ver: r.Revision}
-}
-
-// discard takes an answer that is to be lost.
-type discard struct{ header http.Header }
-
-func (d *discard) Header() http.Header         { return d.header }
-func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
-func (d *discard) WriteHeader(int)             {}
--- /dev/null
+++ b/internal/fake/routed/copies.go
@@ -0,0 +1,79 @@
+package routed
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// memory is what an engine holds of a run.
+type memory struct {
+	events  int
+	request string
+	tokens  int
+}
+
+// copyTo copies what is new of a run to a peer, which holds it under a handle.
+func (e *Engine) copyTo(p *Engine, x *run, handle string) {
+	e.link.Lock()
+	defer e.link.Unlock()
+	e.mutex.Lock()
+	m := x.memory
+	e.mutex.Unlock()
+	p.mutex.Lock()
+	old := p.copies[handle]
+	p.mutex.Unlock()
+	tokens := m.tokens
+	if old != nil {
+		tokens -= old.tokens
+	}
+	time.Sleep(time.Millisecond + time.Duration(tokens)*e.settings.CopyToken)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.copies[handle] = &m
+}
+
+// move answers an order to copy a run to another engine.
+func (e *Engine) move(w http.ResponseWriter, r *http.Request, f *Faults) {
+	var o struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+		To   string `json:"target_version"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&o)
+	e.mutex.Lock()
+	x := e.runs[o.ID]
+	e.mutex.Unlock()
+	p := e.Peer(o.To)
+	switch {
+	case f.FailCopies != 0:
+		w.WriteHeader(f.FailCopies)
+		return
+	case x == nil:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case p == nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if o.Last {
+		e.stop(x)
+	}
+	handle := "h-" + o.ID
+	e.copyTo(p, x, handle)
+	e.mutex.Lock()
+	dead, made := e.dead, x.memory.events
+	e.mutex.Unlock()
+	if dead || f.LoseCopies {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "made": made})
+}
+
+// release gives up a copy.
+func (e *Engine) release(handle string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.copies, handle)
+}
--- /dev/null
+++ b/internal/fake/routed/faults.go
@@ -0,0 +1,15 @@
+package routed
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	Body       string // of answers that are no streams
+	BreakAfter int    // streams break off in the middle of an event after that many
+	FailCopies int    // status of the next copies, 0 for none
+	Gap        bool   // streams leave out their third event
+	LoseCopies bool   // copies are made and their answers lost
+	OtherEcho  bool   // answers name another request
+	Refuse     int    // status of answers that say that nothing ran, 0 for none
+	Silent     bool   // nothing is answered
+	Status     int    // of answers in place of 200, 0 for none
+	Unsigned   bool   // answers lack the engine's mark
+}
--- /dev/null
+++ b/internal/fake/routed/streams.go
@@ -0,0 +1,125 @@
+package routed
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// run is a request at work.
+type run struct {
+	memory  memory
+	stopped chan struct{} // closed when the run was stopped for a move
+	stop    bool
+}
+
+// admit finds where a request begins: at its first event or at that after the
+// last one which its caller has. It returns nil where the copy is not held.
+func (e *Engine) admit(r *http.Request) *run {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	id := r.Header.Get("X-Linetiller-Request-Id")
+	prompt, _, _ := strings.Cut(r.Header.Get("X-Linetiller-Token-Count"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	x := &run{memory: memory{request: id, tokens: tokens}, stopped: make(chan struct{})}
+	if from := r.Header.Get("Kv-From"); from != "" {
+		_, handle, _ := strings.Cut(from, "/")
+		m := e.copies[handle]
+		if m == nil || m.request != id {
+			return nil
+		}
+		delete(e.copies, handle)
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		x.memory = *m
+		x.memory.events = last
+	} else {
+		e.started[id]++
+	}
+	e.runs[id] = x
+	return x
+}
+
+// signal wakes all streams; the lock is held.
+func (e *Engine) signal() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// stop ends a run for a move; what it holds stays.
+func (e *Engine) stop(x *run) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !x.stop {
+		x.stop = true
+		close(x.stopped)
+	}
+}
+
+// stream writes the events of a run until its end.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, f *Faults) {
+	x := e.admit(r)
+	if x == nil {
+		e.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	id := x.memory.request
+	defer func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		if !x.stop && e.runs[id] == x {
+			delete(e.runs, id)
+		}
+	}()
+	length, _ := strconv.Atoi(r.Header.Get("Length-Hint"))
+	events := length / e.settings.TokensAnEvent
+	if r.Header.Get("Kv-From") == "" {
+		time.Sleep(time.Duration(x.memory.tokens) * e.settings.PrefillToken)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	c := http.NewResponseController(w)
+	for n := x.memory.events + 1; n <= events; n++ {
+		if !e.wait(r, x) {
+			panic(http.ErrAbortHandler)
+		}
+		e.write(w, f, id, n)
+		_ = c.Flush()
+		e.mutex.Lock()
+		x.memory.events = n
+		x.memory.tokens += e.settings.TokensAnEvent
+		e.mutex.Unlock()
+	}
+}
+
+// wait waits until the next event is due, and reports whether the run goes on.
+func (e *Engine) wait(r *http.Request, x *run) bool {
+	e.mutex.Lock()
+	c, dead := e.changed, e.dead
+	e.mutex.Unlock()
+	if dead {
+		return false
+	}
+	select {
+	case <-time.After(e.settings.EventEvery):
+		return true
+	case <-c:
+	case <-x.stopped:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// write writes one event, or what the faults make of it.
+func (e *Engine) write(w io.Writer, f *Faults, id string, n int) {
+	const gapAt = 3
+	if f.Gap && n == gapAt {
+		return
+	}
+	if f.BreakAfter > 0 && n > f.BreakAfter {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", n)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Event(id, n))
+}
