Part explain into lines, stories and causes

What read badly: explain.go read logs, told stories and found causes in one file; how a failure is told was written twice; types of the table stood in no order.

Change: line.go, story.go and cause.go hold the three; failureText tells a failure; the table's types are in order of name.

Behaviour is unchanged, the golden files too. Run: go vet ./..., go test ./internal/... ./platform, all passed.

--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,81 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+)
+
+// longWait is from how many milliseconds on the wait for a place is worth a word.
+const longWait = 100
+
+// about returns the last line before a time that tells of an upstream leaving.
+func about(lines []Line, upstream string, before time.Time) *Line {
+	var best *Line
+	for i := range lines {
+		x := &lines[i]
+		if x.Event != event.UpstreamLeaving.Number && x.Event != event.LeavingHeard.Number && x.Event != event.UpstreamLapsed.Number {
+			continue
+		}
+		if x.text("upstream") == upstream && !x.Time.After(before) && (best == nil || x.Time.After(best.Time)) {
+			best = x
+		}
+	}
+	return best
+}
+
+// causeOf tells why a request ended as it did.
+func causeOf(own, all []Line) string {
+	end := endOf(own)
+	if end == nil {
+		return "its end is not in these logs: the box that held it may have been lost, or the logs are not whole"
+	}
+	switch end.Event {
+	case event.RequestFinished.Number:
+		return finishedCause(own, end)
+	case event.CallerGone.Number:
+		return fmt.Sprintf("the caller left after %s ms", end.text("took_ms"))
+	case event.RequestRefused.Number:
+		return "it was refused and did not run: " + failureText(end)
+	}
+	c := failureText(end)
+	if x := about(all, end.text("upstream"), end.Time); x != nil {
+		c += fmt.Sprintf("; %s had given notice %.3f s before", end.text("upstream"), end.Time.Sub(x.Time).Seconds())
+	} else if strings.HasPrefix(end.text("reason"), "stream_") {
+		c += "; no notice of its upstream's leaving was heard"
+	}
+	return c
+}
+
+// endOf returns the line that tells how a request ended, or nil.
+func endOf(own []Line) *Line {
+	for i := len(own) - 1; i >= 0; i-- {
+		switch own[i].Event {
+		case event.RequestFinished.Number, event.RequestRefused.Number, event.RequestInterrupted.Number, event.CallerGone.Number:
+			return &own[i]
+		}
+	}
+	return nil
+}
+
+// failureText tells the failure of the request that a line tells of, and where it arose.
+func failureText(x *Line) string {
+	return fmt.Sprintf("%s (%s at %s)", reasonText(x.text("reason")), x.text("step"), x.text("peer"))
+}
+
+// finishedCause tells what made a request that was answered late, where something did.
+func finishedCause(own []Line, end *Line) string {
+	c := fmt.Sprintf("it was answered with status %s after %s ms", end.text("status"), end.text("took_ms"))
+	for i := range own {
+		x := &own[i]
+		switch {
+		case x.Event == event.RequestPlaced.Number && x.number("waited_ms") >= longWait:
+			c += fmt.Sprintf("; it had waited %s ms for a place at %s", x.text("waited_ms"), x.text("upstream"))
+		case x.Event == event.MoveDone.Number:
+			c += fmt.Sprintf("; it paused %s ms as it moved from %s to %s", x.text("pause_ms"), x.text("from"), x.text("to"))
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,86 @@
+// Package explain tells the story of one request from the logs of boxes.
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+)
+
+// Step is one step of a story.
+type Step struct {
+	After time.Duration `json:"afterNanoseconds"` // since the first step
+	Box   string        `json:"box"`
+	Event int           `json:"event"`
+	Text  string        `json:"text"`
+	Time  time.Time     `json:"time"`
+}
+
+// Story is what became of one request.
+type Story struct {
+	Cause   string `json:"cause"` // of its end, in one sentence
+	Request string `json:"request"`
+	Steps   []Step `json:"steps"`
+}
+
+// ErrUnknown says that no line tells of the request.
+var ErrUnknown = errors.New("no line tells of the request")
+
+// Tell tells the story of a request from the lines of all boxes.
+func Tell(lines []Line, request string) (*Story, error) {
+	var own []Line
+	for _, x := range lines {
+		if x.Request == request {
+			own = append(own, x)
+		}
+	}
+	if len(own) == 0 {
+		return nil, ErrUnknown
+	}
+	slices.SortStableFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	s := &Story{Request: request}
+	first := own[0].Time
+	for _, x := range own {
+		s.Steps = append(s.Steps, Step{After: x.Time.Sub(first), Box: x.Box, Event: x.Event, Text: textOf(&x), Time: x.Time})
+	}
+	s.Cause = causeOf(own, lines)
+	return s, nil
+}
+
+// String returns the story in plain words, a step a line.
+func (s *Story) String() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "request %s\n", s.Request)
+	for _, x := range s.Steps {
+		_, _ = fmt.Fprintf(&b, "  %8.3f s  %s: %s\n", x.After.Seconds(), x.Box, x.Text)
+	}
+	_, _ = fmt.Fprintf(&b, "cause: %s\n", s.Cause)
+	return b.String()
+}
+
+// textOf tells one line in plain words.
+func textOf(x *Line) string {
+	f := x.text
+	switch x.Event {
+	case event.RequestPlaced.Number:
+		return fmt.Sprintf("try %s goes to %s in %s after %s ms, with %s ms left (configuration %s, upstreams %s)",
+			f("try"), f("upstream"), f("hall"), f("waited_ms"), f("left_ms"), f("configuration"), f("upstreams"))
+	case event.UpstreamLeaving.Number:
+		return fmt.Sprintf("%s is leaving; %s events had come", f("upstream"), f("events"))
+	case event.MoveStarted.Number:
+		return fmt.Sprintf("its memory is being copied from %s to %s", f("from"), f("to"))
+	case event.MoveCopied.Number:
+		return fmt.Sprintf("copied in %s ms while it ran and %s ms while it stood still", f("first_ms"), f("rest_ms"))
+	case event.MoveDone.Number:
+		return fmt.Sprintf("it goes on at %s after a pause of %s ms", f("to"), f("pause_ms"))
+	case event.MoveFailed.Number:
+		return fmt.Sprintf("it was not moved away from %s: %s", f("from"), reasonText(f("reason")))
+	case event.RequestRetried.Number:
+		return fmt.Sprintf("another upstream is tried: %s", reasonText(f("reason")))
+	}
+	return strings.TrimSpace(x.Message + " " + rest(x.Fields))
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -12,12 +12,11 @@
 	"time"
 )
 
-// Row is one row of the table.
-type Row struct {
-	Deleted  bool            `json:"deleted,omitempty"` // only in changes
-	Key      string          `json:"key"`
-	Revision int64           `json:"revision"` // of the transaction that wrote it
-	Value    json.RawMessage `json:"value,omitempty"`
+// Changes is what changed in one table after a revision, or all that it holds.
+type Changes struct {
+	Revision int64 // up to which Rows is complete
+	Rows     []Row
+	Whole    bool // Rows is all that the table holds; what it does not name is gone
 }
 
 // Condition must hold for a transaction to commit.
@@ -26,19 +25,6 @@
 	Revision int64  `json:"revision"` // of the row; 0 means that the row must not exist
 }
 
-// Write sets or removes a row.
-type Write struct {
-	Delete bool            `json:"delete,omitempty"`
-	Key    string          `json:"key"`
-	Value  json.RawMessage `json:"value,omitempty"`
-}
-
-// Transaction is applied whole, or not at all.
-type Transaction struct {
-	Conditions []Condition `json:"conditions,omitempty"`
-	Writes     []Write     `json:"writes"`
-}
-
 // Result tells what became of a transaction.
 type Result struct {
 	Committed bool  `json:"committed"`
@@ -46,11 +32,12 @@
 	Current   []Row `json:"current,omitempty"` // rows named by conditions, where it did not commit
 }
 
-// Changes is what changed in one table after a revision, or all that it holds.
-type Changes struct {
-	Revision int64 // up to which Rows is complete
-	Rows     []Row
-	Whole    bool // Rows is all that the table holds; what it does not name is gone
+// Row is one row of the table.
+type Row struct {
+	Deleted  bool            `json:"deleted,omitempty"` // only in changes
+	Key      string          `json:"key"`
+	Revision int64           `json:"revision"` // of the transaction that wrote it
+	Value    json.RawMessage `json:"value,omitempty"`
 }
 
 // Store are the calls to the platform's service. Its fields are seams.
@@ -70,3 +57,16 @@
 	// PutObject writes an object.
 	PutObject func(ctx context.Context, name string, b []byte) error
 }
+
+// Transaction is applied whole, or not at all.
+type Transaction struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Writes     []Write     `json:"writes"`
+}
+
+// Write sets or removes a row.
+type Write struct {
+	Delete bool            `json:"delete,omitempty"`
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+}
