--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -61,9 +61,9 @@
 	// awayReportEvery is how often reports are read while the platform's list
 	// cannot be had: notices are of 1.5 to 2.1 s, and a report is priced.
 	awayReportEvery = 250 * time.Millisecond
-	reportWorkers   = 16
-	tickEvery       = 20 * time.Millisecond
-	tickWorkers     = 4
+	reportWorkers   = 16                    // reports that are read together
+	tickEvery       = 20 * time.Millisecond // between looks at what is due at the upstreams
+	tickWorkers     = 4                     // upstreams that are looked at together
 )
 
 // New returns owners that answer for the upstreams in v.
