--- a/internal/fake/soak/proxy.go
+++ b/internal/fake/soak/proxy.go
@@ -76,13 +76,6 @@
 	p.mode = m
 }
 
-// setTarget makes new connections go to another address.
-func (p *proxy) setTarget(a string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.target = a
-}
-
 func (p *proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -64,9 +64,9 @@
 	// readingMost is how many tokens of prompts engines of routes read at once. They
 	// read some 7.5 a millisecond between the tokens of others: 0.9 s, of an aim of 1.5.
 	readingMost   = 7000
-	reportWorkers = 16
-	tickEvery     = 20 * time.Millisecond
-	tickWorkers   = 4
+	reportWorkers = 16                    // reports that are read together
+	tickEvery     = 20 * time.Millisecond // between looks at what is due at the upstreams
+	tickWorkers   = 4                     // upstreams that are looked at together
 )
 
 // New returns owners that answer for the upstreams in v.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -12,7 +12,6 @@
 type Work struct {
 	Arrived   time.Time
 	Deadline  time.Time // of the whole answer
-	FirstBy   time.Time // by which its first token is wanted; zero where nobody says
 	Hall      string    // the data hall that it should stay in; "" is that of its box
 	Hint      int       // the caller's estimate of the output tokens; 0 where it has none
 	ID        string
