--- a/internal/fake/soak/faults.go
+++ b/internal/fake/soak/faults.go
@@ -19,6 +19,7 @@
 // faults are all kinds, in order of name.
 var faults = []fault{
 	{"answers spoilt", spoilAnswers},
+	{"answers spoilt again", spoilAnswers}, // drawn twice as often
 	{"box killed", killBox},
 	{"box paused", pauseBox},
 	{"box stopped", stopBox},
@@ -146,13 +147,22 @@
 	}, nil
 }
 
-// spoilAnswers makes an upstream misbehave.
+// spoilAnswers makes about half of the upstreams misbehave, each in a way of its own.
 func spoilAnswers(w *world, r *rand.Rand) (func(), error) {
-	u := pickUpstream(w, r, "")
-	u.engine.SetFaults([]routed.Faults{
+	ways := []routed.Faults{
 		{BreakAfter: 20}, {Gap: true}, {OtherEcho: true}, {Refuse: 503}, {Status: 500}, {Unsigned: true}, {Refuse: 429}, {FailCopies: 503}, {LoseCopies: true},
-	}[r.IntN(9)])
-	return func() { u.engine.SetFaults(routed.Faults{}) }, nil
+	}
+	var spoilt []*soakUpstream
+	for range (enginesCount + servicesEach) / 2 {
+		u := pickUpstream(w, r, "")
+		u.engine.SetFaults(ways[r.IntN(len(ways))])
+		spoilt = append(spoilt, u)
+	}
+	return func() {
+		for _, u := range spoilt {
+			u.engine.SetFaults(routed.Faults{})
+		}
+	}, nil
 }
 
 // storeFault makes the store refuse, answer late, lose answers or forget its history.
