--- a/internal/fake/soak/faults.go
+++ b/internal/fake/soak/faults.go
@@ -8,6 +8,7 @@
 
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/process"
 )
 
 // fault is one kind of fault. It strikes and, after a while, ends.
@@ -43,14 +44,10 @@
 // killBox kills a box and starts it again.
 func killBox(w *world, r *rand.Rand) (func(), error) {
 	b := w.boxes[r.IntN(len(w.boxes))]
-	b.mutex.Lock()
-	p := b.process
-	b.process = nil
-	b.mutex.Unlock()
+	p := b.take()
 	if p == nil {
-		return nil, nil // another fault has it
+		return nil, nil
 	}
-	_ = p.Signal(syscall.SIGCONT) // it may be paused
 	p.Kill()
 	return func() { w.restart(b) }, nil
 }
@@ -73,14 +70,10 @@
 // stopBox asks a box to stop, which cuts off nothing, and starts it again.
 func stopBox(w *world, r *rand.Rand) (func(), error) {
 	b := w.boxes[r.IntN(len(w.boxes))]
-	b.mutex.Lock()
-	p := b.process
-	b.process = nil
-	b.mutex.Unlock()
+	p := b.take()
 	if p == nil {
 		return nil, nil
 	}
-	_ = p.Signal(syscall.SIGCONT) // it may be paused
 	p.Stop()
 	return func() { w.restart(b) }, nil
 }
@@ -92,6 +85,19 @@
 	}
 }
 
+// take takes a box's process away from other faults, running on where it was paused;
+// it returns nil where another fault has it.
+func (b *soakBox) take() *process.Process {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	p := b.process
+	b.process = nil
+	if p != nil {
+		_ = p.Signal(syscall.SIGCONT) // it may have ended by itself
+	}
+	return p
+}
+
 // pickUpstream returns an upstream of a service, or of any.
 func pickUpstream(w *world, r *rand.Rand, service string) *soakUpstream {
 	w.mutex.Lock()
