Choose among thousands of engines in constant time, and owners by hashes kept

Cause: choosing an engine listed, hashed and sorted all that run a model for each request (3.6 ms among 3,000, 58 us among 45), every change of any upstream made the whole index anew, a plain service's upstreams were searched for among all, and the owner of each upstream of a hall was sought with new strings (8.7 ms among 100 boxes and 1,000 engines), up to 50 times a second. Change: lists of candidates are kept until something changes; twelve near and four far ones are looked at, where there are many; the index follows what changed; names are hashed once. Found by the comparison with an index made anew: which of two workspaces with one key had it was left to chance.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,6 +15,7 @@
 // Table holds the boxes. It is safe for concurrent use; its lock is a leaf.
 type Table struct {
 	mutex        sync.Mutex
+	alive        map[string][]string // what Alive answers, by hall; emptied when it may change
 	boxes        map[string]*entry
 	reconsidered time.Time // when failures were last forgotten
 	self         box.Member
@@ -50,7 +51,7 @@
 
 // NewTable returns a table that knows only the box itself.
 func NewTable(self box.Member) *Table {
-	return &Table{boxes: make(map[string]*entry), self: self, watch: make(chan struct{})}
+	return &Table{alive: make(map[string][]string), boxes: make(map[string]*entry), self: self, watch: make(chan struct{})}
 }
 
 // Address returns the address of a box, or "".
@@ -68,19 +69,15 @@
 
 // Alive returns the names of the boxes of a hall that are believed to serve, in
 // order; "" means all halls. The box itself is among them unless it leaves.
+// Callers must not change the list.
 func (t *Table) Alive(hall string) []string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var l []string
-	if (hall == "" || hall == t.self.Hall) && t.self.State != box.StateLeaving {
-		l = append(l, t.self.Name)
+	l, ok := t.alive[hall]
+	if !ok {
+		l = t.listAlive(hall)
+		t.alive[hall] = l
 	}
-	for n, e := range t.boxes {
-		if e.serving() && (hall == "" || e.member.Hall == hall) {
-			l = append(l, n)
-		}
-	}
-	slices.Sort(l)
 	return l
 }
 
@@ -297,6 +294,7 @@
 
 func (t *Table) bump() {
 	t.version++
+	clear(t.alive)
 	close(t.watch)
 	t.watch = make(chan struct{})
 }
@@ -311,6 +309,21 @@
 	return 0
 }
 
+// listAlive makes the list that Alive returns; the lock is held.
+func (t *Table) listAlive(hall string) []string {
+	var l []string
+	if (hall == "" || hall == t.self.Hall) && t.self.State != box.StateLeaving {
+		l = append(l, t.self.Name)
+	}
+	for n, e := range t.boxes {
+		if e.serving() && (hall == "" || e.member.Hall == hall) {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 func (t *Table) listOne(m box.Member, now time.Time) {
 	e := t.boxes[m.Name]
 	if e == nil {
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -28,8 +28,9 @@
 	// ReadLoad reads an upstream's load report; a seam for tests.
 	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
 
-	assignedBoxes uint64 // the versions for which upstreams were assigned;
-	assignedView  uint64 // used by Run alone
+	assignedAt    time.Time // when upstreams were assigned,
+	assignedBoxes uint64    // and the versions for which they were;
+	assignedView  uint64    // used by Run alone
 
 	lengths   *policy.Lengths
 	log       *slog.Logger
@@ -58,6 +59,10 @@
 type Option func(*Owners)
 
 const (
+	// assignEvery is the least time between two looks at which upstreams fall to the
+	// box: one takes 1 ms in a hall of 100 boxes and 1,000 upstreams, of which something
+	// changes all the time.
+	assignEvery = 100 * time.Millisecond
 	// awayReportEvery is how often reports are read while the platform's list
 	// cannot be had: notices are of 1.5 to 2.1 s, and a report is priced.
 	awayReportEvery = 250 * time.Millisecond
@@ -157,7 +162,7 @@
 		select {
 		case <-ctx.Done():
 		case now := <-t.C:
-			o.assign()
+			o.assign(now)
 			o.feed(ctx, ticks, reports, now)
 		}
 	}
@@ -200,18 +205,19 @@
 // assign finds out which upstreams fall to this box, where the boxes or the
 // configuration have changed since it last did. It starts owners for them, so
 // that their load is known before the first ask.
-func (o *Owners) assign() {
+func (o *Owners) assign(now time.Time) {
 	boxes, revision := o.members.Version(), o.view.Version()
-	if boxes == o.assignedBoxes && revision == o.assignedView {
+	if now.Sub(o.assignedAt) < assignEvery || (boxes == o.assignedBoxes && revision == o.assignedView) {
 		return
 	}
+	o.assignedAt = now
 	o.assignedBoxes, o.assignedView = boxes, revision
 	s := o.members.Self()
-	alive := o.members.Alive(s.Hall)
+	alive := policy.NewRendezvous(o.members.Alive(s.Hall))
 	for _, u := range o.view.Upstreams(func(u *resource.Upstream) bool {
 		return u.Spec.Type == resource.UpstreamEngine && u.Spec.Hall == s.Hall
 	}) {
-		if policy.First(u.Name, alive) == s.Name {
+		if alive.First(u.Name) == s.Name {
 			o.get(u.Name)
 		}
 	}
--- /dev/null
+++ b/internal/placement/candidates_test.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// testView returns a view of n engines in three halls, and the boxes of a region.
+func testView(n, boxes int) (*resource.View, *member.Table) {
+	m := member.NewTable(box.Member{Hall: "h0", Name: "box-0", State: box.StateServing})
+	var l []box.Member
+	for i := range boxes {
+		l = append(l, box.Member{Hall: fmt.Sprint("h", i%3), Name: fmt.Sprint("box-", i), State: box.StateServing})
+	}
+	m.List(l, time.Now())
+	v := resource.NewView()
+	for i := range n {
+		putEngine(v, i, int64(i+1), "")
+	}
+	return v, m
+}
+
+// putEngine declares an engine, with more of its spec.
+func putEngine(v *resource.View, i int, revision int64, more string) {
+	s := fmt.Sprintf(`{"address":"http://10.0.0.1:%d","hall":"h%d","kvTokens":60000,"maxBatch":100,"models":["m"],"type":"engine"%s}`, i, i%3, more)
+	v.Apply([]resource.Change{{Revision: revision, Resource: &resource.Resource{Kind: resource.KindUpstream, Metadata: resource.Metadata{Name: fmt.Sprint("engine-", i)}, Spec: []byte(s)}}}, revision)
+}
+
+func names(l []policy.Candidate) map[string]bool {
+	m := make(map[string]bool)
+	for _, x := range l {
+		m[x.Name] = true
+	}
+	return m
+}
+
+// TestCandidatesFollowChanges checks that a list that was made before is not used
+// once an engine leaves, its entry has lapsed for long, or a hall has no box left.
+func TestCandidatesFollowChanges(t *testing.T) {
+	v, m := testView(6, 3)
+	c := newCandidates(v, m)
+	w := &policy.Work{Model: "m"}
+	now := time.Now()
+	if got, want := len(c.of(w, now)), 6; got != want {
+		t.Fatalf("candidates: got %d, want %d", got, want)
+	}
+	putEngine(v, 1, 100, `,"leaving":true`)
+	if got := names(c.of(w, now)); got["engine-1"] || len(got) != 5 {
+		t.Errorf("an engine leaves: got %v, want all but engine-1", got)
+	}
+	putEngine(v, 3, 101, `,"lapsed":true`)
+	if got := names(c.of(w, time.Now())); !got["engine-3"] {
+		t.Errorf("its entry has just lapsed: got %v, want engine-3 among them", got)
+	}
+	if got := names(c.of(w, time.Now().Add(resource.LapsePeriod+time.Second))); got["engine-3"] {
+		t.Errorf("its entry has lapsed for long: got %v, want it not among them", got)
+	}
+	began := time.Now()
+	m.Failed("box-2", began, began.Add(time.Second))
+	if got := names(c.of(w, now)); got["engine-2"] || got["engine-5"] {
+		t.Errorf("no box is left in h2: got %v, want none of its engines", got)
+	}
+}
+
+// TestCandidatesKnowTheirHall checks what a candidate tells of the way to it.
+func TestCandidatesKnowTheirHall(t *testing.T) {
+	v, m := testView(4, 3)
+	c := newCandidates(v, m)
+	for hall, near := range map[string]int{"": 2, "h0": 2, "h1": 1} {
+		got := 0
+		for _, x := range c.of(&policy.Work{Hall: hall, Model: "m"}, time.Now()) {
+			if x.Delay == 0 {
+				got++
+			}
+			if want := x.Name != "engine-0" && x.Name != "engine-3"; x.Alone != want {
+				t.Errorf("%s alone in its hall: got %v, want %v", x.Name, x.Alone, want)
+			}
+		}
+		if got != near {
+			t.Errorf("from hall %q: got %d near, want %d", hall, got, near)
+		}
+	}
+}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -25,31 +24,26 @@
 	// Call asks another box; a seam.
 	Call func(ctx context.Context, owner string, a *box.Ask, answer func(*box.Reply) error) error
 
-	members *member.Table
-	metrics *metric.Set
-	mutex   sync.Mutex // guards router; only that of its lengths is taken under it
-	router  *policy.Router
-	view    *resource.View
+	candidates *candidates
+	members    *member.Table
+	metrics    *metric.Set
+	mutex      sync.Mutex // guards router; only that of its lengths is taken under it
+	router     *policy.Router
+	view       *resource.View
 }
 
-const (
-	otherHallDelay = 1.5         // seconds of backlog that another hall counts for: a cut between halls ends its streams
-	rerouteEvery   = time.Second // between looks for a better upstream while work waits at one
-)
+// rerouteEvery is the time between looks for a better upstream while work waits at one.
+const rerouteEvery = time.Second
 
 // NewReserved returns a placement over the upstreams in v.
 func NewReserved(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, seed uint64) *Reserved {
-	return &Reserved{members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
+	return &Reserved{candidates: newCandidates(v, m), members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
 }
 
 // Guess returns the upstream that seems best for w without asking its owner, or
 // nil. It is for work that is better run without a place than not at all.
 func (p *Reserved) Guess(w *policy.Work, avoid map[string]bool) *resource.Upstream {
-	c := p.candidates(w, avoid)
-	p.mutex.Lock()
-	n := p.router.Choose(w, c, time.Now(), func(string) bool { return true })
-	p.mutex.Unlock()
-	return p.view.Upstream(n)
+	return p.view.Upstream(p.route(w, avoid))
 }
 
 // Learn takes in a load that an owner told.
@@ -143,53 +137,18 @@
 // better returns an upstream that is much better for w than the one where it waits,
 // or "".
 func (p *Reserved) better(w *policy.Work, at string) string {
-	c := p.candidates(w, map[string]bool{})
+	now := time.Now()
+	c := p.candidates.of(w, now)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.router.Better(w, at, c, time.Now())
-}
-
-// candidates returns the upstreams that run w's model, may get new work, and have
-// a box in their hall that could own them.
-func (p *Reserved) candidates(w *policy.Work, skip map[string]bool) []policy.Candidate {
-	hall := cmp.Or(w.Hall, p.members.Self().Hall)
-	now := time.Now()
-	reachable := make(map[string]bool)
-	for _, h := range p.members.Halls() {
-		reachable[h] = len(p.members.Alive(h)) > 0
-	}
-	var l []policy.Candidate
-	all := p.view.UpstreamsOf(w.Model)
-	inHall := make(map[string]int)
-	for _, u := range all {
-		if u.Takes(now) {
-			inHall[u.Spec.Hall]++
-		}
-	}
-	for _, u := range all {
-		if !u.Takes(now) || skip[u.Name] || !reachable[u.Spec.Hall] {
-			continue
-		}
-		c := policy.Candidate{Alone: inHall[u.Spec.Hall] == 1, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
-		if g := u.Engine(); g != nil && g.Migrates {
-			c.Capacity.CopyToken = g.CopyTime(1)
-		}
-		if u.Spec.Hall != hall {
-			c.Delay = otherHallDelay
-		}
-		l = append(l, c)
-	}
-	return l
+	return p.router.Better(w, at, c, now)
 }
 
 // choose returns the upstream to ask about, or nil where those that there are
 // have no owner that could be asked. An error means that there are none.
 func (p *Reserved) choose(w *policy.Work, skip map[string]bool, next string) (*resource.Upstream, error) {
 	if next == "" {
-		c := p.candidates(w, skip)
-		p.mutex.Lock()
-		next = p.router.Choose(w, c, time.Now(), func(string) bool { return true })
-		p.mutex.Unlock()
+		next = p.route(w, skip)
 	}
 	if next == "" && !p.left(w, skip) {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
@@ -258,3 +217,12 @@
 	case <-time.After(time.Until(policy.Backoff(time.Now(), failures, rand.Float64()))):
 	}
 }
+
+// route returns the name of the upstream to ask about, among those not to skip, or "".
+func (p *Reserved) route(w *policy.Work, skip map[string]bool) string {
+	now := time.Now()
+	c := p.candidates.of(w, now)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.router.Choose(w, c, now, func(n string) bool { return !skip[n] })
+}
--- a/internal/policy/rendezvous.go
+++ b/internal/policy/rendezvous.go
@@ -2,11 +2,40 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Rendezvous holds names with their hashes, for many choices among the same names.
+type Rendezvous struct {
+	hashes []uint64
+	names  []string
+}
+
+// NewRendezvous returns a Rendezvous of names.
+func NewRendezvous(names []string) *Rendezvous {
+	r := &Rendezvous{names: names}
+	for _, n := range names {
+		r.hashes = append(r.hashes, xxhash.Sum64String(n))
+	}
+	return r
+}
+
+// First returns the first name of Rank, or "".
+func (r *Rendezvous) First(key string) string {
+	k := xxhash.Sum64String(key)
+	best, most := "", uint64(0)
+	for i, h := range r.hashes {
+		s := mix(k, h)
+		if best == "" || s > most || (s == most && r.names[i] < best) {
+			best, most = r.names[i], s
+		}
+	}
+	return best
+}
+
 // Rank returns the names in order of their rendezvous hash with key: the first
 // is the choice, and the removal of any other name does not change it.
 func Rank(key string, names []string) []string {
@@ -14,9 +43,10 @@
 		name  string
 		score uint64
 	}
+	k := xxhash.Sum64String(key)
 	l := make([]scored, len(names))
 	for i, n := range names {
-		l[i] = scored{n, xxhash.Sum64String(key + "\x00" + n)}
+		l[i] = scored{n, mix(k, xxhash.Sum64String(n))}
 	}
 	slices.SortFunc(l, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
 	r := make([]string, len(names))
@@ -28,12 +58,22 @@
 
 // First returns the first name of Rank without sorting, or "".
 func First(key string, names []string) string {
+	k := xxhash.Sum64String(key)
 	best, most := "", uint64(0)
 	for _, n := range names {
-		s := xxhash.Sum64String(key + "\x00" + n)
+		s := mix(k, xxhash.Sum64String(n))
 		if best == "" || s > most || (s == most && n < best) {
 			best, most = n, s
 		}
 	}
 	return best
 }
+
+// mix returns the rendezvous hash of a key's and a name's hashes: the finalizer of
+// splitmix64 over both. Hashing them apart lets one hash of a name serve many keys.
+func mix(key, name uint64) uint64 {
+	x := key ^ bits.RotateLeft64(name, 32)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/policy/rendezvous_test.go
@@ -0,0 +1,53 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestRendezvousAgrees checks that the three ways to choose agree, and that the
+// removal of a name moves only what had fallen to it.
+func TestRendezvousAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-c]{1,3}-[0-9]{1,2}`), 1, 20, rapid.ID[string]).Draw(t, "names")
+		key := rapid.String().Draw(t, "key")
+		want := Rank(key, names)
+		if got := First(key, names); got != want[0] {
+			t.Fatalf("First: got %q, want %q", got, want[0])
+		}
+		if got := NewRendezvous(names).First(key); got != want[0] {
+			t.Fatalf("Rendezvous: got %q, want %q", got, want[0])
+		}
+		gone := rapid.SampledFrom(names).Draw(t, "gone")
+		rest := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == gone })
+		want = slices.DeleteFunc(want, func(n string) bool { return n == gone })
+		if got := Rank(key, rest); !slices.Equal(got, want) {
+			t.Fatalf("without %q: got %q, want %q", gone, got, want)
+		}
+	})
+}
+
+// TestRendezvousSpreads checks that keys spread evenly over names that differ in one
+// place, as those of boxes and upstreams do.
+func TestRendezvousSpreads(t *testing.T) {
+	const keys, names = 20_000, 50
+	var l []string
+	for i := range names {
+		l = append(l, fmt.Sprint("front-upperhill-a-", i))
+	}
+	r := NewRendezvous(l)
+	count := make(map[string]float64)
+	for i := range keys {
+		count[r.First(fmt.Sprint("i-", i))]++
+	}
+	mean := float64(keys) / names
+	for _, n := range l {
+		if got, want := math.Abs(count[n]-mean), 5*math.Sqrt(mean); got > want {
+			t.Errorf("%s: got %v keys, want within %v of %v", n, count[n], want, mean)
+		}
+	}
+}
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Router chooses the upstream at which a box asks for a place, from the loads
@@ -30,14 +32,15 @@
 }
 
 const (
-	affinityPlaces = 2   // upstreams that a prefix keeps to while they are not crowded
+	affinityPlaces = 2   // the upstreams that a prefix keeps to while they are not crowded
 	affinityBonus  = 0.5 // seconds of backlog that a warm prefix is worth
 	loadLife       = 5 * time.Second
 	moveEvery      = time.Second // between two moves away from one upstream
 	moveGain       = 2.0         // seconds of backlog by which another upstream must be better
 	moveShare      = 0.5         // and the share of the present backlog that it may have
 	peakSeconds    = 1.0         // seconds of backlog that a full memory counts for
-	sampleSize     = 8           // upstreams looked at where there are many
+	sampleFar      = 4           // upstreams of other halls looked at where there are many
+	sampleNear     = 12          // and of the work's own hall
 	// noticeSeconds is how much copying fits into the shortest notice that engines
 	// give, 1.5 s, and noticeCost how many seconds of backlog each second beyond
 	// it counts for: what does not fit is lost where the engine is reclaimed.
@@ -81,9 +84,9 @@
 // Choose returns the upstream at which to ask for a place for w, among the
 // candidates that allow lets through, or "" where there is none.
 func (r *Router) Choose(w *Work, c []Candidate, now time.Time, allow func(name string) bool) string {
-	c = r.sample(w, c, allow)
-	class, cost := r.classify(w, c)
 	warm := warmNames(w, c)
+	c = r.sample(c, warm, allow)
+	class, cost := r.classify(w, c)
 	best, least := "", 0.0
 	for _, x := range c {
 		s := r.score(x, class, now) + r.excess(w, x, now)
@@ -173,10 +176,10 @@
 }
 
 // sample returns the allowed candidates, or, where they are many, those that
-// the prefix keeps to and some at random.
-func (r *Router) sample(w *Work, c []Candidate, allow func(name string) bool) []Candidate {
-	l := make([]Candidate, 0, min(len(c), sampleSize+affinityPlaces))
-	if len(c) <= 2*sampleSize {
+// the prefix keeps to and some at random, most of them near.
+func (r *Router) sample(c []Candidate, warm map[string]bool, allow func(name string) bool) []Candidate {
+	l := make([]Candidate, 0, min(len(c), sampleNear+sampleFar+affinityPlaces))
+	if len(c) <= sampleNear+sampleFar {
 		for _, x := range c {
 			if allow(x.Name) {
 				l = append(l, x)
@@ -184,11 +187,24 @@
 		}
 		return l
 	}
-	warm := warmNames(w, c)
-	for i, x := range c {
-		left := float64(sampleSize-len(l)) / float64(len(c)-i)
-		if allow(x.Name) && (warm[x.Name] || r.random() < left) {
-			l = append(l, x)
+	near := draw{wanted: sampleNear}
+	far := draw{wanted: sampleFar}
+	for i := range c {
+		if c[i].Delay == 0 {
+			near.left++
+		} else {
+			far.left++
+		}
+	}
+	for i := range c {
+		d := &far
+		if c[i].Delay == 0 {
+			d = &near
+		}
+		if d.take(r.random()) || warm[c[i].Name] {
+			if allow(c[i].Name) {
+				l = append(l, c[i])
+			}
 		}
 	}
 	return l
@@ -202,18 +218,42 @@
 	return s
 }
 
-// warmNames returns the upstreams that w's prefix keeps to.
+// draw takes a number of things at random from a sequence, each with the same chance.
+type draw struct {
+	left   int // things still to come
+	wanted int // things still to be taken
+}
+
+// take reports whether the next thing is taken, by a random number in [0, 1).
+func (d *draw) take(random float64) bool {
+	taken := random*float64(d.left) < float64(d.wanted)
+	d.left--
+	if taken {
+		d.wanted--
+	}
+	return taken
+}
+
+// warmNames returns the upstreams that w's prefix keeps to: those that a rendezvous
+// with it ranks first.
 func warmNames(w *Work, c []Candidate) map[string]bool {
 	if w.Prefix == 0 || len(c) <= affinityPlaces {
 		return nil
 	}
-	names := make([]string, len(c))
-	for i, x := range c {
-		names[i] = x.Name
+	k := xxhash.Sum64String(strconv.FormatUint(w.Prefix, 36))
+	var best, second struct {
+		name  string
+		score uint64
 	}
-	m := make(map[string]bool, affinityPlaces)
-	for _, n := range Rank(strconv.FormatUint(w.Prefix, 36), names)[:affinityPlaces] {
-		m[n] = true
+	for i := range c {
+		s := mix(k, xxhash.Sum64String(c[i].Name))
+		switch {
+		case s > best.score || best.name == "":
+			second = best
+			best.name, best.score = c[i].Name, s
+		case s > second.score || second.name == "":
+			second.name, second.score = c[i].Name, s
+		}
 	}
-	return m
+	return map[string]bool{best.name: true, second.name: true}
 }
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -168,3 +169,53 @@
 		}
 	}
 }
+
+// TestWarmNamesAreTheFirstOfTheRanking compares the choice in one pass with sorting.
+func TestWarmNamesAreTheFirstOfTheRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := testCandidates(rapid.IntRange(affinityPlaces+1, 40).Draw(t, "candidates"))
+		w := testWork("a")
+		w.Prefix = rapid.Uint64Min(1).Draw(t, "prefix")
+		var names []string
+		for _, x := range c {
+			names = append(names, x.Name)
+		}
+		got := warmNames(w, c)
+		for _, want := range Rank(strconv.FormatUint(w.Prefix, 36), names)[:affinityPlaces] {
+			if !got[want] || len(got) != affinityPlaces {
+				t.Fatalf("got %v, want %s among %d", got, want, affinityPlaces)
+			}
+		}
+	})
+}
+
+// TestSampleIsMostlyNear checks how many candidates are looked at where there are
+// thousands, and that each has the same chance among those of its kind.
+func TestSampleIsMostlyNear(t *testing.T) {
+	const n, times = 3000, 2000
+	c := testCandidates(n)
+	for i := range c {
+		if i%3 != 0 {
+			c[i].Delay = 1
+		}
+	}
+	r := NewRouter(NewLengths(), 1)
+	halves := [2]int{}
+	for range times {
+		near := 0
+		for _, x := range r.sample(c, nil, anyName) {
+			if x.Delay == 0 {
+				near++
+				var i int
+				_, _ = fmt.Sscanf(x.Name, "u%d", &i)
+				halves[i/(n/2)]++
+			}
+		}
+		if got, want := near, sampleNear; got != want {
+			t.Fatalf("near candidates: got %d, want %d", got, want)
+		}
+	}
+	if got, want := float64(halves[0])/float64(halves[0]+halves[1]), 0.5; got < want-0.02 || got > want+0.02 {
+		t.Errorf("share of the first half of the list: got %v, want %v", got, want)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -17,8 +17,7 @@
 		return e.attemptEngine(ctx)
 	}
 	now := time.Now()
-	l := e.relay.view.Upstreams(func(u *resource.Upstream) bool { return u.Spec.Service == e.service.Name && u.Takes(now) })
-	u := e.relay.health.choose(l, e.avoid, now)
+	u := e.relay.health.choose(e.relay.view.UpstreamsOfService(e.service.Name), e.avoid, now)
 	if u == nil {
 		return false, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
 	}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// choose returns the best of the upstreams, or nil where there is none. Of two
+// choose returns the best of the upstreams that take new work, or nil where there is none. Of two
 // drawn at random the better one is taken, so that boxes which know the same do
 // not all choose alike.
 func (h *health) choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) *resource.Upstream {
@@ -97,7 +97,7 @@
 	var best, second *resource.Upstream
 	least, next := math.Inf(1), math.Inf(1)
 	for _, u := range l {
-		if avoid[u.Name] {
+		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
 		s := h.score(u, now) + rand.Float64()*hallPenalty
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
 )
 
-const maxModelsCached = 1024 // callers name models; unknown names must not fill the memory
+const maxNamesCached = 1024 // callers name models; unknown names must not fill the memory
 
 // index holds decoded copies of resources, so that a request decodes nothing.
 // View's lock guards it.
@@ -21,18 +22,24 @@
 	workspaces map[string]*Workspace
 
 	// Made by rebuild from the above.
-	byKey    map[string]*Workspace  // by key hash
-	byModel  map[string][]*Upstream // by model, in order of name; made when asked for
-	byHost   map[string][]*Route    // the longest prefix first
-	joined   map[string]*Upstream   // upstreams with their services
-	outdated bool
+	byKey     map[string]*Workspace  // by key hash
+	byModel   map[string][]*Upstream // by model, in order of name; made when asked for
+	byHost    map[string][]*Route    // the longest prefix first
+	byService map[string][]*Upstream // by service, in order of name; made when asked for
+	joined    map[string]*Upstream   // upstreams with their services
+
+	// What rebuild has to make anew.
+	changedUpstreams []string // by name
+	keysOutdated     bool
+	routesOutdated   bool
+	servicesChanged  bool
 }
 
 func newIndex() index {
 	return index{
 		boxes: make(map[string]*Box), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
 		services: make(map[string]*Service), upstreams: make(map[string]*Upstream), workspaces: make(map[string]*Workspace),
-		byModel: make(map[string][]*Upstream),
+		byModel: make(map[string][]*Upstream), byService: make(map[string][]*Upstream), joined: make(map[string]*Upstream),
 	}
 }
 
@@ -91,19 +98,13 @@
 // UpstreamsOf returns the engines that run a model, by name. Callers must not
 // change the list.
 func (v *View) UpstreamsOf(model string) []*Upstream {
-	v.mutex.RLock()
-	l, ok := v.index.byModel[model]
-	v.mutex.RUnlock()
-	if ok {
-		return l
-	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	l = v.index.list(func(u *Upstream) bool { return slices.Contains(u.Spec.Models, model) })
-	if len(v.index.byModel) < maxModelsCached {
-		v.index.byModel[model] = l
-	}
-	return l
+	return v.cached(model, func(x *index) map[string][]*Upstream { return x.byModel }, func(u *Upstream) bool { return slices.Contains(u.Spec.Models, model) })
+}
+
+// UpstreamsOfService returns the upstreams of a service, by name. Callers must not
+// change the list.
+func (v *View) UpstreamsOfService(name string) []*Upstream {
+	return v.cached(name, func(x *index) map[string][]*Upstream { return x.byService }, func(u *Upstream) bool { return u.Spec.Service == name })
 }
 
 // WorkspaceByKey returns the workspace that bearer key opens, or nil.
@@ -126,6 +127,24 @@
 	return nil
 }
 
+// cached returns the upstreams for which keep says so, from a list that is made once
+// after each change.
+func (v *View) cached(key string, lists func(*index) map[string][]*Upstream, keep func(*Upstream) bool) []*Upstream {
+	v.mutex.RLock()
+	l, ok := lists(&v.index)[key]
+	v.mutex.RUnlock()
+	if ok {
+		return l
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	l = v.index.list(keep)
+	if m := lists(&v.index); len(m) < maxNamesCached {
+		m[key] = l
+	}
+	return l
+}
+
 // HostOf returns the host of a Host header, without its port.
 func HostOf(header string) string {
 	if a, err := netip.ParseAddrPort(header); err == nil {
@@ -153,12 +172,16 @@
 	case KindBox:
 		putSpec(x.boxes, c, func(s *BoxSpec) *Box { return &Box{Name: n, Spec: *s} })
 	case KindPriority:
+		x.keysOutdated, x.routesOutdated = true, true
 		putSpec(x.priorities, c, func(s *PrioritySpec) int { return s.Value })
 	case KindRoute:
+		x.routesOutdated = true
 		putSpec(x.routeSpecs, c, func(s *RouteSpec) RouteSpec { return *s })
 	case KindService:
+		x.servicesChanged = true
 		putSpec(x.services, c, func(s *ServiceSpec) *Service { return &Service{Name: n, Spec: *s} })
 	case KindUpstream:
+		x.changedUpstreams = append(x.changedUpstreams, n)
 		putSpec(x.upstreams, c, func(s *UpstreamSpec) *Upstream {
 			u := &Upstream{Name: n, Spec: *s}
 			if s.Lapsed {
@@ -167,32 +190,39 @@
 			return u
 		})
 	case KindWorkspace:
+		x.keysOutdated = true
 		putSpec(x.workspaces, c, func(s *WorkspaceSpec) *Workspace { return &Workspace{Name: n, Spec: *s} })
 	case KindModel, KindVersion:
 	}
-	x.outdated = true
 }
 
-// rebuild makes what is derived from several resources.
+// rebuild makes what is derived from several resources, as far as they have changed:
+// upstreams come and go every second, and there may be thousands.
 func (x *index) rebuild() {
-	if !x.outdated {
-		return
+	x.rebuildUpstreams()
+	if x.keysOutdated {
+		x.keysOutdated = false
+		x.rebuildKeys()
 	}
-	x.outdated = false
-	clear(x.byModel)
-	x.joined = make(map[string]*Upstream, len(x.upstreams))
-	for n, u := range x.upstreams {
-		x.joined[n] = x.join(u)
+	if x.routesOutdated {
+		x.routesOutdated = false
+		x.rebuildRoutes()
 	}
+}
+
+// rebuildKeys makes the workspaces by key. Of several with one key, the first name has
+// it, so that all boxes agree.
+func (x *index) rebuildKeys() {
 	x.byKey = make(map[string]*Workspace)
-	for _, w := range x.workspaces {
-		v := *w
-		v.Priority, v.Ranked = x.priorities[w.Spec.Priority]
-		for _, h := range w.Spec.KeyHashes {
-			x.byKey[h] = &v
+	for _, n := range slices.Sorted(maps.Keys(x.workspaces)) {
+		v := *x.workspaces[n]
+		v.Priority, v.Ranked = x.priorities[v.Spec.Priority]
+		for _, h := range v.Spec.KeyHashes {
+			if x.byKey[h] == nil {
+				x.byKey[h] = &v
+			}
 		}
 	}
-	x.rebuildRoutes()
 }
 
 func (x *index) rebuildRoutes() {
@@ -208,6 +238,29 @@
 	}
 }
 
+// rebuildUpstreams joins the upstreams that have changed with their services, or all
+// where a service has.
+func (x *index) rebuildUpstreams() {
+	if !x.servicesChanged && len(x.changedUpstreams) == 0 {
+		return
+	}
+	clear(x.byModel)
+	clear(x.byService)
+	if x.servicesChanged {
+		clear(x.joined)
+		for n, u := range x.upstreams {
+			x.joined[n] = x.join(u)
+		}
+	}
+	for _, n := range x.changedUpstreams {
+		delete(x.joined, n)
+		if u := x.upstreams[n]; u != nil {
+			x.joined[n] = x.join(u)
+		}
+	}
+	x.changedUpstreams, x.servicesChanged = nil, false
+}
+
 // join completes an upstream from its service, where that is declared.
 func (x *index) join(u *Upstream) *Upstream {
 	s := x.services[u.Spec.Service]
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -120,7 +120,7 @@
 	c := *u
 	c.Spec.Leaving = true
 	v.index.upstreams[name] = &c
-	v.index.outdated = true
+	v.index.changedUpstreams = append(v.index.changedUpstreams, name)
 	v.signal()
 	return true
 }
