Measure moves over notices and shares of engines reclaimed, in virtual time

A model of engines, links and notices runs the policy's own order of moves against boxes that each move their own generations at once. The chart is drawn by gonum/plot.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure slopes soak soak-cases test tidy format
+.PHONY: all build demo lint measure measure-moves slopes soak soak-cases test tidy format
 
 all: build
 
@@ -29,6 +29,9 @@
 measure:
 	go run ./cmd/measure
 
+measure-moves:
+	go run ./cmd/measure -moves -period 300s
+
 SEED ?= 0
 FOR ?= 20s
 
--- /dev/null
+++ b/internal/chart/chart.go
@@ -0,0 +1,95 @@
+// Package chart draws charts of measurements into SVG or PNG files, by the ending of
+// the file's name.
+package chart
+
+import (
+	"fmt"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Labels are the texts of a chart.
+type Labels struct {
+	Title string
+	X, Y  string // of the axes
+}
+
+// Line is a line through points.
+type Line struct {
+	Dashed bool
+	Name   string
+	X, Y   []float64
+}
+
+// Group is a series of bars, one for each place of the axis.
+type Group struct {
+	Name   string
+	Values []float64
+}
+
+// The size of every chart.
+const (
+	height = 4 * vg.Inch
+	width  = 7 * vg.Inch
+)
+
+const barWidth = 60.0 // points that the bars of one place share
+
+// Bars draws groups of bars side by side over named places.
+func Bars(path string, l Labels, places []string, groups []Group) error {
+	p := newPlot(l)
+	w := vg.Points(barWidth / float64(max(1, len(places)*len(groups)/3)))
+	for i, g := range groups {
+		b, err := plotter.NewBarChart(plotter.Values(g.Values), w)
+		if err != nil {
+			return fmt.Errorf("draw %q: %w", g.Name, err)
+		}
+		b.Color = plotutil.Color(i)
+		b.LineStyle.Width = 0
+		b.Offset = w * vg.Length(float64(i)-float64(len(groups)-1)/2)
+		p.Add(b)
+		p.Legend.Add(g.Name, b)
+	}
+	p.NominalX(places...)
+	return save(p, path)
+}
+
+// Lines draws lines.
+func Lines(path string, l Labels, lines []Line) error {
+	p := newPlot(l)
+	for i, x := range lines {
+		points := make(plotter.XYs, len(x.X))
+		for j := range x.X {
+			points[j] = plotter.XY{X: x.X[j], Y: x.Y[j]}
+		}
+		d, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("draw %q: %w", x.Name, err)
+		}
+		d.Color = plotutil.Color(i / 2) // lines come in pairs that are compared
+		if x.Dashed {
+			d.Dashes = plotutil.Dashes(1)
+		}
+		p.Add(d)
+		p.Legend.Add(x.Name, d)
+	}
+	return save(p, path)
+}
+
+func newPlot(l Labels) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = l.Title, l.X, l.Y
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+func save(p *plot.Plot, path string) error {
+	if err := p.Save(width, height, path); err != nil {
+		return fmt.Errorf("write chart: %w", err)
+	}
+	return nil
+}
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/linetiller/linetiller/internal/measure/evacuation"
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
@@ -70,9 +71,14 @@
 	seeds := f.Int("seeds", 5, "seeds of each scenario")
 	period := f.Duration("period", defaultPeriod, "virtual time of each run")
 	only := f.String("only", "", "run only the scenarios whose title holds this")
+	moves := f.Bool("moves", false, "measure moves away from engines that are reclaimed instead")
+	draw := f.String("chart", "", "with -moves: a `FILE` (.svg or .png) for a chart")
 	if f.Parse(arguments[1:]) != nil {
 		return 2
 	}
+	if *moves {
+		return measureMoves(*seeds, *period, *draw, output)
+	}
 	began := time.Now()
 	var all []*comparison
 	for _, c := range scenarios(*period) {
@@ -124,6 +130,20 @@
 	return append(l, &comparison{title: fmt.Sprintf("%s steady at %.1f of %.1f requests/s", KMQALong.Name, long.Load, long.Rate), what: long})
 }
 
+// measureMoves measures how many generations outlive their engines.
+func measureMoves(seeds int, period time.Duration, draw string, output io.Writer) int {
+	rows := evacuation.Rows(seeds, period)
+	evacuation.Print(rows, output)
+	if draw == "" {
+		return 0
+	}
+	if err := evacuation.Draw(rows, draw); err != nil {
+		_, _ = fmt.Fprintln(output, "measure:", err)
+		return 1
+	}
+	return 0
+}
+
 // runAll runs every comparison, one run a processor at a time.
 func runAll(all []*comparison, seeds int) {
 	var g errgroup.Group
--- a/internal/placement/reserved_test.go
+++ b/internal/placement/reserved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,3 +23,22 @@
 		})
 	}
 }
+
+// BenchmarkPlan orders 24 runs that leave an engine and chooses one of 45 engines for
+// each.
+func BenchmarkPlan(b *testing.B) {
+	v, m := testView(45, 75)
+	p := NewReserved(v, m, policy.NewLengths(), metric.NewSet(), 1)
+	var runs []policy.Run
+	for i := range 24 {
+		runs = append(runs, policy.Run{ID: fmt.Sprint(i), Left: 40 * (i % 7), Tokens: 3000 + 100*(i%11)})
+	}
+	w := &policy.Work{Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), ID: "x", MaxTokens: 400, Model: "m", Prompt: 3000, Workspace: "w"}
+	for b.Loop() {
+		l := slices.Clone(runs)
+		slices.SortFunc(l, func(x, y policy.Run) int { return policy.CompareRuns(&x, &y, 10*time.Millisecond) })
+		for range l {
+			p.Guess(w, nil)
+		}
+	}
+}
