--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The targets that developers and CI use.
 
-programs := linetiller soak fakeengine fakeplatform fakeservice demo
+programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
 .PHONY: all build demo lint measure measure-moves slopes soak soak-cases test tidy format
--- /dev/null
+++ b/internal/experiment/compare.go
@@ -0,0 +1,83 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+// Spread is the values of one measure over several runs.
+type Spread struct {
+	Count             int
+	Least, Mean, Most float64
+}
+
+// Difference is one measure of one day, of two versions.
+type Difference struct {
+	After, Before Spread
+	Day           string
+	Measure       string
+	Site          string
+}
+
+// Apart reports whether every value of one version is beyond all of the other: what
+// is not may be chance.
+func (d *Difference) Apart() bool {
+	return d.After.Least > d.Before.Most || d.After.Most < d.Before.Least
+}
+
+// Compare pairs the measures that both versions have, in order of site, day and
+// measure.
+func Compare(before, after []Row) []Difference {
+	type key struct{ site, day, measure string }
+	group := func(rows []Row) map[key][]float64 {
+		m := make(map[key][]float64)
+		for _, r := range rows {
+			k := key{r.Site, r.Day, r.Measure}
+			m[k] = append(m[k], r.Value)
+		}
+		return m
+	}
+	b, a := group(before), group(after)
+	var l []Difference
+	for k, v := range b {
+		if w := a[k]; w != nil {
+			l = append(l, Difference{After: spreadOf(w), Before: spreadOf(v), Day: k.day, Measure: k.measure, Site: k.site})
+		}
+	}
+	slices.SortFunc(l, func(x, y Difference) int {
+		return cmp.Or(cmp.Compare(x.Site, y.Site), cmp.Compare(x.Day, y.Day), cmp.Compare(x.Measure, y.Measure))
+	})
+	return l
+}
+
+// PrintDifferences prints two versions side by side; a star marks those whose values
+// lie apart.
+func PrintDifferences(l []Difference, output io.Writer) error {
+	w := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "site\tday\tmeasure\tbefore\tafter\tchange\t")
+	for i := range l {
+		d := &l[i]
+		mark := ""
+		if d.Apart() {
+			mark = "*"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%+.4f\t%s\n", d.Site, d.Day, d.Measure, d.Before, d.After, d.After.Mean-d.Before.Mean, mark)
+	}
+	return w.Flush()
+}
+
+// String returns the mean with the least and the most.
+func (s Spread) String() string {
+	return fmt.Sprintf("%.4f (%.4f-%.4f, %d)", s.Mean, s.Least, s.Most, s.Count)
+}
+
+func spreadOf(v []float64) Spread {
+	s := Spread{Count: len(v), Least: slices.Min(v), Most: slices.Max(v)}
+	for _, x := range v {
+		s.Mean += x / float64(len(v))
+	}
+	return s
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,115 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// report is what is read of a report of the users' bench.
+type report struct {
+	Days  []reportDay `json:"days"`
+	Error *string     `json:"error"`
+	Head  string      `json:"head"` // the commit that was measured
+	Site  string      `json:"site"`
+	Why   string      `json:"why"`
+}
+
+// reportDay is one day of a report.
+type reportDay struct {
+	Classes []*float64     `json:"by_class"` // share of its worth that each kind of request earned; null for none
+	Name    string         `json:"name"`
+	Parts   []reportPart   `json:"parts"`
+	Prices  []reportPrice  `json:"prices"`
+	Rules   map[string]int `json:"rules"` // broken ones, by name
+	Seed    int64          `json:"seed"`
+	Served  float64        `json:"served"` // share of the worth owed
+	Worth   float64        `json:"G"`      // after prices
+}
+
+// reportPart is a share by which worth is counted: [name, weight, share].
+type reportPart struct {
+	Name  string
+	Share float64
+}
+
+// reportPrice is what something cost: [name, amount, share of the worth].
+type reportPrice struct {
+	Name  string
+	Share float64
+}
+
+// The measures of a day.
+const (
+	measureRules  = "broken rules"
+	measureServed = "served"
+	measureWorth  = "worth"
+	prefixClass   = "class "
+	prefixPart    = "part "
+	prefixPrice   = "price "
+)
+
+// versionLength is how much of a commit's name tells it.
+const versionLength = 8
+
+var errUnfinished = errors.New("the run did not finish")
+
+// UnmarshalJSON takes a part apart.
+func (p *reportPart) UnmarshalJSON(b []byte) error {
+	var weight float64
+	return triple(b, &p.Name, &weight, &p.Share)
+}
+
+// UnmarshalJSON takes a price apart.
+func (p *reportPrice) UnmarshalJSON(b []byte) error {
+	var amount float64
+	return triple(b, &p.Name, &amount, &p.Share)
+}
+
+// read reads rows, or the rows of a report.
+func read(b []byte) ([]Row, error) {
+	var r report
+	if err := json.Unmarshal(b, &r); err != nil || r.Head == "" {
+		return ReadRows(bytes.NewReader(b))
+	}
+	return r.rows()
+}
+
+// rows returns the figures of a report.
+func (r *report) rows() ([]Row, error) {
+	if r.Error != nil {
+		return nil, fmt.Errorf("%w: %s", errUnfinished, *r.Error)
+	}
+	var l []Row
+	for i := range r.Days {
+		d := &r.Days[i]
+		add := func(measure string, value float64) {
+			l = append(l, Row{Day: d.Name, Measure: measure, Seed: d.Seed, Site: r.Site, Value: value, Version: r.Head[:min(versionLength, len(r.Head))]})
+		}
+		broken := 0
+		for _, n := range d.Rules {
+			broken += n
+		}
+		add(measureWorth, d.Worth)
+		add(measureServed, d.Served)
+		add(measureRules, float64(broken))
+		for j, c := range d.Classes {
+			if c != nil {
+				add(fmt.Sprint(prefixClass, j+1), *c)
+			}
+		}
+		for _, p := range d.Parts {
+			add(prefixPart+p.Name, p.Share)
+		}
+		for _, p := range d.Prices {
+			add(prefixPrice+p.Name, p.Share)
+		}
+	}
+	return l, nil
+}
+
+// triple decodes a JSON list of a name and two numbers.
+func triple(b []byte, name *string, first, second *float64) error {
+	return json.Unmarshal(b, &[]any{name, first, second})
+}
--- /dev/null
+++ b/internal/experiment/standin.go
@@ -0,0 +1,42 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/measure"
+	"github.com/linetiller/linetiller/internal/measure/evacuation"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// siteStandIns is the site of rows from the project's own stand-ins.
+const siteStandIns = "stand-ins"
+
+// crowdedLoad is the load, of saturation, at which the policy is measured.
+const crowdedLoad = 1.2
+
+// PlayStandIns runs the policy and the moves against stand-ins in virtual time, from
+// one seed, and returns the rows of a version of the code.
+func PlayStandIns(version string, seed uint64, period time.Duration) []Row {
+	var l []Row
+	add := func(day, name string, value float64) {
+		l = append(l, Row{Day: day, Measure: name, Seed: int64(seed), Site: siteStandIns, Value: value, Version: version})
+	}
+	for _, m := range []*measure.Mix{&measure.KMQA, &measure.VSK} {
+		day := m.Name + " crowded"
+		r := measure.Run(&measure.Scenario{Load: crowdedLoad, Mix: m, Period: period, Rate: measure.Saturation(m), Seed: seed, Tuning: policy.DefaultTuning()})
+		add(day, "stall seconds", r.StallMean)
+		add(day, "preemptions in 1,000", r.Preemptions)
+		add(day, "first token p95 seconds", r.FirstP95)
+		add(day, "refused", r.Refused)
+		add(day, "deadlines met", r.DeadlinesMet)
+		add(day, "tokens a second", r.TokensPerSecond)
+	}
+	for _, n := range []time.Duration{time.Second, 2 * time.Second} {
+		day := fmt.Sprintf("a fifth reclaimed after %v", n)
+		r := evacuation.Run(&evacuation.Scenario{Notice: n, Period: period, Seed: seed, Share: 0.2})
+		add(day, "lost", float64(r.Lost)/float64(max(1, r.Lost+r.Ended)))
+		add(day, "late", float64(r.Late)/float64(max(1, r.Ended)))
+	}
+	return l
+}
