--- a/assemble.go
+++ b/assemble.go
@@ -39,7 +39,8 @@
 	s := b.settings
 	seed := xxhash.Sum64String(s.Box)
 	lengths := policy.NewLengths()
-	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport))
+	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport),
+		platform.WithStoreCalled(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewEngines(engineCallPeriod, upstream.WithTransport(b.engineTransport))
 	b.routed = platform.NewEngines(platform.WithEnginesTransport(b.routedTransport))
@@ -79,12 +80,13 @@
 	b.follower.Ask = b.links.Once
 	b.follower.Spread = rand.Float64
 	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
-	if !b.hasEntry() {
+	if b.hasEntry() {
+		b.follower.Add(resource.SourceConfiguration, platform.ConfigurationReader(s))
+		b.follower.Add(resource.SourceUpstreams, platform.UpstreamReader(s))
+	} else {
 		b.follower.Add(resource.SourceResources, configuration.ResourceReader(s.Changes))
-		return
 	}
-	b.follower.Add(resource.SourceConfiguration, platform.ConfigurationReader(s))
-	b.follower.Add(resource.SourceUpstreams, platform.UpstreamReader(s))
+	b.follower.Meter(b.metrics)
 }
 
 func (b *Box) assembleOrders() {
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -98,6 +100,21 @@
 	return nil
 }
 
+// Meter has the follower's state told by gauges of m. It is called once all sources
+// are added.
+func (f *Follower) Meter(m *metric.Set) {
+	m.Gauge(metric.PlatformReader, func() float64 { return number(f.rank() >= 0) })
+	for _, s := range f.sources {
+		m.GaugeOf(metric.PlatformAway, "source", string(s.name), func() float64 { return number(s.failures.Load() > 0) })
+		m.GaugeOf(metric.PlatformAge, "source", string(s.name), func() float64 {
+			if s.readAt.Load() == 0 {
+				return math.Inf(1)
+			}
+			return time.Since(time.Unix(0, s.readAt.Load())).Seconds()
+		})
+	}
+}
+
 // Refresh brings the view up to date from the store, without waiting for changes.
 func (f *Follower) Refresh(ctx context.Context) error {
 	var g sync.WaitGroup
@@ -193,6 +210,7 @@
 		event.PlatformBack.Log(f.log, "source", string(s.name), "failures", n)
 	}
 	s.after.Store(next)
+	s.readAt.Store(time.Now().UnixNano())
 	f.lapse(s, b)
 	f.apply(b, "platform")
 	return nil
@@ -230,6 +248,14 @@
 	f.back = make(chan struct{})
 }
 
+// number returns 1 for true.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/configuration/outage_test.go
+++ b/internal/configuration/outage_test.go
@@ -1,9 +1,11 @@
 package configuration
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -66,3 +69,36 @@
 		})
 	}
 }
+
+// TestMeterTellsOfTheStore checks the gauges of a reader before, in and after a silence.
+func TestMeterTellsOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentStore{from: time.Now().Add(10 * time.Second), readAt: make(map[resource.Source]time.Time)}
+		s.to = s.from.Add(20 * time.Second)
+		f := NewFollower(resource.NewView(), member.NewTable(box.Member{Hall: "a", Name: "1", State: box.StateServing}), slog.New(slog.DiscardHandler))
+		f.Add(resource.SourceUpstreams, s.reader(resource.SourceUpstreams))
+		m := metric.NewSet()
+		f.Meter(m)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		check := func(when string, wait time.Duration, want ...string) {
+			time.Sleep(wait)
+			var b bytes.Buffer
+			m.Write(&b)
+			for _, w := range want {
+				if got := b.String(); !strings.Contains(got, w) {
+					t.Errorf("%s: got no %q", when, w)
+				}
+			}
+		}
+		check("before", 5*time.Second, "linetiller_platform_reader 1", `linetiller_platform_away{source="upstreams"} 0`)
+		check("in the silence", 20*time.Second, `linetiller_platform_away{source="upstreams"} 1`, `linetiller_platform_read_age_seconds{source="upstreams"} 1`)
+		check("after", 20*time.Second, `linetiller_platform_away{source="upstreams"} 0`, `linetiller_platform_read_age_seconds{source="upstreams"} `)
+		cancel()
+		<-done
+	})
+}
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -14,6 +14,7 @@
 	failures atomic.Int64 // reads that failed in a row
 	name     resource.Source
 	read     Reader
+	readAt   atomic.Int64 // Unix nanoseconds of the last read that went well, 0 for none
 }
 
 const (
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/member"
@@ -25,6 +27,7 @@
 	Call func(ctx context.Context, owner string, a *box.Ask, answer func(*box.Reply) error) error
 
 	candidates *candidates
+	loadAge    *metrics.Histogram
 	members    *member.Table
 	metrics    *metric.Set
 	mutex      sync.Mutex // guards router; only that of its lengths is taken under it
@@ -37,7 +40,7 @@
 
 // NewReserved returns a placement over the upstreams in v.
 func NewReserved(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, seed uint64) *Reserved {
-	return &Reserved{candidates: newCandidates(v, m), members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
+	return &Reserved{candidates: newCandidates(v, m), loadAge: s.Histogram(metric.LoadAge), members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
 }
 
 // Guess returns the upstream that seems best for w without asking its owner, or
@@ -224,5 +227,9 @@
 	c := p.candidates.of(w, now)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.router.Choose(w, c, now, func(n string) bool { return !skip[n] })
+	n := p.router.Choose(w, c, now, func(n string) bool { return !skip[n] })
+	if l, ok := p.router.Known(n); ok {
+		p.loadAge.Update(now.Sub(l.AsOf).Seconds())
+	}
+	return n
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
 	"github.com/linetiller/linetiller/internal/event"
@@ -37,17 +38,18 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
-	budget  *budget
-	cancel  context.CancelFunc
-	ctx     context.Context // ends with Abort
-	health  *health
-	lengths *policy.Lengths
-	log     *slog.Logger
-	meter   *meter.Meter
-	metrics *metric.Set
-	tracker *placement.Tracker
-	view    *resource.View
-	workers sync.WaitGroup
+	budget    *budget
+	cancel    context.CancelFunc
+	ctx       context.Context // ends with Abort
+	health    *health
+	lengths   *policy.Lengths
+	log       *slog.Logger
+	meter     *meter.Meter
+	metrics   *metric.Set
+	placeWait *metrics.Histogram
+	tracker   *placement.Tracker
+	view      *resource.View
+	workers   sync.WaitGroup
 
 	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
 	closing bool
@@ -74,7 +76,7 @@
 	x := &Relay{
 		Fresh:  func(context.Context) {},
 		budget: newBudget(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m, placeWait: m.Histogram(metric.PlaceWait),
 		streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -49,6 +49,9 @@
 // was decided.
 func (e *exchange) logPlaced(u *resource.Upstream, r *Resume) {
 	v := e.relay.view.Revisions()
+	if e.tries == 1 {
+		e.relay.placeWait.Update(time.Since(e.request.Arrived).Seconds())
+	}
 	event.RequestPlaced.Log(e.relay.log, "request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
 		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
 		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -80,6 +80,8 @@
 		{applyTime, "processor time of a change at a box", calls, "µs"},
 		{keyBytes, "rows of a request key, written twice", few, unitBytes},
 		{streamMemory, "memory of a held stream", few, unitBytes},
+		{logBytes, "log lines of a request", few, unitBytes},
+		{logTime, "processor time of the log lines of a request", calls, "µs"},
 		{relayTime, "processor time of a relayed token", []int{50_000, 100_000, 200_000, 400_000}, "µs"},
 	}
 }
