Put the operators' limits in force

Bodies, headers and connections at rest are bounded by the configuration's limits, as it stands; before, only settings of about the same size did.

--- a/assemble.go
+++ b/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/operator"
@@ -31,7 +32,7 @@
 // Bounds of the connections from clients, operators and the balancer.
 const (
 	headerPeriod = 10 * time.Second // for a request's header to arrive whole
-	idlePeriod   = time.Minute      // that a connection without a request is kept
+	idlePeriod   = time.Minute      // that a connection without a request is kept, where operators say nothing
 )
 
 // assemble makes the parts and joins them by their seams.
@@ -137,9 +138,11 @@
 	}
 	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
 	i.Leaving = b.stopping.Load
+	i.Limits = b.view.Limits
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
+	b.entry[0].server.ConnState = idle.NewCloser(b.idleTimeout).Track
 	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.ready.Load() && b.relay.Known() }))
 	b.entry[2].server = b.httpServer(m)
 }
@@ -152,6 +155,11 @@
 	return b.routed.Load(ctx, address)
 }
 
+// idleTimeout returns how long a connection from callers of routes may rest.
+func (b *Box) idleTimeout() time.Duration {
+	return b.view.Limits().IdleTimeout.Duration()
+}
+
 // httpServer returns a server that answers by h, within the bounds of the settings.
 func (b *Box) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
--- /dev/null
+++ b/internal/idle/idle_test.go
@@ -0,0 +1,87 @@
+package idle
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// closed is a connection that notes when it was closed.
+type closed struct {
+	net.Conn
+	at time.Time
+}
+
+func (c *closed) Close() error {
+	c.at = time.Now()
+	return nil
+}
+
+// TestRestingConnectionsAreClosed has connections rest, work, and rest again, while the
+// time that they may rest changes.
+func TestRestingConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		after := 10 * time.Second
+		c := NewCloser(func() time.Duration { return after })
+		var rests, works, forever closed
+		c.Track(&rests, http.StateNew)
+		c.Track(&rests, http.StateActive)
+		c.Track(&rests, http.StateIdle)
+		c.Track(&works, http.StateIdle)
+		time.Sleep(9 * time.Second)
+		c.Track(&works, http.StateActive)
+		time.Sleep(20 * time.Second)
+		if got, want := rests.at.Sub(start), 10*time.Second; got != want {
+			t.Errorf("a resting connection: closed after %v, want %v", got, want)
+		}
+		if !works.at.IsZero() {
+			t.Errorf("one with a request: closed after %v, want not at all", works.at.Sub(start))
+		}
+		after = 2 * time.Second
+		c.Track(&works, http.StateIdle)
+		after = 0
+		c.Track(&forever, http.StateIdle)
+		time.Sleep(time.Hour)
+		if got, want := works.at.Sub(start), 31*time.Second; got != want {
+			t.Errorf("after its request: closed after %v, want %v", got, want)
+		}
+		if !forever.at.IsZero() {
+			t.Errorf("one that may rest for ever: closed after %v", forever.at.Sub(start))
+		}
+		if got := len(c.resting); got != 0 {
+			t.Errorf("connections kept: got %d, want none", got)
+		}
+	})
+}
+
+// TestServerClosesIdleConnections checks the states that the server of the standard
+// library tells: a connection is answered, then closed once it has rested.
+func TestServerClosesIdleConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{
+		ConnState: NewCloser(func() time.Duration { return time.Millisecond }).Track,
+		Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	n, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(n, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(n)
+	if got, want := string(b[:min(15, len(b))]), "HTTP/1.1 200 OK"; got != want || err != nil {
+		t.Errorf("got %q and error %v, want %q and the connection's end", got, err, want)
+	}
+	_ = s.Close()
+	<-done
+}
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -17,6 +17,7 @@
 const (
 	keyHashBytes  = 32
 	maxAttempts   = 16
+	maxLimitBytes = 1 << 30
 	maxNameBytes  = 63
 	maxSpecBytes  = 64 << 10
 	maxTimeout    = 24 * 60 * 60 * 1000 // milliseconds
@@ -86,6 +87,14 @@
 	}
 }
 
+func checkLimits(s *LimitsSpec) Faults {
+	var f Faults
+	f.addRange("spec.bodyBytes", int(s.BodyBytes), 0, maxLimitBytes)
+	f.addRange("spec.headerBytes", s.HeaderBytes, 0, maxLimitBytes)
+	f.addRange("spec.idleTimeoutMilliseconds", int(s.IdleTimeout), 0, maxTimeout)
+	return f
+}
+
 func checkModel(s *ModelSpec) Faults {
 	var f Faults
 	f.addRange("spec.maxTokens", s.MaxTokens, 1, maxTokensTop)
@@ -96,6 +105,8 @@
 	switch r.Kind {
 	case KindBox:
 		return checkWith(r, func(*BoxSpec) Faults { return nil }) // written by boxes
+	case KindLimits:
+		return checkWith(r, checkLimits)
 	case KindModel:
 		return checkWith(r, checkModel)
 	case KindPriority:
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -15,6 +15,7 @@
 // View's lock guards it.
 type index struct {
 	boxes      map[string]*Box
+	limits     map[string]LimitsSpec
 	priorities map[string]int
 	routeSpecs map[string]RouteSpec
 	services   map[string]*Service
@@ -37,7 +38,7 @@
 
 func newIndex() index {
 	return index{
-		boxes: make(map[string]*Box), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
+		boxes: make(map[string]*Box), limits: make(map[string]LimitsSpec), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
 		services: make(map[string]*Service), upstreams: make(map[string]*Upstream), workspaces: make(map[string]*Workspace),
 		byModel: make(map[string][]*Upstream), byService: make(map[string][]*Upstream), joined: make(map[string]*Upstream),
 	}
@@ -62,6 +63,13 @@
 	return len(v.index.workspaces) > 0
 }
 
+// Limits returns the limits in force; where none are declared, nothing is bounded.
+func (v *View) Limits() LimitsSpec {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.index.limits[LimitsName]
+}
+
 // Route returns the route of a request to a host and path, or nil.
 func (v *View) Route(host, path string) *Route {
 	v.mutex.RLock()
@@ -171,6 +179,8 @@
 	switch c.Resource.Kind {
 	case KindBox:
 		putSpec(x.boxes, c, func(s *BoxSpec) *Box { return &Box{Name: n, Spec: *s} })
+	case KindLimits:
+		putSpec(x.limits, c, func(s *LimitsSpec) LimitsSpec { return *s })
 	case KindPriority:
 		x.keysOutdated, x.routesOutdated = true, true
 		putSpec(x.priorities, c, func(s *PrioritySpec) int { return s.Value })
--- a/internal/resource/reference.go
+++ b/internal/resource/reference.go
@@ -36,7 +36,7 @@
 		}
 	case KindRoute:
 		return routeReferences(r)
-	case KindBox, KindModel, KindPriority, KindService:
+	case KindBox, KindLimits, KindModel, KindPriority, KindService:
 	}
 	return nil
 }
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -15,6 +15,7 @@
 // The kinds of resources.
 const (
 	KindBox       Kind = "Box"
+	KindLimits    Kind = "Limits"
 	KindModel     Kind = "Model"
 	KindPriority  Kind = "Priority"
 	KindRoute     Kind = "Route"
@@ -26,7 +27,7 @@
 
 // Kinds lists every kind that operators declare, in the order in which they are
 // applied.
-var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindService, KindUpstream, KindRoute}
+var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindService, KindUpstream, KindRoute, KindLimits}
 
 // Metadata identifies a resource and its version.
 type Metadata struct {
