Let a box that starts listen to its neighbours before it reads the whole store

Change: a box reads who the others are; the readers of its hall read the rest, and pass it on at once; the others listen up to 1.5 s before they read by themselves.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -88,9 +88,11 @@
 }
 
 // runPush passes a new configuration, or that this box leaves, on at once, by a
-// heartbeat to each neighbour, who then asks for what is new.
+// heartbeat to each neighbour, who then asks for what is new. It begins with what the
+// box learned as it started: neighbours may have started with it and know nothing.
 func (b *Box) runPush(ctx context.Context) {
 	left := b.left
+	b.heartbeats(ctx)
 	for {
 		c := b.view.Changed()
 		select {
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -100,6 +100,17 @@
 	return nil
 }
 
+// Complete reports whether something is known of every source.
+func (f *Follower) Complete() bool {
+	r := f.view.Revisions()
+	for _, s := range f.sources {
+		if r[s.name] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Meter has the follower's state told by gauges of m. It is called once all sources
 // are added.
 func (f *Follower) Meter(m *metric.Set) {
@@ -131,6 +142,22 @@
 	return nil
 }
 
+// RefreshSource brings one source up to date from the store, without waiting for
+// changes.
+func (f *Follower) RefreshSource(ctx context.Context, name resource.Source) error {
+	for _, s := range f.sources {
+		if s.name == name {
+			return f.readOnce(ctx, s, 0)
+		}
+	}
+	return nil
+}
+
+// Reads reports whether this box is one of its hall's readers of the store.
+func (f *Follower) Reads() bool {
+	return f.rank() >= 0
+}
+
 // Run follows every source while this box is one of its hall's readers, until
 // the context ends.
 func (f *Follower) Run(ctx context.Context) {
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -40,6 +40,7 @@
 	objects  map[string][]byte
 	revision int64
 	rows     map[string]table.Row // by table and key; removed ones stay as marks
+	wholes   map[string]int       // reads from the beginning, by table
 }
 
 // maxBodyBytes bounds the body of a call that is read.
@@ -52,6 +53,7 @@
 		mux:     http.NewServeMux(),
 		objects: make(map[string][]byte),
 		rows:    make(map[string]table.Row),
+		wholes:  make(map[string]int),
 	}
 	p.mux.HandleFunc("GET /blob-get/{name}", p.getObject)
 	p.mux.HandleFunc("PUT /blob-put/{name}", p.putObject)
@@ -157,6 +159,13 @@
 	p.signal()
 }
 
+// Wholes returns how often a table was read from its beginning.
+func (p *Platform) Wholes(name string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.wholes[name]
+}
+
 // broken returns the current rows of the conditions where one does not hold.
 func (p *Platform) broken(c []table.Condition) []table.Row {
 	var rows []table.Row
--- a/internal/fake/platform/rows.go
+++ b/internal/fake/platform/rows.go
@@ -88,7 +88,11 @@
 	if err != nil || limit > maxRows {
 		limit = maxRows
 	}
-	l := p.since(r.FormValue("table"), 0)
+	name := r.FormValue("table")
+	if r.FormValue("from") == "" {
+		p.wholes[name]++
+	}
+	l := p.since(name, 0)
 	l = slices.DeleteFunc(l, func(x wireRow) bool { return x.Gone || x.Key < r.FormValue("from") })
 	slices.SortFunc(l, func(a, b wireRow) int { return strings.Compare(a.Key, b.Key) })
 	answer(w, wireRows{More: len(l) > limit, Rows: l[:min(limit, len(l))], Ver: p.revision})
--- a/join.go
+++ b/join.go
@@ -2,13 +2,27 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+const (
+	// listenPeriod is how long a box that starts waits for its neighbours' word before it
+	// reads everything from the store itself: where all boxes start at once, those that
+	// read have it within some 100 ms and pass it on in three or four steps.
+	listenPeriod = 700 * time.Millisecond
+	// listenSpread is by how much that differs between boxes: the first that gives up
+	// listening passes on what it reads.
+	listenSpread = 800 * time.Millisecond
 )
 
 // join learns of the other boxes and takes in the highest configuration that
-// they or the table hold, before the first request.
+// they or the table hold, before the first request. Only its hall's readers read all
+// of the store: at 300 boxes with a list of 3,000 upstreams a read by each box cost
+// 0.03 of the worth served.
 func (b *Box) join(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatPeriod)
 	defer cancel()
@@ -22,9 +36,14 @@
 		}
 		_ = b.follower.CatchUp(ctx, a, r.Revisions)
 	}
-	_ = b.follower.Refresh(ctx) // the follower logs a failure, and tries again
+	_ = b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
 	b.listMembers()
+	reads := b.follower.Reads()                      // as listed: others may start at this moment, too
 	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
+	if reads || !b.listenForNews(ctx) {
+		_ = b.follower.Refresh(ctx) // as above
+	}
+	b.listMembers()
 	b.beat.Store(int64(time.Since(b.started)))
 }
 
@@ -37,6 +56,26 @@
 	b.members.List(l, time.Now())
 }
 
+// listenForNews waits until the neighbours have told something of every source, and
+// reports whether they have.
+func (b *Box) listenForNews(ctx context.Context) bool {
+	t := time.NewTimer(listenPeriod + rand.N(listenSpread))
+	defer t.Stop()
+	for {
+		c := b.view.Changed()
+		if b.follower.Complete() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-c:
+		case <-t.C:
+			return false
+		}
+	}
+}
+
 // runMembers takes in every change of the boxes that are known.
 func (b *Box) runMembers(ctx context.Context) {
 	for {
--- a/routed_test.go
+++ b/routed_test.go
@@ -272,6 +272,36 @@
 	})
 }
 
+// TestFewBoxesReadTheListAsAllStart starts eight boxes of a hall anew at once: only the
+// hall's readers read the list of upstreams, and yet all serve within two seconds.
+func TestFewBoxesReadTheListAsAllStart(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		names := []string{"box-a1", "box-a2", "box-a3", "box-a4", "box-a5", "box-a6", "box-a7", "box-a8"}
+		for _, n := range names[2:] {
+			r.startRouter(n)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range names {
+			r.kill(n)
+		}
+		time.Sleep(time.Second)
+		before := r.platform.Wholes("servers")
+		for _, n := range names {
+			r.link.Down(n, false)
+			r.startRouter(n)
+		}
+		time.Sleep(2 * time.Second)
+		if got, want := r.platform.Wholes("servers")-before, 2; got > want {
+			t.Errorf("whole reads of the list: got %d, want at most %d", got, want)
+		}
+		for _, n := range names {
+			if _, whole, status := r.plan(n, "id-"+n, routedKey, 40); !whole {
+				t.Errorf("%s: got status %d, want a whole stream", n, status)
+			}
+		}
+	})
+}
+
 // TestEntriesLapseWithTheStore removes all engines' entries as the store comes back
 // after an outage, and brings them back a second later: nothing is refused meanwhile.
 func TestEntriesLapseWithTheStore(t *testing.T) {
