Soak: start every box while the store is away, and check the newest configuration

In the end every box must serve the route that the newest configuration adds and not the one that it removed.

--- a/internal/fake/soak/caller.go
+++ b/internal/fake/soak/caller.go
@@ -28,7 +28,8 @@
 // sent is one request as its caller sent it.
 type sent struct {
 	id, path, method string
-	tokens           int // of a plan
+	tokens           int  // of a plan
+	unknown          bool // its route was removed
 }
 
 func newCallers(w *world) *callers {
@@ -76,6 +77,9 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		c.refused = append(c.refused, s.id)
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		if s.unknown {
+			return
+		}
 		c.broken = append(c.broken, fmt.Sprintf("%s: status %d for a key and a route that always exist", s.id, w.StatusCode))
 	}
 }
@@ -140,6 +144,24 @@
 	return &sent{id: id, path: "/often/x", method: http.MethodGet}
 }
 
+// inForce checks, once all is quiet, that every box serves by the newest configuration:
+// a route that it adds is served, the one that it removed is not.
+func (c *callers) inForce() {
+	c.world.mutex.Lock()
+	newest := c.world.newest
+	c.world.mutex.Unlock()
+	for i, b := range c.world.boxes {
+		for v, want := range map[int]bool{newest: true, newest - 1: false} {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			s := &sent{id: fmt.Sprintf("in-force-%d-%d", i, v), path: fmt.Sprintf("/extra%d/x", v), method: http.MethodGet, unknown: !want}
+			if got := c.call(ctx, b, s); got != want {
+				c.fail("%s: the route of version %d of %d: served %v", b.name, v, newest, got)
+			}
+			cancel()
+		}
+	}
+}
+
 // settle checks, once all is quiet, what ran against what callers were told.
 func (c *callers) settle() {
 	runs := func(id string) int {
--- a/internal/fake/soak/faults.go
+++ b/internal/fake/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 		w.boxes[r.IntN(len(w.boxes))].entry.reset()
 		return nil, nil
 	}},
+	{"every box started while the store is away", startWithoutStore},
 	{"engine crashed", func(w *world, r *rand.Rand) (func(), error) { return replaceUpstream(w, r, 0) }},
 	{"engine given notice", func(w *world, r *rand.Rand) (func(), error) { return replaceUpstream(w, r, time.Second) }},
 	{"link to an upstream bad", func(w *world, r *rand.Rand) (func(), error) { return proxyFault(pickUpstream(w, r, "").proxy, r) }},
@@ -116,6 +118,21 @@
 	return w.upstreams[names[r.IntN(len(names))]]
 }
 
+// startWithoutStore kills every box and starts them again while the store refuses: they
+// know no configuration then, and may refuse nothing for good.
+func startWithoutStore(w *world, _ *rand.Rand) (func(), error) {
+	w.platform.SetFaults(fakeplatform.Faults{Down: true})
+	var g sync.WaitGroup
+	for _, b := range w.boxes {
+		if p := b.take(); p != nil {
+			p.Kill()
+			g.Go(func() { w.restart(b) })
+		}
+	}
+	g.Wait()
+	return func() { w.platform.SetFaults(fakeplatform.Faults{}) }, nil
+}
+
 // proxyFault delays, silences, halves or resets a proxy's connections.
 func proxyFault(p *proxy, r *rand.Rand) (func(), error) {
 	m := []proxyMode{modeDelay, modeOneWay, modeSilent, modePass}[r.IntN(4)]
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -82,6 +82,7 @@
 	if !c.allServe() {
 		c.fail("not every box serves %s after the last fault", servePeriod)
 	}
+	c.inForce()
 	if len(w.trouble) > 0 {
 		return c.broken, fmt.Errorf("trouble of its own: %v", w.trouble)
 	}
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -23,9 +23,10 @@
 // with one to the store; engines and services of this process, behind proxies.
 type world struct {
 	boxes     []*soakBox
+	newest    int // version of the configuration
 	directory string
 	logs      *logFile
-	mutex     sync.Mutex // guards dead, trouble, upstreams and version
+	mutex     sync.Mutex // guards dead, newest, trouble, upstreams and version
 	dead      []*soakUpstream
 	platform  *fakeplatform.Platform
 	programs  string
@@ -174,9 +175,10 @@
 // configure writes a new version of the configuration.
 func (w *world) configure() {
 	w.mutex.Lock()
+	defer w.mutex.Unlock() // a later version is written later
 	w.version++
 	v := w.version
-	w.mutex.Unlock()
+	w.newest = v
 	route := `{"name":%q,"host":"` + soakHost + `","path_prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":1800,"priority":0,"service":%q,"max_attempts":%d}`
 	w.platform.Put("op/config", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[`+
 		fmt.Sprintf(route, "plan", "plan", "streaming", 20_000, serviceLLM, 1)+","+
