Part the largest files by what they do

Owners from their reports and their assignment; the owner's decisions to admit from the generations that run; the stand-in engine's handlers, streams and loop; the measured world's boxes and engines; the demonstration's start; the rig of the slopes. Moved, not changed; the tests pass as they stood.

--- /dev/null
+++ b/internal/demo/start.go
@@ -0,0 +1,166 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/process"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// resources returns the resources of the demonstration in JSON.
+func (d *demo) resources() []byte {
+	var l []*resource.Resource
+	add := func(k resource.Kind, name string, spec any) {
+		b, _ := json.Marshal(spec)
+		l = append(l, &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: b})
+	}
+	add(resource.KindModel, model, resource.ModelSpec{MaxTokens: 2000})
+	add(resource.KindPriority, "counter", resource.PrioritySpec{Value: 10})
+	add(resource.KindWorkspace, "quotes", resource.WorkspaceSpec{KeyHashes: []string{resource.HashKey(workspaceKey)}, Priority: "counter", Weight: 1})
+	for n, u := range d.engines {
+		add(resource.KindUpstream, n, resource.UpstreamSpec{
+			Address: u, Hall: n[:len(n)-2], KVTokens: 60_000, MaxBatch: 100, Models: []string{model}, Type: resource.UpstreamEngine,
+		})
+	}
+	add(resource.KindUpstream, "quote-desk-1", resource.UpstreamSpec{
+		Address: d.service, Hall: halls[0], Service: "quote-desk", Type: resource.UpstreamService,
+	})
+	b, _ := json.MarshalIndent(l, "", "  ")
+	return b
+}
+
+// started returns how many generations the engines have started.
+func (d *demo) started(ctx context.Context) (int, error) {
+	sum := 0
+	for _, u := range d.engines {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u+"/fake/started", nil)
+		if err != nil {
+			return 0, err
+		}
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0, err
+		}
+		n := 0
+		err = json.NewDecoder(w.Body).Decode(&n)
+		_ = w.Body.Close()
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
+func (d *demo) startBoxes(context.Context) error {
+	if err := d.makeAuthority(); err != nil {
+		return err
+	}
+	for _, h := range halls {
+		for n := 1; n <= 2; n++ {
+			name := fmt.Sprintf("%c-%d", h[len(h)-1], n)
+			path, err := d.writeSettings(name, h)
+			if err != nil {
+				return err
+			}
+			p, a, err := process.StartBox(filepath.Join(d.programs, "linetiller"), path, name, nil)
+			if err != nil {
+				return err
+			}
+			d.processes = append(d.processes, p)
+			d.boxes = append(d.boxes, a)
+			d.say("box %s in %s: clients %s, operators %s", name, h, a.Clients, a.Operators)
+		}
+	}
+	return nil
+}
+
+func (d *demo) startFakes(context.Context) error {
+	p, u, err := process.StartFake(filepath.Join(d.programs, "fakeplatform"), "platform")
+	if err != nil {
+		return err
+	}
+	d.processes, d.platform = append(d.processes, p), u
+	for _, h := range halls {
+		for n := 1; n <= 2; n++ {
+			name := fmt.Sprintf("%s-%d", h, n)
+			p, u, err := process.StartFake(filepath.Join(d.programs, "fakeengine"), name, "-step", "20ms")
+			if err != nil {
+				return err
+			}
+			d.processes, d.engines[name] = append(d.processes, p), u
+		}
+	}
+	p, u, err = process.StartFake(filepath.Join(d.programs, "fakeservice"), "service")
+	if err != nil {
+		return err
+	}
+	d.processes, d.service = append(d.processes, p), u
+	return nil
+}
+
+// stopAll stops every process that was started, the newest first.
+func (d *demo) stopAll() {
+	for i := len(d.processes) - 1; i >= 0; i-- {
+		d.processes[i].Stop()
+	}
+}
+
+func (d *demo) makeAuthority() error {
+	return d.linetiller("certificate", "authority", "--certificate", d.path("authority.pem"), "--key", d.path("authority-key.pem"))
+}
+
+func (d *demo) path(name string) string {
+	return filepath.Join(d.directory, name)
+}
+
+func (d *demo) writeSettings(name, hall string) (string, error) {
+	err := d.linetiller("certificate", "box", "--certificate", d.path(name+".pem"), "--key", d.path(name+"-key.pem"),
+		"--authority", d.path("authority.pem"), "--authority-key", d.path("authority-key.pem"), name, "127.0.0.1")
+	if err != nil {
+		return "", err
+	}
+	s := fmt.Sprintf(`box = %q
+hall = %q
+box_address = "127.0.0.1:0"
+client_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+operator_key_hash = %q
+platform = %q
+
+[tls]
+authority = %q
+certificate = %q
+key = %q
+`, name, hall, resource.HashKey(operatorKey), d.platform, d.path("authority.pem"), d.path(name+".pem"), d.path(name+"-key.pem"))
+	p := d.path(name + ".toml")
+	return p, os.WriteFile(p, []byte(s), 0o600)
+}
+
+func (d *demo) applyResources(ctx context.Context) error {
+	path := filepath.Join(d.directory, "resources.json")
+	if err := os.WriteFile(path, d.resources(), 0o600); err != nil {
+		return err
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := make(chan error, 1)
+	o := operator.NewClient("http://"+d.boxes[3].Operators, operatorKey, &http.Client{})
+	go func() { watched <- d.watch(watch, o, 8) }()
+	if err := d.linetiller("apply", "-f", path, "--wait", inForceTime.String(),
+		"--operator", "http://"+d.boxes[0].Operators, "--operator-key", operatorKey); err != nil {
+		return err
+	}
+	select {
+	case err := <-watched:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
-	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/policy"
@@ -43,18 +42,6 @@
 	view      *resource.View
 }
 
-// owned is one upstream owned by this box.
-type owned struct {
-	mutex     sync.Mutex
-	failures  int // reads of the load report that failed in a row
-	instance  string
-	mine      bool // the upstream falls to this box
-	owner     *policy.Owner
-	reportAt  time.Time // when the report is due
-	reporting bool
-	waiters   map[string]chan policy.Answer
-}
-
 // Option sets one thing of Owners.
 type Option func(*Owners)
 
@@ -202,35 +189,6 @@
 	return r
 }
 
-// assign finds out which upstreams fall to this box, where the boxes or the
-// configuration have changed since it last did. It starts owners for them, so
-// that their load is known before the first ask.
-func (o *Owners) assign(now time.Time) {
-	boxes, revision := o.members.Version(), o.view.Version()
-	if now.Sub(o.assignedAt) < assignEvery || (boxes == o.assignedBoxes && revision == o.assignedView) {
-		return
-	}
-	o.assignedAt = now
-	o.assignedBoxes, o.assignedView = boxes, revision
-	s := o.members.Self()
-	alive := policy.NewRendezvous(o.members.Alive(s.Hall))
-	for _, u := range o.view.Upstreams(func(u *resource.Upstream) bool {
-		return u.Spec.Type == resource.UpstreamEngine && u.Spec.Hall == s.Hall
-	}) {
-		if alive.First(u.Name) == s.Name {
-			o.get(u.Name)
-		}
-	}
-	for _, x := range o.list() {
-		u := o.view.Upstream(x.owner.Upstream)
-		mine := u != nil && o.Mine(u)
-		x.mutex.Lock()
-		x.mine = mine
-		x.owner.Leaving = x.owner.Leaving || (u != nil && u.Spec.Leaving)
-		x.mutex.Unlock()
-	}
-}
-
 func (o *Owners) feed(ctx context.Context, ticks, reports chan<- *owned, now time.Time) {
 	for _, x := range o.list() {
 		if !x.idle() {
@@ -299,55 +257,6 @@
 	return l
 }
 
-// Mine reports whether an upstream falls to this box, as far as it knows.
-func (o *Owners) Mine(u *resource.Upstream) bool {
-	s := o.members.Self()
-	return policy.First(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
-}
-
-func (o *Owners) readReport(ctx context.Context, x *owned) {
-	defer x.reported()
-	u := o.view.Upstream(x.owner.Upstream)
-	if u == nil {
-		return
-	}
-	r, cancel := context.WithTimeout(ctx, o.report)
-	defer cancel()
-	l, err := o.ReadLoad(r, u.Spec.Address)
-	if err == nil && l.Leaving && o.Leaving != nil {
-		o.Leaving(ctx, u.Name)
-	}
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	if err != nil {
-		x.failures++
-		if x.failures == 1 && ctx.Err() == nil {
-			event.ReportMissing.Log(o.log, "upstream", u.Name, "error", err.Error())
-		}
-		o.metrics.Add(metric.UpstreamReports, 1)
-		return
-	}
-	x.failures = 0
-	x.owner.Leaving = u.Spec.Leaving || l.Leaving
-	if x.instance != "" && x.instance != l.Instance {
-		x.owner.Restarted()
-	}
-	x.instance = l.Instance
-	x.owner.Report(policy.Report{
-		AsOf: l.AsOf, Preemptions: l.Preemptions, Running: l.Running,
-		StepSeconds: float64(l.StepMicros) / 1e6, Used: l.Used, Waiting: l.Waiting,
-	}, time.Now())
-}
-
-// reportEvery returns how often reports are read: more often while the platform's
-// list cannot be had, since they are then the only word of an upstream's leaving.
-func (o *Owners) reportEvery() time.Duration {
-	if o.Away != nil && o.Away() {
-		return min(o.report, awayReportEvery)
-	}
-	return o.report
-}
-
 // reply returns a reply of its own: the caller may still hold an earlier one.
 func (o *Owners) reply(a policy.Answer, l policy.Load) *box.Reply {
 	return &box.Reply{Answer: &a, Load: &l, Revisions: o.view.Revisions()}
@@ -380,55 +289,6 @@
 	}
 }
 
-func (x *owned) dueReport(now time.Time, every time.Duration) bool {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	if x.reporting || now.Before(x.reportAt) {
-		return false
-	}
-	x.reporting = true
-	x.reportAt = now.Add(every)
-	return true
-}
-
-// flush refuses all that waits; the lock is held.
-func (x *owned) flush(r policy.Reason) {
-	for id, c := range x.waiters {
-		x.owner.Leave(id, time.Now())
-		c <- policy.Answer{ID: id, Reason: r, Verdict: policy.VerdictRefuse}
-		delete(x.waiters, id)
-	}
-}
-
-// idle reports whether a tick would change nothing.
-func (x *owned) idle() bool {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	return x.mine && x.owner.Running() == 0 && len(x.waiters) == 0
-}
-
-func (x *owned) load() policy.Load {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	return x.owner.Load(time.Now())
-}
-
-// next hands out places to those who wait; the lock is held.
-func (x *owned) next(now time.Time) {
-	for _, a := range x.owner.Next(now) {
-		if c := x.waiters[a.ID]; c != nil {
-			delete(x.waiters, a.ID)
-			c <- a
-		}
-	}
-}
-
-func (x *owned) reported() {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.reporting = false
-}
-
 func each[T any](c <-chan T, f func(T)) {
 	for v := range c {
 		f(v)
--- /dev/null
+++ b/internal/policy/admission.go
@@ -0,0 +1,130 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// arrivalOrder returns the time by which work that arrives now is ordered
+// within its class. Cheap work goes oldest first. Of costly work the newest goes
+// first, so that under overload most of it starts at once and some of it waits,
+// until it is urgent, in place of all of it waiting long.
+func (o *Owner) arrivalOrder(cost float64, now time.Time) int64 {
+	if cost > o.tune.NewestFirst {
+		return -now.UnixNano()
+	}
+	return now.UnixNano()
+}
+
+// entry returns w with its cost and its place in the order.
+func (o *Owner) entry(w *Work, now time.Time) *entry {
+	e := &entry{key: KeyOf(w), work: w}
+	e.expectation = o.lengths.expect(e.key, w.Prompt, w.MaxTokens)
+	e.cost = o.cost(&e.expectation)
+	slack := w.Deadline.Sub(w.Arrived)
+	duration := seconds(e.expectation.tokens * o.step())
+	e.latest = w.Deadline.Add(-min(duration, slack-time.Duration(minSlackShare*float64(slack))))
+	e.urgentAt = e.latest.Add(-urgentDurations*duration - time.Duration(urgentShare*float64(slack)))
+	o.numbers++
+	t := o.shares.enter(w, e.cost, now)
+	lead := t.Sub(w.Arrived).Nanoseconds()
+	e.order = order{class: classOf(e.cost), number: o.numbers, priority: w.Priority, time: o.arrivalOrder(e.cost, w.Arrived) + lead}
+	return e
+}
+
+// cost returns the seconds of the engine's time that a generation takes up:
+// its share of the memory or of the batch, whichever is the scarcer.
+func (o *Owner) cost(e *expectation) float64 {
+	steps := max(e.area/(usableShare*float64(o.capacity.KVTokens)), e.tokens/float64(o.capacity.MaxBatch))
+	return steps * o.step()
+}
+
+// fits reports whether e may start now.
+func (o *Owner) fits(e *entry, now time.Time) bool {
+	if o.Leaving || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
+		return false
+	}
+	if len(o.running) == 0 && o.foreign == 0 {
+		return true
+	}
+	if o.stalled > 0 || float64(len(o.running)+1) > o.batch || o.readsEnough(e) {
+		return false
+	}
+	o.refresh(now)
+	o.decay(now)
+	c := float64(o.capacity.KVTokens)
+	used := float64(o.usedTokens+o.foreign+e.work.Prompt) + float64(len(o.running))
+	reserve := o.tune.CostReserve * e.cost / (e.cost + o.tune.ReserveHalf)
+	if e.order.urgent {
+		reserve *= urgentReserve
+	}
+	c *= 1 - reserve
+	return used <= o.tune.MaxUsed*c && o.peak(&e.expectation.forecast) <= c
+}
+
+// peak returns the predicted peak of memory in use with g added, in tokens.
+func (o *Owner) peak(g *forecast) float64 {
+	return o.forecast.peak(g, float64(o.usedTokens), o.z) + float64(o.foreign)
+}
+
+// readsEnough reports whether so many prompts are being read that e's would come late.
+func (o *Owner) readsEnough(e *entry) bool {
+	return o.capacity.ReadingMost > 0 && o.reading > 0 && o.reading+e.work.Prompt > o.capacity.ReadingMost
+}
+
+// refusal returns a refusal where e can not be taken in.
+func (o *Owner) refusal(e *entry, now time.Time) Answer {
+	no := func(r Reason, at time.Time) Answer {
+		return Answer{ID: e.work.ID, Reason: r, RetryAt: at, Verdict: VerdictRefuse}
+	}
+	wait := o.queue.ahead(e.order)
+	switch {
+	case o.Leaving:
+		return no(ReasonLeaving, now)
+	case e.work.Prompt+1 > o.capacity.KVTokens:
+		return no(ReasonTooLarge, time.Time{})
+	case !e.work.Deadline.After(now):
+		return no(ReasonDeadline, now)
+	case o.queue.len() >= o.maxQueued:
+		return no(ReasonQueueFull, now.Add(seconds(o.queue.total())))
+	case wait > 0 && now.Add(seconds(wait)).After(e.latest):
+		return no(ReasonDeadline, now.Add(seconds(wait)))
+	}
+	return Answer{}
+}
+
+// sweep refuses, now and not later, waiting work whose deadline can no longer
+// be met, in the order in which it arrived, and puts first what is urgent.
+func (o *Owner) sweep(now time.Time) []Answer {
+	if now.Sub(o.latestSweep) < sweepPeriod {
+		return nil
+	}
+	o.latestSweep = now
+	var late, urgent []*entry
+	for e := range maps.Values(o.queue.byID) {
+		switch {
+		case o.Leaving || now.After(e.latest):
+			late = append(late, e)
+		case !e.order.urgent && now.After(e.urgentAt):
+			urgent = append(urgent, e)
+		}
+	}
+	for _, e := range urgent {
+		o.queue.remove(e.work.ID)
+		e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, time: e.latest.UnixNano(), urgent: true}
+		o.queue.insert(e)
+	}
+	slices.SortFunc(late, func(a, b *entry) int { return cmp.Compare(a.order.number, b.order.number) })
+	var l []Answer
+	for _, e := range late {
+		o.Leave(e.work.ID, now)
+		a := Answer{ID: e.work.ID, Reason: ReasonDeadline, RetryAt: now.Add(seconds(o.queue.total())), Verdict: VerdictRefuse}
+		if o.Leaving {
+			a.Reason, a.RetryAt = ReasonLeaving, now
+		}
+		l = append(l, a)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/policy/running.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"time"
+)
+
+// running is a generation that holds a reservation or runs.
+type running struct {
+	confirmed bool
+	deadline  time.Time // by which the next word of it must come
+	forecast  forecast
+	key       Key
+	movedAt   time.Time // when it last produced a token
+	produced  int
+	stalled   bool
+	work      *Work
+}
+
+// advance takes in how far a generation is.
+func (o *Owner) advance(r *running, produced int, now time.Time) {
+	r.deadline = now.Add(silencePeriod)
+	if produced > r.produced {
+		if r.produced == 0 {
+			o.reading -= r.work.Prompt
+		}
+		o.lengths.Observe(r.key, r.produced, produced, false)
+		o.usedTokens += produced - r.produced
+		r.produced = produced
+		r.movedAt = now
+		o.setStalled(r, false)
+	} else if now.Sub(r.movedAt) > o.stallAfter(r) {
+		o.setStalled(r, r.confirmed)
+	}
+	r.confirmed = true
+}
+
+func (o *Owner) drop(id string, r *running) {
+	o.setStalled(r, false)
+	if r.produced == 0 {
+		o.reading -= r.work.Prompt
+	}
+	o.usedTokens -= r.work.Prompt + r.produced
+	o.forecast.add(&r.forecast, -1)
+	delete(o.running, id)
+}
+
+// expire drops reservations that were not used and generations of which
+// nothing was heard; what still runs of them shows in the upstream's report.
+func (o *Owner) expire(now time.Time) {
+	for id, r := range o.running {
+		if now.After(r.deadline) {
+			o.drop(id, r)
+		}
+	}
+}
+
+// refresh makes the forecast from scratch once it has aged.
+func (o *Owner) refresh(now time.Time) {
+	if now.Sub(o.forecastAt) < forecastAge {
+		return
+	}
+	o.forecastAt = now
+	o.forecast = forecast{}
+	for _, r := range o.running {
+		r.forecast = o.lengths.forecast(r.key, r.work.Prompt, r.produced, r.work.MaxTokens)
+		o.forecast.add(&r.forecast, 1)
+	}
+}
+
+func (o *Owner) setStalled(r *running, stalled bool) {
+	if r.stalled == stalled {
+		return
+	}
+	r.stalled = stalled
+	if stalled {
+		o.stalled++
+		return
+	}
+	o.stalled--
+}
+
+// stallAfter returns after how long without a token a generation counts as stalled.
+// Before its first token its prompt is being read, which takes longer.
+func (o *Owner) stallAfter(r *running) time.Duration {
+	if r.produced == 0 {
+		return firstTokenFloor
+	}
+	return max(stallFloor, seconds(stallSteps*o.step()))
+}
+
+func (o *Owner) start(e *entry, now time.Time) {
+	r := &running{deadline: now.Add(reservationPeriod), forecast: e.expectation.forecast, key: e.key, movedAt: now, work: e.work}
+	o.running[e.work.ID] = r
+	o.reading += e.work.Prompt
+	o.usedTokens += e.work.Prompt
+	o.forecast.add(&r.forecast, 1)
+}
+
+// usedAt returns the tokens that known generations held at time t.
+func (o *Owner) usedAt(t, now time.Time) int {
+	grown := int(now.Sub(t).Seconds() / o.step())
+	n := 0
+	for _, r := range o.running {
+		if r.confirmed {
+			n += r.work.Prompt + max(0, r.produced-grown)
+		}
+	}
+	return n
+}
