--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -206,11 +206,11 @@
 	}
 }
 
-// startMove starts a move, unless one is under way.
+// startMove starts a move, unless one is under way or the stream is closed.
 func (s *stream) startMove(gone bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.move != nil {
+	if s.closed || s.move != nil {
 		return
 	}
 	m := &move{done: make(chan struct{}), from: s.upstream}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -31,6 +31,7 @@
 	times    meter.Times
 
 	mutex    sync.Mutex // guards the fields below; those of a move, of lengths and of metrics are taken under it
+	closed   bool       // no move may start any more
 	events   int        // passed on
 	hops     int        // moves made
 	lastAt   time.Time  // of the last event passed on
@@ -73,6 +74,7 @@
 	close(s.ended)
 	x.meter.End(&s.times)
 	s.mutex.Lock()
+	s.closed = true
 	r, m := s.running, s.move
 	s.mutex.Unlock()
 	if r != nil {
--- /dev/null
+++ b/internal/relay/stream_test.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestNoMoveStartsOnceAStreamIsClosed has the engine leave just as the stream closes: a
+// move that started then would leave its copy to nobody.
+func TestNoMoveStartsOnceAStreamIsClosed(t *testing.T) {
+	x := New(resource.NewView(), nil, policy.NewLengths(), "a", metric.NewSet(), slog.New(slog.DiscardHandler))
+	e := &exchange{client: t.Context(), relay: x, request: new(Request), route: new(resource.Route), writer: httptest.NewRecorder()}
+	s := newStream(e, &resource.Upstream{Name: "u1"}, nil)
+	s.close()
+	s.startMove(false)
+	if s.move != nil {
+		t.Error("a move of a closed stream: got one, want none")
+	}
+	_ = x.Abort()
+}
