Send times between boxes with their fractions of a second

Cause: the codec's default writes whole seconds, so that arrivals, deadlines and the ages of loads were up to a second off at the other box; found while asking why a heartbeat has 187 bytes. Queues were ordered and late work refused by them. Test: TestTimesKeepTheirFractions failed first (0.99 s off).

--- a/internal/box/clock_test.go
+++ b/internal/box/clock_test.go
@@ -29,3 +29,25 @@
 		t.Errorf("retry at: got %s, want none", r.Answer.RetryAt)
 	}
 }
+
+// TestTimesKeepTheirFractions sends times over the wire: what was 0.3 s ago must not
+// come out as a second or none.
+func TestTimesKeepTheirFractions(t *testing.T) {
+	now := time.Unix(1_800_000_000, 987_654_321)
+	q := &Request{SentAt: now, Ask: &Ask{Work: policy.Work{Arrived: now.Add(-300 * time.Millisecond), Deadline: now.Add(1700 * time.Millisecond)}}}
+	b, err := Encoding.Marshal(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := new(Request)
+	if err := decodeMode.Unmarshal(b, got); err != nil {
+		t.Fatal(err)
+	}
+	for name, x := range map[string][2]time.Time{
+		"sent": {got.SentAt, q.SentAt}, "arrived": {got.Ask.Work.Arrived, q.Ask.Work.Arrived}, "deadline": {got.Ask.Work.Deadline, q.Ask.Work.Deadline},
+	} {
+		if d := x[0].Sub(x[1]).Abs(); d > time.Microsecond {
+			t.Errorf("%s: got %v off, want at most a microsecond", name, d)
+		}
+	}
+}
--- a/internal/box/plain.go
+++ b/internal/box/plain.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/linetiller/linetiller/internal/fail"
 )
 
@@ -68,7 +66,7 @@
 // Call sends q to the box at address. The caller closes the call.
 func (p *Plain) Call(ctx context.Context, address string, q *Request) (*Call, error) {
 	place := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
-	b, err := cbor.Marshal(q)
+	b, err := Encoding.Marshal(q)
 	if err != nil {
 		return nil, fail.Wrap(fail.BadInput, place, "bad_message", err)
 	}
@@ -104,7 +102,7 @@
 func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
 	p.workers.Add(1)
 	defer p.workers.Done()
-	e := cbor.NewEncoder(w)
+	e := Encoding.NewEncoder(w)
 	b, err := io.ReadAll(io.LimitReader(r.Body, MaxMessageBytes))
 	if err != nil {
 		return
@@ -138,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	if err := cbor.NewEncoder(z).Encode(v); err != nil {
+	if err := Encoding.NewEncoder(z).Encode(v); err != nil {
 		return err
 	}
 	return z.Close()
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -4,13 +4,11 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 
 	"github.com/linetiller/linetiller/internal/fail"
@@ -49,8 +47,6 @@
 	maxStreams     = 1 << 16
 )
 
-var decodeMode = newDecodeMode()
-
 // Listen returns a transport at address (IP:port) that answers by h.
 //
 // Both configurations must name Protocol; where they carry certificates, both
@@ -101,7 +97,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		_ = s.SetDeadline(d)
 	}
-	if err := cbor.NewEncoder(s).Encode(q); err != nil {
+	if err := Encoding.NewEncoder(s).Encode(q); err != nil {
 		s.CancelRead(codeHungUp)
 		s.CancelWrite(codeHungUp)
 		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
@@ -216,7 +212,7 @@
 func (t *Transport) answer(s *quic.Stream) {
 	defer func() { _ = s.Close() }()
 	_ = s.SetReadDeadline(time.Now().Add(idlePeriod))
-	e := cbor.NewEncoder(s)
+	e := Encoding.NewEncoder(s)
 	q, err := DecodeRequest(s)
 	if err != nil {
 		_ = e.Encode(&Reply{Error: "bad_message"})
@@ -243,11 +239,3 @@
 	}
 	return err
 }
-
-func newDecodeMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode()
-	if err != nil {
-		panic(fmt.Sprintf("box: %v", err))
-	}
-	return m
-}
--- a/internal/slope/rig.go
+++ b/internal/slope/rig.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/fake/link"
@@ -144,7 +142,7 @@
 
 // size returns the bytes of a message between boxes.
 func size(v any) float64 {
-	b, err := cbor.Marshal(v)
+	b, err := box.Encoding.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -246,7 +246,7 @@
 
 func (r *region) call(ctx context.Context, from, to string, q *box.Request) (*box.Call, error) {
 	lost := fail.New(fail.Unavailable, fail.Place{Peer: "box " + to, Step: "call"}, "box_unreachable", "no route")
-	b, err := cbor.Marshal(q)
+	b, err := box.Encoding.Marshal(q)
 	if err != nil {
 		return nil, err
 	}
@@ -269,7 +269,7 @@
 	go func() {
 		defer close(replies)
 		peer.answer(ctx, v, func(x *box.Reply) error {
-			b, err := cbor.Marshal(x)
+			b, err := box.Encoding.Marshal(x)
 			if err != nil {
 				return err
 			}
