Stop within the grace that the platform gives

Cause: a stopped box ended its streams 7.5 s after it was asked to, a figure of the template; where the grace is longer, streams that would have ended in time were cut, and where it is shorter, the box was killed with them. Change: timeouts.grace, from the platform's bounds; half a second before its end what is left is ended. Ending requests in progress no longer waits for workers that wait for these requests. Test: TestStopLastsAsLongAsTheGrace, eight and twenty seconds, failed first.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,7 @@
 // Timeouts bounds how long the box waits; each is made a deadline when a wait begins.
 type Timeouts struct {
 	Drain     Span `toml:"drain"`     // from failing readiness to refusing new requests
+	Grace     Span `toml:"grace"`     // from a stop's being asked for until the box is killed; 0 where nobody does
 	Heartbeat Span `toml:"heartbeat"` // between heartbeats to another box
 	Leave     Span `toml:"leave"`     // for streams to finish after a stop was asked for
 	Platform  Span `toml:"platform"`  // for one call to the platform
@@ -284,6 +285,9 @@
 			add(x.key, "must be above 0")
 		}
 	}
+	if s.Timeouts.Grace.Duration < 0 {
+		add("grace", "must be 0 or above")
+	}
 }
 
 func decodeFaults(err error) Faults {
--- a/linetiller.go
+++ b/linetiller.go
@@ -92,7 +92,10 @@
 
 const (
 	engineCallPeriod = 2 * time.Second // for a call of a declared engine, but for streams
-	shutPeriod       = 5 * time.Second // for the last answers to reach their clients
+	// graceMargin is what is left of the grace for the last answers and the box's own
+	// row: a small box closes its connections within some 100 ms.
+	graceMargin = 500 * time.Millisecond
+	shutPeriod  = 5 * time.Second // for the last answers to reach their clients
 )
 
 // New returns a box that listens at its addresses, but does not serve yet.
@@ -140,8 +143,9 @@
 				_ = v.listener.Close()
 			}
 		}
+		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort()) // workers may wait for what is in progress
 		b.workers.Wait()
-		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort(), b.keys.Close(), b.links.Close(), b.engines.Close(), b.routed.Close(), b.store.Close())
+		err = errors.Join(err, b.keys.Close(), b.links.Close(), b.engines.Close(), b.routed.Close(), b.store.Close())
 	})
 	return err
 }
@@ -199,12 +203,13 @@
 // finish goes on serving until the balancer must have seen that the box is not
 // ready, and then waits for the requests in progress, up to the time for leaving.
 func (b *Box) finish(ctx context.Context) {
+	leaveBy := b.leaveBy(time.Now())
 	select {
 	case <-ctx.Done():
 		return
-	case <-time.After(b.settings.Timeouts.Drain.Duration):
+	case <-time.After(b.drainPeriod()):
 	}
-	ctx, cancel := context.WithTimeout(ctx, b.settings.Timeouts.Leave.Duration)
+	ctx, cancel := context.WithDeadline(ctx, leaveBy)
 	defer cancel()
 	done := make(chan struct{})
 	b.workers.Go(func() {
@@ -227,6 +232,26 @@
 	b.unregister(s)
 }
 
+// drainPeriod returns how long a box that was asked to stop goes on taking requests: at
+// most half of the grace.
+func (b *Box) drainPeriod() time.Duration {
+	t := b.settings.Timeouts
+	if t.Grace.Duration > 0 {
+		return min(t.Drain.Duration, t.Grace.Duration/2)
+	}
+	return t.Drain.Duration
+}
+
+// leaveBy returns when streams are ended of a box that was asked to stop at a time:
+// shortly before it is killed, where somebody does that.
+func (b *Box) leaveBy(asked time.Time) time.Time {
+	t := b.settings.Timeouts
+	if t.Grace.Duration > 0 {
+		return asked.Add(t.Grace.Duration - graceMargin)
+	}
+	return asked.Add(t.Drain.Duration + t.Leave.Duration)
+}
+
 // listeners returns all servers of the box with their listeners.
 func (b *Box) listeners() []served {
 	return append([]served{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
--- a/routed_test.go
+++ b/routed_test.go
@@ -229,6 +229,30 @@
 	})
 }
 
+// TestStopLastsAsLongAsTheGrace stops a box while it streams a plan of some ten seconds:
+// the plan is whole where the box is killed only later, and the box ends by itself
+// shortly before it would be killed.
+func TestStopLastsAsLongAsTheGrace(t *testing.T) {
+	for _, x := range []struct {
+		grace time.Duration
+		whole bool
+	}{{8 * time.Second, false}, {20 * time.Second, true}} {
+		withRoutes(t, func(t *testing.T, r *routes) {
+			r.boxes["box-a1"].settings.Timeouts.Drain.Duration = 3 * time.Second
+			r.boxes["box-a1"].settings.Timeouts.Grace.Duration = x.grace
+			began := time.Now()
+			time.AfterFunc(time.Second, r.boxes["box-a1"].Leave)
+			events, whole, _ := r.plan("box-a1", "id", routedKey, 1200)
+			if whole != x.whole || (whole && events != 300) {
+				t.Errorf("grace of %v: got %d events, whole %v, want whole %v", x.grace, events, whole, x.whole)
+			}
+			if got, most := time.Since(began), time.Second+x.grace; got > most {
+				t.Errorf("grace of %v: the answer ended after %v, want at most %v", x.grace, got, most)
+			}
+		})
+	}
+}
+
 // TestStoreTurnsBoxesAway has the store refuse all boxes but one: the others hear
 // of a key that was taken away, of one that was given, and of a notice all the same.
 func TestStoreTurnsBoxesAway(t *testing.T) {
