Take calls while a box that leaves still streams

Change: after the drain new streams are refused, calls only in the last second. Test: TestLeavingRelayTakesCalls.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,6 +66,9 @@
 	if e.route == nil {
 		return fail.New(fail.NotFound, clientPlace("route"), "route_unknown", "no route leads from %s%s", q.Host, q.Path)
 	}
+	if e.route.Spec.Stream && x.refusesStreams() {
+		return leavingError()
+	}
 	if !e.route.Spec.Public && x.view.HasWorkspaces() {
 		e.workspace = x.view.WorkspaceByKey(q.Key)
 		if e.workspace == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,10 +51,11 @@
 	view      *resource.View
 	workers   sync.WaitGroup
 
-	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
-	closing bool
-	held    int
-	streams map[*stream]bool // of engines
+	mutex     sync.Mutex // guards the fields below; no other lock is taken under it
+	closing   bool
+	held      int
+	noStreams bool             // new streams are refused
+	streams   map[*stream]bool // of engines
 }
 
 // Option sets one thing of a Relay.
@@ -118,6 +119,14 @@
 	return x.view.Revisions()[resource.SourceConfiguration] > 0
 }
 
+// RefuseStreams refuses new streams, which may outlast a box that is leaving. Other
+// requests are still taken: the balancer may have no other box to give them to.
+func (x *Relay) RefuseStreams() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.noStreams = true
+}
+
 // Run watches for upstreams that leave, until the context ends.
 func (x *Relay) Run(ctx context.Context) {
 	t := time.NewTicker(forgetEvery)
@@ -155,6 +164,13 @@
 	x.budget.set(ratio, extra, window)
 }
 
+// Streams returns how many streams of engines are in progress.
+func (x *Relay) Streams() int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return len(x.streams)
+}
+
 // account counts and logs how a request ended.
 func (x *Relay) account(e *exchange, err error) {
 	now := time.Now()
@@ -183,7 +199,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if x.closing {
-		return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("accept"), "box_leaving", "this box is leaving"), time.Now())
+		return leavingError()
 	}
 	x.held++
 	x.workers.Add(1)
@@ -197,6 +213,13 @@
 	x.workers.Done()
 }
 
+// refusesStreams reports whether new streams are refused.
+func (x *Relay) refusesStreams() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.noStreams
+}
+
 // left returns how many tokens are expected still to come: up to the caller's
 // estimate, where there is one, and what was learned beyond it.
 func (x *Relay) left(w *policy.Work, made int) int {
@@ -206,6 +229,11 @@
 	return int(x.lengths.Left(policy.KeyOf(w), made, w.MaxTokens))
 }
 
+// leavingError refuses a request because the box is leaving.
+func leavingError() error {
+	return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("accept"), "box_leaving", "this box is leaving"), time.Now())
+}
+
 // serviceOf draws one of a route's services by their shares.
 func serviceOf(s *resource.RouteSpec) string {
 	sum := 0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -323,3 +323,37 @@
 		<-closed
 	})
 }
+
+// TestLeavingRelayTakesCalls checks that a relay which refuses new streams, as a box
+// that leaves does, still serves calls and the streams that it has.
+func TestLeavingRelayTakesCalls(t *testing.T) {
+	withRig(t, 1, 1, func(t *testing.T, r *rig) {
+		var g sync.WaitGroup
+		g.Go(func() {
+			s, err := r.read(plan(t.Context(), "id", 400), nil)
+			if err != nil || !s.whole || s.events != 100 {
+				t.Errorf("the stream held: got %+v %v, want 100 events and an end", s, err)
+			}
+		})
+		time.Sleep(time.Second)
+		if got, want := r.relay.Streams(), 1; got != want {
+			t.Errorf("streams: got %d, want %d", got, want)
+		}
+		r.relay.RefuseStreams()
+		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "call", "")); err != nil || w.StatusCode != http.StatusOK {
+			t.Errorf("a call: got %v %v, want 200", w, err)
+		}
+		if w, _, err := r.do(plan(t.Context(), "late", 400)); err != nil || w.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a new stream: got %v %v, want 503", w, err)
+		}
+		g.Wait()
+		if got := r.relay.Streams(); got != 0 {
+			t.Errorf("streams in the end: got %d, want none", got)
+		}
+		for n, e := range r.engines {
+			if e.Started("late") != 0 {
+				t.Errorf("%s ran the refused stream", n)
+			}
+		}
+	})
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -92,6 +92,11 @@
 
 const (
 	engineCallPeriod = 2 * time.Second // for a call of a declared engine, but for streams
+	// lastCallsPeriod is what is left for calls in progress once no more are taken: they
+	// take some 60 ms, and 0.3 s is wanted.
+	lastCallsPeriod = time.Second
+	// streamsEvery is the time between looks whether streams are still in progress.
+	streamsEvery = 50 * time.Millisecond
 	// graceMargin is what is left of the grace for the last answers and the box's own
 	// row: a small box closes its connections within some 100 ms.
 	graceMargin = 500 * time.Millisecond
@@ -211,6 +216,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, leaveBy)
 	defer cancel()
+	b.relay.RefuseStreams()
+	b.awaitStreams(ctx, leaveBy.Add(-lastCallsPeriod))
 	done := make(chan struct{})
 	b.workers.Go(func() {
 		_ = b.relay.Close()
@@ -232,6 +239,17 @@
 	b.unregister(s)
 }
 
+// awaitStreams goes on taking calls while streams are in progress, up to a time.
+func (b *Box) awaitStreams(ctx context.Context, until time.Time) {
+	for b.relay.Streams() > 0 && time.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(streamsEvery):
+		}
+	}
+}
+
 // drainPeriod returns how long a box that was asked to stop goes on taking requests: at
 // most half of the grace.
 func (b *Box) drainPeriod() time.Duration {
