Part the tests of routes by topic

The tests in which the store is away, turns boxes away or has its calls counted are now in routed_store_test.go, with the same build tag and no other change, so that a reader finds what is checked of the store in one place.

--- /dev/null
+++ b/routed_store_test.go
@@ -0,0 +1,213 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// errRefused is what a call on a store that turns a box away ends with.
+var errRefused = &net.OpError{Op: "dial", Net: "link", Err: fmt.Errorf("turned away")}
+
+// refuse makes the store turn boxes away.
+func (r *routes) refuse(boxes ...string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, b := range boxes {
+		r.refused[b] = true
+	}
+}
+
+// TestNoticeWhileTheStoreIsAway checks that an engine's own report is believed
+// where the platform's list cannot be had, and by boxes that do not read it.
+func TestNoticeWhileTheStoreIsAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		var g sync.WaitGroup
+		for _, b := range []string{"box-a1", "box-a2"} {
+			g.Go(func() {
+				if events, whole, _ := r.plan(b, "id-"+b, routedKey, 1600); events != 400 || !whole {
+					t.Errorf("%s: got %d events, whole %v; want 400, whole", b, events, whole)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		r.routed["i-a1"].Leave()
+		r.routed["i-a2"].Leave()
+		time.Sleep(1600 * time.Millisecond)
+		for _, n := range []string{"i-a1", "i-a2"} {
+			r.routed[n].Die()
+			r.link.Down(routedAddress(n), true)
+		}
+		g.Wait()
+	})
+}
+
+// TestBoxesThatDoNotReadHearThatTheStoreIsAway checks that every box of a hall of five
+// knows that the list of upstreams cannot be read, and that it can be again: each owns
+// upstreams, whose reports it then reads more often.
+func TestBoxesThatDoNotReadHearThatTheStoreIsAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		for _, n := range []string{"box-a3", "box-a4", "box-a5"} {
+			r.startRouter(n)
+		}
+		time.Sleep(5 * time.Second)
+		for _, x := range []struct {
+			down bool
+			wait time.Duration
+		}{{true, 5 * time.Second}, {true, 30 * time.Second}, {false, 3 * time.Second}} {
+			r.platform.SetFaults(fakeplatform.Faults{Down: x.down})
+			time.Sleep(x.wait)
+			for n, b := range r.boxes {
+				if got := b.follower.Away(); got != x.down {
+					t.Errorf("%s: store down %v, %v later: got away %v", n, x.down, x.wait, got)
+				}
+			}
+		}
+	})
+}
+
+// TestStoreTurnsBoxesAway has the store refuse all boxes but one: the others hear
+// of a key that was taken away, of one that was given, and of a notice all the same.
+func TestStoreTurnsBoxesAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.refuse("box-a1", "box-a2", "box-b1")
+		time.Sleep(3 * time.Second)
+		r.configure(2, "new-key")
+		r.listRouted("i-a1", "draining")
+		time.Sleep(2 * time.Second)
+		for n, b := range r.boxes {
+			if _, _, status := r.plan(n, "old-"+n, routedKey, 40); status != http.StatusUnauthorized {
+				t.Errorf("%s: the old key: got status %d, want 401", n, status)
+			}
+			if _, whole, status := r.plan(n, "new-"+n, "new-key", 40); !whole {
+				t.Errorf("%s: the new key: got status %d, want a whole stream", n, status)
+			}
+			if u := b.view.Upstream("i-a1"); u != nil && u.Takes(time.Now()) {
+				t.Errorf("%s: the engine that gave notice is still used", n)
+			}
+		}
+	})
+}
+
+// TestBoxStartsWhileTheStoreIsAway replaces a box during an outage: its neighbours
+// call it, and it serves with what they know. Before that it refuses for a moment,
+// and not for good.
+func TestBoxStartsWhileTheStoreIsAway(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		r.kill("box-a2")
+		time.Sleep(time.Second)
+		r.link.Down("box-a2", false)
+		r.startRouter("box-a2")
+		if _, _, status := r.plan("box-a2", "early", routedKey, 40); status != http.StatusServiceUnavailable && status != http.StatusOK {
+			t.Errorf("at once: got status %d, want 503 or 200", status)
+		}
+		time.Sleep(10 * time.Second)
+		if _, whole, status := r.plan("box-a2", "late", routedKey, 40); !whole {
+			t.Errorf("after 10 s: got status %d, want a whole stream", status)
+		}
+	})
+}
+
+// TestFewBoxesReadTheListAsAllStart starts eight boxes of a hall anew at once: only the
+// hall's readers read the list of upstreams, and yet all serve within two seconds.
+func TestFewBoxesReadTheListAsAllStart(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		names := []string{"box-a1", "box-a2", "box-a3", "box-a4", "box-a5", "box-a6", "box-a7", "box-a8"}
+		for _, n := range names[2:] {
+			r.startRouter(n)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range names {
+			r.kill(n)
+		}
+		time.Sleep(time.Second)
+		before := r.platform.Wholes("servers")
+		for _, n := range names {
+			r.link.Down(n, false)
+			r.startRouter(n)
+		}
+		time.Sleep(2 * time.Second)
+		if got, want := r.platform.Wholes("servers")-before, 2; got > want {
+			t.Errorf("whole reads of the list: got %d, want at most %d", got, want)
+		}
+		for _, n := range names {
+			if _, whole, status := r.plan(n, "id-"+n, routedKey, 40); !whole {
+				t.Errorf("%s: got status %d, want a whole stream", n, status)
+			}
+		}
+	})
+}
+
+// TestEntriesLapseWithTheStore removes all engines' entries as the store comes back
+// after an outage, and brings them back a second later: nothing is refused meanwhile.
+func TestEntriesLapseWithTheStore(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		for n := range r.routed {
+			r.platform.Remove("servers/" + n)
+		}
+		r.platform.SetFaults(fakeplatform.Faults{})
+		back := time.Now()
+		time.AfterFunc(1500*time.Millisecond, func() {
+			for n := range r.routed {
+				r.listRouted(n, "ready")
+			}
+		})
+		for i := 0; time.Since(back) < 4*time.Second; i++ {
+			id := fmt.Sprint("id-", i)
+			if _, whole, status := r.plan("box-a1", id, routedKey, 8); !whole {
+				t.Errorf("%s after the store's return: got status %d, want a whole stream", time.Since(back), status)
+			}
+		}
+	})
+}
+
+// TestReadersAreFewAndCallsRare counts the store's calls in steady state.
+func TestReadersAreFewAndCallsRare(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		before := r.platform.Counters()
+		const period = 60
+		time.Sleep(period * time.Second)
+		after := r.platform.Counters()
+		if got, most := float64(after.Reads-before.Reads)/period, 2.5; got > most {
+			t.Errorf("reads a second: got %.2f, want at most %.1f", got, most)
+		}
+		if got := after.Writes - before.Writes; got != 0 {
+			t.Errorf("writes: got %d, want none", got)
+		}
+	})
+}
+
+// TestFreshBoxBelievesTheNewestConfiguration checks that a box which starts while
+// it cannot reach the store does not go back behind its neighbours.
+func TestFreshBoxBelievesTheNewestConfiguration(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.configure(2, "new-key")
+		time.Sleep(time.Second)
+		r.refuse("box-b2")
+		r.kill("box-b2")
+		r.link.Down("box-b2", false)
+		r.startRouter("box-b2")
+		time.Sleep(5 * time.Second)
+		want := r.boxes["box-b1"].view.Revisions()[resource.SourceConfiguration]
+		if got := r.boxes["box-b2"].view.Revisions()[resource.SourceConfiguration]; got != want {
+			t.Errorf("revision: got %d, want %d", got, want)
+		}
+		if got := r.boxes["box-b1"].metrics.Value(metric.Refusals, "reason", "configuration_unknown"); got != 0 {
+			t.Errorf("refusals for want of a configuration at a box that has one: got %d", got)
+		}
+	})
+}
