--- a/assemble.go
+++ b/assemble.go
@@ -76,6 +76,22 @@
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
 
+// assembleEntry makes the servers of the entry, in the order of their listeners.
+func (b *Box) assembleEntry() {
+	if !b.hasEntry() {
+		return
+	}
+	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
+	i.Leaving = b.stopping.Load
+	i.Limits = b.view.Limits
+	m := http.NewServeMux()
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
+	b.entry[0].server = b.httpServer(i)
+	b.entry[0].server.ConnState = idle.NewCloser(b.idleTimeout).Track
+	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.ready.Load() && b.relay.Known() }))
+	b.entry[2].server = b.httpServer(m)
+}
+
 func (b *Box) assembleFollower(s *platform.Store) {
 	b.follower = configuration.NewFollower(b.view, b.members, b.log)
 	b.follower.Ask = b.links.Once
@@ -132,28 +148,12 @@
 	b.assembleEntry()
 }
 
-// assembleEntry makes the servers of the entry, in the order of their listeners.
-func (b *Box) assembleEntry() {
-	if !b.hasEntry() {
-		return
-	}
-	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
-	i.Leaving = b.stopping.Load
-	i.Limits = b.view.Limits
-	m := http.NewServeMux()
-	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
-	b.entry[0].server = b.httpServer(i)
-	b.entry[0].server.ConnState = idle.NewCloser(b.idleTimeout).Track
-	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.ready.Load() && b.relay.Known() }))
-	b.entry[2].server = b.httpServer(m)
-}
-
-// readLoad reads the load report of an engine, of a declared route or not.
-func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
-	if !b.hasEntry() {
-		return b.engines.Load(ctx, address)
+// httpServer returns a server that answers by h, within the bounds of the settings.
+func (b *Box) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		ErrorLog: quiet(b.log), Handler: h, IdleTimeout: idlePeriod,
+		MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: headerPeriod,
 	}
-	return b.routed.Load(ctx, address)
 }
 
 // idleTimeout returns how long a connection from callers of routes may rest.
@@ -161,10 +161,10 @@
 	return b.view.Limits().IdleTimeout.Duration()
 }
 
-// httpServer returns a server that answers by h, within the bounds of the settings.
-func (b *Box) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		ErrorLog: quiet(b.log), Handler: h, IdleTimeout: idlePeriod,
-		MaxHeaderBytes: b.settings.Limits.HeaderBytes, ReadHeaderTimeout: headerPeriod,
+// readLoad reads the load report of an engine, of a declared route or not.
+func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
+	if !b.hasEntry() {
+		return b.engines.Load(ctx, address)
 	}
+	return b.routed.Load(ctx, address)
 }
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -77,11 +77,6 @@
 	return t.socket.LocalAddr().String()
 }
 
-// Links returns the transport's calls.
-func (t *Transport) Links() *Links {
-	return &Links{Address: t.Address, Call: t.Call, Close: t.Close}
-}
-
 // Call sends q to the box at address. The caller closes the call.
 func (t *Transport) Call(ctx context.Context, address string, q *Request) (*Call, error) {
 	p := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
@@ -131,6 +126,11 @@
 	return errors.Join(err, t.quic.Close(), ignoreClosed(t.socket.Close()))
 }
 
+// Links returns the transport's calls.
+func (t *Transport) Links() *Links {
+	return &Links{Address: t.Address, Call: t.Call, Close: t.Close}
+}
+
 // DecodeRequest reads a request, as the transport does.
 func DecodeRequest(r io.Reader) (*Request, error) {
 	q := new(Request)
@@ -160,6 +160,21 @@
 	}
 }
 
+func (t *Transport) answer(s *quic.Stream) {
+	defer func() { _ = s.Close() }()
+	_ = s.SetReadDeadline(time.Now().Add(idlePeriod))
+	e := Encoding.NewEncoder(s)
+	q, err := DecodeRequest(s)
+	if err != nil {
+		_ = e.Encode(&Reply{Error: "bad_message"})
+		return
+	}
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	defer context.AfterFunc(t.ctx, cancel)()
+	t.handler(ctx, q, func(r *Reply) error { return e.Encode(r) })
+}
+
 // connection returns the open connection to address, or makes one.
 func (t *Transport) connection(ctx context.Context, address string) (*quic.Conn, error) {
 	t.mutex.Lock()
@@ -209,21 +224,6 @@
 	}
 }
 
-func (t *Transport) answer(s *quic.Stream) {
-	defer func() { _ = s.Close() }()
-	_ = s.SetReadDeadline(time.Now().Add(idlePeriod))
-	e := Encoding.NewEncoder(s)
-	q, err := DecodeRequest(s)
-	if err != nil {
-		_ = e.Encode(&Reply{Error: "bad_message"})
-		return
-	}
-	ctx, cancel := context.WithCancel(s.Context())
-	defer cancel()
-	defer context.AfterFunc(t.ctx, cancel)()
-	t.handler(ctx, q, func(r *Reply) error { return e.Encode(r) })
-}
-
 func config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: 2 * time.Second,
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -147,6 +147,11 @@
 	}
 }
 
+// Reads reports whether this box is one of its hall's readers of the store.
+func (f *Follower) Reads() bool {
+	return f.rank() >= 0
+}
+
 // Refresh brings the view up to date from the store, without waiting for changes.
 func (f *Follower) Refresh(ctx context.Context) error {
 	var g sync.WaitGroup
@@ -174,11 +179,6 @@
 	return nil
 }
 
-// Reads reports whether this box is one of its hall's readers of the store.
-func (f *Follower) Reads() bool {
-	return f.rank() >= 0
-}
-
 // Run follows every source while this box is one of its hall's readers, until
 // the context ends.
 func (f *Follower) Run(ctx context.Context) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -62,55 +62,6 @@
 	return cmd.ExitOK
 }
 
-func (d *demo) run(ctx context.Context) error {
-	var err error
-	d.directory, err = os.MkdirTemp("", "linetiller-demo-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(d.directory) }()
-	for _, step := range []struct {
-		name string
-		do   func(context.Context) error
-	}{
-		{"start the stand-ins: a platform, four engines, a plain service", d.startFakes},
-		{"start four boxes in two data halls", d.startBoxes},
-		{"apply resources and watch them come in force", d.applyResources},
-		{"stream a generation", d.streamOne},
-		{"repeat a request key", d.repeatKey},
-		{"call a plain service twice with one key", d.callService},
-		{"kill a box mid-stream", d.killBox},
-		{"freeze a box, and ask its neighbour", d.freezeBox},
-		{"stop a box while it streams", d.stopBox},
-	} {
-		d.say("\n== %s", step.name)
-		if err := step.do(ctx); err != nil {
-			return fmt.Errorf("%s: %w", step.name, err)
-		}
-	}
-	return nil
-}
-
-// watch shows changes at a box other than the one they were made at.
-func (d *demo) watch(ctx context.Context, o *operator.Client, count int) error {
-	errDone := errors.New("seen all")
-	err := o.Watch(ctx, "", "0", func(e *operator.WatchEvent) error {
-		if e.Type == operator.WatchBookmark {
-			return nil
-		}
-		d.say("   watch at the other hall: %s %s", e.Resource.Kind, e.Resource.Metadata.Name)
-		count--
-		if count == 0 {
-			return errDone
-		}
-		return nil
-	})
-	if errors.Is(err, errDone) {
-		return nil
-	}
-	return err
-}
-
 func (d *demo) callService(ctx context.Context) error {
 	var answers []string
 	for range 2 {
@@ -138,6 +89,30 @@
 	return nil
 }
 
+// freezeBox stops the clock of a box with SIGSTOP, asks the other box of its
+// hall, thaws it, and asks the thawed one.
+func (d *demo) freezeBox(ctx context.Context) error {
+	p := d.processNamed("b-1")
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	err := d.whole(ctx, 3, 50, nil)
+	if e := p.Signal(syscall.SIGCONT); e != nil || err != nil {
+		return errors.Join(err, e)
+	}
+	d.say("\n   whole while b-1 was frozen; b-1 goes on")
+	return d.whole(ctx, 2, 50, nil)
+}
+
+// generator returns a client that tries the boxes with the given numbers.
+func (d *demo) generator(numbers ...int) *client.Generator {
+	g := &client.Generator{HTTP: &http.Client{}, Key: workspaceKey}
+	for _, n := range numbers {
+		g.Boxes = append(g.Boxes, "http://"+d.boxes[n].Clients)
+	}
+	return g
+}
+
 // killBox kills the box that streams a generation, and checks that the client
 // has the same tokens as the engine made, each once.
 func (d *demo) killBox(ctx context.Context) error {
@@ -163,62 +138,22 @@
 	return wholeOnce(ids, 120)
 }
 
-// freezeBox stops the clock of a box with SIGSTOP, asks the other box of its
-// hall, thaws it, and asks the thawed one.
-func (d *demo) freezeBox(ctx context.Context) error {
-	p := d.processNamed("b-1")
-	if err := p.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	err := d.whole(ctx, 3, 50, nil)
-	if e := p.Signal(syscall.SIGCONT); e != nil || err != nil {
-		return errors.Join(err, e)
-	}
-	d.say("\n   whole while b-1 was frozen; b-1 goes on")
-	return d.whole(ctx, 2, 50, nil)
-}
-
-// stopBox asks a box to stop while it streams: the stream ends whole.
-func (d *demo) stopBox(ctx context.Context) error {
-	p := d.processNamed("b-2")
-	err := d.whole(ctx, 3, 150, func(taken int) {
-		if taken == 20 {
-			d.say("\n   ** box b-2 is asked to stop **")
-			_ = p.Signal(syscall.SIGTERM)
-		}
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-p.Exited:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	d.say("\n   b-2 ended with exit code %d", p.ExitCode())
-	if p.ExitCode() != cmd.ExitOK {
-		return errors.New("the box did not end well")
+// linetiller runs a command as the program would.
+func (d *demo) linetiller(arguments ...string) error {
+	d.say("$ linetiller %s", strings.Join(arguments, " "))
+	if c := cmd.Main(append([]string{"linetiller"}, arguments...), strings.NewReader(""), d.output, d.output); c != cmd.ExitOK {
+		return fmt.Errorf("linetiller %s: exit code %d", arguments[0], c)
 	}
 	return nil
 }
 
-// whole streams a generation of count tokens through one box and checks that it
-// comes whole; each is called with the number of tokens taken, where it is given.
-func (d *demo) whole(ctx context.Context, box, count int, each func(taken int)) error {
-	var ids []string
-	g := d.generator(box)
-	g.Taken = func(id, text string) error {
-		ids = append(ids, id)
-		_, _ = fmt.Fprint(d.output, text)
-		if each != nil {
-			each(len(ids))
+func (d *demo) processNamed(name string) *process.Process {
+	for _, p := range d.processes {
+		if p.Name == name {
+			return p
 		}
-		return nil
-	}
-	if _, _, err := g.Run(ctx, &client.Ask{Model: model, Prompt: fmt.Sprintf("a plan, length=%d", count)}); err != nil {
-		return err
 	}
-	return wholeOnce(ids, count)
+	return nil
 }
 
 func (d *demo) repeatKey(ctx context.Context) error {
@@ -251,40 +186,105 @@
 	return nil
 }
 
-func (d *demo) streamOne(_ context.Context) error {
-	return d.linetiller("generate", "--box", "http://"+d.boxes[2].Clients, "--workspace-key", workspaceKey,
-		"--model", model, "a", "quote", "for", "a", "bracket,", "length=40")
+func (d *demo) run(ctx context.Context) error {
+	var err error
+	d.directory, err = os.MkdirTemp("", "linetiller-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(d.directory) }()
+	for _, step := range []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"start the stand-ins: a platform, four engines, a plain service", d.startFakes},
+		{"start four boxes in two data halls", d.startBoxes},
+		{"apply resources and watch them come in force", d.applyResources},
+		{"stream a generation", d.streamOne},
+		{"repeat a request key", d.repeatKey},
+		{"call a plain service twice with one key", d.callService},
+		{"kill a box mid-stream", d.killBox},
+		{"freeze a box, and ask its neighbour", d.freezeBox},
+		{"stop a box while it streams", d.stopBox},
+	} {
+		d.say("\n== %s", step.name)
+		if err := step.do(ctx); err != nil {
+			return fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return nil
 }
 
-// generator returns a client that tries the boxes with the given numbers.
-func (d *demo) generator(numbers ...int) *client.Generator {
-	g := &client.Generator{HTTP: &http.Client{}, Key: workspaceKey}
-	for _, n := range numbers {
-		g.Boxes = append(g.Boxes, "http://"+d.boxes[n].Clients)
-	}
-	return g
+func (d *demo) say(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(d.output, format+"\n", arguments...)
 }
 
-// linetiller runs a command as the program would.
-func (d *demo) linetiller(arguments ...string) error {
-	d.say("$ linetiller %s", strings.Join(arguments, " "))
-	if c := cmd.Main(append([]string{"linetiller"}, arguments...), strings.NewReader(""), d.output, d.output); c != cmd.ExitOK {
-		return fmt.Errorf("linetiller %s: exit code %d", arguments[0], c)
+// stopBox asks a box to stop while it streams: the stream ends whole.
+func (d *demo) stopBox(ctx context.Context) error {
+	p := d.processNamed("b-2")
+	err := d.whole(ctx, 3, 150, func(taken int) {
+		if taken == 20 {
+			d.say("\n   ** box b-2 is asked to stop **")
+			_ = p.Signal(syscall.SIGTERM)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.Exited:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d.say("\n   b-2 ended with exit code %d", p.ExitCode())
+	if p.ExitCode() != cmd.ExitOK {
+		return errors.New("the box did not end well")
 	}
 	return nil
 }
 
-func (d *demo) processNamed(name string) *process.Process {
-	for _, p := range d.processes {
-		if p.Name == name {
-			return p
+func (d *demo) streamOne(_ context.Context) error {
+	return d.linetiller("generate", "--box", "http://"+d.boxes[2].Clients, "--workspace-key", workspaceKey,
+		"--model", model, "a", "quote", "for", "a", "bracket,", "length=40")
+}
+
+// watch shows changes at a box other than the one they were made at.
+func (d *demo) watch(ctx context.Context, o *operator.Client, count int) error {
+	errDone := errors.New("seen all")
+	err := o.Watch(ctx, "", "0", func(e *operator.WatchEvent) error {
+		if e.Type == operator.WatchBookmark {
+			return nil
 		}
+		d.say("   watch at the other hall: %s %s", e.Resource.Kind, e.Resource.Metadata.Name)
+		count--
+		if count == 0 {
+			return errDone
+		}
+		return nil
+	})
+	if errors.Is(err, errDone) {
+		return nil
 	}
-	return nil
+	return err
 }
 
-func (d *demo) say(format string, arguments ...any) {
-	_, _ = fmt.Fprintf(d.output, format+"\n", arguments...)
+// whole streams a generation of count tokens through one box and checks that it
+// comes whole; each is called with the number of tokens taken, where it is given.
+func (d *demo) whole(ctx context.Context, box, count int, each func(taken int)) error {
+	var ids []string
+	g := d.generator(box)
+	g.Taken = func(id, text string) error {
+		ids = append(ids, id)
+		_, _ = fmt.Fprint(d.output, text)
+		if each != nil {
+			each(len(ids))
+		}
+		return nil
+	}
+	if _, _, err := g.Run(ctx, &client.Ask{Model: model, Prompt: fmt.Sprintf("a plan, length=%d", count)}); err != nil {
+		return err
+	}
+	return wholeOnce(ids, count)
 }
 
 // wholeOnce checks that the event ids name the tokens of one generation, each
--- a/internal/demo/start.go
+++ b/internal/demo/start.go
@@ -13,6 +13,36 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+func (d *demo) applyResources(ctx context.Context) error {
+	path := filepath.Join(d.directory, "resources.json")
+	if err := os.WriteFile(path, d.resources(), 0o600); err != nil {
+		return err
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := make(chan error, 1)
+	o := operator.NewClient("http://"+d.boxes[3].Operators, operatorKey, &http.Client{})
+	go func() { watched <- d.watch(watch, o, 8) }()
+	if err := d.linetiller("apply", "-f", path, "--wait", inForceTime.String(),
+		"--operator", "http://"+d.boxes[0].Operators, "--operator-key", operatorKey); err != nil {
+		return err
+	}
+	select {
+	case err := <-watched:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *demo) makeAuthority() error {
+	return d.linetiller("certificate", "authority", "--certificate", d.path("authority.pem"), "--key", d.path("authority-key.pem"))
+}
+
+func (d *demo) path(name string) string {
+	return filepath.Join(d.directory, name)
+}
+
 // resources returns the resources of the demonstration in JSON.
 func (d *demo) resources() []byte {
 	var l []*resource.Resource
@@ -35,29 +65,6 @@
 	return b
 }
 
-// started returns how many generations the engines have started.
-func (d *demo) started(ctx context.Context) (int, error) {
-	sum := 0
-	for _, u := range d.engines {
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u+"/fake/started", nil)
-		if err != nil {
-			return 0, err
-		}
-		w, err := http.DefaultClient.Do(r)
-		if err != nil {
-			return 0, err
-		}
-		n := 0
-		err = json.NewDecoder(w.Body).Decode(&n)
-		_ = w.Body.Close()
-		if err != nil {
-			return 0, err
-		}
-		sum += n
-	}
-	return sum, nil
-}
-
 func (d *demo) startBoxes(context.Context) error {
 	if err := d.makeAuthority(); err != nil {
 		return err
@@ -105,6 +112,29 @@
 	return nil
 }
 
+// started returns how many generations the engines have started.
+func (d *demo) started(ctx context.Context) (int, error) {
+	sum := 0
+	for _, u := range d.engines {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u+"/fake/started", nil)
+		if err != nil {
+			return 0, err
+		}
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0, err
+		}
+		n := 0
+		err = json.NewDecoder(w.Body).Decode(&n)
+		_ = w.Body.Close()
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
 // stopAll stops every process that was started, the newest first.
 func (d *demo) stopAll() {
 	for i := len(d.processes) - 1; i >= 0; i-- {
@@ -112,14 +142,6 @@
 	}
 }
 
-func (d *demo) makeAuthority() error {
-	return d.linetiller("certificate", "authority", "--certificate", d.path("authority.pem"), "--key", d.path("authority-key.pem"))
-}
-
-func (d *demo) path(name string) string {
-	return filepath.Join(d.directory, name)
-}
-
 func (d *demo) writeSettings(name, hall string) (string, error) {
 	err := d.linetiller("certificate", "box", "--certificate", d.path(name+".pem"), "--key", d.path(name+"-key.pem"),
 		"--authority", d.path("authority.pem"), "--authority-key", d.path("authority-key.pem"), name, "127.0.0.1")
@@ -142,25 +164,3 @@
 	p := d.path(name + ".toml")
 	return p, os.WriteFile(p, []byte(s), 0o600)
 }
-
-func (d *demo) applyResources(ctx context.Context) error {
-	path := filepath.Join(d.directory, "resources.json")
-	if err := os.WriteFile(path, d.resources(), 0o600); err != nil {
-		return err
-	}
-	watch, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watched := make(chan error, 1)
-	o := operator.NewClient("http://"+d.boxes[3].Operators, operatorKey, &http.Client{})
-	go func() { watched <- d.watch(watch, o, 8) }()
-	if err := d.linetiller("apply", "-f", path, "--wait", inForceTime.String(),
-		"--operator", "http://"+d.boxes[0].Operators, "--operator-key", operatorKey); err != nil {
-		return err
-	}
-	select {
-	case err := <-watched:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -147,29 +147,6 @@
 	}
 }
 
-// step takes the time of a step first and then hands out its tokens.
-func (s *Server) step() bool {
-	var out []func()
-	s.mutex.Lock()
-	d := s.scheduler.Step(func(g *Generation, finished bool) {
-		out = append(out, func() { s.produce(g, finished) })
-	})
-	s.mutex.Unlock()
-	select {
-	case <-s.closed:
-		return false
-	case <-time.After(d):
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, f := range out {
-		f()
-	}
-	s.stepMicros = d.Microseconds()
-	s.report()
-	return true
-}
-
 // produce records one token of g; the lock is held.
 func (s *Server) produce(g *Generation, finished bool) {
 	v := s.records[g.ID]
@@ -225,6 +202,29 @@
 	return x, nil
 }
 
+// step takes the time of a step first and then hands out its tokens.
+func (s *Server) step() bool {
+	var out []func()
+	s.mutex.Lock()
+	d := s.scheduler.Step(func(g *Generation, finished bool) {
+		out = append(out, func() { s.produce(g, finished) })
+	})
+	s.mutex.Unlock()
+	select {
+	case <-s.closed:
+		return false
+	case <-time.After(d):
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, f := range out {
+		f()
+	}
+	s.stepMicros = d.Microseconds()
+	s.report()
+	return true
+}
+
 func (r *record) end(finish string) {
 	r.finish = finish
 	r.signal()
--- a/internal/fake/engine/streams.go
+++ b/internal/fake/engine/streams.go
@@ -9,40 +9,6 @@
 	"github.com/linetiller/linetiller/internal/upstream"
 )
 
-// stream writes v's events from a token index until its end or a fault.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, v *record, from int) {
-	f := s.openReader(v)
-	defer s.closeReader(v)
-	w.Header().Set("Content-Type", "text/event-stream")
-	c := http.NewResponseController(w)
-	_ = c.Flush()
-	for i, sent := from, 0; ; {
-		s.mutex.Lock()
-		texts, finish, changed := v.texts, v.finish, v.changed
-		s.mutex.Unlock()
-		for ; i < len(texts); i++ {
-			x := upstream.Frame{Generation: v.generation.ID, Index: i, Text: texts[i], Workspace: v.workspace}
-			sent++
-			writeFaulty(w, x, sent, &f)
-			if s.breaks(r, c, sent, &f) {
-				return
-			}
-		}
-		if finish != "" {
-			writeFrame(w, upstream.Frame{Finish: finish, Generation: v.generation.ID, Index: i, Workspace: v.workspace})
-			return
-		}
-		_ = c.Flush()
-		select {
-		case <-changed:
-		case <-s.closed:
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // breaks cuts the stream or stalls it where a fault says so, and reports whether
 // it has ended.
 func (s *Server) breaks(r *http.Request, c *http.ResponseController, sent int, f *Faults) bool {
@@ -79,6 +45,40 @@
 	return f
 }
 
+// stream writes v's events from a token index until its end or a fault.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, v *record, from int) {
+	f := s.openReader(v)
+	defer s.closeReader(v)
+	w.Header().Set("Content-Type", "text/event-stream")
+	c := http.NewResponseController(w)
+	_ = c.Flush()
+	for i, sent := from, 0; ; {
+		s.mutex.Lock()
+		texts, finish, changed := v.texts, v.finish, v.changed
+		s.mutex.Unlock()
+		for ; i < len(texts); i++ {
+			x := upstream.Frame{Generation: v.generation.ID, Index: i, Text: texts[i], Workspace: v.workspace}
+			sent++
+			writeFaulty(w, x, sent, &f)
+			if s.breaks(r, c, sent, &f) {
+				return
+			}
+		}
+		if finish != "" {
+			writeFrame(w, upstream.Frame{Finish: finish, Generation: v.generation.ID, Index: i, Workspace: v.workspace})
+			return
+		}
+		_ = c.Flush()
+		select {
+		case <-changed:
+		case <-s.closed:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 func writeFrame(w io.Writer, f upstream.Frame) {
 	b, _ := json.Marshal(f)
 	_, _ = w.Write(sse.Append(nil, sse.Event{Data: b}))
--- a/internal/fake/soak/caller.go
+++ b/internal/fake/soak/caller.go
@@ -36,13 +36,6 @@
 	return &callers{counts: make(map[string]int), http: &http.Client{Transport: transport()}, world: w}
 }
 
-// fail notes a broken promise.
-func (c *callers) fail(format string, arguments ...any) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.broken = append(c.broken, fmt.Sprintf(format, arguments...))
-}
-
 // call sends one request and checks its answer.
 func (c *callers) call(ctx context.Context, box *soakBox, s *sent) (served bool) {
 	q, err := http.NewRequestWithContext(ctx, s.method, "http://"+box.entry.address()+s.path, strings.NewReader(""))
@@ -84,6 +77,46 @@
 	}
 }
 
+// fail notes a broken promise.
+func (c *callers) fail(format string, arguments ...any) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.broken = append(c.broken, fmt.Sprintf(format, arguments...))
+}
+
+// inForce checks, once all is quiet, that every box serves by the newest configuration:
+// a route that it adds is served, the one that it removed is not.
+func (c *callers) inForce() {
+	c.world.mutex.Lock()
+	newest := c.world.newest
+	c.world.mutex.Unlock()
+	for i, b := range c.world.boxes {
+		for v, want := range map[int]bool{newest: true, newest - 1: false} {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			s := &sent{id: fmt.Sprintf("in-force-%d-%d", i, v), path: fmt.Sprintf("/extra%d/x", v), method: http.MethodGet, unknown: !want}
+			if got := c.call(ctx, b, s); got != want {
+				c.fail("%s: the route of version %d of %d: served %v", b.name, v, newest, got)
+			}
+			cancel()
+		}
+	}
+}
+
+// next draws a request.
+func (c *callers) next(id string, r *rand.Rand) *sent {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch r.IntN(3) {
+	case 0:
+		c.unsafely = append(c.unsafely, id)
+		return &sent{id: id, path: "/plan/x", method: http.MethodPost, tokens: 4 * (5 + r.IntN(200))}
+	case 1:
+		c.unsafely = append(c.unsafely, id)
+		return &sent{id: id, path: "/once/x", method: http.MethodPost}
+	}
+	return &sent{id: id, path: "/often/x", method: http.MethodGet}
+}
+
 // read reads a success and checks that it is whole, or that its end shows that it is not.
 func (c *callers) read(s *sent, w *http.Response) bool {
 	if w.Header.Get("X-Linetiller-Server-Stamp") == "" {
@@ -129,39 +162,6 @@
 	}
 }
 
-// next draws a request.
-func (c *callers) next(id string, r *rand.Rand) *sent {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	switch r.IntN(3) {
-	case 0:
-		c.unsafely = append(c.unsafely, id)
-		return &sent{id: id, path: "/plan/x", method: http.MethodPost, tokens: 4 * (5 + r.IntN(200))}
-	case 1:
-		c.unsafely = append(c.unsafely, id)
-		return &sent{id: id, path: "/once/x", method: http.MethodPost}
-	}
-	return &sent{id: id, path: "/often/x", method: http.MethodGet}
-}
-
-// inForce checks, once all is quiet, that every box serves by the newest configuration:
-// a route that it adds is served, the one that it removed is not.
-func (c *callers) inForce() {
-	c.world.mutex.Lock()
-	newest := c.world.newest
-	c.world.mutex.Unlock()
-	for i, b := range c.world.boxes {
-		for v, want := range map[int]bool{newest: true, newest - 1: false} {
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			s := &sent{id: fmt.Sprintf("in-force-%d-%d", i, v), path: fmt.Sprintf("/extra%d/x", v), method: http.MethodGet, unknown: !want}
-			if got := c.call(ctx, b, s); got != want {
-				c.fail("%s: the route of version %d of %d: served %v", b.name, v, newest, got)
-			}
-			cancel()
-		}
-	}
-}
-
 // settle checks, once all is quiet, what ran against what callers were told.
 func (c *callers) settle() {
 	runs := func(id string) int {
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -134,6 +134,17 @@
 	return nil
 }
 
+// all returns the upstreams that stand.
+func (w *world) all() []*soakUpstream {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var l []*soakUpstream
+	for _, u := range w.upstreams {
+		l = append(l, u)
+	}
+	return l
+}
+
 // close ends everything that was started; the logs stay where keep is set.
 func (w *world) close(keep bool) {
 	for _, b := range w.boxes {
@@ -161,17 +172,6 @@
 	}
 }
 
-// all returns the upstreams that stand.
-func (w *world) all() []*soakUpstream {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	var l []*soakUpstream
-	for _, u := range w.upstreams {
-		l = append(l, u)
-	}
-	return l
-}
-
 // configure writes a new version of the configuration.
 func (w *world) configure() {
 	w.mutex.Lock()
@@ -279,40 +279,6 @@
 	return nil, errors.New("no free ports")
 }
 
-// logFile takes the lines of all boxes. It is safe for concurrent use.
-type logFile struct {
-	file  *os.File
-	mutex sync.Mutex
-	path  string
-}
-
-func newLogFile(path string) *logFile {
-	f, err := os.Create(path)
-	if err != nil {
-		return &logFile{path: path} // without logs, a soak still tells what broke
-	}
-	return &logFile{file: f, path: path}
-}
-
-// Write takes in a part of a box's log.
-func (l *logFile) Write(b []byte) (int, error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.file == nil {
-		return len(b), nil
-	}
-	return l.file.Write(b)
-}
-
-func (l *logFile) close() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.file != nil {
-		_ = l.file.Close()
-		l.file = nil
-	}
-}
-
 // transport makes calls of callers: a connection for each, as many callers do.
 func transport() *http.Transport {
 	return &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
--- a/internal/measure/boxes.go
+++ b/internal/measure/boxes.go
@@ -14,23 +14,34 @@
 	router  *policy.Router
 }
 
-// place finds a place for a request that has none.
-func (w *world) place(r *request) {
-	if w.scenario.Naive {
-		w.submit(r, w.engineNamed(r.box.naive.Choose(w.candidates(), func(string) bool { return true })))
+// answer takes an owner's answer to the box that asked.
+func (w *world) answer(r *request, e *modelEngine, a policy.Answer) {
+	if r.state != stateQueued || r.place != e {
 		return
 	}
-	n := r.box.router.Choose(&r.work, w.candidates(), w.now, func(n string) bool { return !r.tried[n] })
-	w.ask(r, w.engineNamed(n))
+	switch a.Verdict {
+	case policy.VerdictStart:
+		w.submit(r, e)
+	case policy.VerdictRefuse:
+		r.tried[e.name] = true
+		if len(r.tried) >= asksMost {
+			r.state = stateRefused
+			return
+		}
+		w.place(r)
+	case policy.VerdictQueue:
+	}
 }
 
-func (w *world) engineNamed(n string) *modelEngine {
-	for _, e := range w.engines {
-		if e.name == n {
-			return e
-		}
+// answerAll hands out the places that an owner has now.
+func (w *world) answerAll(e *modelEngine) {
+	if e.dead {
+		return
+	}
+	for _, a := range e.owner.Next(w.now) {
+		r := w.byID(a.ID)
+		w.after(messageDelay, func() { w.answer(r, e, a) })
 	}
-	return nil
 }
 
 // ask asks an engine's owner for a place.
@@ -54,40 +65,39 @@
 	})
 }
 
-// answer takes an owner's answer to the box that asked.
-func (w *world) answer(r *request, e *modelEngine, a policy.Answer) {
-	if r.state != stateQueued || r.place != e {
-		return
-	}
-	switch a.Verdict {
-	case policy.VerdictStart:
-		w.submit(r, e)
-	case policy.VerdictRefuse:
-		r.tried[e.name] = true
-		if len(r.tried) >= asksMost {
-			r.state = stateRefused
-			return
+func (w *world) byID(id string) *request {
+	n := 0
+	_, _ = fmt.Sscanf(id, "r%d", &n)
+	return w.requests[n]
+}
+
+func (w *world) candidates() []policy.Candidate {
+	l := make([]policy.Candidate, 0, len(w.engines))
+	for _, e := range w.engines {
+		if !e.dead {
+			l = append(l, policy.Candidate{Capacity: capacity, Name: e.name})
 		}
-		w.place(r)
-	case policy.VerdictQueue:
 	}
+	return l
 }
 
-// answerAll hands out the places that an owner has now.
-func (w *world) answerAll(e *modelEngine) {
-	if e.dead {
-		return
-	}
-	for _, a := range e.owner.Next(w.now) {
-		r := w.byID(a.ID)
-		w.after(messageDelay, func() { w.answer(r, e, a) })
+func (w *world) engineNamed(n string) *modelEngine {
+	for _, e := range w.engines {
+		if e.name == n {
+			return e
+		}
 	}
+	return nil
 }
 
-func (w *world) byID(id string) *request {
-	n := 0
-	_, _ = fmt.Sscanf(id, "r%d", &n)
-	return w.requests[n]
+// place finds a place for a request that has none.
+func (w *world) place(r *request) {
+	if w.scenario.Naive {
+		w.submit(r, w.engineNamed(r.box.naive.Choose(w.candidates(), func(string) bool { return true })))
+		return
+	}
+	n := r.box.router.Choose(&r.work, w.candidates(), w.now, func(n string) bool { return !r.tried[n] })
+	w.ask(r, w.engineNamed(n))
 }
 
 // progress tells an owner how far its generations are, and the boxes its load.
@@ -137,13 +147,3 @@
 		w.run(e)
 	}
 }
-
-func (w *world) candidates() []policy.Candidate {
-	l := make([]policy.Candidate, 0, len(w.engines))
-	for _, e := range w.engines {
-		if !e.dead {
-			l = append(l, policy.Candidate{Capacity: capacity, Name: e.name})
-		}
-	}
-	return l
-}
--- a/internal/measure/evacuation/move.go
+++ b/internal/measure/evacuation/move.go
@@ -7,16 +7,12 @@
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
-// leave starts the moves away from an engine that has given notice.
-func (w *world) leave(e *engine) {
-	if !w.scenario.Alone {
-		w.next(e)
-		return
-	}
-	for _, g := range w.runs {
-		if g.at == e && g.move == nil {
-			w.start(g, w.anywhere(g))
-		}
+// again gives up a copy to an engine that has given notice since.
+func (w *world) again(g *generation) {
+	w.drop(g)
+	g.move = nil
+	if w.scenario.Alone || g.stopped {
+		w.start(g, w.anywhere(g))
 	}
 }
 
@@ -42,6 +38,59 @@
 	return near[w.random.IntN(len(near))]
 }
 
+// ask queues the copy of what the other engine lacks.
+func (w *world) ask(t *transfer) {
+	t.part = t.run.work.Tokens - t.copied
+	w.copies = append(w.copies, t)
+}
+
+// copied takes in that a part of a copy has arrived: the generation is stopped, or it
+// goes on at the other engine.
+func (w *world) copied(t *transfer) {
+	g := t.run
+	t.copied += t.part
+	if t.to.goneAt != 0 {
+		w.again(g)
+		return
+	}
+	if !g.stopped {
+		g.stopped, g.stands = true, 0
+		w.ask(t)
+		return
+	}
+	w.result.Moves++
+	t.from.used -= g.work.Tokens
+	w.drop(g)
+	g.at, g.stopped, g.move = t.to, false, nil
+	t.to.used += g.work.Tokens
+}
+
+// drop gives back what a generation's move holds.
+func (w *world) drop(g *generation) {
+	t := g.move
+	if t == nil {
+		return
+	}
+	t.to.reserved -= t.reserved
+	if t.left > 0 {
+		t.from.sending, t.to.receiving = false, false
+	}
+	w.copies = slices.DeleteFunc(w.copies, func(x *transfer) bool { return x == t })
+}
+
+// leave starts the moves away from an engine that has given notice.
+func (w *world) leave(e *engine) {
+	if !w.scenario.Alone {
+		w.next(e)
+		return
+	}
+	for _, g := range w.runs {
+		if g.at == e && g.move == nil {
+			w.start(g, w.anywhere(g))
+		}
+	}
+}
+
 // next starts the move of the generation whose turn it is to leave an engine.
 func (w *world) next(e *engine) {
 	var first *generation
@@ -80,12 +129,6 @@
 	w.ask(g.move)
 }
 
-// ask queues the copy of what the other engine lacks.
-func (w *world) ask(t *transfer) {
-	t.part = t.run.work.Tokens - t.copied
-	w.copies = append(w.copies, t)
-}
-
 // transfer lets copies go on: each takes both links, and one that was asked for earlier
 // goes first.
 func (w *world) transfer() {
@@ -120,49 +163,6 @@
 	}
 }
 
-// copied takes in that a part of a copy has arrived: the generation is stopped, or it
-// goes on at the other engine.
-func (w *world) copied(t *transfer) {
-	g := t.run
-	t.copied += t.part
-	if t.to.goneAt != 0 {
-		w.again(g)
-		return
-	}
-	if !g.stopped {
-		g.stopped, g.stands = true, 0
-		w.ask(t)
-		return
-	}
-	w.result.Moves++
-	t.from.used -= g.work.Tokens
-	w.drop(g)
-	g.at, g.stopped, g.move = t.to, false, nil
-	t.to.used += g.work.Tokens
-}
-
-// again gives up a copy to an engine that has given notice since.
-func (w *world) again(g *generation) {
-	w.drop(g)
-	g.move = nil
-	if w.scenario.Alone || g.stopped {
-		w.start(g, w.anywhere(g))
-	}
-}
-
-// drop gives back what a generation's move holds.
-func (w *world) drop(g *generation) {
-	t := g.move
-	if t == nil {
-		return
-	}
-	t.to.reserved -= t.reserved
-	if t.left > 0 {
-		t.from.sending, t.to.receiving = false, false
-	}
-	w.copies = slices.DeleteFunc(w.copies, func(x *transfer) bool { return x == t })
-}
-
 // duration returns how long the part under way takes.
 func (t *transfer) duration() time.Duration {
 	d := max(tick, time.Duration(t.part)*copyToken)
--- a/internal/measure/evacuation/world.go
+++ b/internal/measure/evacuation/world.go
@@ -117,22 +117,6 @@
 	return w
 }
 
-// step lets one tick pass.
-func (w *world) step() {
-	for w.now >= w.arriveAt {
-		w.arrive()
-		w.arriveAt += w.arrival()
-	}
-	if w.now >= w.reclaimAt {
-		w.reclaim()
-		w.reclaimAt += reclaimEvery
-	}
-	w.transfer()
-	w.generate()
-	w.remove()
-	w.now += tick
-}
-
 // arrival returns the time until the next generation arrives.
 func (w *world) arrival() time.Duration {
 	return time.Duration(w.random.ExpFloat64() / arrivalsPerSecond * float64(time.Second))
@@ -151,6 +135,16 @@
 	w.runs = append(w.runs, g)
 }
 
+// end counts a generation that has ended by itself.
+func (w *world) end(g *generation) {
+	w.result.Ended++
+	if g.pause > pauseMost {
+		w.result.Late++
+	}
+	g.at.used -= g.work.Tokens
+	w.drop(g)
+}
+
 // generate lets every generation that is not stopped produce its tokens.
 func (w *world) generate() {
 	for _, g := range w.runs {
@@ -176,16 +170,6 @@
 	})
 }
 
-// end counts a generation that has ended by itself.
-func (w *world) end(g *generation) {
-	w.result.Ended++
-	if g.pause > pauseMost {
-		w.result.Late++
-	}
-	g.at.used -= g.work.Tokens
-	w.drop(g)
-}
-
 // reclaim gives notice to a share of the engines.
 func (w *world) reclaim() {
 	wanted := w.scenario.Share * float64(len(w.engines))
@@ -238,6 +222,22 @@
 	return best
 }
 
+// step lets one tick pass.
+func (w *world) step() {
+	for w.now >= w.arriveAt {
+		w.arrive()
+		w.arriveAt += w.arrival()
+	}
+	if w.now >= w.reclaimAt {
+		w.reclaim()
+		w.reclaimAt += reclaimEvery
+	}
+	w.transfer()
+	w.generate()
+	w.remove()
+	w.now += tick
+}
+
 func (e *engine) room() int {
 	return engineTokens - e.used - e.reserved
 }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -145,17 +145,6 @@
 	heap.Push(&w.events, &event{at: w.now.Add(d), do: f, number: w.number})
 }
 
-// every does f again and again, first after a part of d that differs from call
-// to call.
-func (w *world) every(d time.Duration, f func()) {
-	var again func()
-	again = func() {
-		f()
-		w.after(d, again)
-	}
-	w.after(time.Duration(w.random.Float64()*float64(d)), again)
-}
-
 // arrive brings one request to one box.
 func (w *world) arrive() {
 	w.after(w.nextArrival(), w.arrive)
@@ -180,6 +169,17 @@
 	w.place(r)
 }
 
+// every does f again and again, first after a part of d that differs from call
+// to call.
+func (w *world) every(d time.Duration, f func()) {
+	var again func()
+	again = func() {
+		f()
+		w.after(d, again)
+	}
+	w.after(time.Duration(w.random.Float64()*float64(d)), again)
+}
+
 // nextArrival draws the time to the next arrival.
 func (w *world) nextArrival() time.Duration {
 	s := w.scenario
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -88,6 +88,13 @@
 	return t.watch
 }
 
+// Count returns how many boxes are known, this one included.
+func (t *Table) Count() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return 1 + len(t.boxes)
+}
+
 // Expire drops what is neither listed nor heard of lately, and gives boxes that
 // failed long ago another try.
 func (t *Table) Expire(now time.Time) {
@@ -127,13 +134,6 @@
 	return was
 }
 
-// Count returns how many boxes are known, this one included.
-func (t *Table) Count() int {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return 1 + len(t.boxes)
-}
-
 // Gone returns the names of boxes that are listed and have not been reached for
 // long.
 func (t *Table) Gone(now time.Time) []string {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -1,5 +1,5 @@
-// Package metric names the metrics of a box. Names holds all of them; the
-// page docs/reference/metrics.md is checked against it by a test.
+// Package metric names the metrics of a box. Names holds all of them; the page
+// docs/reference.md is checked against it by a test.
 package metric
 
 import (
@@ -18,20 +18,20 @@
 	Generations     Name = "linetiller_generations_total"            // counter, by outcome
 	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
 	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	LoadAge         Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
+	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
+	Moves           Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
 	Orders          Name = "linetiller_orders_total"                 // counter, by result: orders to upstreams
 	Owned           Name = "linetiller_owned_upstreams"              // gauge
 	PlaceWait       Name = "linetiller_place_wait_seconds"           // histogram: from a request's arrival to its first send
+	PlatformAge     Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
 	PlatformAway    Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
 	PlatformCalls   Name = "linetiller_platform_calls_total"         // counter, by step and outcome
 	PlatformReader  Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
-	PlatformAge     Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
 	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
-	Reservations    Name = "linetiller_reservations"                 // gauge: at upstreams owned here
-	Moves           Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
-	LoadAge         Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
-	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
 	Requests        Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
+	Reservations    Name = "linetiller_reservations"                 // gauge: at upstreams owned here
 	Resumptions     Name = "linetiller_resumptions_total"            // counter, by reason
 	Retries         Name = "linetiller_retries_total"                // counter, by reason
 	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
@@ -70,6 +70,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", n, label, value)).Inc()
 }
 
+// CountTwo adds one to a counter with two labels.
+func (s *Set) CountTwo(n Name, label, value, label2, value2 string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q,%s=%q}", n, label, value, label2, value2)).Inc()
+}
+
 // Counter returns a counter, for callers that add to it often.
 func (s *Set) Counter(n Name) *metrics.Counter {
 	return s.set.GetOrCreateCounter(string(n))
@@ -80,11 +85,6 @@
 	s.set.GetOrCreateGauge(string(n), f)
 }
 
-// CountTwo adds one to a counter with two labels.
-func (s *Set) CountTwo(n Name, label, value, label2, value2 string) {
-	s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q,%s=%q}", n, label, value, label2, value2)).Inc()
-}
-
 // GaugeOf makes f the value of a gauge with a label.
 func (s *Set) GaugeOf(n Name, label, value string, f func() float64) {
 	s.set.GetOrCreateGauge(fmt.Sprintf("%s{%s=%q}", n, label, value), f)
--- a/internal/ownership/assign.go
+++ b/internal/ownership/assign.go
@@ -7,6 +7,12 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// Mine reports whether an upstream falls to this box, as far as it knows.
+func (o *Owners) Mine(u *resource.Upstream) bool {
+	s := o.members.Self()
+	return policy.First(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
+}
+
 // assign finds out which upstreams fall to this box, where the boxes or the
 // configuration have changed since it last did. It starts owners for them, so
 // that their load is known before the first ask.
@@ -35,9 +41,3 @@
 		x.mutex.Unlock()
 	}
 }
-
-// Mine reports whether an upstream falls to this box, as far as it knows.
-func (o *Owners) Mine(u *resource.Upstream) bool {
-	s := o.members.Self()
-	return policy.First(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
-}
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -42,24 +42,6 @@
 	return &candidates{lists: make(map[candidateKey]*candidateList), members: m, view: v}
 }
 
-// of returns the upstreams that run w's model, may get new work, and have a box in
-// their hall that could own them. Callers must not change the list.
-func (c *candidates) of(w *policy.Work, now time.Time) []policy.Candidate {
-	k := candidateKey{hall: cmp.Or(w.Hall, c.members.Self().Hall), model: w.Model}
-	boxes, view := c.members.Version(), c.view.Version()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	l := c.lists[k]
-	if l == nil || l.boxes != boxes || l.view != view || !now.Before(l.expires) {
-		l = &candidateList{boxes: boxes, entries: c.list(k, now), expires: now.Add(candidatesLife), view: view}
-		if len(c.lists) >= maxLists {
-			clear(c.lists)
-		}
-		c.lists[k] = l
-	}
-	return l.entries
-}
-
 // list makes a list.
 func (c *candidates) list(k candidateKey, now time.Time) []policy.Candidate {
 	reachable := make(map[string]bool)
@@ -89,3 +71,21 @@
 	}
 	return l
 }
+
+// of returns the upstreams that run w's model, may get new work, and have a box in
+// their hall that could own them. Callers must not change the list.
+func (c *candidates) of(w *policy.Work, now time.Time) []policy.Candidate {
+	k := candidateKey{hall: cmp.Or(w.Hall, c.members.Self().Hall), model: w.Model}
+	boxes, view := c.members.Version(), c.view.Version()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	l := c.lists[k]
+	if l == nil || l.boxes != boxes || l.view != view || !now.Before(l.expires) {
+		l = &candidateList{boxes: boxes, entries: c.list(k, now), expires: now.Add(candidatesLife), view: view}
+		if len(c.lists) >= maxLists {
+			clear(c.lists)
+		}
+		c.lists[k] = l
+	}
+	return l.entries
+}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -18,6 +18,13 @@
 	return now.UnixNano()
 }
 
+// cost returns the seconds of the engine's time that a generation takes up:
+// its share of the memory or of the batch, whichever is the scarcer.
+func (o *Owner) cost(e *expectation) float64 {
+	steps := max(e.area/(usableShare*float64(o.capacity.KVTokens)), e.tokens/float64(o.capacity.MaxBatch))
+	return steps * o.step()
+}
+
 // entry returns w with its cost and its place in the order.
 func (o *Owner) entry(w *Work, now time.Time) *entry {
 	e := &entry{key: KeyOf(w), work: w}
@@ -34,13 +41,6 @@
 	return e
 }
 
-// cost returns the seconds of the engine's time that a generation takes up:
-// its share of the memory or of the batch, whichever is the scarcer.
-func (o *Owner) cost(e *expectation) float64 {
-	steps := max(e.area/(usableShare*float64(o.capacity.KVTokens)), e.tokens/float64(o.capacity.MaxBatch))
-	return steps * o.step()
-}
-
 // fits reports whether e may start now.
 func (o *Owner) fits(e *entry, now time.Time) bool {
 	if o.Leaving || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,23 +39,6 @@
 // run the request.
 const triesMost = 4
 
-// run carries the request to its answer, or returns why it has none.
-func (e *exchange) run() error {
-	if err := e.admit(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithDeadline(e.client, e.deadline)
-	defer cancel()
-	defer context.AfterFunc(e.relay.ctx, cancel)()
-	e.avoid = make(map[string]bool)
-	for {
-		again, err := e.attempt(ctx)
-		if err == nil || !again || !e.tryAgain(err) {
-			return e.outcome(ctx, err)
-		}
-	}
-}
-
 // admit finds the request's route, workspace and service.
 func (e *exchange) admit() error {
 	x, q := e.relay, e.request
@@ -110,6 +93,42 @@
 	return err
 }
 
+// priority returns the request's priority: its workspace's goes before its route's.
+func (e *exchange) priority() int {
+	if e.workspace != nil && e.workspace.Ranked {
+		return e.workspace.Priority
+	}
+	return e.route.Priority
+}
+
+func (e *exchange) routeName() string {
+	if e.route == nil {
+		return ""
+	}
+	return e.route.Name
+}
+
+// run carries the request to its answer, or returns why it has none.
+func (e *exchange) run() error {
+	if err := e.admit(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(e.client, e.deadline)
+	defer cancel()
+	defer context.AfterFunc(e.relay.ctx, cancel)()
+	e.avoid = make(map[string]bool)
+	for {
+		again, err := e.attempt(ctx)
+		if err == nil || !again || !e.tryAgain(err) {
+			return e.outcome(ctx, err)
+		}
+	}
+}
+
+func (e *exchange) servicePlace() fail.Place {
+	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
+}
+
 // tryAgain reports whether another upstream is to be tried after err.
 func (e *exchange) tryAgain(err error) bool {
 	x := e.relay
@@ -129,6 +148,13 @@
 	return true
 }
 
+func (e *exchange) upstreamName() string {
+	if e.upstream == nil {
+		return ""
+	}
+	return e.upstream.Name
+}
+
 // work describes the generation to the owners of engines.
 func (e *exchange) work() *policy.Work {
 	q := e.request
@@ -142,32 +168,6 @@
 	return w
 }
 
-// priority returns the request's priority: its workspace's goes before its route's.
-func (e *exchange) priority() int {
-	if e.workspace != nil && e.workspace.Ranked {
-		return e.workspace.Priority
-	}
-	return e.route.Priority
-}
-
-func (e *exchange) routeName() string {
-	if e.route == nil {
-		return ""
-	}
-	return e.route.Name
-}
-
-func (e *exchange) servicePlace() fail.Place {
-	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
-}
-
-func (e *exchange) upstreamName() string {
-	if e.upstream == nil {
-		return ""
-	}
-	return e.upstream.Name
-}
-
 func (e *exchange) workspaceName() string {
 	if e.workspace == nil {
 		return ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -213,13 +213,6 @@
 	x.workers.Done()
 }
 
-// refusesStreams reports whether new streams are refused.
-func (x *Relay) refusesStreams() bool {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	return x.noStreams
-}
-
 // left returns how many tokens are expected still to come: up to the caller's
 // estimate, where there is one, and what was learned beyond it.
 func (x *Relay) left(w *policy.Work, made int) int {
@@ -229,6 +222,13 @@
 	return int(x.lengths.Left(policy.KeyOf(w), made, w.MaxTokens))
 }
 
+// refusesStreams reports whether new streams are refused.
+func (x *Relay) refusesStreams() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.noStreams
+}
+
 // leavingError refuses a request because the box is leaving.
 func leavingError() error {
 	return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("accept"), "box_leaving", "this box is leaving"), time.Now())
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,6 +12,40 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// judge takes in what an answer tells, and returns an error where it is not one
+// to pass on.
+func (e *exchange) judge(u *resource.Upstream, a *Answer) error {
+	x, now := e.relay, time.Now()
+	p := fail.Place{Peer: "upstream " + u.Name, Step: "send"}
+	if a.NotRun {
+		x.health.answered(u.Name, false, a.Load, now)
+		event.UpstreamRefused.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
+		return fail.WithRetryAt(fail.New(fail.NotRun, p, "upstream_refused", "status %d, not run", a.Status), now.Add(max(a.RetryAfter, refusedPeriod)))
+	}
+	e.ran++
+	e.mayRun = true
+	spoilt := a.OtherEcho || (a.Status < http.StatusBadRequest && !a.Signed)
+	x.health.answered(u.Name, spoilt || a.Status >= http.StatusInternalServerError, a.Load, now)
+	if spoilt {
+		event.UpstreamMismatch.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
+		return fail.New(fail.Unknown, p, "answer_crossed", "the answer is not that of the request")
+	}
+	return nil
+}
+
+// logPlaced tells where the request goes, how long that took and by which news it
+// was decided.
+func (e *exchange) logPlaced(u *resource.Upstream, r *Resume) {
+	v := e.relay.view.Revisions()
+	if e.tries == 1 {
+		e.relay.placeWait.Update(time.Since(e.request.Arrived).Seconds())
+	}
+	event.RequestPlaced.Log(e.relay.log, "request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
+		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
+		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
+		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams])
+}
+
 // send sends the request to u and returns an answer that may be passed on: its
 // own, and not a refusal to run. It reports whether another upstream may be tried.
 func (e *exchange) send(ctx context.Context, u *resource.Upstream, r *Resume) (a *Answer, again bool, err error) {
@@ -44,37 +78,3 @@
 	}
 	return a, false, nil
 }
-
-// logPlaced tells where the request goes, how long that took and by which news it
-// was decided.
-func (e *exchange) logPlaced(u *resource.Upstream, r *Resume) {
-	v := e.relay.view.Revisions()
-	if e.tries == 1 {
-		e.relay.placeWait.Update(time.Since(e.request.Arrived).Seconds())
-	}
-	event.RequestPlaced.Log(e.relay.log, "request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
-		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
-		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
-		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams])
-}
-
-// judge takes in what an answer tells, and returns an error where it is not one
-// to pass on.
-func (e *exchange) judge(u *resource.Upstream, a *Answer) error {
-	x, now := e.relay, time.Now()
-	p := fail.Place{Peer: "upstream " + u.Name, Step: "send"}
-	if a.NotRun {
-		x.health.answered(u.Name, false, a.Load, now)
-		event.UpstreamRefused.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
-		return fail.WithRetryAt(fail.New(fail.NotRun, p, "upstream_refused", "status %d, not run", a.Status), now.Add(max(a.RetryAfter, refusedPeriod)))
-	}
-	e.ran++
-	e.mayRun = true
-	spoilt := a.OtherEcho || (a.Status < http.StatusBadRequest && !a.Signed)
-	x.health.answered(u.Name, spoilt || a.Status >= http.StatusInternalServerError, a.Load, now)
-	if spoilt {
-		event.UpstreamMismatch.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
-		return fail.New(fail.Unknown, p, "answer_crossed", "the answer is not that of the request")
-	}
-	return nil
-}
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -162,6 +162,27 @@
 	return h
 }
 
+// join completes an upstream from its service, where that is declared.
+func (x *index) join(u *Upstream) *Upstream {
+	s := x.services[u.Spec.Service]
+	if s == nil {
+		return u
+	}
+	v := *u
+	v.Service = s
+	if v.Spec.Type == "" {
+		v.Spec.Type = UpstreamService
+		if s.Spec.Engine != nil {
+			v.Spec.Type = UpstreamEngine
+		}
+	}
+	if e := s.Spec.Engine; e != nil {
+		v.Spec.KVTokens = cmp.Or(v.Spec.KVTokens, e.KVTokens)
+		v.Spec.MaxBatch = cmp.Or(v.Spec.MaxBatch, e.MaxBatch)
+	}
+	return &v
+}
+
 func (x *index) list(keep func(*Upstream) bool) []*Upstream {
 	var l []*Upstream
 	for _, u := range x.joined {
@@ -271,27 +292,6 @@
 	x.changedUpstreams, x.servicesChanged = nil, false
 }
 
-// join completes an upstream from its service, where that is declared.
-func (x *index) join(u *Upstream) *Upstream {
-	s := x.services[u.Spec.Service]
-	if s == nil {
-		return u
-	}
-	v := *u
-	v.Service = s
-	if v.Spec.Type == "" {
-		v.Spec.Type = UpstreamService
-		if s.Spec.Engine != nil {
-			v.Spec.Type = UpstreamEngine
-		}
-	}
-	if e := s.Spec.Engine; e != nil {
-		v.Spec.KVTokens = cmp.Or(v.Spec.KVTokens, e.KVTokens)
-		v.Spec.MaxBatch = cmp.Or(v.Spec.MaxBatch, e.MaxBatch)
-	}
-	return &v
-}
-
 // putSpec keeps a decoded spec in step with one change.
 func putSpec[S, T any](m map[string]T, c Change, decoded func(*S) T) {
 	n := c.Resource.Metadata.Name
--- a/leaving.go
+++ b/leaving.go
@@ -33,15 +33,6 @@
 	return true
 }
 
-// tellLeaving takes in that an upstream's report says that it is leaving, and
-// tells all other boxes, unless the platform's list had said so before.
-func (b *Box) tellLeaving(ctx context.Context, upstream string) {
-	if !b.noteLeaving(upstream, "its report") {
-		return
-	}
-	b.tell(ctx, "", box.Request{Kind: box.KindLeaving, Leaving: upstream}) // owners' loads tell it again
-}
-
 // tell sends a request to all other boxes of a hall, "" for all halls, without waiting
 // for their answers.
 func (b *Box) tell(ctx context.Context, hall string, q box.Request) {
@@ -62,3 +53,12 @@
 func (b *Box) tellAway(ctx context.Context, away bool) {
 	b.tell(ctx, b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
 }
+
+// tellLeaving takes in that an upstream's report says that it is leaving, and
+// tells all other boxes, unless the platform's list had said so before.
+func (b *Box) tellLeaving(ctx context.Context, upstream string) {
+	if !b.noteLeaving(upstream, "its report") {
+		return
+	}
+	b.tell(ctx, "", box.Request{Kind: box.KindLeaving, Leaving: upstream}) // owners' loads tell it again
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -205,6 +205,27 @@
 	return err
 }
 
+// awaitStreams goes on taking calls while streams are in progress, up to a time.
+func (b *Box) awaitStreams(ctx context.Context, until time.Time) {
+	for b.relay.Streams() > 0 && time.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(streamsEvery):
+		}
+	}
+}
+
+// drainPeriod returns how long a box that was asked to stop goes on taking requests: at
+// most half of the grace.
+func (b *Box) drainPeriod() time.Duration {
+	t := b.settings.Timeouts
+	if t.Grace.Duration > 0 {
+		return min(t.Drain.Duration, t.Grace.Duration/2)
+	}
+	return t.Drain.Duration
+}
+
 // finish goes on serving until the balancer must have seen that the box is not
 // ready, and then waits for the requests in progress, up to the time for leaving.
 func (b *Box) finish(ctx context.Context) {
@@ -239,27 +260,6 @@
 	b.unregister(s)
 }
 
-// awaitStreams goes on taking calls while streams are in progress, up to a time.
-func (b *Box) awaitStreams(ctx context.Context, until time.Time) {
-	for b.relay.Streams() > 0 && time.Now().Before(until) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(streamsEvery):
-		}
-	}
-}
-
-// drainPeriod returns how long a box that was asked to stop goes on taking requests: at
-// most half of the grace.
-func (b *Box) drainPeriod() time.Duration {
-	t := b.settings.Timeouts
-	if t.Grace.Duration > 0 {
-		return min(t.Drain.Duration, t.Grace.Duration/2)
-	}
-	return t.Drain.Duration
-}
-
 // leaveBy returns when streams are ended of a box that was asked to stop at a time:
 // shortly before it is killed, where somebody does that.
 func (b *Box) leaveBy(asked time.Time) time.Time {
