Part the moves of the evacuation model into short steps

next chose the generation and the engine and started the move; turn and quietest now choose. transfer is parted into the tick and what follows from it, and the engine filter that lets all through has a name. Result.Wasted is gone, since nothing read it.

--- a/internal/measure/evacuation/move.go
+++ b/internal/measure/evacuation/move.go
@@ -93,30 +93,33 @@
 
 // next starts the move of the generation whose turn it is to leave an engine.
 func (w *world) next(e *engine) {
-	var first *generation
-	for _, g := range w.runs {
-		if g.at != e || g.stopped {
-			continue
-		}
-		if g.move != nil {
-			return // it has the turn
-		}
-		if first == nil || policy.CompareRuns(&g.work, &first.work, stepPeriod) < 0 {
-			first = g
-		}
+	if g := w.turn(e); g != nil {
+		w.start(g, w.quietest(g))
 	}
-	if first == nil {
-		return
-	}
-	hall := func(x *engine) bool { return x.hall == e.hall && !x.receiving }
-	to := w.roomiest(first.work.Tokens, hall)
-	if to == nil {
-		to = w.roomiest(first.work.Tokens, func(x *engine) bool { return !x.receiving })
+}
+
+// nextOfAll starts the next move away from every engine that is leaving.
+func (w *world) nextOfAll() {
+	for _, e := range w.engines {
+		if e.goneAt > w.now {
+			w.next(e)
+		}
 	}
-	if to == nil {
-		to = w.roomiest(first.work.Tokens, func(*engine) bool { return true })
+}
+
+// quietest returns the roomiest engine that receives no copy, in the generation's own
+// hall or else in another one; or else the roomiest of all, or nil.
+func (w *world) quietest(g *generation) *engine {
+	for _, allow := range []func(*engine) bool{
+		func(e *engine) bool { return e.hall == g.at.hall && !e.receiving },
+		func(e *engine) bool { return !e.receiving },
+		anyEngine,
+	} {
+		if e := w.roomiest(g.work.Tokens, allow); e != nil {
+			return e
+		}
 	}
-	w.start(first, to)
+	return nil
 }
 
 // start asks for a generation's first copy.
@@ -129,9 +132,22 @@
 	w.ask(g.move)
 }
 
-// transfer lets copies go on: each takes both links, and one that was asked for earlier
-// goes first.
+// transfer lets copies go on, and takes in those parts that have arrived.
 func (w *world) transfer() {
+	for _, t := range w.transferTick() {
+		t.left = 0
+		t.from.sending, t.to.receiving = false, false
+		w.copies = slices.DeleteFunc(w.copies, func(x *transfer) bool { return x == t })
+		w.copied(t)
+	}
+	if !w.scenario.Alone {
+		w.nextOfAll()
+	}
+}
+
+// transferTick lets one tick of every copy pass and returns those whose part has
+// arrived: each takes both links, and one that was asked for earlier goes first.
+func (w *world) transferTick() []*transfer {
 	var done []*transfer
 	out, in := make(map[*engine]bool), make(map[*engine]bool) // ways that an earlier copy waits for
 	for _, t := range w.copies {
@@ -148,19 +164,25 @@
 			done = append(done, t)
 		}
 	}
-	for _, t := range done {
-		t.left = 0
-		t.from.sending, t.to.receiving = false, false
-		w.copies = slices.DeleteFunc(w.copies, func(x *transfer) bool { return x == t })
-		w.copied(t)
-	}
-	if !w.scenario.Alone {
-		for _, e := range w.engines {
-			if e.goneAt > w.now {
-				w.next(e)
-			}
+	return done
+}
+
+// turn returns the generation whose turn it is to leave an engine, or nil where there
+// is none or another one is being moved.
+func (w *world) turn(e *engine) *generation {
+	var first *generation
+	for _, g := range w.runs {
+		if g.at != e || g.stopped {
+			continue
+		}
+		if g.move != nil {
+			return nil // it has the turn
+		}
+		if first == nil || policy.CompareRuns(&g.work, &first.work, stepPeriod) < 0 {
+			first = g
 		}
 	}
+	return first
 }
 
 // duration returns how long the part under way takes.
@@ -171,3 +193,6 @@
 	}
 	return d
 }
+
+// anyEngine lets every engine through.
+func anyEngine(*engine) bool { return true }
--- a/internal/measure/evacuation/world.go
+++ b/internal/measure/evacuation/world.go
@@ -16,7 +16,7 @@
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
-// Scenario is what one run of the model is made of.
+// Scenario describes one run of the model.
 type Scenario struct {
 	Alone  bool          // each box moves its own generations at once
 	Notice time.Duration // between an engine's notice and its end
@@ -27,11 +27,10 @@
 
 // Result is what became of the generations.
 type Result struct {
-	Ended  int // that ended by themselves
-	Late   int // of these, that stood still for longer than is allowed
-	Lost   int // that ended with their engine
-	Moves  int // that were completed
-	Wasted int // tokens of memory that were copied for a generation lost all the same
+	Ended int // that ended by themselves
+	Late  int // of these, that stood still for longer than is allowed
+	Lost  int // that ended with their engine
+	Moves int // that were completed
 }
 
 // The figures of the users' site kmqa-quote, from its page and from runs there.
@@ -125,7 +124,7 @@
 // arrive starts a generation at the engine with most room that is not leaving.
 func (w *world) arrive() {
 	w.number++
-	e := w.roomiest(0, func(*engine) bool { return true })
+	e := w.roomiest(0, anyEngine)
 	if e == nil {
 		return
 	}
@@ -201,9 +200,6 @@
 				return false
 			}
 			w.result.Lost++
-			if g.move != nil {
-				w.result.Wasted += g.move.copied
-			}
 			w.drop(g)
 			return true
 		})
@@ -238,6 +234,7 @@
 	w.now += tick
 }
 
+// room returns how many tokens an engine can still take.
 func (e *engine) room() int {
 	return engineTokens - e.used - e.reserved
 }
