Part the drawing of rows and the reading of reports

Draw sorted the rows, left out prices and made the bars in one function, and called plain values sums; a type now holds them, with a short method for each step. The comment on the width of bars said that bars of one place share it, which the code does not do.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -36,7 +36,9 @@
 	width  = 7 * vg.Inch
 )
 
-const barWidth = 60.0 // points that the bars of one place share
+// barWidth is the width, in points, of three bars together, rounded where the number of
+// bars is no multiple of three.
+const barWidth = 60.0
 
 // Bars draws groups of bars side by side over named places.
 func Bars(path string, l Labels, places []string, groups []Group) error {
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -74,6 +74,7 @@
 	return fmt.Sprintf("%.4f (%.4f-%.4f, %d)", s.Mean, s.Least, s.Most, s.Count)
 }
 
+// spreadOf returns the spread of one value or more.
 func spreadOf(v []float64) Spread {
 	s := Spread{Count: len(v), Least: slices.Min(v), Most: slices.Max(v)}
 	for _, x := range v {
--- a/internal/experiment/draw.go
+++ b/internal/experiment/draw.go
@@ -15,54 +15,58 @@
 	ByPrice = "price"
 )
 
+// leastPrice is the share of the worth below which a price is not drawn.
+const leastPrice = 0.001
+
+// drawing holds the values that are drawn, by version and place.
+type drawing struct {
+	places   []string
+	values   map[string]map[string][]float64
+	versions []string
+}
+
 // Draw draws the rows of each version by day, class or price into a file.
 func Draw(rows []Row, by, path string) error {
 	place := placeOf(by)
 	if place == nil {
 		return fmt.Errorf("%q is neither %s nor %s nor %s", by, ByDay, ByClass, ByPrice)
 	}
-	sums := make(map[string]map[string][]float64) // by version and place
-	var places, versions []string
+	d := newDrawing(rows, place)
+	if len(d.places) == 0 {
+		return fmt.Errorf("no row holds a figure by %s", by)
+	}
+	if by == ByPrice {
+		d.dropCheap()
+	}
+	return chart.Bars(path, chart.Labels{Title: "Worth by " + by, Y: "share of what is owed"}, d.places, d.groups())
+}
+
+// newDrawing sorts the values of rows by their version and place; rows without a
+// place are left out.
+func newDrawing(rows []Row, place func(*Row) string) *drawing {
+	d := &drawing{values: make(map[string]map[string][]float64)}
 	for i := range rows {
-		p := place(&rows[i])
+		r := &rows[i]
+		p := place(r)
 		if p == "" {
 			continue
 		}
-		v := rows[i].Version
-		if sums[v] == nil {
-			sums[v] = make(map[string][]float64)
-			versions = append(versions, v)
-		}
-		if !slices.Contains(places, p) {
-			places = append(places, p)
+		if d.values[r.Version] == nil {
+			d.values[r.Version] = make(map[string][]float64)
+			d.versions = append(d.versions, r.Version)
 		}
-		sums[v][p] = append(sums[v][p], rows[i].Value)
-	}
-	if len(places) == 0 {
-		return fmt.Errorf("no row holds a figure by %s", by)
-	}
-	places = worthDrawing(by, places, sums)
-	var groups []chart.Group
-	for _, v := range versions {
-		g := chart.Group{Name: v}
-		for _, p := range places {
-			g.Values = append(g.Values, meanOf(sums[v][p]))
+		if !slices.Contains(d.places, p) {
+			d.places = append(d.places, p)
 		}
-		groups = append(groups, g)
+		d.values[r.Version][p] = append(d.values[r.Version][p], r.Value)
 	}
-	return chart.Bars(path, chart.Labels{Title: "Worth by " + by, Y: "share of what is owed"}, places, groups)
+	return d
 }
 
-// leastPrice is the share of the worth below which a price is not drawn.
-const leastPrice = 0.001
-
-// worthDrawing leaves out prices that hardly cost anything.
-func worthDrawing(by string, places []string, sums map[string]map[string][]float64) []string {
-	if by != ByPrice {
-		return places
-	}
-	return slices.DeleteFunc(places, func(p string) bool {
-		for _, m := range sums {
+// dropCheap leaves out the prices that hardly cost anything in any version.
+func (d *drawing) dropCheap() {
+	d.places = slices.DeleteFunc(d.places, func(p string) bool {
+		for _, m := range d.values {
 			if meanOf(m[p]) >= leastPrice {
 				return false
 			}
@@ -71,6 +75,19 @@
 	})
 }
 
+// groups returns a group of bars for each version.
+func (d *drawing) groups() []chart.Group {
+	var l []chart.Group
+	for _, v := range d.versions {
+		g := chart.Group{Name: v}
+		for _, p := range d.places {
+			g.Values = append(g.Values, meanOf(d.values[v][p]))
+		}
+		l = append(l, g)
+	}
+	return l
+}
+
 // placeOf returns what a row is drawn at, "" for rows that are not drawn; nil for an
 // unknown way to draw.
 func placeOf(by string) func(*Row) string {
@@ -99,6 +116,7 @@
 	return nil
 }
 
+// meanOf returns the mean of values, 0 of none.
 func meanOf(v []float64) float64 {
 	if len(v) == 0 {
 		return 0
--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -128,6 +128,7 @@
 	return errors.Join(WriteRows(f, rows), f.Close())
 }
 
+// playBench plays the days that the flags name on the users' bench.
 func playBench(ctx context.Context, c *cli.Command) ([]Row, error) {
 	if c.String("site") == "" || len(c.StringSlice("day")) == 0 || c.String("why") == "" {
 		return nil, errors.New("the bench takes --site, --day and --why")
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -84,31 +84,40 @@
 	var l []Row
 	for i := range r.Days {
 		d := &r.Days[i]
-		add := func(measure string, value float64) {
+		d.each(func(measure string, value float64) {
 			l = append(l, Row{Day: d.Name, Measure: measure, Seed: d.Seed, Site: r.Site, Value: value, Version: r.Head[:min(versionLength, len(r.Head))]})
-		}
-		broken := 0
-		for _, n := range d.Rules {
-			broken += n
-		}
-		add(measureWorth, d.Worth)
-		add(measureServed, d.Served)
-		add(measureRules, float64(broken))
-		for j, c := range d.Classes {
-			if c != nil {
-				add(fmt.Sprint(prefixClass, j+1), *c)
-			}
-		}
-		for _, p := range d.Parts {
-			add(prefixPart+p.Name, p.Share)
-		}
-		for _, p := range d.Prices {
-			add(prefixPrice+p.Name, p.Share)
-		}
+		})
 	}
 	return l, nil
 }
 
+// broken returns how many rules were broken.
+func (d *reportDay) broken() int {
+	n := 0
+	for _, x := range d.Rules {
+		n += x
+	}
+	return n
+}
+
+// each calls add with every figure of the day.
+func (d *reportDay) each(add func(measure string, value float64)) {
+	add(measureWorth, d.Worth)
+	add(measureServed, d.Served)
+	add(measureRules, float64(d.broken()))
+	for i, c := range d.Classes {
+		if c != nil {
+			add(fmt.Sprint(prefixClass, i+1), *c)
+		}
+	}
+	for _, p := range d.Parts {
+		add(prefixPart+p.Name, p.Share)
+	}
+	for _, p := range d.Prices {
+		add(prefixPrice+p.Name, p.Share)
+	}
+}
+
 // triple decodes a JSON list of a name and two numbers.
 func triple(b []byte, name *string, first, second *float64) error {
 	return json.Unmarshal(b, &[]any{name, first, second})
