--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -69,6 +69,13 @@
 	return o.forecast.peak(g, float64(o.usedTokens), o.z) + float64(o.foreign)
 }
 
+// putFirst moves urgent work ahead in the queue.
+func (o *Owner) putFirst(e *entry) {
+	o.queue.remove(e.work.ID)
+	e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, time: e.latest.UnixNano(), urgent: true}
+	o.queue.insert(e)
+}
+
 // readsEnough reports whether so many prompts are being read that e's would come late.
 func (o *Owner) readsEnough(e *entry) bool {
 	return o.capacity.ReadingMost > 0 && o.reading > 0 && o.reading+e.work.Prompt > o.capacity.ReadingMost
@@ -95,6 +102,16 @@
 	return Answer{}
 }
 
+// refuseLate takes waiting work out of the queue and returns its refusal.
+func (o *Owner) refuseLate(e *entry, now time.Time) Answer {
+	o.Leave(e.work.ID, now)
+	a := Answer{ID: e.work.ID, Reason: ReasonDeadline, RetryAt: now.Add(seconds(o.queue.total())), Verdict: VerdictRefuse}
+	if o.Leaving {
+		a.Reason, a.RetryAt = ReasonLeaving, now
+	}
+	return a
+}
+
 // sweep refuses, now and not later, waiting work whose deadline can no longer
 // be met, in the order in which it arrived, and puts first what is urgent.
 func (o *Owner) sweep(now time.Time) []Answer {
@@ -112,19 +129,12 @@
 		}
 	}
 	for _, e := range urgent {
-		o.queue.remove(e.work.ID)
-		e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, time: e.latest.UnixNano(), urgent: true}
-		o.queue.insert(e)
+		o.putFirst(e)
 	}
 	slices.SortFunc(late, func(a, b *entry) int { return cmp.Compare(a.order.number, b.order.number) })
 	var l []Answer
 	for _, e := range late {
-		o.Leave(e.work.ID, now)
-		a := Answer{ID: e.work.ID, Reason: ReasonDeadline, RetryAt: now.Add(seconds(o.queue.total())), Verdict: VerdictRefuse}
-		if o.Leaving {
-			a.Reason, a.RetryAt = ReasonLeaving, now
-		}
-		l = append(l, a)
+		l = append(l, o.refuseLate(e, now))
 	}
 	return l
 }
--- a/internal/policy/rendezvous.go
+++ b/internal/policy/rendezvous.go
@@ -14,7 +14,7 @@
 	names  []string
 }
 
-// NewRendezvous returns a Rendezvous of names.
+// NewRendezvous returns a Rendezvous of names, which must not be changed afterwards.
 func NewRendezvous(names []string) *Rendezvous {
 	r := &Rendezvous{names: names}
 	for _, n := range names {
@@ -23,7 +23,7 @@
 	return r
 }
 
-// First returns the first name of Rank, or "".
+// First returns the name that Rank puts first for key, or "" where there is no name.
 func (r *Rendezvous) First(key string) string {
 	k := xxhash.Sum64String(key)
 	best, most := "", uint64(0)
@@ -36,6 +36,20 @@
 	return best
 }
 
+// First returns the name that Rank puts first, without sorting, or "" where there is no
+// name.
+func First(key string, names []string) string {
+	k := xxhash.Sum64String(key)
+	best, most := "", uint64(0)
+	for _, n := range names {
+		s := mix(k, xxhash.Sum64String(n))
+		if best == "" || s > most || (s == most && n < best) {
+			best, most = n, s
+		}
+	}
+	return best
+}
+
 // Rank returns the names in order of their rendezvous hash with key: the first
 // is the choice, and the removal of any other name does not change it.
 func Rank(key string, names []string) []string {
@@ -56,19 +70,6 @@
 	return r
 }
 
-// First returns the first name of Rank without sorting, or "".
-func First(key string, names []string) string {
-	k := xxhash.Sum64String(key)
-	best, most := "", uint64(0)
-	for _, n := range names {
-		s := mix(k, xxhash.Sum64String(n))
-		if best == "" || s > most || (s == most && n < best) {
-			best, most = n, s
-		}
-	}
-	return best
-}
-
 // mix returns the rendezvous hash of a key's and a name's hashes: the finalizer of
 // splitmix64 over both. Hashing them apart lets one hash of a name serve many keys.
 func mix(key, name uint64) uint64 {
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -1,10 +1,7 @@
 package policy
 
 import (
-	"strconv"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Router chooses the upstream at which a box asks for a place, from the loads
@@ -32,15 +29,12 @@
 }
 
 const (
-	affinityPlaces = 2   // the upstreams that a prefix keeps to while they are not crowded
-	affinityBonus  = 0.5 // seconds of backlog that a warm prefix is worth
-	loadLife       = 5 * time.Second
-	moveEvery      = time.Second // between two moves away from one upstream
-	moveGain       = 2.0         // seconds of backlog by which another upstream must be better
-	moveShare      = 0.5         // and the share of the present backlog that it may have
-	peakSeconds    = 1.0         // seconds of backlog that a full memory counts for
-	sampleFar      = 4           // upstreams of other halls looked at where there are many
-	sampleNear     = 12          // and of the work's own hall
+	affinityBonus = 0.5             // seconds of backlog that a warm prefix is worth
+	loadLife      = 5 * time.Second // of a load, from the moment of which it tells
+	moveEvery     = time.Second     // between two moves away from one upstream
+	moveGain      = 2.0             // seconds of backlog by which another upstream must be better
+	moveShare     = 0.5             // and the share of the present backlog that it may have
+	peakSeconds   = 1.0             // seconds of backlog that a full memory counts for
 	// noticeSeconds is how much copying fits into the shortest notice that engines
 	// give, 1.5 s, and noticeCost how many seconds of backlog each second beyond
 	// it counts for: what does not fit is lost where the engine is reclaimed.
@@ -133,9 +127,11 @@
 	k.since, k.held = 0, 0
 }
 
+// backlog returns the seconds that work of a class would wait at an upstream, as far as
+// is known.
 func (r *Router) backlog(name string, class int, now time.Time) float64 {
-	k := r.loads[name]
-	if k == nil || now.Sub(k.load.AsOf) > loadLife {
+	k := r.fresh(name, now)
+	if k == nil {
 		return unknownBacklog
 	}
 	return k.load.Ahead[class] + k.since
@@ -156,8 +152,8 @@
 // excess returns what the copying counts for that would not fit into a notice of
 // the upstream, if w ran there, too.
 func (r *Router) excess(w *Work, c Candidate, now time.Time) float64 {
-	k := r.loads[c.Name]
-	if k == nil || c.Capacity.CopyToken == 0 || now.Sub(k.load.AsOf) > loadLife {
+	k := r.fresh(c.Name, now)
+	if k == nil || c.Capacity.CopyToken == 0 {
 		return 0
 	}
 	s := float64(k.load.Held+k.held+w.Prompt) * c.Capacity.CopyToken.Seconds()
@@ -167,6 +163,15 @@
 	return noticeCost * max(0, s-noticeSeconds)
 }
 
+// fresh returns the load last heard of an upstream, or nil where it is too old.
+func (r *Router) fresh(name string, now time.Time) *known {
+	k := r.loads[name]
+	if k == nil || now.Sub(k.load.AsOf) > loadLife {
+		return nil
+	}
+	return k
+}
+
 // random returns a number in [0, 1) from the router's own sequence.
 func (r *Router) random() float64 {
 	r.seed ^= r.seed << 13
@@ -175,85 +180,12 @@
 	return float64(r.seed>>11) / (1 << 53)
 }
 
-// sample returns the allowed candidates, or, where they are many, those that
-// the prefix keeps to and some at random, most of them near.
-func (r *Router) sample(c []Candidate, warm map[string]bool, allow func(name string) bool) []Candidate {
-	l := make([]Candidate, 0, min(len(c), sampleNear+sampleFar+affinityPlaces))
-	if len(c) <= sampleNear+sampleFar {
-		for _, x := range c {
-			if allow(x.Name) {
-				l = append(l, x)
-			}
-		}
-		return l
-	}
-	near := draw{wanted: sampleNear}
-	far := draw{wanted: sampleFar}
-	for i := range c {
-		if c[i].Delay == 0 {
-			near.left++
-		} else {
-			far.left++
-		}
-	}
-	for i := range c {
-		d := &far
-		if c[i].Delay == 0 {
-			d = &near
-		}
-		if d.take(r.random()) || warm[c[i].Name] {
-			if allow(c[i].Name) {
-				l = append(l, c[i])
-			}
-		}
-	}
-	return l
-}
-
+// score returns the seconds of backlog that a candidate counts for: what waits there, the
+// way to it and the memory that its running generations will need.
 func (r *Router) score(c Candidate, class int, now time.Time) float64 {
 	s := r.backlog(c.Name, class, now) + c.Delay
-	if k := r.loads[c.Name]; k != nil && now.Sub(k.load.AsOf) <= loadLife {
+	if k := r.fresh(c.Name, now); k != nil {
 		s += peakSeconds * k.load.Peak
 	}
 	return s
 }
-
-// draw takes a number of things at random from a sequence, each with the same chance.
-type draw struct {
-	left   int // things still to come
-	wanted int // things still to be taken
-}
-
-// take reports whether the next thing is taken, by a random number in [0, 1).
-func (d *draw) take(random float64) bool {
-	taken := random*float64(d.left) < float64(d.wanted)
-	d.left--
-	if taken {
-		d.wanted--
-	}
-	return taken
-}
-
-// warmNames returns the upstreams that w's prefix keeps to: those that a rendezvous
-// with it ranks first.
-func warmNames(w *Work, c []Candidate) map[string]bool {
-	if w.Prefix == 0 || len(c) <= affinityPlaces {
-		return nil
-	}
-	k := xxhash.Sum64String(strconv.FormatUint(w.Prefix, 36))
-	var best, second struct {
-		name  string
-		score uint64
-	}
-	for i := range c {
-		s := mix(k, xxhash.Sum64String(c[i].Name))
-		switch {
-		case s > best.score || best.name == "":
-			second = best
-			best.name, best.score = c[i].Name, s
-		case s > second.score || second.name == "":
-			second.name, second.score = c[i].Name, s
-		}
-	}
-	return map[string]bool{best.name: true, second.name: true}
-}
--- a/internal/policy/running.go
+++ b/internal/policy/running.go
@@ -1,8 +1,6 @@
 package policy
 
-import (
-	"time"
-)
+import "time"
 
 // running is a generation that holds a reservation or runs.
 type running struct {
@@ -34,6 +32,7 @@
 	r.confirmed = true
 }
 
+// drop forgets a generation and gives back what it holds.
 func (o *Owner) drop(id string, r *running) {
 	o.setStalled(r, false)
 	if r.produced == 0 {
@@ -67,6 +66,7 @@
 	}
 }
 
+// setStalled notes whether a generation stands still, and counts those that do.
 func (o *Owner) setStalled(r *running, stalled bool) {
 	if r.stalled == stalled {
 		return
@@ -88,6 +88,7 @@
 	return max(stallFloor, seconds(stallSteps*o.step()))
 }
 
+// start reserves a place for work that was taken in.
 func (o *Owner) start(e *entry, now time.Time) {
 	r := &running{deadline: now.Add(reservationPeriod), forecast: e.expectation.forecast, key: e.key, movedAt: now, work: e.work}
 	o.running[e.work.ID] = r
--- /dev/null
+++ b/internal/policy/sample.go
@@ -0,0 +1,92 @@
+package policy
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// draw takes a number of things at random from a sequence, each with the same chance.
+type draw struct {
+	left   int // things still to come
+	wanted int // things still to be taken
+}
+
+const (
+	affinityPlaces = 2  // the upstreams that a prefix keeps to while they are not crowded
+	sampleFar      = 4  // upstreams of other halls looked at where there are many
+	sampleNear     = 12 // and of the work's own hall
+)
+
+// take reports whether the next thing is taken, by a random number in [0, 1).
+func (d *draw) take(random float64) bool {
+	taken := random*float64(d.left) < float64(d.wanted)
+	d.left--
+	if taken {
+		d.wanted--
+	}
+	return taken
+}
+
+// sample returns the allowed candidates, or, where they are many, those that
+// the prefix keeps to and some at random, most of them near.
+func (r *Router) sample(c []Candidate, warm map[string]bool, allow func(name string) bool) []Candidate {
+	l := make([]Candidate, 0, min(len(c), sampleNear+sampleFar+affinityPlaces))
+	if len(c) <= sampleNear+sampleFar {
+		for _, x := range c {
+			if allow(x.Name) {
+				l = append(l, x)
+			}
+		}
+		return l
+	}
+	near, far := drawsOf(c)
+	for i := range c {
+		d := &far
+		if c[i].Delay == 0 {
+			d = &near
+		}
+		if (d.take(r.random()) || warm[c[i].Name]) && allow(c[i].Name) {
+			l = append(l, c[i])
+		}
+	}
+	return l
+}
+
+// drawsOf returns the draws from the candidates of the work's own hall and from those of
+// others.
+func drawsOf(c []Candidate) (near, far draw) {
+	near.wanted, far.wanted = sampleNear, sampleFar
+	for i := range c {
+		if c[i].Delay == 0 {
+			near.left++
+		} else {
+			far.left++
+		}
+	}
+	return near, far
+}
+
+// warmNames returns the upstreams that w's prefix keeps to: those that a rendezvous
+// with it ranks first.
+func warmNames(w *Work, c []Candidate) map[string]bool {
+	if w.Prefix == 0 || len(c) <= affinityPlaces {
+		return nil
+	}
+	k := xxhash.Sum64String(strconv.FormatUint(w.Prefix, 36))
+	var best, second struct {
+		name  string
+		score uint64
+	}
+	for i := range c {
+		s := mix(k, xxhash.Sum64String(c[i].Name))
+		switch {
+		case s > best.score || best.name == "":
+			second = best
+			best.name, best.score = c[i].Name, s
+		case s > second.score || second.name == "":
+			second.name, second.score = c[i].Name, s
+		}
+	}
+	return map[string]bool{best.name: true, second.name: true}
+}
