Part the follower's reading from its state

The tests of a silent store make it and its follower in one place instead of two; what they check and at which times is as before.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -6,16 +6,13 @@
 	"context"
 	"log/slog"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/event"
-	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -28,8 +25,8 @@
 type Follower struct {
 	// Ask sends a request to another box; a seam for tests.
 	Ask func(ctx context.Context, address string, q *box.Request) (*box.Reply, error)
-	// TellAway tells the hall's other boxes whether the list of upstreams cannot be read;
-	// a seam. It does not wait.
+	// TellAway tells the hall's other boxes that the list of upstreams cannot be read, or
+	// can be again; a seam. It does not wait.
 	TellAway func(ctx context.Context, away bool)
 	// Spread draws a number in [0, 1) by which retries are spread out.
 	Spread func() float64
@@ -49,12 +46,6 @@
 	// reader tells it anew with each failure, which are at most 2 s apart.
 	awayLife      = 3 * time.Second
 	catchUpPeriod = 3 * time.Second // for one catch-up: a large configuration takes half a second over 10 Mbit/s
-	// backSpread is the time over which the other sources are read again once one
-	// could be: a quarter of a second keeps the boxes' reads apart.
-	backSpread     = 250 * time.Millisecond
-	idleEvery      = time.Second            // between looks whether this box has become a reader
-	readersPerHall = 2                      // boxes of a hall that read the store
-	retryFirst     = 250 * time.Millisecond // of the wait after one failure, doubled at each more
 )
 
 // NewFollower returns a follower that keeps v up to date.
@@ -196,103 +187,6 @@
 	}
 }
 
-// backoff returns the wait after some failures in a row, at most most.
-func (f *Follower) backoff(failures int, most time.Duration) time.Duration {
-	wait := min(most, retryFirst<<min(max(failures-1, 0), 5))
-	return wait/2 + time.Duration(f.Spread()*float64(wait)/2)
-}
-
-// follow reads one source again and again. After a failure it waits longer each
-// time, spread out, so that boxes do not all return at once.
-func (f *Follower) follow(ctx context.Context, s *source) {
-	for ctx.Err() == nil {
-		n := f.rank()
-		if n < 0 {
-			pause(ctx, idleEvery)
-			continue
-		}
-		back := f.returned()
-		if f.readUnlessBack(ctx, s, s.watch(n), back) != nil {
-			f.pauseFailed(ctx, s, back)
-			continue
-		}
-		pause(ctx, s.gather(n))
-	}
-}
-
-// pauseFailed waits after a failure, but not much beyond the moment when another
-// source of the same store can be read again.
-func (f *Follower) pauseFailed(ctx context.Context, s *source, back <-chan struct{}) {
-	select {
-	case <-ctx.Done():
-	case <-back:
-		pause(ctx, time.Duration(f.Spread()*float64(backSpread)))
-	case <-time.After(f.backoff(int(s.failures.Load()), s.retryMost())):
-	}
-}
-
-// rank returns this box's place among the few of its hall that read the store, 0
-// for the first, or -1: the others hear of changes from them.
-func (f *Follower) rank() int {
-	s := f.members.Self()
-	l := policy.Rank("reader", f.members.Alive(s.Hall))
-	if len(l) == 0 {
-		return 0 // the box itself is leaving, and knows of no other
-	}
-	return slices.Index(l[:min(readersPerHall, len(l))], s.Name)
-}
-
-// readOnce reads one source and takes in what it holds.
-func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
-	after := max(s.after.Load(), f.view.Revisions()[s.name])
-	b, next, err := s.read(ctx, after, wait)
-	if err != nil {
-		if ctx.Err() != nil {
-			return err
-		}
-		if s.failures.Add(1) == 1 {
-			event.PlatformDown.Log(f.log, "source", string(s.name), "step", fail.Step(err), "error", err.Error(), "held", after)
-		}
-		f.tellAway(ctx, s, true)
-		return err
-	}
-	if n := s.failures.Swap(0); n > 0 {
-		s.backAt.Store(time.Now().UnixNano())
-		f.tellBack()
-		f.tellAway(ctx, s, false)
-		event.PlatformBack.Log(f.log, "source", string(s.name), "failures", n)
-	}
-	s.after.Store(next)
-	s.readAt.Store(time.Now().UnixNano())
-	f.lapse(s, b)
-	f.apply(b, "platform")
-	return nil
-}
-
-// readUnlessBack reads one source. The store's return, seen by another source, ends
-// a read that may have been lost before.
-func (f *Follower) readUnlessBack(ctx context.Context, s *source, wait time.Duration, back <-chan struct{}) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-back:
-			cancel()
-		case <-done:
-		}
-	}()
-	return f.readOnce(ctx, s, wait)
-}
-
-// returned returns a channel that is closed when a source can be read again.
-func (f *Follower) returned() <-chan struct{} {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.back
-}
-
 // tellAway tells the hall's other boxes whether the list of upstreams cannot be read.
 func (f *Follower) tellAway(ctx context.Context, s *source, away bool) {
 	if s.name == resource.SourceUpstreams && f.TellAway != nil {
@@ -300,14 +194,6 @@
 	}
 }
 
-// tellBack tells those that wait after a failure that the store can be read again.
-func (f *Follower) tellBack() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	close(f.back)
-	f.back = make(chan struct{})
-}
-
 // number returns 1 for true.
 func number(b bool) float64 {
 	if b {
@@ -315,10 +201,3 @@
 	}
 	return 0
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/configuration/outage_test.go
+++ b/internal/configuration/outage_test.go
@@ -27,6 +27,21 @@
 // callTimeout is what the client of the store adds to the time that a read waits.
 const callTimeout = time.Second
 
+// newSilentStore returns a store that will fall silent in 10 s, for some time.
+func newSilentStore(silence time.Duration) *silentStore {
+	from := time.Now().Add(10 * time.Second)
+	return &silentStore{from: from, readAt: make(map[resource.Source]time.Time), to: from.Add(silence)}
+}
+
+// follower returns a follower that reads sources of the store, as the one box of its hall.
+func (s *silentStore) follower(sources ...resource.Source) *Follower {
+	f := NewFollower(resource.NewView(), member.NewTable(box.Member{Hall: "a", Name: "1", State: box.StateServing}), slog.New(slog.DiscardHandler))
+	for _, n := range sources {
+		f.Add(n, s.reader(n))
+	}
+	return f
+}
+
 // reader returns a reader of one source that waits as it is asked to.
 func (s *silentStore) reader(n resource.Source) Reader {
 	return func(ctx context.Context, after int64, wait time.Duration) (*resource.Batch, int64, error) {
@@ -51,13 +66,9 @@
 func TestReturnOfASilentStoreIsNoticed(t *testing.T) {
 	for silence := 2500 * time.Millisecond; silence < 20*time.Second; silence += 700 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
-			s := &silentStore{from: time.Now().Add(10 * time.Second), readAt: make(map[resource.Source]time.Time)}
-			s.to = s.from.Add(silence)
-			f := NewFollower(resource.NewView(), member.NewTable(box.Member{Hall: "a", Name: "1", State: box.StateServing}), slog.New(slog.DiscardHandler))
+			s := newSilentStore(silence)
 			sources := []resource.Source{resource.SourceBoxes, resource.SourceConfiguration, resource.SourceUpstreams}
-			for _, n := range sources {
-				f.Add(n, s.reader(n))
-			}
+			f := s.follower(sources...)
 			ctx, cancel := context.WithDeadline(context.Background(), s.to.Add(time.Minute))
 			defer cancel()
 			f.Run(ctx)
@@ -73,10 +84,7 @@
 // TestMeterTellsOfTheStore checks the gauges of a reader before, in and after a silence.
 func TestMeterTellsOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &silentStore{from: time.Now().Add(10 * time.Second), readAt: make(map[resource.Source]time.Time)}
-		s.to = s.from.Add(20 * time.Second)
-		f := NewFollower(resource.NewView(), member.NewTable(box.Member{Hall: "a", Name: "1", State: box.StateServing}), slog.New(slog.DiscardHandler))
-		f.Add(resource.SourceUpstreams, s.reader(resource.SourceUpstreams))
+		f := newSilentStore(20 * time.Second).follower(resource.SourceUpstreams)
 		m := metric.NewSet()
 		f.Meter(m)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -68,8 +68,9 @@
 	return retryMost
 }
 
-// watch returns how long one read of the source by a reader of that rank waits. After a failure it does not
-// wait: the answer tells whether the store is back, and silence is known sooner.
+// watch returns how long one read of the source by a reader of that rank waits. After a
+// failure it does not wait: the answer tells whether the store is back, and silence is
+// known sooner.
 func (s *source) watch(rank int) time.Duration {
 	switch {
 	case s.failures.Load() > 0:
