Part stopping and telling others from the rest of the box

linetiller.go held the box's make-up and its whole stop; the stop is now in stopping.go with its constants, and finish names its steps. What a box tells others at any time is in tell.go, since it is not about upstreams that leave. join has asking the peers as a step of its own. The comment of Leave said that new requests are refused, which holds only once the drain is over.

--- a/join.go
+++ b/join.go
@@ -19,13 +19,9 @@
 	listenSpread = 800 * time.Millisecond
 )
 
-// join learns of the other boxes and takes in the highest configuration that
-// they or the table hold, before the first request. Only its hall's readers read all
-// of the store: at 300 boxes with a list of 3,000 upstreams a read by each box cost
-// 0.03 of the worth served.
-func (b *Box) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatPeriod)
-	defer cancel()
+// askPeers learns of other boxes and of their configuration from the peers that the
+// settings name. One that does not answer is passed over.
+func (b *Box) askPeers(ctx context.Context) {
 	for _, a := range b.settings.Peers {
 		r, err := b.links.Once(ctx, a, b.request(box.Request{Kind: box.KindMembers}))
 		if err != nil {
@@ -36,6 +32,16 @@
 		}
 		_ = b.follower.CatchUp(ctx, a, r.Revisions)
 	}
+}
+
+// join learns of the other boxes and takes in the highest configuration that
+// they or the table hold, before the first request. Only its hall's readers read all
+// of the store: at 300 boxes with a list of 3,000 upstreams a read by each box cost
+// 0.03 of the worth served.
+func (b *Box) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatPeriod)
+	defer cancel()
+	b.askPeers(ctx)
 	_ = b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
 	b.listMembers()
 	reads := b.follower.Reads()                      // as listed: others may start at this moment, too
--- a/leaving.go
+++ b/leaving.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/event"
@@ -17,6 +16,7 @@
 	}
 }
 
+// learnAll takes in the loads of upstreams, as their owner told them.
 func (b *Box) learnAll(l []policy.Load) {
 	for i := range l {
 		b.learn(&l[i])
@@ -33,27 +33,6 @@
 	return true
 }
 
-// tell sends a request to all other boxes of a hall, "" for all halls, without waiting
-// for their answers.
-func (b *Box) tell(ctx context.Context, hall string, q box.Request) {
-	for _, m := range b.members.Members()[1:] {
-		if hall != "" && m.Hall != hall {
-			continue
-		}
-		b.workers.Go(func() {
-			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(heartbeatPeriod))
-			defer cancel()
-			_, _ = b.links.Once(ctx, m.Address, b.request(q)) // told again, or by others
-		})
-	}
-}
-
-// tellAway tells the boxes of the hall that the platform's list of upstreams cannot be
-// read, or can be again: those that do not read it themselves own upstreams, too.
-func (b *Box) tellAway(ctx context.Context, away bool) {
-	b.tell(ctx, b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
-}
-
 // tellLeaving takes in that an upstream's report says that it is leaving, and
 // tells all other boxes, unless the platform's list had said so before.
 func (b *Box) tellLeaving(ctx context.Context, upstream string) {
--- a/linetiller.go
+++ b/linetiller.go
@@ -90,18 +90,8 @@
 // Option sets one thing of a Box.
 type Option func(*Box)
 
-const (
-	engineCallPeriod = 2 * time.Second // for a call of a declared engine, but for streams
-	// lastCallsPeriod is what is left for calls in progress once no more are taken: they
-	// take some 60 ms, and 0.3 s is wanted.
-	lastCallsPeriod = time.Second
-	// streamsEvery is the time between looks whether streams are still in progress.
-	streamsEvery = 50 * time.Millisecond
-	// graceMargin is what is left of the grace for the last answers and the box's own
-	// row: a small box closes its connections within some 100 ms.
-	graceMargin = 500 * time.Millisecond
-	shutPeriod  = 5 * time.Second // for the last answers to reach their clients
-)
+// engineCallPeriod bounds a call of a declared engine, but for streams.
+const engineCallPeriod = 2 * time.Second
 
 // New returns a box that listens at its addresses, but does not serve yet.
 func New(s *settings.Settings, options ...Option) (*Box, error) {
@@ -133,43 +123,9 @@
 // ClientAddress returns the address for clients.
 func (b *Box) ClientAddress() string { return b.clientListener.Addr().String() }
 
-// Close stops the box at once, without waiting for requests in progress, and
-// waits for all that it started.
-func (b *Box) Close() error {
-	var err error
-	b.closing.Do(func() {
-		b.stopping.Store(true)
-		if b.cancel != nil {
-			b.cancel()
-		}
-		for _, v := range b.listeners() {
-			err = errors.Join(err, v.server.Close())
-			if v.listener != nil {
-				_ = v.listener.Close()
-			}
-		}
-		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort()) // workers may wait for what is in progress
-		b.workers.Wait()
-		err = errors.Join(err, b.keys.Close(), b.links.Close(), b.engines.Close(), b.routed.Close(), b.store.Close())
-	})
-	return err
-}
-
 // Held returns how many requests are in progress.
 func (b *Box) Held() int { return b.deliverer.Held() + b.relay.Held() }
 
-// Leave makes Serve finish what is in progress and return: other boxes are
-// told, the balancer sees it as not ready, new requests are refused.
-func (b *Box) Leave() {
-	if b.stopping.Swap(true) {
-		return
-	}
-	b.ready.Store(false)
-	event.BoxLeaving.Log(b.log, "held", b.Held())
-	b.members.Leave()
-	close(b.left)
-}
-
 // OperatorAddress returns the address for operators.
 func (b *Box) OperatorAddress() string { return b.operatorListener.Addr().String() }
 
@@ -205,71 +161,6 @@
 	return err
 }
 
-// awaitStreams goes on taking calls while streams are in progress, up to a time.
-func (b *Box) awaitStreams(ctx context.Context, until time.Time) {
-	for b.relay.Streams() > 0 && time.Now().Before(until) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(streamsEvery):
-		}
-	}
-}
-
-// drainPeriod returns how long a box that was asked to stop goes on taking requests: at
-// most half of the grace.
-func (b *Box) drainPeriod() time.Duration {
-	t := b.settings.Timeouts
-	if t.Grace.Duration > 0 {
-		return min(t.Drain.Duration, t.Grace.Duration/2)
-	}
-	return t.Drain.Duration
-}
-
-// finish goes on serving until the balancer must have seen that the box is not
-// ready, and then waits for the requests in progress, up to the time for leaving.
-func (b *Box) finish(ctx context.Context) {
-	leaveBy := b.leaveBy(time.Now())
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(b.drainPeriod()):
-	}
-	ctx, cancel := context.WithDeadline(ctx, leaveBy)
-	defer cancel()
-	b.relay.RefuseStreams()
-	b.awaitStreams(ctx, leaveBy.Add(-lastCallsPeriod))
-	done := make(chan struct{})
-	b.workers.Go(func() {
-		_ = b.relay.Close()
-		_ = b.deliverer.Close()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-		event.BoxStopIncomplete.Log(b.log, "held", b.Held())
-		return
-	}
-	s, cancel := context.WithTimeout(ctx, shutPeriod)
-	defer cancel()
-	_ = b.clientServer.Shutdown(s)
-	for _, v := range b.entry {
-		_ = v.server.Shutdown(s)
-	}
-	b.unregister(s)
-}
-
-// leaveBy returns when streams are ended of a box that was asked to stop at a time:
-// shortly before it is killed, where somebody does that.
-func (b *Box) leaveBy(asked time.Time) time.Time {
-	t := b.settings.Timeouts
-	if t.Grace.Duration > 0 {
-		return asked.Add(t.Grace.Duration - graceMargin)
-	}
-	return asked.Add(t.Drain.Duration + t.Leave.Duration)
-}
-
 // listeners returns all servers of the box with their listeners.
 func (b *Box) listeners() []served {
 	return append([]served{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
