--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/upstream"
 )
 
 // owned is one upstream owned by this box.
@@ -19,6 +20,19 @@
 	waiters   map[string]chan policy.Answer
 }
 
+// dueReport reports whether the upstream's report is to be read now, and notes that it
+// is being read.
+func (x *owned) dueReport(now time.Time, every time.Duration) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.reporting || now.Before(x.reportAt) {
+		return false
+	}
+	x.reporting = true
+	x.reportAt = now.Add(every)
+	return true
+}
+
 // flush refuses all that waits; the lock is held.
 func (x *owned) flush(r policy.Reason) {
 	for id, c := range x.waiters {
@@ -35,12 +49,21 @@
 	return x.mine && x.owner.Running() == 0 && len(x.waiters) == 0
 }
 
+// load returns the upstream's load as it is now.
 func (x *owned) load() policy.Load {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	return x.owner.Load(time.Now())
 }
 
+// missed counts a report that could not be read, and returns how many in a row that is.
+func (x *owned) missed() int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.failures++
+	return x.failures
+}
+
 // next hands out places to those who wait; the lock is held.
 func (x *owned) next(now time.Time) {
 	for _, a := range x.owner.Next(now) {
@@ -50,3 +73,26 @@
 		}
 	}
 }
+
+// reported notes that a report is no longer being read.
+func (x *owned) reported() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.reporting = false
+}
+
+// take takes in a report; leaving tells that the upstream is listed as leaving.
+func (x *owned) take(l *upstream.Load, leaving bool) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.failures = 0
+	x.owner.Leaving = leaving || l.Leaving
+	if x.instance != "" && x.instance != l.Instance {
+		x.owner.Restarted()
+	}
+	x.instance = l.Instance
+	x.owner.Report(policy.Report{
+		AsOf: l.AsOf, Preemptions: l.Preemptions, Running: l.Running,
+		StepSeconds: float64(l.StepMicros) / 1e6, Used: l.Used, Waiting: l.Waiting,
+	}, time.Now())
+}
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -190,6 +190,7 @@
 	return r
 }
 
+// feed hands the owners that have something due to the workers.
 func (o *Owners) feed(ctx context.Context, ticks, reports chan<- *owned, now time.Time) {
 	for _, x := range o.list() {
 		if !x.idle() {
@@ -209,6 +210,7 @@
 	}
 }
 
+// flushAll refuses all work that waits.
 func (o *Owners) flushAll() {
 	for _, x := range o.list() {
 		x.mutex.Lock()
@@ -239,6 +241,8 @@
 	return x
 }
 
+// hangUp takes work out of the queue whose caller has gone; c is nil where it does not
+// wait.
 func (o *Owners) hangUp(x *owned, a *box.Ask, c chan policy.Answer) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
@@ -248,6 +252,7 @@
 	}
 }
 
+// list returns all owners.
 func (o *Owners) list() []*owned {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -263,6 +268,7 @@
 	return &box.Reply{Answer: &a, Load: &l, Revisions: o.view.Revisions()}
 }
 
+// sum returns the sum of a figure over all owners.
 func (o *Owners) sum(f func(*policy.Owner) int) float64 {
 	n := 0
 	for _, x := range o.list() {
@@ -290,12 +296,14 @@
 	}
 }
 
+// each calls f with every value that comes, until the channel is closed.
 func each[T any](c <-chan T, f func(T)) {
 	for v := range c {
 		f(v)
 	}
 }
 
+// refusal returns the refusal of an ask.
 func refusal(a *box.Ask, r policy.Reason) *policy.Answer {
 	return &policy.Answer{ID: a.Work.ID, Reason: r, Verdict: policy.VerdictRefuse}
 }
--- a/internal/ownership/reports.go
+++ b/internal/ownership/reports.go
@@ -6,9 +6,9 @@
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/metric"
-	"github.com/linetiller/linetiller/internal/policy"
 )
 
+// readReport reads the load report of an upstream and takes it in.
 func (o *Owners) readReport(ctx context.Context, x *owned) {
 	defer x.reported()
 	u := o.view.Upstream(x.owner.Upstream)
@@ -21,26 +21,14 @@
 	if err == nil && l.Leaving && o.Leaving != nil {
 		o.Leaving(ctx, u.Name)
 	}
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
 	if err != nil {
-		x.failures++
-		if x.failures == 1 && ctx.Err() == nil {
+		if x.missed() == 1 && ctx.Err() == nil {
 			event.ReportMissing.Log(o.log, "upstream", u.Name, "error", err.Error())
 		}
 		o.metrics.Add(metric.UpstreamReports, 1)
 		return
 	}
-	x.failures = 0
-	x.owner.Leaving = u.Spec.Leaving || l.Leaving
-	if x.instance != "" && x.instance != l.Instance {
-		x.owner.Restarted()
-	}
-	x.instance = l.Instance
-	x.owner.Report(policy.Report{
-		AsOf: l.AsOf, Preemptions: l.Preemptions, Running: l.Running,
-		StepSeconds: float64(l.StepMicros) / 1e6, Used: l.Used, Waiting: l.Waiting,
-	}, time.Now())
+	x.take(l, u.Spec.Leaving)
 }
 
 // reportEvery returns how often reports are read: more often while the platform's
@@ -51,20 +39,3 @@
 	}
 	return o.report
 }
-
-func (x *owned) dueReport(now time.Time, every time.Duration) bool {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	if x.reporting || now.Before(x.reportAt) {
-		return false
-	}
-	x.reporting = true
-	x.reportAt = now.Add(every)
-	return true
-}
-
-func (x *owned) reported() {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.reporting = false
-}
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -38,36 +38,21 @@
 	otherHallDelay = 1.5 // seconds of backlog that another hall counts for: a cut between halls ends its streams
 )
 
+// newCandidates returns no lists yet; they are made when asked for.
 func newCandidates(v *resource.View, m *member.Table) *candidates {
 	return &candidates{lists: make(map[candidateKey]*candidateList), members: m, view: v}
 }
 
 // list makes a list.
 func (c *candidates) list(k candidateKey, now time.Time) []policy.Candidate {
-	reachable := make(map[string]bool)
-	for _, h := range c.members.Halls() {
-		reachable[h] = len(c.members.Alive(h)) > 0
-	}
 	all := c.view.UpstreamsOf(k.model)
-	inHall := make(map[string]int)
-	for _, u := range all {
-		if u.Takes(now) {
-			inHall[u.Spec.Hall]++
-		}
-	}
+	inHall := takingInHalls(all, now)
+	reachable := c.reachable()
 	l := make([]policy.Candidate, 0, len(all))
 	for _, u := range all {
-		if !u.Takes(now) || !reachable[u.Spec.Hall] {
-			continue
+		if u.Takes(now) && reachable[u.Spec.Hall] {
+			l = append(l, candidateOf(u, k.hall, inHall[u.Spec.Hall] == 1))
 		}
-		x := policy.Candidate{Alone: inHall[u.Spec.Hall] == 1, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
-		if g := u.Engine(); g != nil && g.Migrates {
-			x.Capacity.CopyToken = g.CopyTime(1)
-		}
-		if u.Spec.Hall != k.hall {
-			x.Delay = otherHallDelay
-		}
-		l = append(l, x)
 	}
 	return l
 }
@@ -89,3 +74,36 @@
 	}
 	return l.entries
 }
+
+// reachable returns the halls that have a box which could own upstreams.
+func (c *candidates) reachable() map[string]bool {
+	m := make(map[string]bool)
+	for _, h := range c.members.Halls() {
+		m[h] = len(c.members.Alive(h)) > 0
+	}
+	return m
+}
+
+// candidateOf returns an upstream as a candidate for work of a hall; alone tells that no
+// other upstream of its own hall takes new work.
+func candidateOf(u *resource.Upstream, hall string, alone bool) policy.Candidate {
+	x := policy.Candidate{Alone: alone, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+	if g := u.Engine(); g != nil && g.Migrates {
+		x.Capacity.CopyToken = g.CopyTime(1)
+	}
+	if u.Spec.Hall != hall {
+		x.Delay = otherHallDelay
+	}
+	return x
+}
+
+// takingInHalls counts, by hall, the upstreams that take new work.
+func takingInHalls(l []*resource.Upstream, now time.Time) map[string]int {
+	n := make(map[string]int)
+	for _, u := range l {
+		if u.Takes(now) {
+			n[u.Spec.Hall]++
+		}
+	}
+	return n
+}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -98,10 +98,8 @@
 	}
 }
 
-// ask asks u's owner and waits while w is queued, or until a much better
-// upstream is known.
-//
-// Unless patient, it returns errQueued in place of waiting.
+// ask asks u's owner and waits while w is queued, or until a much better upstream is
+// known. Unless patient, it returns errQueued in place of waiting.
 func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work, patient bool) (*policy.Answer, error) {
 	owner := policy.First(u.Name, p.members.Alive(u.Spec.Hall))
 	place := fail.Place{Peer: "box " + owner, Step: "ask"}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -88,9 +88,9 @@
 	}
 }
 
-// choose returns the best of the upstreams that take new work, or nil where there is none. Of two
-// drawn at random the better one is taken, so that boxes which know the same do
-// not all choose alike.
+// choose returns the best of the upstreams that take new work, or nil where there is
+// none. Of two drawn at random the better one is taken, so that boxes which know the
+// same do not all choose alike.
 func (h *health) choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) *resource.Upstream {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,8 +77,8 @@
 	x := &Relay{
 		Fresh:  func(context.Context) {},
 		budget: newBudget(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m, placeWait: m.Histogram(metric.PlaceWait),
-		streams: make(map[*stream]bool), tracker: t, view: v,
+		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		placeWait: m.Histogram(metric.PlaceWait), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
 		o(x)
@@ -195,6 +195,7 @@
 	}
 }
 
+// enter takes in a request, unless the relay is closing.
 func (x *Relay) enter() error {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
@@ -206,6 +207,7 @@
 	return nil
 }
 
+// leave takes in that a request has had its final answer.
 func (x *Relay) leave() {
 	x.mutex.Lock()
 	x.held--
@@ -229,7 +231,7 @@
 	return x.noStreams
 }
 
-// leavingError refuses a request because the box is leaving.
+// leavingError returns the refusal of a request because the box is leaving.
 func leavingError() error {
 	return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("accept"), "box_leaving", "this box is leaving"), time.Now())
 }
