Correct two comments on the width of bars and on lone candidates

The width is shared by a third of all bars, not by three. A candidate is alone among the upstreams of its hall that run the same model, not among all.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -36,8 +36,7 @@
 	width  = 7 * vg.Inch
 )
 
-// barWidth is the width, in points, of three bars together, rounded where the number of
-// bars is no multiple of three.
+// barWidth is the width, in points, that a third of all bars share, counted in whole bars.
 const barWidth = 60.0
 
 // Bars draws groups of bars side by side over named places.
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -85,7 +85,7 @@
 }
 
 // candidateOf returns an upstream as a candidate for work of a hall; alone tells that no
-// other upstream of its own hall takes new work.
+// other one of its own hall takes new work for the model.
 func candidateOf(u *resource.Upstream, hall string, alone bool) policy.Candidate {
 	x := policy.Candidate{Alone: alone, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
 	if g := u.Engine(); g != nil && g.Migrates {
