--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -36,7 +36,8 @@
 	width  = 7 * vg.Inch
 )
 
-const barWidth = 60.0 // points that the bars of one place share
+// barWidth is the width, in points, that a third of all bars share, counted in whole bars.
+const barWidth = 60.0
 
 // Bars draws groups of bars side by side over named places.
 func Bars(path string, l Labels, places []string, groups []Group) error {
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -38,10 +38,25 @@
 	otherHallDelay = 1.5 // seconds of backlog that another hall counts for: a cut between halls ends its streams
 )
 
+// newCandidates returns no lists yet; they are made when asked for.
 func newCandidates(v *resource.View, m *member.Table) *candidates {
 	return &candidates{lists: make(map[candidateKey]*candidateList), members: m, view: v}
 }
 
+// list makes a list.
+func (c *candidates) list(k candidateKey, now time.Time) []policy.Candidate {
+	all := c.view.UpstreamsOf(k.model)
+	inHall := takingInHalls(all, now)
+	reachable := c.reachable()
+	l := make([]policy.Candidate, 0, len(all))
+	for _, u := range all {
+		if u.Takes(now) && reachable[u.Spec.Hall] {
+			l = append(l, candidateOf(u, k.hall, inHall[u.Spec.Hall] == 1))
+		}
+	}
+	return l
+}
+
 // of returns the upstreams that run w's model, may get new work, and have a box in
 // their hall that could own them. Callers must not change the list.
 func (c *candidates) of(w *policy.Work, now time.Time) []policy.Candidate {
@@ -60,32 +75,35 @@
 	return l.entries
 }
 
-// list makes a list.
-func (c *candidates) list(k candidateKey, now time.Time) []policy.Candidate {
-	reachable := make(map[string]bool)
+// reachable returns the halls that have a box which could own upstreams.
+func (c *candidates) reachable() map[string]bool {
+	m := make(map[string]bool)
 	for _, h := range c.members.Halls() {
-		reachable[h] = len(c.members.Alive(h)) > 0
+		m[h] = len(c.members.Alive(h)) > 0
 	}
-	all := c.view.UpstreamsOf(k.model)
-	inHall := make(map[string]int)
-	for _, u := range all {
-		if u.Takes(now) {
-			inHall[u.Spec.Hall]++
-		}
+	return m
+}
+
+// candidateOf returns an upstream as a candidate for work of a hall; alone tells that no
+// other one of its own hall takes new work for the model.
+func candidateOf(u *resource.Upstream, hall string, alone bool) policy.Candidate {
+	x := policy.Candidate{Alone: alone, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+	if g := u.Engine(); g != nil && g.Migrates {
+		x.Capacity.CopyToken = g.CopyTime(1)
 	}
-	l := make([]policy.Candidate, 0, len(all))
-	for _, u := range all {
-		if !u.Takes(now) || !reachable[u.Spec.Hall] {
-			continue
-		}
-		x := policy.Candidate{Alone: inHall[u.Spec.Hall] == 1, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
-		if g := u.Engine(); g != nil && g.Migrates {
-			x.Capacity.CopyToken = g.CopyTime(1)
-		}
-		if u.Spec.Hall != k.hall {
-			x.Delay = otherHallDelay
+	if u.Spec.Hall != hall {
+		x.Delay = otherHallDelay
+	}
+	return x
+}
+
+// takingInHalls counts, by hall, the upstreams that take new work.
+func takingInHalls(l []*resource.Upstream, now time.Time) map[string]int {
+	n := make(map[string]int)
+	for _, u := range l {
+		if u.Takes(now) {
+			n[u.Spec.Hall]++
 		}
-		l = append(l, x)
 	}
-	return l
+	return n
 }
