--- a/internal/fake/soak/caller.go
+++ b/internal/fake/soak/caller.go
@@ -28,6 +28,7 @@
 // sent is one request as its caller sent it.
 type sent struct {
 	id, path, method string
+	status           int  // of its answer, 0 for none
 	tokens           int  // of a plan
 	unknown          bool // its route was removed
 }
@@ -57,6 +58,7 @@
 		return false // a connection that breaks promises nothing
 	}
 	defer func() { _ = w.Body.Close() }()
+	s.status = w.StatusCode
 	c.check(s, w)
 	return w.StatusCode == http.StatusOK && c.read(s, w)
 }
@@ -94,8 +96,9 @@
 		for v, want := range map[int]bool{newest: true, newest - 1: false} {
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			s := &sent{id: fmt.Sprintf("in-force-%d-%d", i, v), path: fmt.Sprintf("/extra%d/x", v), method: http.MethodGet, unknown: !want}
-			if got := c.call(ctx, b, s); got != want {
-				c.fail("%s: the route of version %d of %d: served %v", b.name, v, newest, got)
+			served := c.call(ctx, b, s)
+			if served != want || (!want && s.status != http.StatusNotFound) {
+				c.fail("%s: the route of version %d of %d: served %v, status %d", b.name, v, newest, served, s.status)
 			}
 			cancel()
 		}
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -33,8 +33,10 @@
 		c.Track(&rests, http.StateIdle)
 		c.Track(&works, http.StateIdle)
 		time.Sleep(9 * time.Second)
+		synctest.Wait()
 		c.Track(&works, http.StateActive)
 		time.Sleep(20 * time.Second)
+		synctest.Wait() // until what timers started has ended
 		if got, want := rests.at.Sub(start), 10*time.Second; got != want {
 			t.Errorf("a resting connection: closed after %v, want %v", got, want)
 		}
@@ -46,6 +48,7 @@
 		after = 0
 		c.Track(&forever, http.StateIdle)
 		time.Sleep(time.Hour)
+		synctest.Wait()
 		if got, want := works.at.Sub(start), 31*time.Second; got != want {
 			t.Errorf("after its request: closed after %v, want %v", got, want)
 		}
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -219,3 +219,16 @@
 		t.Errorf("share of the first half of the list: got %v, want %v", got, want)
 	}
 }
+
+// TestSampleFindsTheFewThatAreAllowed allows few of many candidates: each of them is
+// looked at.
+func TestSampleFindsTheFewThatAreAllowed(t *testing.T) {
+	c := testCandidates(3000)
+	allowed := map[string]bool{"u7": true, "u1500": true, "u2999": true}
+	r := NewRouter(NewLengths(), 1)
+	for range 20 {
+		if got, want := len(r.sample(c, nil, func(n string) bool { return allowed[n] })), len(allowed); got != want {
+			t.Fatalf("sample: got %d candidates, want %d", got, want)
+		}
+	}
+}
--- a/internal/policy/sample.go
+++ b/internal/policy/sample.go
@@ -31,36 +31,36 @@
 // sample returns the allowed candidates, or, where they are many, those that
 // the prefix keeps to and some at random, most of them near.
 func (r *Router) sample(c []Candidate, warm map[string]bool, allow func(name string) bool) []Candidate {
-	l := make([]Candidate, 0, min(len(c), sampleNear+sampleFar+affinityPlaces))
-	if len(c) <= sampleNear+sampleFar {
-		for _, x := range c {
-			if allow(x.Name) {
-				l = append(l, x)
-			}
-		}
-		return l
+	near, far := drawsOf(c, allow)
+	if near.left+far.left <= sampleNear+sampleFar {
+		near.wanted, far.wanted = near.left, far.left
 	}
-	near, far := drawsOf(c)
+	l := make([]Candidate, 0, near.wanted+far.wanted+affinityPlaces)
 	for i := range c {
+		if !allow(c[i].Name) {
+			continue
+		}
 		d := &far
 		if c[i].Delay == 0 {
 			d = &near
 		}
-		if (d.take(r.random()) || warm[c[i].Name]) && allow(c[i].Name) {
+		if d.take(r.random()) || warm[c[i].Name] {
 			l = append(l, c[i])
 		}
 	}
 	return l
 }
 
-// drawsOf returns the draws from the candidates of the work's own hall and from those of
-// others.
-func drawsOf(c []Candidate) (near, far draw) {
+// drawsOf returns the draws from the allowed candidates of the work's own hall and from
+// those of others.
+func drawsOf(c []Candidate, allow func(name string) bool) (near, far draw) {
 	near.wanted, far.wanted = sampleNear, sampleFar
 	for i := range c {
-		if c[i].Delay == 0 {
+		switch {
+		case !allow(c[i].Name):
+		case c[i].Delay == 0:
 			near.left++
-		} else {
+		default:
 			far.left++
 		}
 	}
