--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -13,7 +13,7 @@
 
 var update = flag.Bool("update", false, "write the golden files anew")
 
-// TestStories tells the stories of a refused, a cut and a late request from the
+// TestStories tells the stories of a refused, a cut, a late and a resumed request from the
 // recorded logs of two boxes, and compares them with golden files.
 func TestStories(t *testing.T) {
 	var all []Line
@@ -29,7 +29,7 @@
 		}
 		all = append(all, l...)
 	}
-	for _, id := range []string{"refused", "cut", "late", "moved", "lost"} {
+	for _, id := range []string{"refused", "cut", "late", "moved", "lost", "resumed"} {
 		s, err := Tell(all, id)
 		if err != nil {
 			t.Errorf("%s: %v", id, err)
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -11,6 +11,7 @@
 	"copy_under_way":        "another copy of it was under way",
 	"deadline":              "its time ran out",
 	"key_unknown":           "its key opens no workspace",
+	"last_event_invalid":    "it named a last event that is not a number",
 	"leaving":               "the upstream was leaving",
 	"move_lost":             "it had been copied to another engine, which did not take it up",
 	"no_owner":              "no box answered for the engines",
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -22,9 +22,10 @@
 
 // Story is what became of one request.
 type Story struct {
-	Cause   string `json:"cause"` // of its end, in one sentence
-	Request string `json:"request"`
-	Steps   []Step `json:"steps"`
+	Cause   string   `json:"cause"` // of its end, in one sentence
+	Request string   `json:"request"`
+	Returns []string `json:"returns,omitempty"` // requests with which its caller seems to have gone on with the stream
+	Steps   []Step   `json:"steps"`
 }
 
 // ErrUnknown says that no line tells of the request.
@@ -48,6 +49,7 @@
 		s.Steps = append(s.Steps, Step{After: x.Time.Sub(first), Box: x.Box, Event: x.Event, Text: textOf(&x), Time: x.Time})
 	}
 	s.Cause = causeOf(own, lines)
+	s.Returns = returnsOf(own, lines)
 	return s, nil
 }
 
@@ -59,16 +61,28 @@
 		_, _ = fmt.Fprintf(&b, "  %8.3f s  %s: %s\n", x.After.Seconds(), x.Box, x.Text)
 	}
 	_, _ = fmt.Fprintf(&b, "cause: %s\n", s.Cause)
+	for _, id := range s.Returns {
+		_, _ = fmt.Fprintf(&b, "its caller seems to have come back as request %s\n", id)
+	}
 	return b.String()
 }
 
+// afterEvent tells after which event of its stream a request goes on, where it is not from
+// the beginning.
+func afterEvent(x *Line) string {
+	if id := x.text("last_event"); id != "" {
+		return ", after event " + id
+	}
+	return ""
+}
+
 // textOf tells one line in plain words.
 func textOf(x *Line) string {
 	f := x.text
 	switch x.Event {
 	case event.RequestPlaced.Number:
-		return fmt.Sprintf("try %s goes to %s in %s after %s ms, with %s ms left (configuration %s, upstreams %s)",
-			f("try"), f("upstream"), f("hall"), f("waited_ms"), f("left_ms"), f("configuration"), f("upstreams"))
+		return fmt.Sprintf("try %s goes to %s in %s after %s ms, with %s ms left%s (configuration %s, upstreams %s)",
+			f("try"), f("upstream"), f("hall"), f("waited_ms"), f("left_ms"), afterEvent(x), f("configuration"), f("upstreams"))
 	case event.UpstreamLeaving.Number:
 		return fmt.Sprintf("%s is leaving; %s events had come", f("upstream"), f("events"))
 	case event.MoveStarted.Number:
@@ -79,6 +93,8 @@
 		return fmt.Sprintf("it goes on at %s after a pause of %s ms", f("to"), f("pause_ms"))
 	case event.MoveFailed.Number:
 		return fmt.Sprintf("it was not moved away from %s: %s", f("from"), reasonText(f("reason")))
+	case event.StreamResumed.Number:
+		return fmt.Sprintf("a new run goes on at %s%s: %s", f("upstream"), afterEvent(x), reasonText(f("reason")))
 	case event.RequestRetried.Number:
 		return fmt.Sprintf("another upstream is tried: %s", reasonText(f("reason")))
 	}
--- a/internal/fake/routed/faults.go
+++ b/internal/fake/routed/faults.go
@@ -10,9 +10,11 @@
 	Gap        bool          // streams leave out their third event
 	LateStops  time.Duration // after which an order to stop a run is looked at
 	LoseCopies bool          // copies are made and their answers lost
+	MuteAfter  int           // streams go silent after that many events, 0 for never
 	OtherEcho  bool          // answers name another request
 	Refuse     int           // status of answers that say that nothing ran, 0 for none
 	Silent     bool          // nothing is answered
+	Spoil      bool          // streams have a third event whose id is no number
 	Status     int           // of answers in place of 200, 0 for none
 	Unsigned   bool          // answers lack the engine's mark
 }
--- a/internal/fake/routed/streams.go
+++ b/internal/fake/routed/streams.go
@@ -25,6 +25,7 @@
 	prompt, _, _ := strings.Cut(r.Header.Get("X-Linetiller-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(prompt)
 	x := &run{memory: memory{request: id, tokens: tokens}, stopped: make(chan struct{})}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if from := r.Header.Get("Kv-From"); from != "" {
 		_, handle, _ := strings.Cut(from, "/")
 		m := e.copies[handle]
@@ -32,12 +33,11 @@
 			return nil
 		}
 		delete(e.copies, handle)
-		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		x.memory = *m
-		x.memory.events = last
 	} else {
 		e.started[id]++
 	}
+	x.memory.events = last
 	e.runs[id] = x
 	return x
 }
@@ -77,13 +77,15 @@
 	events := length / e.settings.TokensAnEvent
 	if r.Header.Get("Kv-From") == "" {
 		time.Sleep(time.Duration(x.memory.tokens) * e.settings.PrefillToken)
-	}
-	if x.memory.events >= events {
+	} else if x.memory.events >= events {
 		x.memory.events = events - 1 // a run that is taken up makes one event at least
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for n := x.memory.events + 1; n <= events; n++ {
+		if f.MuteAfter > 0 && n > f.MuteAfter {
+			<-r.Context().Done()
+		}
 		if !e.wait(r, x) {
 			panic(http.ErrAbortHandler)
 		}
@@ -116,8 +118,12 @@
 
 // write writes one event, or what the faults make of it.
 func (e *Engine) write(w io.Writer, f *Faults, id string, n int) {
-	const gapAt = 3
-	if f.Gap && n == gapAt {
+	const faultAt = 3
+	switch {
+	case f.Gap && n == faultAt:
+		return
+	case f.Spoil && n == faultAt:
+		_, _ = fmt.Fprintf(w, "id: %dx\ndata: %s\n\n", n, Event(id, n))
 		return
 	}
 	if f.BreakAfter > 0 && n > f.BreakAfter {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,43 +10,24 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// seat is an upstream that a request may be sent to, with what counts the request there.
+type seat struct {
+	end      func()             // ends the count at a plain service; nil at an engine
+	place    *placement.Place   // nil at a plain service
+	running  *placement.Running // nil at a plain service
+	upstream *resource.Upstream
+}
+
 // attempt sends the request to one upstream and passes its answer on. It reports
 // whether another upstream may be tried.
 func (e *exchange) attempt(ctx context.Context) (again bool, err error) {
-	if e.service.Spec.Engine != nil {
-		return e.attemptEngine(ctx)
-	}
-	now := time.Now()
-	u := e.relay.health.choose(e.relay.view.UpstreamsOfService(e.service.Name), e.avoid, now)
-	if u == nil {
-		return false, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
-	}
-	defer e.relay.health.begin(u.Name)()
-	a, again, err := e.send(ctx, u, nil)
-	if err != nil {
-		return again, err
-	}
-	defer func() { _ = a.Body.Close() }()
-	if e.route.Spec.Stream {
-		s := newStream(e, u, nil)
-		defer s.close()
-		return false, s.run(ctx, a)
-	}
-	return e.deliver(ctx, a)
-}
-
-// attemptEngine sends a generation to an engine that has a place for it.
-func (e *exchange) attemptEngine(ctx context.Context) (again bool, err error) {
-	x := e.relay
-	w := e.work()
-	p, err := x.Place(ctx, w, e.avoid)
+	t, err := e.seat(ctx, e.work())
 	if err != nil {
 		return false, err
 	}
-	r := x.tracker.Start(w, p.Upstream.Name)
-	s := newStream(e, p.Upstream, r)
+	s := newStream(e, t)
 	defer s.close()
-	u, err := e.check(ctx, p)
+	u, err := e.check(ctx, t)
 	if err != nil {
 		return true, err
 	}
@@ -58,22 +39,54 @@
 	if !e.route.Spec.Stream {
 		return e.deliver(ctx, a)
 	}
-	return false, s.run(ctx, a)
+	return s.run(ctx, a)
 }
 
-// check makes sure, just before the send, that the place may still be used: the
-// box may have been paused since it was given.
-func (e *exchange) check(ctx context.Context, p *placement.Place) (*resource.Upstream, error) {
+// check makes sure, just before the send, that a place may still be used: the box may
+// have been paused since it was given.
+func (e *exchange) check(ctx context.Context, t *seat) (*resource.Upstream, error) {
+	if t.place == nil {
+		return t.upstream, nil
+	}
 	e.relay.Fresh(ctx)
 	now := time.Now()
-	place := fail.Place{Peer: "upstream " + p.Upstream.Name, Step: stepCheck}
-	u := e.relay.view.Upstream(p.Upstream.Name)
+	place := fail.Place{Peer: "upstream " + t.upstream.Name, Step: stepCheck}
+	u := e.relay.view.Upstream(t.upstream.Name)
 	if u == nil || !u.Takes(now) {
-		e.avoid[p.Upstream.Name] = true
+		e.avoid[t.upstream.Name] = true
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonLeaving), "the upstream is leaving"), now)
 	}
-	if p.Stale(now) {
+	if t.place.Stale(now) {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, "stale_place", "the place was given too long ago"), now)
 	}
 	return u, nil
 }
+
+// seat finds an upstream for w: an engine that has a place for it, or a plain service.
+func (e *exchange) seat(ctx context.Context, w *policy.Work) (*seat, error) {
+	x := e.relay
+	if e.service.Spec.Engine != nil {
+		p, err := x.Place(ctx, w, e.avoid)
+		if err != nil {
+			return nil, err
+		}
+		return &seat{place: p, running: x.tracker.Start(w, p.Upstream.Name), upstream: p.Upstream}, nil
+	}
+	now := time.Now()
+	u := x.health.choose(x.view.UpstreamsOfService(e.service.Name), e.avoid, now)
+	if u == nil {
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
+	}
+	return &seat{end: x.health.begin(u.Name), upstream: u}, nil
+}
+
+// release gives back what is held at the upstream; ended tells that the generation
+// reached its own end there.
+func (t *seat) release(x *Relay, ended bool) {
+	if t.end != nil {
+		t.end()
+	}
+	if t.running != nil {
+		x.tracker.Finish(t.running, ended)
+	}
+}
--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -145,15 +145,8 @@
 // returns nil where no engine is left.
 func (s *stream) placeMove(ctx context.Context, m *move, avoid map[string]bool) *resource.Upstream {
 	x := s.exchange.relay
-	w := s.exchange.work()
-	s.mutex.Lock()
-	made := s.made()
-	w.ID += moveSuffix(s.hops)
-	s.mutex.Unlock()
+	w := s.remaining()
 	w.Hall = m.from.Spec.Hall
-	w.Hint = max(0, w.Hint-made)
-	w.MaxTokens = max(1, w.MaxTokens-made)
-	w.Prompt += made
 	place, cancel := context.WithTimeout(ctx, movePlacePeriod)
 	defer cancel()
 	var to *resource.Upstream
@@ -169,6 +162,19 @@
 	return to
 }
 
+// remaining describes what is left of the generation, to be run elsewhere.
+func (s *stream) remaining() *policy.Work {
+	w := s.exchange.work()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	made := s.made()
+	w.Hint = max(0, w.Hint-made)
+	w.ID += moveSuffix(s.hops)
+	w.MaxTokens = max(1, w.MaxTokens-made)
+	w.Prompt += made
+	return w
+}
+
 // runMove makes a move, up to the copy from which the stream goes on.
 func (s *stream) runMove(ctx context.Context, m *move) error {
 	select {
@@ -213,7 +219,7 @@
 	if s.closed || s.move != nil {
 		return
 	}
-	m := &move{done: make(chan struct{}), from: s.upstream}
+	m := &move{done: make(chan struct{}), from: s.seat.upstream}
 	s.move = m
 	x := s.exchange.relay
 	event.UpstreamLeaving.Log(x.log, "request", s.exchange.request.ID, "upstream", m.from.Name, "entry_gone", gone, "events", s.events)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -25,6 +25,7 @@
 	avoid     map[string]bool // upstreams not to be tried again
 	deadline  time.Time
 	fallback  *wholeAnswer // an upstream's failure, to be passed on where no other upstream does better
+	lastID    string       // of the last event that the caller has, "" where it has none
 	mayRun    bool         // something was sent that may have run
 	ran       int          // upstreams that may have run it
 	route     *resource.Route
@@ -62,6 +63,9 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(e.deadline) {
 		e.deadline = q.Deadline
 	}
+	if err := e.takeLastID(); err != nil {
+		return err
+	}
 	n := serviceOf(&e.route.Spec)
 	e.service = x.view.Service(n)
 	if e.service == nil {
@@ -129,14 +133,27 @@
 	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
 }
 
+// takeLastID takes in after which event the caller wants its stream. Of a route whose
+// streams may not be resumed, it gets the stream from the beginning.
+func (e *exchange) takeLastID() error {
+	id := e.request.LastEventID
+	if id == "" || e.route.Spec.Repeat != resource.RepeatResume {
+		return nil
+	}
+	if _, ok := eventNumber(id); !ok {
+		return fail.New(fail.BadInput, clientPlace("resume"), "last_event_invalid", "the id of the last event is not a number: %q", id)
+	}
+	e.lastID = id
+	return nil
+}
+
 // tryAgain reports whether another upstream is to be tried after err.
 func (e *exchange) tryAgain(err error) bool {
 	x := e.relay
 	if e.client.Err() != nil || e.tries >= triesMost || !time.Now().Before(e.deadline) {
 		return false
 	}
-	repeatable := e.route.Spec.Repeat == resource.RepeatSafely
-	if !errorx.IsOfType(err, fail.NotRun) && (!repeatable || e.ran >= e.route.Spec.Attempts) {
+	if !errorx.IsOfType(err, fail.NotRun) && (!e.route.Spec.Repeat.Again() || e.ran >= e.route.Spec.Attempts) {
 		return false
 	}
 	if reached(err) && !x.budget.take(e.service.Name, time.Now()) {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// reasonCallerGone is the reason of an answer that nobody takes.
+	reasonCallerGone = "caller_gone"
 	// reasonUnreachable is the reason of a send that never left this box.
 	reasonUnreachable = "upstream_unreachable"
 	// stepCheck is the step at which a place is looked at again, before anything is sent.
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -5,43 +5,51 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// moved takes in that the generation goes on at u.
+// abandonMove gives up the move that is under way or made, if there is one.
+func (s *stream) abandonMove() {
+	s.mutex.Lock()
+	m := s.move
+	s.move = nil
+	s.mutex.Unlock()
+	if m != nil {
+		m.abandon(s.exchange.relay)
+	}
+}
+
+// moved takes in that the generation goes on at u, from the copy that m made.
 func (s *stream) moved(m *move, u *resource.Upstream) {
 	x := s.exchange.relay
 	s.mutex.Lock()
 	pause := time.Since(s.lastAt)
-	old := s.running
 	kept := u == m.to
-	if kept {
-		s.running = m.running
-		s.running.Produced.Store(0)
-	}
-	s.upstream = u
 	s.move = nil
 	s.hops++
 	s.mutex.Unlock()
 	if kept {
-		x.tracker.Finish(old, false)
+		m.running.Produced.Store(0)
+		s.sitAt(&seat{running: m.running, upstream: u})
 	} else {
 		x.tracker.Finish(m.running, false)
 	}
 	x.metrics.Count(metric.Moves, "result", "moved")
 	x.metrics.Histogram(metric.MoveSeconds).Update(pause.Seconds())
-	event.MoveDone.Log(x.log, "request", s.exchange.request.ID, "from", m.from.Name, "to", u.Name, "pause_ms", pause.Milliseconds(), "events", s.events)
+	event.MoveDone.Log(x.log, "request", s.exchange.request.ID, "from", m.from.Name, "to", u.Name, "pause_ms", pause.Milliseconds(), "events", s.eventsPassed())
 	x.moveAway()
 }
 
-// resume opens the stream at the engine that holds the copy, or, where that does
-// not take it, at the engine that was stopped, which still has the memory.
-func (s *stream) resume(ctx context.Context, m *move) (*Answer, error) {
+// open opens the stream at the engine that holds the copy, or, where that does not
+// take it, at the engine that was stopped, which still has the memory.
+func (s *stream) open(ctx context.Context, m *move) (*Answer, error) {
 	e := s.exchange
-	r := &Resume{Handle: m.copy.Handle, LastEventID: s.lastID, Source: m.from.HostPort()}
+	r := &Resume{Handle: m.copy.Handle, Source: m.from.HostPort()}
 	e.relay.budget.spend(e.service.Name, time.Now())
 	u := m.to
 	a, _, err := e.send(ctx, u, r)
@@ -60,9 +68,8 @@
 	return a, nil
 }
 
-// takeOver resumes the generation where a move has brought it. Its error is
-// final.
-func (s *stream) takeOver(ctx context.Context, cause error) (*Answer, error) {
+// openCopy opens the stream where a move has brought the generation.
+func (s *stream) openCopy(ctx context.Context, cause error) (*Answer, error) {
 	e := s.exchange
 	lost := fail.Wrap(fail.Interrupted, s.place("read stream"), "stream_broken", cause)
 	if e.status == 0 {
@@ -78,7 +85,7 @@
 	if !m.copied() {
 		return nil, lost
 	}
-	a, err := s.resume(ctx, m)
+	a, err := s.open(ctx, m)
 	if err != nil {
 		e.relay.metrics.Count(metric.Moves, "result", "resume_failed")
 		event.MoveFailed.Log(e.relay.log, "request", e.request.ID, "from", m.from.Name, "to", m.to.Name, "reason", "resume_failed", "error", err.Error())
@@ -86,3 +93,67 @@
 	}
 	return a, nil
 }
+
+// runAgain runs the generation anew, after the last event that the caller has, where its
+// route allows that. Its error is final.
+func (s *stream) runAgain(ctx context.Context, cause error) (*Answer, error) {
+	e := s.exchange
+	s.abandonMove()
+	for e.tryAgain(cause) {
+		a, err := s.runAt(ctx)
+		if err == nil {
+			e.relay.metrics.Count(metric.Resumptions, "reason", fail.Reason(cause))
+			event.StreamResumed.Log(e.relay.log, "request", e.request.ID, "upstream", s.at().Name, "reason", fail.Reason(cause), "last_event", e.lastID)
+			return a, nil
+		}
+		cause = err
+	}
+	if e.status != 0 && !errorx.IsOfType(cause, fail.Interrupted) {
+		return nil, fail.Wrap(fail.Interrupted, s.place("resume"), fail.Reason(cause), cause)
+	}
+	return nil, cause
+}
+
+// runAt sends the request to one more upstream, to go on after the last event.
+func (s *stream) runAt(ctx context.Context) (*Answer, error) {
+	e := s.exchange
+	t, err := e.seat(ctx, s.remaining())
+	if err != nil {
+		return nil, err
+	}
+	s.sitAt(t)
+	u, err := e.check(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	a, _, err := e.send(ctx, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != http.StatusOK {
+		_ = a.Body.Close()
+		return nil, fail.New(fail.Unknown, s.place("resume"), "upstream_failed", "status %d", a.Status)
+	}
+	e.relay.moveAway() // the engine may have begun to leave meanwhile
+	return a, nil
+}
+
+// sitAt takes in that the generation is to run at another upstream; the one before gets
+// back what was held there.
+func (s *stream) sitAt(t *seat) {
+	s.mutex.Lock()
+	old := s.seat
+	s.seat = t
+	s.mutex.Unlock()
+	old.release(s.exchange.relay, false)
+}
+
+// takeOver opens the stream where the generation can go on: where a move has brought
+// it, or with a new run where the route allows one. Its error is final.
+func (s *stream) takeOver(ctx context.Context, cause error) (*Answer, error) {
+	a, err := s.openCopy(ctx, cause)
+	if err == nil || s.exchange.route.Spec.Repeat != resource.RepeatResume {
+		return a, err
+	}
+	return s.runAgain(ctx, err)
+}
--- /dev/null
+++ b/internal/relay/resume_test.go
@@ -0,0 +1,156 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/relay"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestCallerReturnsAfterAnEvent checks the answers to callers that say which event they
+// have, on a route whose streams may be resumed and on one where they may not.
+func TestCallerReturnsAfterAnEvent(t *testing.T) {
+	const events = 50
+	for _, x := range []struct {
+		name   string
+		path   string
+		last   string
+		status int
+		events int
+	}{
+		{"within the stream", "/checks/x", "10", http.StatusOK, events - 10},
+		{"before the first event", "/checks/x", "0", http.StatusOK, events},
+		{"the last event", "/checks/x", "50", http.StatusOK, 0},
+		{"beyond the end", "/checks/x", "70", http.StatusOK, 0},
+		{"no number", "/checks/x", "ten", http.StatusBadRequest, 0},
+		{"a negative number", "/checks/x", "-1", http.StatusBadRequest, 0},
+		{"a route that may not be resumed", "/plans/x", "10", http.StatusOK, events},
+		{"no number there", "/plans/x", "ten", http.StatusOK, events},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withRig(t, 1, 0, func(t *testing.T, r *rig) {
+				q := generation(t.Context(), x.path, "id", 4*events)
+				q.Header.Set("Last-Event-Id", x.last)
+				if x.status != http.StatusOK {
+					if w, _, err := r.do(q); err != nil || w.StatusCode != x.status || r.started("id") != 0 {
+						t.Errorf("got %v %v, want %d and no run", w, err, x.status)
+					}
+					return
+				}
+				if s, err := r.read(q, nil); err != nil || !s.whole || s.events != x.events {
+					t.Errorf("got %+v %v, want %d events and an end", s, err, x.events)
+				}
+			})
+		})
+	}
+}
+
+// TestStreamIsResumed lets the engine of a stream fail in every way, before its first
+// event and after some. The caller gets each event once and in order, with the head of
+// the first engine that had one, and the stream ends whole.
+func TestStreamIsResumed(t *testing.T) {
+	const events = 50
+	for _, x := range []struct {
+		name   string
+		at     int // events after which fault strikes; -1 is before the request
+		fault  func(r *rig)
+		engine string // whose mark the answer has
+	}{
+		{"the engine crashes", 10, func(r *rig) { r.die("u1") }, "u1"},
+		{"the engine breaks off in the middle of an event", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{BreakAfter: 10})
+		}, "u1"},
+		{"the engine spoils an event", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{Spoil: true})
+		}, "u1"},
+		{"the engine leaves out an event", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{Gap: true})
+		}, "u1"},
+		{"the engine falls silent", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{MuteAfter: 10})
+		}, "u1"},
+		{"the engine is silent from the start", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{Silent: true})
+		}, "u2"},
+		{"the engine fails", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{Status: http.StatusInternalServerError})
+		}, "u2"},
+		{"the engine's answer has no mark", -1, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{Unsigned: true})
+		}, "u2"},
+		{"the engine leaves and goes before its run was copied", 10, func(r *rig) {
+			r.engines["u1"].SetFaults(routed.Faults{FailCopies: http.StatusServiceUnavailable})
+			r.list("u1", "llm", true)
+			time.AfterFunc(200*time.Millisecond, func() { r.die("u1") })
+		}, "u1"},
+		{"the engine leaves and its run is moved", 10, func(r *rig) { r.list("u1", "llm", true) }, "u1"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withRig(t, 3, 0, func(t *testing.T, r *rig) {
+				if x.at < 0 {
+					x.fault(r)
+				}
+				s, err := r.read(check(t.Context(), "id", 4*events), func(n int) {
+					if n == x.at {
+						x.fault(r)
+					}
+				})
+				if err != nil || !s.whole || s.events != events {
+					t.Fatalf("got %+v %v, want %d events and an end", s, err, events)
+				}
+				if got, want := s.head.Get("X-Linetiller-Server-Stamp"), "stamp."+x.engine; got != want {
+					t.Errorf("mark: got %q, want %q", got, want)
+				}
+				if s.longest > 2*time.Second {
+					t.Errorf("longest pause: got %s, want less than callers bear", s.longest)
+				}
+			})
+		})
+	}
+}
+
+// TestResumptionsAreBounded checks that a stream which breaks at every engine ends broken
+// off, after as many runs as its route allows, and that no event comes twice.
+func TestResumptionsAreBounded(t *testing.T) {
+	withRig(t, 4, 0, func(t *testing.T, r *rig) {
+		for _, e := range r.engines {
+			e.SetFaults(routed.Faults{BreakAfter: 10})
+		}
+		s, err := r.read(check(t.Context(), "id", 400), nil)
+		if err != nil || s.whole || s.events != 10 {
+			t.Errorf("got %+v %v, want 10 events and no end", s, err)
+		}
+		if got := r.started("id"); got != 2 {
+			t.Errorf("runs: got %d, want 2", got)
+		}
+	})
+}
+
+// TestResumptionTakesFromTheBudget checks that no stream is run again once the tries
+// beyond the first are used up.
+func TestResumptionTakesFromTheBudget(t *testing.T) {
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		r.engines["u1"].SetFaults(routed.Faults{BreakAfter: 10})
+		s, err := r.read(check(t.Context(), "id", 400), nil)
+		if err != nil || s.whole || s.events != 10 {
+			t.Errorf("got %+v %v, want 10 events and no end", s, err)
+		}
+		if got := r.started("id"); got != 1 {
+			t.Errorf("runs: got %d, want 1", got)
+		}
+	}, relay.WithBudget(0, 0, 10*time.Second, func() int { return 1 }))
+}
+
+// TestResumableRouteIsChecked checks that only streams may be declared to be resumed.
+func TestResumableRouteIsChecked(t *testing.T) {
+	const spec = `{"host":"h","pathPrefix":"/","attempts":1,"repeat":"resume","services":[{"name":"s","weight":1}],"timeoutMilliseconds":1,"stream":`
+	for stream, want := range map[string]int{"true": 0, "false": 1} {
+		r := &resource.Resource{Kind: resource.KindRoute, Metadata: resource.Metadata{Name: "r"}, Spec: []byte(spec + stream + "}")}
+		if got := resource.Check(r); len(got) != want {
+			t.Errorf("stream %s: got the faults %v, want %d", stream, got, want)
+		}
+	}
+}
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -83,8 +84,8 @@
 	})
 }
 
-// declare puts the routes and services in force: /plans/ streams, /once/ may not
-// be repeated, /often/ may.
+// declare puts the routes and services in force: /plans/ streams, /checks/ streams and may
+// be resumed, /once/ may not be repeated, /often/ may.
 func (r *rig) declare() {
 	r.put(resource.SourceConfiguration, resource.KindPriority, "first", `{"value":9}`, false)
 	r.put(resource.SourceConfiguration, resource.KindWorkspace, "quotes", `{"keyHashes":["`+resource.HashKey(rigKey)+`"]}`, false)
@@ -92,6 +93,7 @@
 	r.put(resource.SourceConfiguration, resource.KindService, "desk", `{}`, false)
 	route := `{"host":"` + rigHost + `","pathPrefix":"/%s/","attempts":%d,"repeat":"%s","stream":%v,"services":[{"name":"%s","weight":1}],"timeoutMilliseconds":%d,"targetMilliseconds":1800,"priority":"first","public":%v}`
 	r.put(resource.SourceConfiguration, resource.KindRoute, "plans", fmt.Sprintf(route, "plans", 1, "never", true, "llm", 39_000, false), false)
+	r.put(resource.SourceConfiguration, resource.KindRoute, "checks", fmt.Sprintf(route, "checks", 2, "resume", true, "llm", 39_000, false), false)
 	r.put(resource.SourceConfiguration, resource.KindRoute, "once", fmt.Sprintf(route, "once", 1, "never", false, "desk", 1500, false), false)
 	r.put(resource.SourceConfiguration, resource.KindRoute, "often", fmt.Sprintf(route, "often", 2, "safely", false, "desk", 1500, false), false)
 	r.put(resource.SourceConfiguration, resource.KindRoute, "open", fmt.Sprintf(route, "open", 1, "never", false, "desk", 1500, true), false)
@@ -160,9 +162,18 @@
 	return q
 }
 
+// check returns a request for a stream of that many tokens that may be resumed.
+func check(ctx context.Context, id string, tokens int) *http.Request {
+	return generation(ctx, "/checks/x", id, tokens)
+}
+
 // plan returns a request for a stream of that many tokens.
 func plan(ctx context.Context, id string, tokens int) *http.Request {
-	q := request(ctx, http.MethodPost, "/plans/x", id, "prompt")
+	return generation(ctx, "/plans/x", id, tokens)
+}
+
+func generation(ctx context.Context, path, id string, tokens int) *http.Request {
+	q := request(ctx, http.MethodPost, path, id, "prompt")
 	q.Header.Set("X-Linetiller-Model", "m")
 	q.Header.Set("X-Linetiller-Token-Count", "3000,2224")
 	q.Header.Set("Length-Hint", fmt.Sprint(tokens))
@@ -190,6 +201,7 @@
 // stream is a stream as its caller sees it.
 type stream struct {
 	events  int
+	head    http.Header
 	longest time.Duration // between two events
 	whole   bool          // it ended, and not by breaking off
 }
@@ -205,7 +217,11 @@
 	if w.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", w.StatusCode)
 	}
-	s, last := new(stream), time.Time{}
+	s, last := &stream{head: w.Header}, time.Time{}
+	before, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if !strings.HasPrefix(q.URL.Path, "/checks/") {
+		before = 0
+	}
 	id := q.Header.Get("X-Linetiller-Request-Id")
 	x := bufio.NewScanner(w.Body)
 	for x.Scan() {
@@ -214,7 +230,7 @@
 			continue
 		}
 		s.events++
-		if want := routed.Event(id, s.events); data != want {
+		if want := routed.Event(id, before+s.events); data != want {
 			return s, fmt.Errorf("event %d: got %q, want %q", s.events, data, want)
 		}
 		if !last.IsZero() {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,6 +12,18 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// hasten returns a context that ends where an upstream is silent for too long, until the
+// result is called. It does so only for streams that may be resumed: of others nothing
+// is gained by giving up.
+func (e *exchange) hasten(ctx context.Context) (context.Context, func()) {
+	if e.route.Spec.Repeat != resource.RepeatResume {
+		return ctx, func() {}
+	}
+	c, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(firstSilence, cancel)
+	return c, func() { t.Stop() }
+}
+
 // judge takes in what an answer tells, and returns an error where it is not one
 // to pass on.
 func (e *exchange) judge(u *resource.Upstream, a *Answer) error {
@@ -40,10 +52,16 @@
 	if e.tries == 1 {
 		e.relay.placeWait.Update(time.Since(e.request.Arrived).Seconds())
 	}
-	event.RequestPlaced.Log(e.relay.log, "request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
+	l := []any{
+		"request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
 		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
 		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
-		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams])
+		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams],
+	}
+	if e.lastID != "" {
+		l = append(l, "last_event", e.lastID)
+	}
+	event.RequestPlaced.Log(e.relay.log, l...)
 }
 
 // send sends the request to u and returns an answer that may be passed on: its
@@ -52,9 +70,11 @@
 	x := e.relay
 	e.tries++
 	e.upstream = u
-	o := &Offer{Deadline: e.deadline, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
+	o := &Offer{Deadline: e.deadline, LastEventID: e.lastID, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
 	e.logPlaced(u, r)
+	ctx, stop := e.hasten(ctx)
 	a, err = x.Upstreams.Send(ctx, u, e.request, o)
+	stop()
 	now := time.Now()
 	if errorx.IsOfType(err, fail.NotRun) {
 		e.avoid[u.Name] = true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,13 +12,12 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/meter"
-	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/sse"
 )
 
-// stream is the answer to one generation, through all engines that it runs at.
+// stream is the answer to one generation, through all upstreams that it runs at.
 // Its fields are used by the goroutine of its exchange alone, but for those that
 // the lock guards.
 type stream struct {
@@ -27,32 +26,37 @@
 	exchange *exchange
 	finished bool          // the stream reached its own end
 	first    chan struct{} // closed once an event was passed on
-	lastID   string        // of the last event passed on
 	times    meter.Times
 
-	mutex    sync.Mutex // guards the fields below; those of a move, of lengths and of metrics are taken under it
-	closed   bool       // no move may start any more
-	events   int        // passed on
-	hops     int        // moves made
-	lastAt   time.Time  // of the last event passed on
-	move     *move      // under way, or made and not used yet
-	running  *placement.Running
-	upstream *resource.Upstream
+	mutex  sync.Mutex // guards the fields below; those of a move, of lengths and of metrics are taken under it
+	closed bool       // no move may start any more
+	events int        // passed on
+	hops   int        // changes of the upstream
+	lastAt time.Time  // of the last event passed on
+	move   *move      // under way, or made and not used yet
+	seat   *seat      // where it runs
 }
 
-// eventWritePeriod bounds how long a caller may take to take one event.
-const eventWritePeriod = 10 * time.Second
+const (
+	// eventWritePeriod bounds how long a caller may take to take one event.
+	eventWritePeriod = 10 * time.Second
+	// firstSilence is how long a stream that may be resumed may take to its first event
+	// before it is run elsewhere: on the users' sites 99 in 100 come within 2 s.
+	firstSilence = 2 * time.Second
+	// nextSilence is the same between two events, which come every 30 to 60 ms: more than
+	// an engine that reads a long prompt takes, and less than the 2 s after which callers leave.
+	nextSilence = time.Second
+)
 
-// newStream returns the stream of e at u; running is nil where u is no engine.
-func newStream(e *exchange, u *resource.Upstream, r *placement.Running) *stream {
+// newStream returns the stream of e that runs at t.
+func newStream(e *exchange, t *seat) *stream {
 	s := &stream{
-		control: http.NewResponseController(e.writer), ended: make(chan struct{}), exchange: e, first: make(chan struct{}),
-		running: r, upstream: u,
+		control: http.NewResponseController(e.writer), ended: make(chan struct{}), exchange: e, first: make(chan struct{}), seat: t,
 	}
 	x := e.relay
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if r != nil && e.route.Spec.Stream {
+	if t.running != nil && e.route.Spec.Stream {
 		x.streams[s] = true
 	}
 	return s
@@ -62,7 +66,7 @@
 func (s *stream) at() *resource.Upstream {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.upstream
+	return s.seat.upstream
 }
 
 // close ends the stream: what it held is given back.
@@ -75,11 +79,9 @@
 	x.meter.End(&s.times)
 	s.mutex.Lock()
 	s.closed = true
-	r, m := s.running, s.move
+	t, m := s.seat, s.move
 	s.mutex.Unlock()
-	if r != nil {
-		x.tracker.Finish(r, s.finished)
-	}
+	t.release(x, s.finished)
 	if m != nil {
 		m.abandon(x)
 	}
@@ -95,8 +97,9 @@
 	}
 }
 
-// endsWhole reports whether a stream that ends now has reached its own end: it
-// was not stopped for a move. An order to stop may come too late, which its answer tells.
+// endsWhole reports whether a stream that ends now has reached its own end: it has
+// events, unless the caller may have had all of them before, and was not stopped for a
+// move. An order to stop may come too late, which its answer tells.
 func (s *stream) endsWhole(ctx context.Context) bool {
 	s.mutex.Lock()
 	m, events := s.move, s.events
@@ -104,7 +107,7 @@
 	if m != nil && m.stopping() {
 		m.wait(ctx)
 	}
-	return events > 0 && (m == nil || !m.stopping())
+	return (events > 0 || s.exchange.lastID != "") && (m == nil || !m.stopping())
 }
 
 // eventsPassed returns how many events were passed on.
@@ -114,18 +117,18 @@
 	return s.events
 }
 
-// follows returns an error where an event is not the one that is next.
+// follows returns an error where an event is not the one that is next, or has no number
+// while the others have one.
 func (s *stream) follows(id string) error {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil || s.lastID == "" {
+	last, counted := eventNumber(s.exchange.lastID)
+	if !counted {
 		return nil
 	}
-	last, err := strconv.ParseInt(s.lastID, 10, 64)
-	if err != nil || n == last+1 {
+	if n, ok := eventNumber(id); ok && n == last+1 {
 		return nil
 	}
-	event.UpstreamMismatch.Log(s.exchange.relay.log, "request", s.exchange.request.ID, "upstream", s.at().Name, "event_id", id, "last_id", s.lastID)
-	return fail.New(fail.Interrupted, s.place("read stream"), "stream_gap", "event %s came after %s", id, s.lastID)
+	event.UpstreamMismatch.Log(s.exchange.relay.log, "request", s.exchange.request.ID, "upstream", s.at().Name, "event_id", id, "last_id", last)
+	return fail.New(fail.Interrupted, s.place("read stream"), "stream_gap", "event %q came after %d", id, last)
 }
 
 // made returns how many tokens were passed on; the lock is held.
@@ -136,10 +139,15 @@
 // pass passes the events of one engine's answer on. A nil error means that the
 // stream has reached its own end.
 func (s *stream) pass(ctx context.Context, a *Answer) error {
-	defer context.AfterFunc(ctx, func() { _ = a.Body.Close() })()
+	hangUp := func() { _ = a.Body.Close() }
+	defer context.AfterFunc(ctx, hangUp)()
+	silence := time.AfterFunc(s.silence(), hangUp)
+	defer silence.Stop()
 	x := sse.NewSplitter(a.Body)
 	for {
+		silence.Reset(s.silence())
 		b, id, err := x.Next()
+		silence.Stop()
 		if errors.Is(err, io.EOF) && s.endsWhole(ctx) {
 			return nil
 		}
@@ -150,7 +158,7 @@
 			return err
 		}
 		if err := s.write(a, b); err != nil {
-			return fail.Wrap(fail.Interrupted, clientPlace("deliver"), "caller_gone", err)
+			return fail.Wrap(fail.Interrupted, clientPlace("deliver"), reasonCallerGone, err)
 		}
 		s.passed(string(id))
 	}
@@ -159,22 +167,21 @@
 // passed takes in that an event was passed on.
 func (s *stream) passed(id string) {
 	x, now := s.exchange.relay, time.Now()
-	s.lastID = id
+	s.exchange.lastID = id
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	begins := s.events == 0
-	if begins {
+	if s.events == 0 {
 		close(s.first)
 	}
 	s.events++
 	s.lastAt = now
 	n := s.tokensAnEvent()
 	x.meter.Tokens(n, now, s.exchange.request.Arrived, &s.times)
-	if s.running != nil {
-		s.running.Produced.Add(int64(n))
+	if s.seat.running == nil {
+		return
 	}
-	if s.running != nil && begins {
-		x.tracker.First(s.running)
+	if s.seat.running.Produced.Add(int64(n)) == int64(n) {
+		x.tracker.First(s.seat.running)
 	}
 }
 
@@ -182,31 +189,44 @@
 	return fail.Place{Peer: "upstream " + s.at().Name, Step: step}
 }
 
-// run passes the stream on until its end, from one engine after another.
-func (s *stream) run(ctx context.Context, a *Answer) error {
+// run passes the stream on until its end, from one upstream after another. It reports
+// whether another upstream may be tried from the beginning.
+func (s *stream) run(ctx context.Context, a *Answer) (again bool, err error) {
 	if a.Status != http.StatusOK {
-		_, err := s.exchange.deliver(ctx, a)
-		return err
+		return s.exchange.deliver(ctx, a)
 	}
 	for {
 		err := s.pass(ctx, a)
 		_ = a.Body.Close()
 		if err == nil {
 			s.finished = true
-			return nil
+			return false, nil
 		}
-		if ctx.Err() != nil {
-			return fail.Wrap(fail.Interrupted, s.place("read stream"), "caller_gone", err)
+		if ctx.Err() != nil || fail.Reason(err) == reasonCallerGone {
+			return false, fail.Wrap(fail.Interrupted, s.place("read stream"), reasonCallerGone, err)
 		}
 		if a, err = s.takeOver(ctx, err); err != nil {
-			return err
+			return false, err
 		}
 	}
 }
 
+// silence returns how long the next event may be waited for. Of a stream that may not be
+// resumed nothing is gained by giving it up: it ends with its caller's patience.
+func (s *stream) silence() time.Duration {
+	e := s.exchange
+	switch {
+	case e.route.Spec.Repeat != resource.RepeatResume:
+		return time.Until(e.deadline)
+	case s.eventsPassed() == 0:
+		return firstSilence
+	}
+	return nextSilence
+}
+
 // tokensAnEvent returns how many tokens an event holds; the lock is held.
 func (s *stream) tokensAnEvent() int {
-	if g := s.upstream.Engine(); g != nil && g.TokensAnEvent > 0 {
+	if g := s.seat.upstream.Engine(); g != nil && g.TokensAnEvent > 0 {
 		return g.TokensAnEvent
 	}
 	return 1
@@ -226,3 +246,9 @@
 	}
 	return s.control.Flush()
 }
+
+// eventNumber returns the number that an event's id is, and whether it is one.
+func eventNumber(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil && n >= 0
+}
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -30,17 +30,17 @@
 
 // Offer is how a request is sent to one upstream.
 type Offer struct {
-	Deadline  time.Time // at which the upstream stops working on it
-	Priority  int       // higher goes first
-	Resume    *Resume   // nil where the request starts from its beginning
-	Workspace string
+	Deadline    time.Time // at which the upstream stops working on it
+	LastEventID string    // of the last event that the caller has, "" where it has none
+	Priority    int       // higher goes first
+	Resume      *Resume   // nil where no engine has begun it whose memory is to be used
+	Workspace   string
 }
 
-// Resume tells where a generation goes on that another engine has begun.
+// Resume tells from which memory a generation goes on that another engine has begun.
 type Resume struct {
-	Handle      string // of the copy of its memory
-	LastEventID string // of the last event that the caller has, "" where it has none
-	Source      string // IP:port of the engine that made the copy
+	Handle string // of the copy of its memory
+	Source string // IP:port of the engine that made the copy
 }
 
 // ServerLoad is what an upstream tells of its load with an answer.
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -137,8 +137,14 @@
 	if !strings.HasPrefix(s.PathPrefix, "/") || !strings.HasSuffix(s.PathPrefix, "/") {
 		f.add("spec.pathPrefix", "must begin and end with a slash")
 	}
-	if s.Repeat != RepeatNever && s.Repeat != RepeatSafely {
-		f.add("spec.repeat", "must be %q or %q, not %q", RepeatNever, RepeatSafely, s.Repeat)
+	switch s.Repeat {
+	case RepeatNever, RepeatSafely:
+	case RepeatResume:
+		if !s.Stream {
+			f.add("spec.repeat", "may be %q only where the answer is a stream", RepeatResume)
+		}
+	default:
+		f.add("spec.repeat", "must be %q, %q or %q, not %q", RepeatNever, RepeatResume, RepeatSafely, s.Repeat)
 	}
 	if len(s.Services) == 0 {
 		f.add("spec.services", "must name at least one service")
--- a/internal/resource/route.go
+++ b/internal/resource/route.go
@@ -6,7 +6,8 @@
 // The ways in which requests may be repeated.
 const (
 	RepeatNever  Repeat = "never"  // it may run at most once
-	RepeatSafely Repeat = "safely" // it may run more than once
+	RepeatResume Repeat = "resume" // it may run more than once, and a stream from any of its events on
+	RepeatSafely Repeat = "safely" // it may run more than once, each time as a whole
 )
 
 // RouteSpec declares which requests go unchanged to which service, and how.
@@ -48,3 +49,8 @@
 	Priority int // the value of its Priority; higher goes first
 	Spec     RouteSpec
 }
+
+// Again reports whether a request may run more than once.
+func (r Repeat) Again() bool {
+	return r == RepeatResume || r == RepeatSafely
+}
