--- a/ask.go
+++ b/ask.go
@@ -6,6 +6,7 @@
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 const askPeriod = time.Second // for an owner's first answer
@@ -37,19 +38,16 @@
 }
 
 // takeTurn takes the turn to move a run away from an upstream, or there, at its owner.
-func (b *Box) takeTurn(ctx context.Context, upstream string, arriving bool, r *policy.Run) (func(), error) {
-	hall := b.settings.Hall
-	if u := b.view.Upstream(upstream); u != nil {
-		hall = u.Spec.Hall
-	}
-	o := policy.First(upstream, b.members.Alive(hall))
+// The owner is found from u itself: an engine that leaves may be listed no more.
+func (b *Box) takeTurn(ctx context.Context, u *resource.Upstream, arriving bool, r *policy.Run) (func(), error) {
+	o := policy.First(u.Name, b.members.Alive(u.Spec.Hall))
 	if o == b.settings.Box {
-		return b.turns.Take(ctx, upstream, arriving, r)
+		return b.turns.Take(ctx, u.Name, arriving, r)
 	}
 	// The wait ends with ctx; the turn, once it has come, only with its release.
 	call, hangUp := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, hangUp)
-	c, err := b.links.Call(call, b.members.Address(o), b.request(box.Request{Kind: box.KindTurn, Turn: &box.Turn{Arriving: arriving, Run: *r, Upstream: upstream}}))
+	c, err := b.links.Call(call, b.members.Address(o), b.request(box.Request{Kind: box.KindTurn, Turn: &box.Turn{Arriving: arriving, Run: *r, Upstream: u.Name}}))
 	if err != nil {
 		hangUp()
 		return nil, err
--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -70,7 +70,7 @@
 			break
 		}
 		turn, cancel := context.WithTimeout(ctx, arrivePeriod)
-		release, err := x.Turn(turn, to.Name, true, r)
+		release, err := x.Turn(turn, to, true, r)
 		cancel()
 		if err == nil {
 			return to, release
@@ -188,7 +188,7 @@
 	s.mutex.Unlock()
 	avoid := map[string]bool{m.from.Name: true}
 	to := s.placeMove(ctx, m, avoid) // while others have their turns
-	release, err := x.Turn(ctx, m.from.Name, false, r)
+	release, err := x.Turn(ctx, m.from, false, r)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -66,7 +66,9 @@
 		r.relay.Fresh = func(context.Context) { r.fresh() }
 		r.relay.Place = r.place
 		r.relay.Guess = r.guess
-		r.relay.Turn = r.turns.Take
+		r.relay.Turn = func(ctx context.Context, u *resource.Upstream, arriving bool, x *policy.Run) (func(), error) {
+			return r.turns.Take(ctx, u.Name, arriving, x)
+		}
 		r.link.Join("box", platform.NewIngress(r.relay, 1<<20))
 		r.declare()
 		for i := range engines {
--- a/routed_test.go
+++ b/routed_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/settings"
 )
 
@@ -175,6 +177,30 @@
 	})
 }
 
+// TestTurnsOfAnEngineThatIsNoLongerListed has boxes of both halls ask for the turn to move
+// a run away from an engine whose entry has gone: one of them gets it at a time, or their
+// copies would queue behind one another on the engine's link.
+func TestTurnsOfAnEngineThatIsNoLongerListed(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		u := r.boxes["box-b1"].view.Upstream("i-b1")
+		r.platform.Remove("servers/i-b1")
+		time.Sleep(2 * time.Second)
+		taken := 0
+		for n, b := range r.boxes {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			release, err := b.takeTurn(ctx, u, false, &policy.Run{ID: n})
+			cancel()
+			if err == nil {
+				taken++
+				defer release()
+			}
+		}
+		if taken != 1 {
+			t.Errorf("turns at once: got %d, want 1", taken)
+		}
+	})
+}
+
 // TestStopLastsAsLongAsTheGrace stops a box while it streams a plan of some ten seconds:
 // the plan is whole where the box is killed only later, and the box ends by itself
 // shortly before it would be killed.
