--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,19 +10,20 @@
 
 // Work describes a generation that is to be placed.
 type Work struct {
-	Arrived   time.Time
-	Deadline  time.Time // of the whole answer
-	Hall      string    // the data hall that it should stay in; "" is that of its box
-	Hint      int       // the caller's estimate of the output tokens; 0 where it has none
-	ID        string
-	Kind      string // what the caller calls it; "" where it does not say
-	MaxTokens int    // output tokens at most
-	Model     string
-	Prefix    uint64 // key of the prompt's prefix; 0 where there is none
-	Priority  int    // higher goes first
-	Prompt    int    // prompt tokens
-	Weight    float64
-	Workspace string
+	Arrived      time.Time
+	Deadline     time.Time // of the whole answer
+	Hall         string    // the data hall that it should stay in; "" is that of its box
+	Hint         int       // the caller's estimate of the output tokens; 0 where it has none
+	ID           string
+	Kind         string // what the caller calls it; "" where it does not say
+	MaxTokens    int    // output tokens at most
+	Model        string
+	Prefix       uint64 // key of the prompt's prefix; 0 where there is none
+	PrefixTokens int    // tokens of that prefix
+	Priority     int    // higher goes first
+	Prompt       int    // prompt tokens
+	Weight       float64
+	Workspace    string
 }
 
 // Capacity describes an engine.
@@ -102,6 +103,10 @@
 	return c
 }
 
+// readSeconds is the time that an engine takes to read a token of a prompt between the
+// tokens of the generations that run: on the users' sites 7.5 tokens a millisecond.
+const readSeconds = 1.0 / 7500
+
 // DefaultStepSeconds stands in for a step time that was not reported yet.
 const DefaultStepSeconds = 0.03
 
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -29,7 +29,6 @@
 }
 
 const (
-	affinityBonus = 0.5             // seconds of backlog that a warm prefix is worth
 	loadLife      = 5 * time.Second // of a load, from the moment of which it tells
 	moveEvery     = time.Second     // between two moves away from one upstream
 	moveGain      = 2.0             // seconds of backlog by which another upstream must be better
@@ -85,7 +84,7 @@
 	for _, x := range c {
 		s := r.score(x, class, now) + r.excess(w, x, now)
 		if warm[x.Name] {
-			s -= affinityBonus
+			s -= readSeconds * float64(w.PrefixTokens)
 		}
 		s += tieBreakSeconds * r.random()
 		if best == "" || s < least {
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -25,7 +25,7 @@
 	for box := range 8 {
 		r := NewRouter(NewLengths(), uint64(box))
 		w := testWork("a")
-		w.Prefix = 7
+		w.Prefix, w.PrefixTokens = 7, 1000
 		used[r.Choose(w, c, testStart, anyName)]++
 	}
 	if got, want := len(used), affinityPlaces; got > want {
@@ -37,20 +37,42 @@
 	c := testCandidates(10)
 	r := NewRouter(NewLengths(), 1)
 	w := testWork("a")
-	w.Prefix = 7
+	w.Prefix, w.PrefixTokens = 7, 1000
 	warm := warmNames(w, c)
+	learnAhead(r, c, warm, 30)
+	if got := r.Choose(w, c, testStart, anyName); warm[got] {
+		t.Errorf("got %s, want one that is not crowded", got)
+	}
+}
+
+// TestRouterWeighsAPrefixByItsSize checks that a prefix counts for the time that reading
+// it takes: one of 80 tokens is not worth a wait of 100 ms, one of 4,000 is.
+func TestRouterWeighsAPrefixByItsSize(t *testing.T) {
+	c := testCandidates(10)
+	for tokens, want := range map[int]bool{80: false, 4000: true} {
+		r := NewRouter(NewLengths(), 1)
+		w := testWork("a")
+		w.Prefix, w.PrefixTokens = 7, tokens
+		warm := warmNames(w, c)
+		learnAhead(r, c, warm, 0.1)
+		if got := warm[r.Choose(w, c, testStart, anyName)]; got != want {
+			t.Errorf("a prefix of %d tokens: kept to its places: got %v, want %v", tokens, got, want)
+		}
+	}
+}
+
+// learnAhead tells the router that work of every class would wait for so many seconds at
+// the upstreams named, and nowhere else.
+func learnAhead(r *Router, c []Candidate, at map[string]bool, seconds float64) {
 	for _, x := range c {
 		l := Load{AsOf: testStart, Upstream: x.Name}
-		if warm[x.Name] {
+		if at[x.Name] {
 			for i := range l.Ahead {
-				l.Ahead[i] = 30
+				l.Ahead[i] = seconds
 			}
 		}
 		r.Learn(l)
 	}
-	if got := r.Choose(w, c, testStart, anyName); warm[got] {
-		t.Errorf("got %s, want one that is not crowded", got)
-	}
 }
 
 // TestRouterSpreadsBetweenLoads checks that a box which heard one load does not
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -177,7 +177,7 @@
 	q := e.request
 	w := &policy.Work{
 		Arrived: q.Arrived, Deadline: e.deadline, Hint: q.Hint, ID: q.ID, Kind: e.route.Name, MaxTokens: max(1, q.MaxTokens),
-		Model: e.service.Name + "/" + q.Model, Prefix: q.Prefix, Priority: e.priority(), Prompt: q.Prompt,
+		Model: e.service.Name + "/" + q.Model, Prefix: q.Prefix, PrefixTokens: q.PrefixTokens, Priority: e.priority(), Prompt: q.Prompt,
 	}
 	if e.workspace != nil {
 		w.Weight, w.Workspace = e.workspace.Spec.Weight, e.workspace.Name
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -20,10 +20,11 @@
 	Target   string // path and query as they came
 
 	// Of generations only.
-	Hint        int    // the caller's estimate of the output tokens; 0 where it has none
-	LastEventID string // of the last event that the caller has, "" where it asks for all of them
-	MaxTokens   int    // output tokens at most
-	Model       string
-	Prefix      uint64 // key of the first part of the prompt; 0 where there is none
-	Prompt      int    // tokens
+	Hint         int    // the caller's estimate of the output tokens; 0 where it has none
+	LastEventID  string // of the last event that the caller has, "" where it asks for all of them
+	MaxTokens    int    // output tokens at most
+	Model        string
+	Prefix       uint64 // key of the first part of the prompt; 0 where there is none
+	PrefixTokens int    // tokens of that part
+	Prompt       int    // tokens
 }
