--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -35,7 +35,9 @@
 	// entry lapsed ends its time without a change.
 	candidatesLife = 100 * time.Millisecond
 	maxLists       = 256 // callers name models; unknown names must not fill the memory
-	otherHallDelay = 1.5 // seconds of backlog that another hall counts for: a cut between halls ends its streams
+	// otherHallDelay is how many seconds of backlog another hall counts for: a cut between
+	// halls ends its streams, and copies to and from there take twice as long.
+	otherHallDelay = 5
 )
 
 // newCandidates returns no lists yet; they are made when asked for.
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -34,10 +34,11 @@
 	moveGain      = 2.0             // seconds of backlog by which another upstream must be better
 	moveShare     = 0.5             // and the share of the present backlog that it may have
 	peakSeconds   = 1.0             // seconds of backlog that a full memory counts for
-	// noticeSeconds is how much copying fits into the shortest notice that engines
-	// give, 1.5 s, and noticeCost how many seconds of backlog each second beyond
+	// noticeSeconds is how much copying an engine should hold: half of the shortest
+	// notice that engines give, 1.5 s, since several that leave together share the links
+	// of those that stay. noticeCost is how many seconds of backlog each second beyond
 	// it counts for: what does not fit is lost where the engine is reclaimed.
-	noticeSeconds = 1.3
+	noticeSeconds = 0.7
 	noticeCost    = 3.0
 	// aloneFactor is by how much a copy to another hall takes longer.
 	aloneFactor     = 2
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -61,6 +61,44 @@
 	}
 }
 
+// TestRouterKeepsRoomForANotice checks that what could not be copied away within a notice
+// counts against an engine: more for one whose runs would have to go to another hall, and
+// less than the way to another hall itself.
+func TestRouterKeepsRoomForANotice(t *testing.T) {
+	const token = 50 * time.Microsecond
+	for _, x := range []struct {
+		name string
+		held []int // tokens at each of three engines, the third in another hall
+		want string
+	}{
+		{"the emptier one", []int{20_000, 5000, 0}, "u1"},
+		{"all fits at both", []int{9000, 1000, 20_000}, ""},
+		{"another hall is further than some copying", []int{30_000, 30_000, 0}, ""},
+		{"another hall is nearer than none that fits", []int{60_000, 60_000, 0}, "u2"},
+	} {
+		far := 0
+		for seed := range uint64(40) {
+			c := testCandidates(3)
+			r := NewRouter(NewLengths(), seed)
+			for i := range c {
+				c[i].Capacity.CopyToken = token
+				r.Learn(Load{AsOf: testStart, Held: x.held[i], Upstream: c[i].Name})
+			}
+			c[2].Delay = 5
+			got := r.Choose(testWork("a"), c, testStart, anyName)
+			if x.want != "" && got != x.want {
+				t.Fatalf("%s: got %s, want %s", x.name, got, x.want)
+			}
+			if got == "u2" {
+				far++
+			}
+		}
+		if x.want == "" && far > 0 {
+			t.Errorf("%s: got another hall %d times of 40, want never", x.name, far)
+		}
+	}
+}
+
 // learnAhead tells the router that work of every class would wait for so many seconds at
 // the upstreams named, and nowhere else.
 func learnAhead(r *Router, c []Candidate, at map[string]bool, seconds float64) {
