--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -78,7 +78,8 @@
 
 // readsEnough reports whether so many prompts are being read that e's would come late.
 func (o *Owner) readsEnough(e *entry) bool {
-	return o.capacity.ReadingMost > 0 && o.reading > 0 && o.reading+e.work.Prompt > o.capacity.ReadingMost
+	n := toRead(e.work)
+	return n > 0 && o.capacity.ReadingMost > 0 && o.reading > 0 && o.reading+n > o.capacity.ReadingMost
 }
 
 // refusal returns a refusal where e can not be taken in.
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -189,7 +189,7 @@
 		r := o.running[w.ID]
 		r.produced = produced
 		if produced > 0 {
-			o.reading -= w.Prompt
+			o.read(r)
 		}
 		o.usedTokens += produced
 		o.foreign = max(0, o.foreign-w.Prompt-produced)
--- a/internal/policy/owner_test.go
+++ b/internal/policy/owner_test.go
@@ -59,6 +59,38 @@
 	}
 }
 
+// TestOwnerBoundsThePromptsThatAreRead checks that a prompt waits while those being read
+// are enough, and that a run whose memory comes from another engine neither waits for
+// them nor counts as one.
+func TestOwnerBoundsThePromptsThatAreRead(t *testing.T) {
+	o := NewOwner("u", Capacity{KVTokens: 30_000, MaxBatch: 32, ReadingMost: 7000}, NewLengths(), testStart)
+	o.Report(Report{AsOf: testStart, StepSeconds: 0.02}, testStart)
+	ask := func(id string, prompt int, moved bool, want Verdict) {
+		t.Helper()
+		w := testWork(id)
+		w.Prompt, w.Moved = prompt, moved
+		if got := o.Ask(w, testStart).Verdict; got != want {
+			t.Errorf("%s: got %s, want %s", id, got, want)
+		}
+	}
+	ask("moved", 5000, true, VerdictStart)
+	ask("first", 5000, false, VerdictStart)
+	ask("moved too", 5000, true, VerdictStart)
+	ask("second", 3000, false, VerdictQueue)
+	o.Progress("moved", 1, testStart)
+	if got := o.Next(testStart); len(got) != 0 {
+		t.Errorf("while the first prompt is read: got %v, want nothing", got)
+	}
+	o.Progress("first", 1, testStart)
+	if got := o.Next(testStart); len(got) != 1 || got[0].ID != "second" {
+		t.Errorf("once it is read: got %v, want the second", got)
+	}
+	o.Finish("second", 0, false, testStart)
+	if got := o.Load(testStart).Held; got != 15_002 {
+		t.Errorf("tokens held in the end: got %d, want 15002", got)
+	}
+}
+
 // TestOwnerIsConservativeUntilItKnows checks that a new owner starts nothing
 // before a report, or before its grace has passed where none comes.
 func TestOwnerIsConservativeUntilItKnows(t *testing.T) {
--- a/internal/policy/running.go
+++ b/internal/policy/running.go
@@ -10,6 +10,7 @@
 	key       Key
 	movedAt   time.Time // when it last produced a token
 	produced  int
+	reading   int // tokens of its prompt that the engine reads before its first token
 	stalled   bool
 	work      *Work
 }
@@ -18,9 +19,7 @@
 func (o *Owner) advance(r *running, produced int, now time.Time) {
 	r.deadline = now.Add(silencePeriod)
 	if produced > r.produced {
-		if r.produced == 0 {
-			o.reading -= r.work.Prompt
-		}
+		o.read(r)
 		o.lengths.Observe(r.key, r.produced, produced, false)
 		o.usedTokens += produced - r.produced
 		r.produced = produced
@@ -35,9 +34,7 @@
 // drop forgets a generation and gives back what it holds.
 func (o *Owner) drop(id string, r *running) {
 	o.setStalled(r, false)
-	if r.produced == 0 {
-		o.reading -= r.work.Prompt
-	}
+	o.read(r)
 	o.usedTokens -= r.work.Prompt + r.produced
 	o.forecast.add(&r.forecast, -1)
 	delete(o.running, id)
@@ -53,6 +50,12 @@
 	}
 }
 
+// read notes that the prompt of a generation has been read.
+func (o *Owner) read(r *running) {
+	o.reading -= r.reading
+	r.reading = 0
+}
+
 // refresh makes the forecast from scratch once it has aged.
 func (o *Owner) refresh(now time.Time) {
 	if now.Sub(o.forecastAt) < forecastAge {
@@ -90,9 +93,12 @@
 
 // start reserves a place for work that was taken in.
 func (o *Owner) start(e *entry, now time.Time) {
-	r := &running{deadline: now.Add(reservationPeriod), forecast: e.expectation.forecast, key: e.key, movedAt: now, work: e.work}
+	r := &running{
+		deadline: now.Add(reservationPeriod), forecast: e.expectation.forecast, key: e.key, movedAt: now,
+		reading: toRead(e.work), work: e.work,
+	}
 	o.running[e.work.ID] = r
-	o.reading += e.work.Prompt
+	o.reading += r.reading
 	o.usedTokens += e.work.Prompt
 	o.forecast.add(&r.forecast, 1)
 }
@@ -108,3 +114,11 @@
 	}
 	return n
 }
+
+// toRead returns how many tokens of prompt an engine reads of w.
+func toRead(w *Work) int {
+	if w.Moved {
+		return 0
+	}
+	return w.Prompt
+}
--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -147,6 +147,7 @@
 	x := s.exchange.relay
 	w := s.remaining()
 	w.Hall = m.from.Spec.Hall
+	w.Moved = true
 	place, cancel := context.WithTimeout(ctx, movePlacePeriod)
 	defer cancel()
 	var to *resource.Upstream
