--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -144,7 +144,10 @@
 
 // Load returns what is told with every answer.
 func (o *Owner) Load(now time.Time) Load {
-	l := Load{AsOf: now, Held: o.usedTokens, Leaving: o.Leaving, Peak: o.peak(&forecast{}) / float64(o.capacity.KVTokens), Upstream: o.Upstream}
+	l := Load{
+		AsOf: now, Held: o.usedTokens, Leaving: o.Leaving, Peak: o.peak(&forecast{}) / float64(o.capacity.KVTokens),
+		Reading: o.reading, Upstream: o.Upstream,
+	}
 	if o.queue.len() == 0 {
 		return l
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -86,6 +86,7 @@
 	Held     int              `cbor:"6,keyasint"`           // tokens of memory that known generations hold
 	Leaving  bool             `cbor:"5,keyasint,omitempty"` // the upstream told that it is leaving
 	Peak     float64          `cbor:"3,keyasint"`           // predicted peak of memory over capacity
+	Reading  int              `cbor:"7,keyasint,omitempty"` // tokens of prompts that are being read
 	Upstream string           `cbor:"4,keyasint"`
 }
 
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -15,9 +15,10 @@
 
 // known is the last load heard of an upstream, with what was sent there since.
 type known struct {
-	held  int // tokens of memory placed there by this box since
-	load  Load
-	since float64 // seconds of the engine's time placed there by this box since
+	held    int // tokens of memory placed there by this box since
+	load    Load
+	reading int     // tokens of prompts placed there by this box since
+	since   float64 // seconds of the engine's time placed there by this box since
 }
 
 // Candidate is an upstream that may be chosen.
@@ -29,11 +30,15 @@
 }
 
 const (
-	loadLife      = 5 * time.Second // of a load, from the moment of which it tells
-	moveEvery     = time.Second     // between two moves away from one upstream
-	moveGain      = 2.0             // seconds of backlog by which another upstream must be better
-	moveShare     = 0.5             // and the share of the present backlog that it may have
-	peakSeconds   = 1.0             // seconds of backlog that a full memory counts for
+	loadLife    = 5 * time.Second // of a load, from the moment of which it tells
+	moveEvery   = time.Second     // between two moves away from one upstream
+	moveGain    = 2.0             // seconds of backlog by which another upstream must be better
+	moveShare   = 0.5             // and the share of the present backlog that it may have
+	peakSeconds = 1.0             // seconds of backlog that a full memory counts for
+	// readingCost is how many seconds of backlog each second counts for that prompts take
+	// to be read which are being read already: a new one waits for them, and all of them
+	// hold up those who have their tokens.
+	readingCost = 2.0
 	// noticeSeconds is how much copying an engine should hold: half of the shortest
 	// notice that engines give, 1.5 s, since several that leave together share the links
 	// of those that stay. noticeCost is how many seconds of backlog each second beyond
@@ -95,6 +100,7 @@
 	if k := r.loads[best]; k != nil {
 		k.since += cost
 		k.held += w.Prompt
+		k.reading += toRead(w)
 	}
 	return best
 }
@@ -124,7 +130,7 @@
 		return
 	}
 	k.load = l
-	k.since, k.held = 0, 0
+	k.since, k.held, k.reading = 0, 0, 0
 }
 
 // backlog returns the seconds that work of a class would wait at an upstream, as far as
@@ -180,12 +186,18 @@
 	return float64(r.seed>>11) / (1 << 53)
 }
 
+// readingLeft returns the seconds that the prompts which were being read, and those placed
+// since, will take to be read from now on.
+func (k *known) readingLeft(now time.Time) float64 {
+	return max(0, readSeconds*float64(k.load.Reading+k.reading)-now.Sub(k.load.AsOf).Seconds())
+}
+
 // score returns the seconds of backlog that a candidate counts for: what waits there, the
-// way to it and the memory that its running generations will need.
+// way to it, the prompts being read and the memory that its running generations will need.
 func (r *Router) score(c Candidate, class int, now time.Time) float64 {
 	s := r.backlog(c.Name, class, now) + c.Delay
 	if k := r.fresh(c.Name, now); k != nil {
-		s += peakSeconds * k.load.Peak
+		s += peakSeconds*k.load.Peak + readingCost*k.readingLeft(now)
 	}
 	return s
 }
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -99,6 +99,31 @@
 	}
 }
 
+// TestRouterPassesOverEnginesThatRead checks that work goes where the fewest prompts are
+// being read, that this counts less as time goes by, and that moved work adds none.
+func TestRouterPassesOverEnginesThatRead(t *testing.T) {
+	c := testCandidates(2)
+	learn := func() *Router {
+		r := NewRouter(NewLengths(), 1)
+		r.Learn(Load{AsOf: testStart, Reading: 6000, Upstream: "u0"})
+		r.Learn(Load{AsOf: testStart, Peak: 0.3, Upstream: "u1"})
+		return r
+	}
+	if got := learn().Choose(testWork("a"), c, testStart, anyName); got != "u1" {
+		t.Errorf("while u0 reads: got %s, want u1", got)
+	}
+	if got := learn().Choose(testWork("a"), c, testStart.Add(time.Second), anyName); got != "u0" {
+		t.Errorf("once u0 has read: got %s, want u0", got)
+	}
+	r := learn()
+	w := testWork("a")
+	w.Prompt, w.Moved = 100_000, true
+	r.Choose(w, c[1:], testStart, anyName)
+	if got := r.loads["u1"].reading; got != 0 {
+		t.Errorf("tokens to be read after moved work was placed: got %d, want none", got)
+	}
+}
+
 // learnAhead tells the router that work of every class would wait for so many seconds at
 // the upstreams named, and nowhere else.
 func learnAhead(r *Router, c []Candidate, at map[string]bool, seconds float64) {
