--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -30,11 +30,15 @@
 }
 
 const (
-	loadLife    = 5 * time.Second // of a load, from the moment of which it tells
-	moveEvery   = time.Second     // between two moves away from one upstream
-	moveGain    = 2.0             // seconds of backlog by which another upstream must be better
-	moveShare   = 0.5             // and the share of the present backlog that it may have
-	peakSeconds = 1.0             // seconds of backlog that a full memory counts for
+	loadLife  = 5 * time.Second // of a load, from the moment of which it tells
+	moveEvery = time.Second     // between two moves away from one upstream
+	moveGain  = 2.0             // seconds of backlog by which another upstream must be better
+	moveShare = 0.5             // and the share of the present backlog that it may have
+	// movedHallDelay is how many more seconds of backlog another hall counts for where a
+	// run is moved: the copy takes twice as long, and its engine's link meanwhile serves no
+	// other run that has to leave.
+	movedHallDelay = 10.0
+	peakSeconds    = 1.0 // seconds of backlog that a full memory counts for
 	// readingCost is how many seconds of backlog each second counts for that prompts take
 	// to be read which are being read already: a new one waits for them, and all of them
 	// hold up those who have their tokens.
@@ -88,7 +92,7 @@
 	class, cost := r.classify(w, c)
 	best, least := "", 0.0
 	for _, x := range c {
-		s := r.score(x, class, now) + r.excess(w, x, now)
+		s := r.score(w, x, class, now) + r.excess(w, x, now)
 		if warm[x.Name] {
 			s -= readSeconds * float64(w.PrefixTokens)
 		}
@@ -194,8 +198,11 @@
 
 // score returns the seconds of backlog that a candidate counts for: what waits there, the
 // way to it, the prompts being read and the memory that its running generations will need.
-func (r *Router) score(c Candidate, class int, now time.Time) float64 {
+func (r *Router) score(w *Work, c Candidate, class int, now time.Time) float64 {
 	s := r.backlog(c.Name, class, now) + c.Delay
+	if w.Moved && c.Delay > 0 {
+		s += movedHallDelay
+	}
 	if k := r.fresh(c.Name, now); k != nil {
 		s += peakSeconds*k.load.Peak + readingCost*k.readingLeft(now)
 	}
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// TestRouterMovesRunsWithinTheirHall checks that a run is moved to another hall only where
+// its own is far more crowded than would send new work there.
+func TestRouterMovesRunsWithinTheirHall(t *testing.T) {
+	c := testCandidates(2)
+	c[1].Delay = 5
+	for _, x := range []struct {
+		ahead float64
+		moved bool
+		want  string
+	}{{8, false, "u1"}, {8, true, "u0"}, {20, true, "u1"}} {
+		r := NewRouter(NewLengths(), 1)
+		learnAhead(r, c, map[string]bool{"u0": true}, x.ahead)
+		w := testWork("a")
+		w.Moved = x.moved
+		if got := r.Choose(w, c, testStart, anyName); got != x.want {
+			t.Errorf("%v s ahead, moved %v: got %s, want %s", x.ahead, x.moved, got, x.want)
+		}
+	}
+}
+
 // TestRouterPassesOverEnginesThatRead checks that work goes where the fewest prompts are
 // being read, that this counts less as time goes by, and that moved work adds none.
 func TestRouterPassesOverEnginesThatRead(t *testing.T) {
