--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,7 +50,7 @@
 	if e.route == nil {
 		return fail.New(fail.NotFound, clientPlace("route"), "route_unknown", "no route leads from %s%s", q.Host, q.Path)
 	}
-	if e.route.Spec.Stream && x.refusesStreams() {
+	if e.route.Spec.Stream && x.outlasts(x.tokens(q), q.Arrived) {
 		return leavingError()
 	}
 	if !e.route.Spec.Public && x.view.HasWorkspaces() {
@@ -129,6 +129,14 @@
 	}
 }
 
+// tokens returns how many tokens a request's answer is expected to have.
+func (x *Relay) tokens(q *Request) int {
+	if q.Hint > 0 {
+		return min(q.Hint, max(1, q.MaxTokens))
+	}
+	return q.MaxTokens
+}
+
 func (e *exchange) servicePlace() fail.Place {
 	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,16 +46,17 @@
 	log       *slog.Logger
 	meter     *meter.Meter
 	metrics   *metric.Set
+	pace      pace
 	placeWait *metrics.Histogram
 	tracker   *placement.Tracker
 	view      *resource.View
 	workers   sync.WaitGroup
 
-	mutex     sync.Mutex // guards the fields below; no other lock is taken under it
-	closing   bool
-	held      int
-	noStreams bool             // new streams are refused
-	streams   map[*stream]bool // of engines
+	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
+	closing bool
+	endBy   time.Time // when streams are ended; zero where they are not
+	held    int
+	streams map[*stream]bool // of engines
 }
 
 // Option sets one thing of a Relay.
@@ -64,6 +65,10 @@
 const (
 	// forgetEvery is the time between looks for evidence that is old.
 	forgetEvery = 10 * time.Second
+	// lengthMargin is how much longer than expected a stream may last that a leaving box
+	// still takes: callers' estimates are right at the median, and a refused caller is
+	// served by another box a moment later.
+	lengthMargin = 3
 	// refusedPeriod is when a caller may come back where nothing better is known.
 	refusedPeriod = 500 * time.Millisecond
 	// startPeriod is when a caller may come back to a box that does not know the
@@ -107,6 +112,16 @@
 	return nil
 }
 
+// EndStreamsBy says when streams will be ended of a box that is leaving. From now on
+// those are refused that would hardly end before, so that their callers can go to another
+// box while nothing has run. Other requests are still taken: the balancer may have no
+// other box to give them to.
+func (x *Relay) EndStreamsBy(t time.Time) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.endBy = t
+}
+
 // Held returns how many requests are in progress.
 func (x *Relay) Held() int {
 	x.mutex.Lock()
@@ -119,14 +134,6 @@
 	return x.view.Revisions()[resource.SourceConfiguration] > 0
 }
 
-// RefuseStreams refuses new streams, which may outlast a box that is leaving. Other
-// requests are still taken: the balancer may have no other box to give them to.
-func (x *Relay) RefuseStreams() {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.noStreams = true
-}
-
 // Run watches for upstreams that leave, until the context ends.
 func (x *Relay) Run(ctx context.Context) {
 	t := time.NewTicker(forgetEvery)
@@ -224,11 +231,13 @@
 	return int(x.lengths.Left(policy.KeyOf(w), made, w.MaxTokens))
 }
 
-// refusesStreams reports whether new streams are refused.
-func (x *Relay) refusesStreams() bool {
+// outlasts reports whether a stream of so many tokens would hardly end while this box
+// serves.
+func (x *Relay) outlasts(tokens int, now time.Time) bool {
 	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	return x.noStreams
+	t := x.endBy
+	x.mutex.Unlock()
+	return !t.IsZero() && now.Add(lengthMargin*x.pace.expect(tokens)).After(t)
 }
 
 // leavingError returns the refusal of a request because the box is leaving.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -324,6 +324,30 @@
 	})
 }
 
+// TestLeavingRelayRefusesWhatOutlastsIt checks that a relay which ends its streams at a
+// time takes those that end well before it, and refuses longer ones at once, as not run.
+func TestLeavingRelayRefusesWhatOutlastsIt(t *testing.T) {
+	withRig(t, 1, 0, func(t *testing.T, r *rig) {
+		for i := range 3 { // so that the pace is known: 8 ms a token
+			if s, err := r.read(plan(t.Context(), fmt.Sprint("before-", i), 200), nil); err != nil || !s.whole {
+				t.Fatalf("before: got %+v %v, want a whole stream", s, err)
+			}
+		}
+		r.relay.EndStreamsBy(time.Now().Add(7500 * time.Millisecond))
+		for tokens, want := range map[int]int{40: http.StatusOK, 2000: http.StatusServiceUnavailable} {
+			id := fmt.Sprint("tokens-", tokens)
+			w, _, err := r.do(plan(t.Context(), id, tokens))
+			if err != nil || w.StatusCode != want {
+				t.Errorf("%d tokens: got %v %v, want %d", tokens, w, err, want)
+				continue
+			}
+			if got := w.Header.Get("Retry-After"); want != http.StatusOK && (got != "0" || r.started(id) != 0) {
+				t.Errorf("%d tokens: got Retry-After %q and %d runs, want 0 and none", tokens, got, r.started(id))
+			}
+		}
+	})
+}
+
 // TestLeavingRelayTakesCalls checks that a relay which refuses new streams, as a box
 // that leaves does, still serves calls and the streams that it has.
 func TestLeavingRelayTakesCalls(t *testing.T) {
@@ -339,7 +363,7 @@
 		if got, want := r.relay.Streams(), 1; got != want {
 			t.Errorf("streams: got %d, want %d", got, want)
 		}
-		r.relay.RefuseStreams()
+		r.relay.EndStreamsBy(time.Now())
 		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "call", "")); err != nil || w.StatusCode != http.StatusOK {
 			t.Errorf("a call: got %v %v, want 200", w, err)
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -28,13 +28,14 @@
 	first    chan struct{} // closed once an event was passed on
 	times    meter.Times
 
-	mutex  sync.Mutex // guards the fields below; those of a move, of lengths and of metrics are taken under it
-	closed bool       // no move may start any more
-	events int        // passed on
-	hops   int        // changes of the upstream
-	lastAt time.Time  // of the last event passed on
-	move   *move      // under way, or made and not used yet
-	seat   *seat      // where it runs
+	mutex   sync.Mutex // guards the fields below; those of a move, of lengths and of metrics are taken under it
+	closed  bool       // no move may start any more
+	events  int        // passed on
+	firstAt time.Time  // of the first event passed on
+	hops    int        // changes of the upstream
+	lastAt  time.Time  // of the last event passed on
+	move    *move      // under way, or made and not used yet
+	seat    *seat      // where it runs
 }
 
 const (
@@ -80,6 +81,7 @@
 	s.mutex.Lock()
 	s.closed = true
 	t, m := s.seat, s.move
+	x.pace.learn(s.made(), s.lastAt.Sub(s.firstAt))
 	s.mutex.Unlock()
 	t.release(x, s.finished)
 	if m != nil {
@@ -172,6 +174,7 @@
 	defer s.mutex.Unlock()
 	if s.events == 0 {
 		close(s.first)
+		s.firstAt = now
 	}
 	s.events++
 	s.lastAt = now
--- a/stopping.go
+++ b/stopping.go
@@ -76,11 +76,12 @@
 	return t.Drain.Duration
 }
 
-// finish goes on serving until the balancer must have seen that the box is not ready.
-// Then it refuses new streams, takes other requests while streams are in progress, and
-// waits for what remains, up to the time for leaving.
+// finish goes on serving until the balancer must have seen that the box is not ready, but
+// for streams that would outlast it. Then it refuses all new streams, takes other requests
+// while streams are in progress, and waits for what remains, up to the time for leaving.
 func (b *Box) finish(ctx context.Context) {
 	leaveBy := b.leaveBy(time.Now())
+	b.relay.EndStreamsBy(leaveBy)
 	select {
 	case <-ctx.Done():
 		return
@@ -88,7 +89,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, leaveBy)
 	defer cancel()
-	b.relay.RefuseStreams()
+	b.relay.EndStreamsBy(time.Now())
 	b.awaitStreams(ctx, leaveBy.Add(-lastCallsPeriod))
 	if !b.finishRequests(ctx) {
 		event.BoxStopIncomplete.Log(b.log, "held", b.Held())
