--- a/answer.go
+++ b/answer.go
@@ -21,7 +21,7 @@
 	case box.KindAsk:
 		b.owners.Ask(ctx, q.Ask, answer)
 	case box.KindAway:
-		b.follower.HeardAway(q.Away)
+		b.follower.HeardAway(q.From.Name, q.Away)
 		_ = answer(&box.Reply{})
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -27,15 +28,15 @@
 	Ask func(ctx context.Context, address string, q *box.Request) (*box.Reply, error)
 	// TellAway tells the hall's other boxes that the list of upstreams cannot be read, or
 	// can be again; a seam. It does not wait.
-	TellAway func(ctx context.Context, away bool)
+	TellAway func(away bool)
 	// Spread draws a number in [0, 1) by which retries are spread out.
 	Spread func() float64
 
 	log     *slog.Logger
 	members *member.Table
-	mutex   sync.Mutex    // guards the fields below
-	awayTo  time.Time     // until when another box's word counts that the list of upstreams cannot be read
-	back    chan struct{} // closed when a source can be read again after failures
+	mutex   sync.Mutex           // guards the fields below
+	awayTo  map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
+	back    chan struct{}        // closed when a source can be read again after failures
 	sources []*source
 	turn    chan struct{} // holds one value while a catch-up is under way
 	view    *resource.View
@@ -50,7 +51,7 @@
 
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
-	return &Follower{back: make(chan struct{}), log: l, members: m, Spread: func() float64 { return 0.5 }, turn: make(chan struct{}, 1), view: v}
+	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, Spread: func() float64 { return 0.5 }, turn: make(chan struct{}, 1), view: v}
 }
 
 // Add adds a source before Run is called.
@@ -61,15 +62,12 @@
 // Away reports whether the platform's list of upstreams could not be read lately, by
 // this box or by one of its hall's readers.
 func (f *Follower) Away() bool {
-	f.mutex.Lock()
-	heard := time.Now().Before(f.awayTo)
-	f.mutex.Unlock()
 	for _, s := range f.sources {
 		if s.name == resource.SourceUpstreams && s.failures.Load() > 0 {
 			return true
 		}
 	}
-	return heard
+	return f.heardAway(time.Now())
 }
 
 // CatchUp brings the view to at least the given revisions by asking the box at
@@ -113,14 +111,18 @@
 	return true
 }
 
-// HeardAway takes in another box's word of whether the list of upstreams can be read.
-func (f *Follower) HeardAway(away bool) {
+// HeardAway takes in another box's word of whether it can read the list of upstreams. It
+// changes nothing about the word of others: the store may serve one and not another.
+func (f *Follower) HeardAway(from string, away bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.awayTo = time.Time{}
+	now := time.Now()
+	maps.DeleteFunc(f.awayTo, func(_ string, t time.Time) bool { return !now.Before(t) })
 	if away {
-		f.awayTo = time.Now().Add(awayLife)
+		f.awayTo[from] = now.Add(awayLife)
+		return
 	}
+	delete(f.awayTo, from)
 }
 
 // Meter has the follower's state told by gauges of m. It is called once all sources
@@ -188,10 +190,23 @@
 }
 
 // tellAway tells the hall's other boxes whether the list of upstreams cannot be read.
-func (f *Follower) tellAway(ctx context.Context, s *source, away bool) {
+func (f *Follower) tellAway(s *source, away bool) {
 	if s.name == resource.SourceUpstreams && f.TellAway != nil {
-		f.TellAway(ctx, away)
+		f.TellAway(away)
+	}
+}
+
+// heardAway reports whether the word of a box counts that it cannot read the list of
+// upstreams.
+func (f *Follower) heardAway(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, t := range f.awayTo {
+		if now.Before(t) {
+			return true
+		}
 	}
+	return false
 }
 
 // number returns 1 for true.
--- a/internal/configuration/outage_test.go
+++ b/internal/configuration/outage_test.go
@@ -110,3 +110,26 @@
 		<-done
 	})
 }
+
+// TestWordOfOneReaderDoesNotCancelAnothers checks that a reader which can read the list of
+// upstreams again takes back its own word only, and that a word is forgotten in time.
+func TestWordOfOneReaderDoesNotCancelAnothers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSilentStore(0).follower(resource.SourceUpstreams)
+		check := func(when string, want bool) {
+			t.Helper()
+			if got := f.Away(); got != want {
+				t.Errorf("%s: got away %v, want %v", when, got, want)
+			}
+		}
+		f.HeardAway("1", true)
+		f.HeardAway("2", true)
+		f.HeardAway("2", false)
+		check("one of two can read again", true)
+		f.HeardAway("1", false)
+		check("both can", false)
+		f.HeardAway("1", true)
+		time.Sleep(awayLife)
+		check("long after the last word", false)
+	})
+}
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -67,11 +67,11 @@
 }
 
 // readFailed takes in that a read ended with err; after is the revision held.
-func (f *Follower) readFailed(ctx context.Context, s *source, after int64, err error) {
+func (f *Follower) readFailed(s *source, after int64, err error) {
 	if s.failures.Add(1) == 1 {
 		event.PlatformDown.Log(f.log, "source", string(s.name), "step", fail.Step(err), "error", err.Error(), "held", after)
 	}
-	f.tellAway(ctx, s, true)
+	f.tellAway(s, true)
 }
 
 // readOnce reads one source and takes in what it holds. A read that the context ended
@@ -81,11 +81,11 @@
 	b, next, err := s.read(ctx, after, wait)
 	if err != nil {
 		if ctx.Err() == nil {
-			f.readFailed(ctx, s, after, err)
+			f.readFailed(s, after, err)
 		}
 		return err
 	}
-	f.readSucceeded(ctx, s)
+	f.readSucceeded(s)
 	s.after.Store(next)
 	s.readAt.Store(time.Now().UnixNano())
 	f.lapse(s, b)
@@ -111,14 +111,14 @@
 }
 
 // readSucceeded takes in that a source could be read, perhaps again after failures.
-func (f *Follower) readSucceeded(ctx context.Context, s *source) {
+func (f *Follower) readSucceeded(s *source) {
 	n := s.failures.Swap(0)
 	if n == 0 {
 		return
 	}
 	s.backAt.Store(time.Now().UnixNano())
 	f.tellBack()
-	f.tellAway(ctx, s, false)
+	f.tellAway(s, false)
 	event.PlatformBack.Log(f.log, "source", string(s.name), "failures", n)
 }
 
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -10,14 +10,14 @@
 
 // owned is one upstream owned by this box.
 type owned struct {
-	mutex     sync.Mutex
-	failures  int // reads of the load report that failed in a row
-	instance  string
-	mine      bool // the upstream falls to this box
-	owner     *policy.Owner
-	reportAt  time.Time // when the report is due
-	reporting bool
-	waiters   map[string]chan policy.Answer
+	mutex      sync.Mutex
+	failures   int // reads of the load report that failed in a row
+	instance   string
+	mine       bool // the upstream falls to this box
+	owner      *policy.Owner
+	reportedAt time.Time // when the report was read last
+	reporting  bool
+	waiters    map[string]chan policy.Answer
 }
 
 // dueReport reports whether the upstream's report is to be read now, and notes that it
@@ -25,11 +25,11 @@
 func (x *owned) dueReport(now time.Time, every time.Duration) bool {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.reporting || now.Before(x.reportAt) {
+	if x.reporting || now.Sub(x.reportedAt) < every {
 		return false
 	}
 	x.reporting = true
-	x.reportAt = now.Add(every)
+	x.reportedAt = now
 	return true
 }
 
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -23,7 +23,7 @@
 	// Away reports whether the platform's list of upstreams cannot be had; a seam.
 	Away func() bool
 	// Leaving takes in that an upstream's report says that it is leaving; a seam.
-	Leaving func(ctx context.Context, upstream string)
+	Leaving func(upstream string)
 	// ReadLoad reads an upstream's load report; a seam for tests.
 	ReadLoad func(ctx context.Context, address string) (*upstream.Load, error)
 
--- a/internal/ownership/reports.go
+++ b/internal/ownership/reports.go
@@ -19,7 +19,7 @@
 	defer cancel()
 	l, err := o.ReadLoad(r, u.Spec.Address)
 	if err == nil && l.Leaving && o.Leaving != nil {
-		o.Leaving(ctx, u.Name)
+		o.Leaving(u.Name)
 	}
 	if err != nil {
 		if x.missed() == 1 && ctx.Err() == nil {
--- a/leaving.go
+++ b/leaving.go
@@ -1,8 +1,6 @@
 package linetiller
 
 import (
-	"context"
-
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/policy"
@@ -35,9 +33,9 @@
 
 // tellLeaving takes in that an upstream's report says that it is leaving, and
 // tells all other boxes, unless the platform's list had said so before.
-func (b *Box) tellLeaving(ctx context.Context, upstream string) {
+func (b *Box) tellLeaving(upstream string) {
 	if !b.noteLeaving(upstream, "its report") {
 		return
 	}
-	b.tell(ctx, "", box.Request{Kind: box.KindLeaving, Leaving: upstream}) // owners' loads tell it again
+	b.tell("", box.Request{Kind: box.KindLeaving, Leaving: upstream}) // owners' loads tell it again
 }
--- a/tell.go
+++ b/tell.go
@@ -8,14 +8,14 @@
 )
 
 // tell sends a request to all other boxes of a hall, "" for all halls, without waiting
-// for their answers.
-func (b *Box) tell(ctx context.Context, hall string, q box.Request) {
+// for their answers. It goes on when what led to it has ended.
+func (b *Box) tell(hall string, q box.Request) {
 	for _, m := range b.members.Members()[1:] {
 		if hall != "" && m.Hall != hall {
 			continue
 		}
 		b.workers.Go(func() {
-			ctx, cancel := context.WithDeadline(ctx, time.Now().Add(heartbeatPeriod))
+			ctx, cancel := context.WithDeadline(b.running, time.Now().Add(heartbeatPeriod))
 			defer cancel()
 			_, _ = b.links.Once(ctx, m.Address, b.request(q)) // told again, or by others
 		})
@@ -24,6 +24,6 @@
 
 // tellAway tells the boxes of the hall that the platform's list of upstreams cannot be
 // read, or can be again: those that do not read it themselves own upstreams, too.
-func (b *Box) tellAway(ctx context.Context, away bool) {
-	b.tell(ctx, b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
+func (b *Box) tellAway(away bool) {
+	b.tell(b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
 }
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -244,6 +244,9 @@
 	}
 }
 
+// linkDelay is how long a message between two boxes takes.
+const linkDelay = time.Millisecond
+
 func (r *region) call(ctx context.Context, from, to string, q *box.Request) (*box.Call, error) {
 	lost := fail.New(fail.Unavailable, fail.Place{Peer: "box " + to, Step: "call"}, "box_unreachable", "no route")
 	b, err := box.Encoding.Marshal(q)
@@ -264,6 +267,11 @@
 		}
 		return nil, lost
 	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(linkDelay):
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	replies := make(chan []byte, 16)
 	go func() {
