--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,114 @@
+package account
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/explain"
+)
+
+// testDay is a day of two kinds of request at two boxes of two halls.
+type testDay struct{ log strings.Builder }
+
+// line adds a line at some seconds of the day.
+func (d *testDay) line(second float64, box string, event int, fields string) {
+	at := time.Unix(1000, 0).UTC().Add(time.Duration(second * float64(time.Second)))
+	_, _ = fmt.Fprintf(&d.log, "%8.3f %s {\"time\":%q,\"box\":%q,\"event\":%d%s}\n", second, box, at.Format(time.RFC3339Nano), box, event, fields)
+}
+
+// placed adds the send of a stream.
+func (d *testDay) placed(second float64, box, id, upstream, hall string) {
+	d.line(second, box, 207, fmt.Sprintf(`,"request":%q,"route":"r-1","upstream":%q,"hall":%q,"try":1,"prompt_tokens":9`, id, upstream, hall))
+}
+
+// broken adds the break of a stream of box a.
+func (d *testDay) broken(second float64, id, upstream string) {
+	d.line(second, "a", 203, fmt.Sprintf(`,"request":%q,"route":"r-1","upstream":%q,"reason":"stream_broken"`, id, upstream))
+}
+
+// newTestDay returns a day on which a stream was lost for each cause.
+func newTestDay() *testDay {
+	d := new(testDay)
+	d.line(0, "a", 101, `,"hall":"h1"`)
+	d.line(0, "b", 101, `,"hall":"h2"`)
+	d.placed(1, "a", "gone", "u1", "h1")
+	d.broken(2, "gone", "u1")
+	d.placed(1, "a", "reclaimed", "u1", "h1")
+	d.line(2, "a", 307, `,"request":"reclaimed","upstream":"u1"`)
+	d.broken(3, "reclaimed", "u1")
+	d.placed(1, "a", "cut", "u2", "h2")
+	d.broken(4, "cut", "u2")
+	d.placed(1, "a", "moved away and cut", "u1", "h1")
+	d.line(2, "a", 307, `,"request":"moved away and cut","upstream":"u1"`)
+	d.line(3, "a", 309, `,"request":"moved away and cut","from":"u1","to":"u2","pause_ms":30`)
+	d.broken(4, "moved away and cut", "u2")
+	d.placed(1, "a", "paused", "u1", "h1")
+	d.line(3, "a", 309, `,"request":"paused","from":"u1","to":"u3","pause_ms":300`)
+	d.line(5, "a", 201, `,"request":"paused","route":"r-1","status":200`)
+	d.line(5, "a", 202, `,"request":"refused","route":"r-1","reason":"deadline"`)
+	d.line(5, "a", 202, `,"request":"no key","route":"r-1","reason":"key_unknown"`)
+	d.placed(5, "b", "stopped", "u2", "h2")
+	d.line(6, "b", 104, "")
+	d.line(6, "b", 206, `,"request":"stopped","route":"r-1"`)
+	d.placed(6, "b", "box died", "u2", "h2")
+	d.line(10, "b", 101, `,"hall":"h2"`)
+	d.placed(30, "a", "all died", "u1", "h1")
+	d.line(32, "a", 101, `,"hall":"h1"`)
+	d.line(33, "b", 101, `,"hall":"h2"`)
+	d.placed(34, "a", "under way", "u1", "h1")
+	for i := range 4 {
+		d.line(7, "a", 207, fmt.Sprintf(`,"request":"call-%d","route":"r-2","upstream":"s1","hall":"h1","try":1`, i))
+		d.line(8, "a", 201, fmt.Sprintf(`,"request":"call-%d","route":"r-2","status":500`, i))
+	}
+	return d
+}
+
+// TestEachLossHasItsCause makes the account of a day on which each cause struck once.
+func TestEachLossHasItsCause(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(newTestDay().log.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pause := &struct {
+		PauseMS float64 `toml:"gap_aim_ms"`
+	}{180}
+	s := &Site{Classes: []SiteClass{
+		{AimMS: 1800, LateWorth: 20, Name: "long", Stream: pause, Worth: 130}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
+	}}
+	r := &Report{Classes: []Class{
+		{Failed: 8, Late: 2, Name: "long", Number: 11, Refused: 1, Worth: 0.1}, {Failed: 2, Name: "call", Number: 4, Worth: 0.5},
+	}}
+	a := New("day", r, s, NewLog(lines))
+	got := make(map[Cause]float64)
+	sum := 0.0
+	for _, x := range a.Losses {
+		got[x.Cause] = x.Requests["long"] + x.Requests["call"]
+		sum += x.Worth
+	}
+	for c, want := range map[Cause]float64{
+		CauseAllBoxesDied: 1, CauseBoxDied: 1, CauseBoxStopped: 1, CauseCut: 2, CauseFailed: 2, CauseGone: 1,
+		CauseLate: 1, CauseLatePause: 1, CauseReclaimed: 1, CauseRefused: 1, CauseUnseen: 1,
+	} {
+		if got[c] != want {
+			t.Errorf("%s: got %v requests, want %v", c, got[c], want)
+		}
+	}
+	if math.Abs(sum-a.Lost) > 1e-9 || a.Lost < 0.8 {
+		t.Errorf("sum over the causes: got %v, want %v", sum, a.Lost)
+	}
+	var b bytes.Buffer
+	if err := a.Print(&b); err != nil || !strings.Contains(b.String(), "all boxes died") {
+		t.Errorf("got %q %v, want a table", b.String(), err)
+	}
+	b.Reset()
+	if err := a.PrintTries(&b, ByHall); err != nil || !strings.Contains(b.String(), "h2") {
+		t.Errorf("got %q %v, want a table by hall", b.String(), err)
+	}
+	if got, want := ByWindow(time.Unix(1000, 0))(&Try{Ended: time.Unix(1012, 0)}), " 10 s"; got != want {
+		t.Errorf("window: got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/account/print.go
@@ -0,0 +1,79 @@
+package account
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// windowLength is the length of the windows that tries are counted by.
+const windowLength = 5 * time.Second
+
+// Print writes the account: each cause with what it cost, in requests of each kind and in
+// the share of the worth owed.
+func (a *Account) Print(w io.Writer) error {
+	kinds := make(map[string]bool)
+	for _, x := range a.Losses {
+		for k := range x.Requests {
+			kinds[k] = true
+		}
+	}
+	names := slices.Sorted(maps.Keys(kinds))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprint(t, a.Day, "\tworth\t")
+	for _, n := range names {
+		_, _ = fmt.Fprintf(t, "%s\t", n)
+	}
+	_, _ = fmt.Fprintln(t)
+	for _, x := range a.Losses {
+		_, _ = fmt.Fprintf(t, "%s\t%.4f\t", x.Cause, x.Worth)
+		for _, n := range names {
+			_, _ = fmt.Fprintf(t, "%.1f\t", x.Requests[n])
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	_, _ = fmt.Fprintf(t, "lost\t%.4f\t\n", a.Lost)
+	return t.Flush()
+}
+
+// PrintTries writes how many tries of each cause there were in each group.
+func (a *Account) PrintTries(w io.Writer, group func(t *Try) string) error {
+	counts, groups := make(map[Cause]map[string]int), make(map[string]bool)
+	for i := range a.Tries {
+		t := &a.Tries[i]
+		g := group(t)
+		groups[g] = true
+		if counts[t.Cause] == nil {
+			counts[t.Cause] = make(map[string]int)
+		}
+		counts[t.Cause][g]++
+	}
+	names := slices.Sorted(maps.Keys(groups))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprint(t, "tries\t")
+	for _, n := range names {
+		_, _ = fmt.Fprintf(t, "%s\t", n)
+	}
+	_, _ = fmt.Fprintln(t)
+	for _, c := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(t, "%s\t", c)
+		for _, n := range names {
+			_, _ = fmt.Fprintf(t, "%d\t", counts[c][n])
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+// ByHall groups tries by the hall of their box.
+func ByHall(t *Try) string { return t.Hall }
+
+// ByWindow returns a grouping of tries by when they ended, from a moment on.
+func ByWindow(from time.Time) func(t *Try) string {
+	return func(t *Try) string {
+		return fmt.Sprintf("%3d s", int(t.Ended.Sub(from)/windowLength)*int(windowLength/time.Second))
+	}
+}
--- /dev/null
+++ b/internal/account/try.go
@@ -0,0 +1,135 @@
+package account
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/explain"
+)
+
+// Try is one try of a caller that did not go well.
+type Try struct {
+	Cause   Cause
+	Ended   time.Time // the last word of it
+	Hall    string    // of its box
+	Kind    string    // of request
+	Request string
+}
+
+// tries returns the tries that did not go well, of the routes whose kind is known.
+func (l *Log) tries(aims map[string]aim) []Try {
+	var all []Try
+	for id, lines := range l.requests {
+		a := aims[routeOf(lines)]
+		if a.kind == "" {
+			continue
+		}
+		last := lines[len(lines)-1]
+		if c := l.causeOf(lines, &a); c != "" {
+			all = append(all, Try{Cause: c, Ended: last.Time, Hall: l.halls[last.Box], Kind: a.kind, Request: id})
+		}
+	}
+	slices.SortFunc(all, func(a, b Try) int { return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Request, b.Request)) })
+	return all
+}
+
+// causeOf tells why a try did not go well, or "".
+func (l *Log) causeOf(lines []*explain.Line, a *aim) Cause {
+	end := endOf(lines)
+	if end == nil {
+		last := lines[len(lines)-1]
+		switch at, all := l.diedAt(last.Box, last.Time); {
+		case at.IsZero():
+			return "" // it was still under way
+		case all:
+			return CauseAllBoxesDied
+		}
+		return CauseBoxDied
+	}
+	switch end.Event {
+	case event.RequestFinished.Number:
+		return finishedCause(lines, end, a)
+	case event.RequestRefused.Number:
+		return refusedCause(end)
+	case event.CallerGone.Number:
+		for _, t := range l.stops[end.Box] {
+			if end.Time.Sub(t).Abs() < time.Second {
+				return CauseBoxStopped
+			}
+		}
+		return "" // the caller's own will
+	}
+	return l.brokenCause(lines, end)
+}
+
+// brokenCause tells why an answer broke off or did not come.
+func (l *Log) brokenCause(lines []*explain.Line, end *explain.Line) Cause {
+	if text(end, "reason") == "deadline" {
+		return CauseUpstreamQuiet
+	}
+	at := text(end, "upstream")
+	for _, x := range lines {
+		switch x.Event {
+		case event.UpstreamLeaving.Number:
+			if text(x, "upstream") == at {
+				return CauseReclaimed
+			}
+		case event.MoveDone.Number:
+			at = text(x, "to")
+		}
+	}
+	if l.halls[at] != l.halls[end.Box] {
+		return CauseCut
+	}
+	return CauseGone
+}
+
+// finishedCause tells why an answer that was passed on whole was worth less, or "".
+func finishedCause(lines []*explain.Line, end *explain.Line, a *aim) Cause {
+	if number(end, "status") >= http.StatusInternalServerError {
+		return CauseFailed
+	}
+	for _, x := range lines {
+		if x.Event == event.MoveDone.Number && a.pause > 0 && milliseconds(number(x, "pause_ms")) > a.pause {
+			return CauseLatePause
+		}
+	}
+	if a.pause == 0 && milliseconds(number(end, "took_ms")) > a.answer {
+		return CauseLate
+	}
+	return "" // or a stream that was late to start, which its lines do not tell
+}
+
+// endOf returns the line that tells how a try ended, or nil.
+func endOf(lines []*explain.Line) *explain.Line {
+	for _, x := range slices.Backward(lines) {
+		switch x.Event {
+		case event.RequestFinished.Number, event.RequestRefused.Number, event.RequestInterrupted.Number, event.CallerGone.Number:
+			return x
+		}
+	}
+	return nil
+}
+
+// refusedCause tells why a request was refused, or "" where that was as the configuration
+// has it.
+func refusedCause(end *explain.Line) Cause {
+	switch text(end, "reason") {
+	case "key_unknown", "route_unknown":
+		return ""
+	}
+	return CauseRefused
+}
+
+// routeOf returns the route of a try.
+func routeOf(lines []*explain.Line) string {
+	for _, x := range lines {
+		if r := text(x, "route"); r != "" {
+			return r
+		}
+	}
+	return ""
+}
