--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -48,12 +48,11 @@
 // list makes a list.
 func (c *candidates) list(k candidateKey, now time.Time) []policy.Candidate {
 	all := c.view.UpstreamsOf(k.model)
-	inHall := takingInHalls(all, now)
 	reachable := c.reachable()
 	l := make([]policy.Candidate, 0, len(all))
 	for _, u := range all {
 		if u.Takes(now) && reachable[u.Spec.Hall] {
-			l = append(l, candidateOf(u, k.hall, inHall[u.Spec.Hall] == 1))
+			l = append(l, candidateOf(u, k.hall))
 		}
 	}
 	return l
@@ -86,10 +85,9 @@
 	return m
 }
 
-// candidateOf returns an upstream as a candidate for work of a hall; alone tells that no
-// other one of its own hall takes new work for the model.
-func candidateOf(u *resource.Upstream, hall string, alone bool) policy.Candidate {
-	x := policy.Candidate{Alone: alone, Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
+// candidateOf returns an upstream as a candidate for work of a hall.
+func candidateOf(u *resource.Upstream, hall string) policy.Candidate {
+	x := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
 	if g := u.Engine(); g != nil && g.Migrates {
 		x.Capacity.CopyToken = g.CopyTime(1)
 	}
@@ -98,14 +96,3 @@
 	}
 	return x
 }
-
-// takingInHalls counts, by hall, the upstreams that take new work.
-func takingInHalls(l []*resource.Upstream, now time.Time) map[string]int {
-	n := make(map[string]int)
-	for _, u := range l {
-		if u.Takes(now) {
-			n[u.Spec.Hall]++
-		}
-	}
-	return n
-}
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -78,9 +78,6 @@
 			if x.Delay == 0 {
 				got++
 			}
-			if want := x.Name != "engine-0" && x.Name != "engine-3"; x.Alone != want {
-				t.Errorf("%s alone in its hall: got %v, want %v", x.Name, x.Alone, want)
-			}
 		}
 		if got != near {
 			t.Errorf("from hall %q: got %d near, want %d", hall, got, near)
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -24,7 +24,6 @@
 // Candidate is an upstream that may be chosen.
 type Candidate struct {
 	Capacity Capacity
-	Alone    bool    // no other engine of its hall could take its generations over
 	Delay    float64 // seconds of backlog that the way to it counts for
 	Name     string
 }
@@ -47,10 +46,8 @@
 	// notice that engines give, 1.5 s, since several that leave together share the links
 	// of those that stay. noticeCost is how many seconds of backlog each second beyond
 	// it counts for: what does not fit is lost where the engine is reclaimed.
-	noticeSeconds = 0.7
-	noticeCost    = 3.0
-	// aloneFactor is by how much a copy to another hall takes longer.
-	aloneFactor     = 2
+	noticeSeconds   = 0.7
+	noticeCost      = 3.0
 	unknownBacklog  = 0.5 // seconds, assumed where nothing is known
 	tieBreakSeconds = 1e-3
 )
@@ -167,9 +164,6 @@
 		return 0
 	}
 	s := float64(k.load.Held+k.held+w.Prompt) * c.Capacity.CopyToken.Seconds()
-	if c.Alone {
-		s *= aloneFactor
-	}
 	return noticeCost * max(0, s-noticeSeconds)
 }
 
