--- a/assemble.go
+++ b/assemble.go
@@ -125,6 +125,7 @@
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
 	b.relay.Place = b.reserved.Place
+	b.relay.Others = b.hasOthers
 	b.relay.Turn = b.takeTurn
 	b.relay.Upstreams = relay.Upstreams{Migrate: b.routed.Migrate, Release: b.routed.Release, Send: b.routed.Send}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -50,8 +50,10 @@
 	if e.route == nil {
 		return fail.New(fail.NotFound, clientPlace("route"), "route_unknown", "no route leads from %s%s", q.Host, q.Path)
 	}
-	if e.route.Spec.Stream && x.outlasts(x.tokens(q), q.Arrived) {
-		return leavingError()
+	if e.route.Spec.Stream {
+		if err := x.refusesStream(tokensOf(q), q.Arrived); err != nil {
+			return err
+		}
 	}
 	if !e.route.Spec.Public && x.view.HasWorkspaces() {
 		e.workspace = x.view.WorkspaceByKey(q.Key)
@@ -129,14 +131,6 @@
 	}
 }
 
-// tokens returns how many tokens a request's answer is expected to have.
-func (x *Relay) tokens(q *Request) int {
-	if q.Hint > 0 {
-		return min(q.Hint, max(1, q.MaxTokens))
-	}
-	return q.MaxTokens
-}
-
 func (e *exchange) servicePlace() fail.Place {
 	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
 }
@@ -199,3 +193,11 @@
 	}
 	return e.workspace.Name
 }
+
+// tokensOf returns how many tokens a request's answer is expected to have.
+func tokensOf(q *Request) int {
+	if q.Hint > 0 {
+		return min(q.Hint, max(1, q.MaxTokens))
+	}
+	return q.MaxTokens
+}
--- a/stopping.go
+++ b/stopping.go
@@ -80,8 +80,9 @@
 // for streams that would outlast it. Then it refuses all new streams, takes other requests
 // while streams are in progress, and waits for what remains, up to the time for leaving.
 func (b *Box) finish(ctx context.Context) {
-	leaveBy := b.leaveBy(time.Now())
-	b.relay.EndStreamsBy(leaveBy)
+	now := time.Now()
+	leaveBy := b.leaveBy(now)
+	b.relay.EndStreamsBy(leaveBy, now.Add(b.drainPeriod()))
 	select {
 	case <-ctx.Done():
 		return
@@ -89,7 +90,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, leaveBy)
 	defer cancel()
-	b.relay.EndStreamsBy(time.Now())
+	b.relay.EndStreamsBy(time.Now(), time.Now())
 	b.awaitStreams(ctx, leaveBy.Add(-lastCallsPeriod))
 	if !b.finishRequests(ctx) {
 		event.BoxStopIncomplete.Log(b.log, "held", b.Held())
@@ -115,6 +116,16 @@
 	}
 }
 
+// hasOthers reports whether another box of the hall takes requests.
+func (b *Box) hasOthers() bool {
+	for _, n := range b.members.Alive(b.settings.Hall) {
+		if n != b.settings.Box {
+			return true
+		}
+	}
+	return false
+}
+
 // leaveBy returns when streams are ended of a box that was asked to stop at a time:
 // shortly before it is killed, where somebody does that.
 func (b *Box) leaveBy(asked time.Time) time.Time {
