--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,7 +73,10 @@
 		return &seat{place: p, running: x.tracker.Start(w, p.Upstream.Name), upstream: p.Upstream}, nil
 	}
 	now := time.Now()
-	u := x.health.choose(x.view.UpstreamsOfService(e.service.Name), e.avoid, now)
+	u, backAt := x.health.choose(x.view.UpstreamsOfService(e.service.Name), e.avoid, now)
+	if u == nil && !backAt.IsZero() {
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), reasonOutOfReach, "no upstream of %q can be reached", e.service.Name), backAt)
+	}
 	if u == nil {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
 	}
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -14,6 +14,9 @@
 const (
 	// reasonCallerGone is the reason of an answer that nobody takes.
 	reasonCallerGone = "caller_gone"
+	// reasonOutOfReach is the reason of a refusal where no upstream of a service answered a
+	// connection a moment ago.
+	reasonOutOfReach = "upstreams_out_of_reach"
 	// reasonUnreachable is the reason of a send that never left this box.
 	reasonUnreachable = "upstream_unreachable"
 	// stepCheck is the step at which a place is looked at again, before anything is sent.
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -22,13 +22,18 @@
 	active    int // requests of this box in progress
 	askedAt   time.Time
 	awayUntil time.Time // it did not answer a connection a moment ago
+	misses    int       // connections in a row that it did not answer
 	failures  float64   // share of failures among the last answers
 	load      float64   // running and waiting requests for each slot, as last told
 	loadAt    time.Time
 }
 
 const (
-	awayPeriod     = time.Second            // that an upstream which could not be reached is passed over
+	awayPeriod = time.Second // that an upstream which could not be reached is passed over
+	// goneMisses is how many connections in a row an upstream does not answer before it
+	// counts as out of reach: on a link that loses packets each of ten fails by itself.
+	goneMisses     = 5
+	probePeriod    = 300 * time.Millisecond // that one request may try an upstream that was out of reach, before another does
 	evidenceLife   = 30 * time.Second       // that evidence is kept after the last look at it
 	failureWeight  = 0.2                    // of one answer in the share of failures
 	failureHalf    = 3 * time.Second        // in which the share of failures halves, so that an upstream is tried again
@@ -47,6 +52,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	e := h.at(name)
+	e.misses, e.awayUntil = 0, time.Time{}
 	e.decay(now)
 	v := 0.0
 	if failed {
@@ -72,7 +78,9 @@
 func (h *health) away(name string, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.at(name).awayUntil = now.Add(awayPeriod)
+	e := h.at(name)
+	e.awayUntil = now.Add(awayPeriod)
+	e.misses++
 }
 
 // begin counts a request in progress; the result ends it.
@@ -89,9 +97,10 @@
 }
 
 // choose returns the best of the upstreams that take new work, or nil where there is
-// none. Of two drawn at random the better one is taken, so that boxes which know the
-// same do not all choose alike.
-func (h *health) choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) *resource.Upstream {
+// none, and then when one may be within reach again; zero where none would be. Of two drawn
+// at random the better one is taken, so that boxes which know the same do not all choose
+// alike. An upstream that is out of reach gets one request now and then, to be found again.
+func (h *health) choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) (u *resource.Upstream, backAt time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	var best, second *resource.Upstream
@@ -100,6 +109,12 @@
 		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
+		if e := h.at(u.Name); e.gone(now) {
+			if backAt.IsZero() || e.awayUntil.Before(backAt) {
+				backAt = e.awayUntil
+			}
+			continue
+		}
 		s := h.score(u, now) + rand.Float64()*hallPenalty
 		switch {
 		case s < least:
@@ -110,9 +125,15 @@
 		}
 	}
 	if second != nil && next-least < hallPenalty && rand.IntN(2) == 0 {
-		return second
+		best = second
+	}
+	if best == nil {
+		return nil, backAt
 	}
-	return best
+	if e := h.at(best.Name); e.misses >= goneMisses {
+		e.awayUntil = now.Add(probePeriod)
+	}
+	return best, time.Time{}
 }
 
 // forget drops what is old.
@@ -141,6 +162,11 @@
 	return s
 }
 
+// gone reports whether the upstream is out of reach.
+func (e *evidence) gone(now time.Time) bool {
+	return e.misses >= goneMisses && now.Before(e.awayUntil)
+}
+
 // decay lets failures of long ago count less.
 func (e *evidence) decay(now time.Time) {
 	if !e.askedAt.IsZero() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -191,6 +191,47 @@
 	}, relay.WithBudget(0, 0, 10*time.Second, func() int { return 1 }))
 }
 
+// TestServiceOutOfReachIsRefusedAtOnce checks that once no upstream of a service answers
+// connections, requests are refused at once, with a time to come back, and not after trying
+// each again; and that the service is found again when one of them answers.
+func TestServiceOutOfReachIsRefusedAtOnce(t *testing.T) {
+	withRig(t, 0, 3, func(t *testing.T, r *rig) {
+		for _, n := range []string{"s1", "s2", "s3"} {
+			r.link.Down(n, true)
+		}
+		tried := 0
+		for i := range 100 {
+			w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", fmt.Sprint("id-", i), ""))
+			if err != nil || w.StatusCode != http.StatusServiceUnavailable || w.Header.Get("Retry-After") == "" {
+				t.Fatalf("got %v %v, want 503 with a time to come back", w, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, c := range r.link.Calls() {
+			if strings.Contains(c, "/once/") && !strings.Contains(c, "box") {
+				tried++
+			}
+		}
+		if tried > 3*(goneTries+5) {
+			t.Errorf("requests sent in 5 s: got %d, want at most one a second to each and a few at first", tried)
+		}
+		r.link.Down("s2", false)
+		time.Sleep(time.Second)
+		served := 0
+		for i := range 4 {
+			if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", fmt.Sprint("back-", i), "")); err == nil && w.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		if served < 3 {
+			t.Errorf("served once one is back: got %d of 4, want at least 3", served)
+		}
+	})
+}
+
+// goneTries is how many connections are tried before an upstream counts as out of reach.
+const goneTries = 5
+
 // TestBudgetBoundsTries sends many requests that fail everywhere and counts what
 // reaches the upstreams beyond the first try of each, in any window.
 func TestBudgetBoundsTries(t *testing.T) {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -93,7 +93,7 @@
 				if x.at < 0 {
 					x.fault(r)
 				}
-				s, err := r.read(check(t.Context(), "id", 4*events), func(n int) {
+				s, err := r.read(check(t.Context(), 4*events), func(n int) {
 					if n == x.at {
 						x.fault(r)
 					}
@@ -119,7 +119,7 @@
 		for _, e := range r.engines {
 			e.SetFaults(routed.Faults{BreakAfter: 10})
 		}
-		s, err := r.read(check(t.Context(), "id", 400), nil)
+		s, err := r.read(check(t.Context(), 400), nil)
 		if err != nil || s.whole || s.events != 10 {
 			t.Errorf("got %+v %v, want 10 events and no end", s, err)
 		}
@@ -134,7 +134,7 @@
 func TestResumptionTakesFromTheBudget(t *testing.T) {
 	withRig(t, 2, 0, func(t *testing.T, r *rig) {
 		r.engines["u1"].SetFaults(routed.Faults{BreakAfter: 10})
-		s, err := r.read(check(t.Context(), "id", 400), nil)
+		s, err := r.read(check(t.Context(), 400), nil)
 		if err != nil || s.whole || s.events != 10 {
 			t.Errorf("got %+v %v, want 10 events and no end", s, err)
 		}
@@ -151,7 +151,7 @@
 	withRig(t, 2, 0, func(t *testing.T, r *rig) {
 		r.engines["u1"].SetFaults(routed.Faults{Status: http.StatusInternalServerError})
 		r.engines["u2"].SetFaults(routed.Faults{BreakAfter: 10})
-		s, err := r.read(check(t.Context(), "id", 400), nil)
+		s, err := r.read(check(t.Context(), 400), nil)
 		if err != nil || s.whole || s.events != 10 {
 			t.Errorf("got %+v %v, want 10 events and no end", s, err)
 		}
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -165,8 +165,8 @@
 }
 
 // check returns a request for a stream of that many tokens that may be resumed.
-func check(ctx context.Context, id string, tokens int) *http.Request {
-	return generation(ctx, "/checks/x", id, tokens)
+func check(ctx context.Context, tokens int) *http.Request {
+	return generation(ctx, "/checks/x", "id", tokens)
 }
 
 // plan returns a request for a stream of that many tokens.
