--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -59,6 +59,8 @@
 	d.placed(30, "a", "all died", "u1", "h1")
 	d.line(32, "a", 101, `,"hall":"h1"`)
 	d.line(33, "b", 101, `,"hall":"h2"`)
+	d.line(0, "c", 101, `,"hall":"h1"`)
+	d.placed(20, "c", "box died for good", "u1", "h1")
 	d.placed(34, "a", "under way", "u1", "h1")
 	for i := range 4 {
 		d.line(7, "a", 207, fmt.Sprintf(`,"request":"call-%d","route":"r-2","upstream":"s1","hall":"h1","try":1`, i))
@@ -80,7 +82,7 @@
 		{AimMS: 1800, LateWorth: 20, Name: "long", Stream: pause, Worth: 130}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
 	}}
 	r := &Report{Classes: []Class{
-		{Failed: 8, Late: 2, Name: "long", Number: 11, Refused: 1, Worth: 0.1}, {Failed: 2, Name: "call", Number: 4, Worth: 0.5},
+		{Failed: 9, Late: 2, Name: "long", Number: 12, Refused: 1, Worth: 0.1}, {Failed: 2, Name: "call", Number: 4, Worth: 0.5},
 	}}
 	a := New("day", r, s, NewLog(lines))
 	got := make(map[Cause]float64)
@@ -90,7 +92,7 @@
 		sum += x.Worth
 	}
 	for c, want := range map[Cause]float64{
-		CauseAllBoxesDied: 1, CauseBoxDied: 1, CauseBoxStopped: 1, CauseCut: 2, CauseFailed: 2, CauseGone: 1,
+		CauseAllBoxesDied: 1, CauseBoxDied: 2, CauseBoxStopped: 1, CauseCut: 2, CauseFailed: 2, CauseGone: 1,
 		CauseLate: 1, CauseLatePause: 1, CauseReclaimed: 1, CauseRefused: 1, CauseUnseen: 1,
 	} {
 		if got[c] != want {
--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -11,25 +11,36 @@
 
 // Log is what the boxes wrote in a day.
 type Log struct {
+	end      time.Time                  // of the last line
 	halls    map[string]string          // of boxes, and of upstreams that requests went to
+	last     map[string]time.Time       // by box: of its last line
 	requests map[string][]*explain.Line // in order
 	starts   map[string][]time.Time     // of boxes, in order
 	stops    map[string][]time.Time     // of boxes that ended with requests unfinished
 }
 
-// diedTogether is how far apart the boxes start again that died together: each takes its
-// own time to come up.
-const diedTogether = 3 * time.Second
+const (
+	// diedTogether is how far apart the boxes start again that died together: each takes
+	// its own time to come up.
+	diedTogether = 3 * time.Second
+	// mostShare is the share of the boxes that counts for all of them: some may have left
+	// for good before.
+	mostShare = 0.6
+	// silentLong is how long before the end of the logs a box wrote its last line that has
+	// died for good.
+	silentLong = 5 * time.Second
+)
 
 // NewLog takes in the lines of all boxes.
 func NewLog(lines []explain.Line) *Log {
 	l := &Log{
-		halls: make(map[string]string), requests: make(map[string][]*explain.Line),
+		halls: make(map[string]string), last: make(map[string]time.Time), requests: make(map[string][]*explain.Line),
 		starts: make(map[string][]time.Time), stops: make(map[string][]time.Time),
 	}
 	slices.SortStableFunc(lines, func(a, b explain.Line) int { return a.Time.Compare(b.Time) })
 	for i := range lines {
 		x := &lines[i]
+		l.end, l.last[x.Box] = x.Time, x.Time
 		switch x.Event {
 		case event.BoxStarted.Number:
 			l.halls[x.Box] = text(x, "hall")
@@ -64,19 +75,24 @@
 	return NewLog(all), nil
 }
 
-// diedAt returns when a box that held a request started again after a time, and whether
-// all boxes did then. The time is zero where the box did not.
-func (l *Log) diedAt(box string, after time.Time) (at time.Time, all bool) {
-	at = next(l.starts[box], after)
+// diedAt tells whether the box that held a request has died since a time, and whether
+// most boxes did then.
+func (l *Log) diedAt(box string, after time.Time) (died, all bool) {
+	at := next(l.starts[box], after)
+	if at.IsZero() && l.last[box].Add(silentLong).After(l.end) {
+		return false, false
+	}
+	from := at
 	if at.IsZero() {
-		return at, false
+		from = l.last[box]
 	}
+	started := 0
 	for _, s := range l.starts {
-		if !slices.ContainsFunc(s, func(t time.Time) bool { return t.After(after) && t.Sub(at).Abs() < diedTogether }) {
-			return at, false
+		if slices.ContainsFunc(s, func(t time.Time) bool { return t.After(after) && t.Sub(from).Abs() < diedTogether }) {
+			started++
 		}
 	}
-	return at, true
+	return true, float64(started) >= mostShare*float64(len(l.starts))
 }
 
 // routes returns the number of tries of each route, of streams or of other requests.
--- a/internal/account/try.go
+++ b/internal/account/try.go
@@ -41,13 +41,13 @@
 	end := endOf(lines)
 	if end == nil {
 		last := lines[len(lines)-1]
-		switch at, all := l.diedAt(last.Box, last.Time); {
-		case at.IsZero():
-			return "" // it was still under way
+		switch died, all := l.diedAt(last.Box, last.Time); {
 		case all:
 			return CauseAllBoxesDied
+		case died:
+			return CauseBoxDied
 		}
-		return CauseBoxDied
+		return "" // it was still under way
 	}
 	switch end.Event {
 	case event.RequestFinished.Number:
