--- a/docs_test.go
+++ b/docs_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// TestLayoutNamesEveryPackage checks that the developer guide's section on the layout names
+// each package under internal.
+func TestLayoutNamesEveryPackage(t *testing.T) {
+	_, rest, _ := strings.Cut(read(t, "docs/developer-guide.md"), "## Layout")
+	layout, _, _ := strings.Cut(rest, "\n## ")
+	l, err := os.ReadDir("internal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range l {
+		if d.IsDir() && !strings.Contains(layout, "`"+d.Name()+"`") && !strings.Contains(layout, "`internal/"+d.Name()+"`") {
+			t.Errorf("the layout does not name internal/%s", d.Name())
+		}
+	}
+}
+
 // TestLinksInDocsLead checks that every page linked from another exists.
 func TestLinksInDocsLead(t *testing.T) {
 	pages, _ := filepath.Glob("docs/*.md")
--- a/internal/relay/health.go
+++ b/internal/health/tracker.go
@@ -1,4 +1,6 @@
-package relay
+// Package health keeps what a box has seen of upstreams with its own requests, and chooses
+// among them by it. It does no I/O and reads no clock.
+package health
 
 import (
 	"math"
@@ -9,9 +11,16 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// health is what this box has seen of upstreams with its own requests, which
-// goes before what others say of them. It is safe for concurrent use.
-type health struct {
+// Load is what an upstream tells of its load with an answer.
+type Load struct {
+	Running int
+	Slots   int
+	Waiting int
+}
+
+// Tracker is what this box has seen of upstreams with its own requests, which goes before
+// what others say of them. It is safe for concurrent use.
+type Tracker struct {
 	hall  string
 	mutex sync.Mutex
 	seen  map[string]*evidence
@@ -28,6 +37,12 @@
 	loadAt    time.Time
 }
 
+// ranked is an upstream with the load that it counts as having.
+type ranked struct {
+	score    float64
+	upstream *resource.Upstream
+}
+
 const (
 	awayPeriod = time.Second // that an upstream which could not be reached is passed over
 	// goneMisses is how many connections in a row an upstream does not answer before it
@@ -43,15 +58,16 @@
 	slotsDefault   = 6                      // requests in progress of this box that count as a load of 1
 )
 
-func newHealth(hall string) *health {
-	return &health{hall: hall, seen: make(map[string]*evidence)}
+// New returns a tracker, for a box of a hall, that has seen nothing.
+func New(hall string) *Tracker {
+	return &Tracker{hall: hall, seen: make(map[string]*evidence)}
 }
 
-// answered notes an answer, or the lack of one.
-func (h *health) answered(name string, failed bool, l *ServerLoad, now time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	e := h.at(name)
+// Answered notes an answer, or the lack of one.
+func (t *Tracker) Answered(name string, failed bool, l *Load, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.at(name)
 	e.misses, e.awayUntil = 0, time.Time{}
 	e.decay(now)
 	v := 0.0
@@ -65,95 +81,95 @@
 }
 
 // at returns the evidence of an upstream; the lock is held.
-func (h *health) at(name string) *evidence {
-	e := h.seen[name]
+func (t *Tracker) at(name string) *evidence {
+	e := t.seen[name]
 	if e == nil {
 		e = new(evidence)
-		h.seen[name] = e
+		t.seen[name] = e
 	}
 	return e
 }
 
-// away notes that an upstream could not be reached.
-func (h *health) away(name string, now time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	e := h.at(name)
+// Away notes that an upstream could not be reached.
+func (t *Tracker) Away(name string, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.at(name)
 	e.awayUntil = now.Add(awayPeriod)
 	e.misses++
 }
 
-// begin counts a request in progress; the result ends it.
-func (h *health) begin(name string) (end func()) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	e := h.at(name)
+// Begin counts a request in progress; the result ends it.
+func (t *Tracker) Begin(name string) (end func()) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	e := t.at(name)
 	e.active++
 	return func() {
-		h.mutex.Lock()
-		defer h.mutex.Unlock()
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
 		e.active--
 	}
 }
 
-// choose returns the best of the upstreams that take new work, or nil where there is
-// none, and then when one may be within reach again; zero where none would be. Of two drawn
-// at random the better one is taken, so that boxes which know the same do not all choose
-// alike. An upstream that is out of reach gets one request now and then, to be found again.
-func (h *health) choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) (u *resource.Upstream, backAt time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	var best, second *resource.Upstream
-	least, next := math.Inf(1), math.Inf(1)
+// Choose returns the best of the upstreams that take new work, or nil where there is
+// none, and then when one may be within reach again; zero where none would be. Of the two
+// best one is drawn where they are close, so that boxes which know the same do not all
+// choose alike. An upstream that is out of reach gets one request now and then, to be found
+// again.
+func (t *Tracker) Choose(l []*resource.Upstream, avoid map[string]bool, now time.Time) (u *resource.Upstream, backAt time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var first, second ranked
+	first.score, second.score = math.Inf(1), math.Inf(1)
 	for _, u := range l {
 		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
-		if e := h.at(u.Name); e.gone(now) {
+		if e := t.at(u.Name); e.gone(now) {
 			if backAt.IsZero() || e.awayUntil.Before(backAt) {
 				backAt = e.awayUntil
 			}
 			continue
 		}
-		s := h.score(u, now) + rand.Float64()*hallPenalty
+		x := ranked{t.score(u, now) + rand.Float64()*hallPenalty, u}
 		switch {
-		case s < least:
-			second, next = best, least
-			best, least = u, s
-		case s < next:
-			second, next = u, s
+		case x.score < first.score:
+			first, second = x, first
+		case x.score < second.score:
+			second = x
 		}
 	}
-	if second != nil && next-least < hallPenalty && rand.IntN(2) == 0 {
-		best = second
+	if second.upstream != nil && second.score-first.score < hallPenalty && rand.IntN(2) == 0 {
+		first = second
 	}
-	if best == nil {
+	if first.upstream == nil {
 		return nil, backAt
 	}
-	if e := h.at(best.Name); e.misses >= goneMisses {
+	if e := t.at(first.upstream.Name); e.misses >= goneMisses {
 		e.awayUntil = now.Add(probePeriod)
 	}
-	return best, time.Time{}
+	return first.upstream, time.Time{}
 }
 
-// forget drops what is old.
-func (h *health) forget(now time.Time) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	for n, e := range h.seen {
+// Forget drops what is old.
+func (t *Tracker) Forget(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for n, e := range t.seen {
 		if e.active == 0 && now.Sub(e.askedAt) > evidenceLife {
-			delete(h.seen, n)
+			delete(t.seen, n)
 		}
 	}
 }
 
 // score returns how much load an upstream counts as having; the lock is held.
-func (h *health) score(u *resource.Upstream, now time.Time) float64 {
-	e := h.at(u.Name)
+func (t *Tracker) score(u *resource.Upstream, now time.Time) float64 {
+	e := t.at(u.Name)
 	e.decay(now)
 	s := float64(e.active)/slotsDefault + failurePenalty*e.failures
 	s += e.load * math.Exp2(-now.Sub(e.loadAt).Seconds()/loadHalf.Seconds())
-	if u.Spec.Hall != h.hall {
+	if u.Spec.Hall != t.hall {
 		s += hallPenalty
 	}
 	if now.Before(e.awayUntil) {
--- a/internal/relay/health_test.go
+++ b/internal/health/tracker_test.go
@@ -1,4 +1,4 @@
-package relay
+package health
 
 import (
 	"testing"
@@ -11,32 +11,32 @@
 // connections are passed over, that one miss is not enough for that, and that a request is
 // let through now and then until one of them answers.
 func TestUpstreamOutOfReachGetsOneRequestNowAndThen(t *testing.T) {
-	h, now := newHealth("a"), time.Now()
+	h, now := New("a"), time.Now()
 	l := []*resource.Upstream{{Name: "s1", Spec: resource.UpstreamSpec{Hall: "a"}}, {Name: "s2", Spec: resource.UpstreamSpec{Hall: "b"}}}
 	choose := func(when string, some bool) *resource.Upstream {
 		t.Helper()
-		u, back := h.choose(l, nil, now)
+		u, back := h.Choose(l, nil, now)
 		if (u != nil) != some || (u == nil && back.IsZero()) || (u == nil && back.Sub(now) > awayPeriod) {
 			t.Errorf("%s: got %v, back at %v; want one: %v", when, u, back.Sub(now), some)
 		}
 		return u
 	}
 	for range goneMisses - 1 {
-		h.away("s1", now)
-		h.away("s2", now)
+		h.Away("s1", now)
+		h.Away("s2", now)
 	}
 	choose("after a miss or two", true)
-	h.away("s1", now)
+	h.Away("s1", now)
 	if u := choose("one is out of reach", true); u != nil && u.Name != "s2" {
 		t.Errorf("got %s, want s2", u.Name)
 	}
-	h.away("s2", now)
+	h.Away("s2", now)
 	choose("both are", false)
 	now = now.Add(awayPeriod)
 	choose("a moment later", true)
 	choose("again", true)
 	choose("while both are being tried", false)
-	h.answered("s1", false, nil, now)
+	h.Answered("s1", false, nil, now)
 	for range 3 {
 		if u := choose("one has answered", true); u != nil && u.Name != "s1" {
 			t.Errorf("got %s, want s1", u.Name)
--- /dev/null
+++ b/internal/policy/owner_refusal_test.go
@@ -0,0 +1,110 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestOwnerRefusesAtOnceWhatCannotMeetItsDeadline(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	for i := range 4000 {
+		w := testWork(fmt.Sprintf("wait-%d", i))
+		w.Deadline = testStart.Add(time.Hour)
+		o.Ask(w, testStart)
+	}
+	w := testWork("short of time")
+	w.Deadline = testStart.Add(time.Second)
+	w.Priority = -1
+	a := o.Ask(w, testStart)
+	if got, want := a.Verdict, VerdictRefuse; got != want {
+		t.Fatalf("verdict: got %s, want %s", got, want)
+	}
+	if got, want := a.Reason, ReasonDeadline; got != want {
+		t.Errorf("reason: got %s, want %s", got, want)
+	}
+	if !a.RetryAt.After(testStart) {
+		t.Errorf("time to come back: got %v, want one after %v", a.RetryAt, testStart)
+	}
+}
+
+// TestOwnerRefusesAtOnceWhatItGivesUp checks that work whose deadline has become
+// out of reach is answered at the next sweep, and not held until its deadline.
+func TestOwnerRefusesAtOnceWhatItGivesUp(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	w := testWork("a")
+	w.Deadline = testStart.Add(40 * time.Second)
+	if got, want := o.Ask(w, testStart).Verdict, VerdictQueue; got != want {
+		t.Fatalf("verdict: got %s, want %s", got, want)
+	}
+	given := time.Duration(0)
+	for d := time.Duration(0); d < 40*time.Second && given == 0; d += sweepPeriod {
+		for n := range o.running {
+			o.Progress(n, 1+int(d/sweepPeriod), testStart.Add(d))
+		}
+		o.Report(Report{AsOf: testStart.Add(d), Running: 32, StepSeconds: 0.02, Used: 9999}, testStart.Add(d))
+		for _, a := range o.Next(testStart.Add(d)) {
+			if a.ID == "a" && a.Verdict == VerdictRefuse {
+				given = d
+			}
+		}
+	}
+	if given == 0 || given > 36*time.Second {
+		t.Errorf("given up after: got %v, want well before the deadline at 40s", given)
+	}
+}
+
+func TestOwnerOfALeavingUpstreamRefusesAll(t *testing.T) {
+	o := newTestOwner()
+	n := fill(t, o, testStart)
+	o.Ask(testWork("waits"), testStart)
+	o.Leaving = true
+	if got, want := o.Ask(testWork("new"), testStart).Reason, ReasonLeaving; got != want {
+		t.Errorf("new work: got %q, want %q", got, want)
+	}
+	a := o.Next(testStart.Add(time.Second))
+	if len(a) != 1 || a[0].ID != "waits" || a[0].Reason != ReasonLeaving {
+		t.Errorf("waiting work: got %v, want a refusal of it", a)
+	}
+	if got, want := o.Running(), n; got != want {
+		t.Errorf("running work: got %d, want %d", got, want)
+	}
+}
+
+func TestOwnerNeverInvertsPriorities(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	for i, p := range []int{0, 5, -3, 9, 5} {
+		w := testWork(fmt.Sprintf("p%d-%d", p, i))
+		w.Priority = p
+		o.Ask(w, testStart)
+	}
+	want := []string{"p9-3", "p5-1", "p5-4", "p0-0", "p-3-2"}
+	for _, id := range want {
+		if got := o.queue.first().work.ID; got != id {
+			t.Errorf("next: got %s, want %s", got, id)
+		}
+		o.Leave(o.queue.first().work.ID, testStart)
+	}
+}
+
+// TestLargeWorkspaceDoesNotCrowdOutSmallOne checks that a workspace that asks
+// for little goes before the backlog of one that asks for much.
+func TestLargeWorkspaceDoesNotCrowdOutSmallOne(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	for i := range 500 {
+		w := testWork(fmt.Sprintf("large-%d", i))
+		w.Workspace = "large"
+		o.Ask(w, testStart)
+	}
+	w := testWork("small")
+	w.Workspace = "small"
+	o.Ask(w, testStart.Add(time.Second))
+	e := o.queue.byID["small"]
+	if got, want := o.queue.ahead(e.order), 0.5*o.queue.total(); got > want {
+		t.Errorf("backlog before the small workspace: got %.1f s, want at most %.1f s", got, want)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,14 +73,14 @@
 		return &seat{place: p, running: x.tracker.Start(w, p.Upstream.Name), upstream: p.Upstream}, nil
 	}
 	now := time.Now()
-	u, backAt := x.health.choose(x.view.UpstreamsOfService(e.service.Name), e.avoid, now)
+	u, backAt := x.health.Choose(x.view.UpstreamsOfService(e.service.Name), e.avoid, now)
 	if u == nil && !backAt.IsZero() {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), reasonOutOfReach, "no upstream of %q can be reached", e.service.Name), backAt)
 	}
 	if u == nil {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedPeriod))
 	}
-	return &seat{end: x.health.begin(u.Name), upstream: u}, nil
+	return &seat{end: x.health.Begin(u.Name), upstream: u}, nil
 }
 
 // release gives back what is held at the upstream; ended tells that the generation
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -33,7 +33,7 @@
 		return false, e.passOn(a, b)
 	}
 	if err != nil {
-		e.relay.health.answered(e.upstream.Name, true, nil, time.Now())
+		e.relay.health.Answered(e.upstream.Name, true, nil, time.Now())
 		return true, fail.Wrap(fail.Unknown, p, "answer_cut", err)
 	}
 	w := &wholeAnswer{*a, b}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -73,7 +73,7 @@
 	if e.service == nil {
 		return fail.WithRetryAt(fail.New(fail.NotRun, clientPlace("route"), "service_unknown", "service %q is not declared", n), time.Now().Add(startPeriod))
 	}
-	x.budget.request(n, time.Now())
+	x.budget.Request(n, time.Now())
 	return nil
 }
 
@@ -158,7 +158,7 @@
 	if !errorx.IsOfType(err, fail.NotRun) && (!e.route.Spec.Repeat.Again() || e.ran >= e.route.Spec.Attempts) {
 		return false
 	}
-	if reached(err) && !x.budget.take(e.service.Name, time.Now()) {
+	if reached(err) && !x.budget.Take(e.service.Name, time.Now()) {
 		x.metrics.Count(metric.Refusals, "reason", string(policy.ReasonRetryBudget))
 		return false
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,8 +15,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
+	"github.com/linetiller/linetiller/internal/budget"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/meter"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
@@ -40,10 +42,10 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
-	budget    *budget
+	budget    *budget.Budget
 	cancel    context.CancelFunc
 	ctx       context.Context // ends with Abort
-	health    *health
+	health    *health.Tracker
 	lengths   *policy.Lengths
 	log       *slog.Logger
 	meter     *meter.Meter
@@ -87,8 +89,8 @@
 	x := &Relay{
 		Fresh:  func(context.Context) {},
 		Others: func() bool { return true },
-		budget: newBudget(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, health: newHealth(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
+		cancel: cancel, ctx: ctx, health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
@@ -100,7 +102,7 @@
 // WithBudget bounds the tries beyond the first of each request: in any window,
 // for each service and over all boxes, a ratio of its requests and some extra.
 func WithBudget(ratio float64, extra int, window time.Duration, boxes func() int) Option {
-	return func(x *Relay) { x.budget = newBudget(ratio, extra, window, boxes) }
+	return func(x *Relay) { x.budget = budget.New(ratio, extra, window, boxes) }
 }
 
 // Abort ends the requests in progress and waits for them.
@@ -152,7 +154,7 @@
 			return
 		case <-c:
 		case now := <-t.C:
-			x.health.forget(now)
+			x.health.Forget(now)
 		}
 	}
 }
@@ -174,7 +176,7 @@
 
 // SetBudget changes the bound on tries beyond the first.
 func (x *Relay) SetBudget(ratio float64, extra int, window time.Duration) {
-	x.budget.set(ratio, extra, window)
+	x.budget.Set(ratio, extra, window)
 }
 
 // Streams returns how many streams of engines are in progress.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,9 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
@@ -338,100 +336,3 @@
 		}
 	})
 }
-
-// TestCloseWaitsForStreams checks that a relay that stops finishes what it holds
-// and refuses what comes, as not run.
-func TestCloseWaitsForStreams(t *testing.T) {
-	withRig(t, 1, 1, func(t *testing.T, r *rig) {
-		var g sync.WaitGroup
-		g.Go(func() {
-			s, err := r.read(plan(t.Context(), "id", 400), nil)
-			if err != nil || !s.whole || s.events != 100 {
-				t.Errorf("got %+v %v, want 100 events and an end", s, err)
-			}
-		})
-		time.Sleep(time.Second)
-		closed := make(chan struct{})
-		go func() {
-			_ = r.relay.Close()
-			close(closed)
-		}()
-		synctest.Wait()
-		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "late", "")); err != nil || w.StatusCode != http.StatusServiceUnavailable {
-			t.Errorf("while closing: got %v %v, want 503", w, err)
-		}
-		g.Wait()
-		<-closed
-	})
-}
-
-// TestLeavingRelayRefusesWhatOutlastsIt checks that a relay which ends its streams at a
-// time takes those that end well before it, and refuses longer ones at once, as not run.
-// Where it is the only one of its hall, it takes what is expected to end just in time, and
-// tells others to come back when the balancer sends them elsewhere.
-func TestLeavingRelayRefusesWhatOutlastsIt(t *testing.T) {
-	for _, x := range []struct {
-		others bool
-		tokens int
-		status int
-		again  string // Retry-After of a refusal
-	}{
-		{true, 40, http.StatusOK, ""},
-		{true, 600, http.StatusServiceUnavailable, "0"},
-		{true, 2000, http.StatusServiceUnavailable, "0"},
-		{false, 40, http.StatusOK, ""},
-		{false, 600, http.StatusOK, ""},
-		{false, 2000, http.StatusServiceUnavailable, "3"},
-	} {
-		withRig(t, 1, 0, func(t *testing.T, r *rig) {
-			for i := range 3 { // so that the pace is known: 8 ms a token
-				if s, err := r.read(plan(t.Context(), fmt.Sprint("before-", i), 200), nil); err != nil || !s.whole {
-					t.Fatalf("before: got %+v %v, want a whole stream", s, err)
-				}
-			}
-			r.relay.Others = func() bool { return x.others }
-			r.relay.EndStreamsBy(time.Now().Add(7500*time.Millisecond), time.Now().Add(3*time.Second))
-			w, _, err := r.do(plan(t.Context(), "id", x.tokens))
-			if err != nil || w.StatusCode != x.status || w.Header.Get("Retry-After") != x.again {
-				t.Errorf("%d tokens, others %v: got %v %v, want %d and Retry-After %q", x.tokens, x.others, w, err, x.status, x.again)
-			}
-			if got := r.started("id"); x.status != http.StatusOK && got != 0 {
-				t.Errorf("%d tokens: runs of a refused stream: got %d, want none", x.tokens, got)
-			}
-		})
-	}
-}
-
-// TestLeavingRelayTakesCalls checks that a relay which refuses new streams, as a box
-// that leaves does, still serves calls and the streams that it has.
-func TestLeavingRelayTakesCalls(t *testing.T) {
-	withRig(t, 1, 1, func(t *testing.T, r *rig) {
-		var g sync.WaitGroup
-		g.Go(func() {
-			s, err := r.read(plan(t.Context(), "id", 400), nil)
-			if err != nil || !s.whole || s.events != 100 {
-				t.Errorf("the stream held: got %+v %v, want 100 events and an end", s, err)
-			}
-		})
-		time.Sleep(time.Second)
-		if got, want := r.relay.Streams(), 1; got != want {
-			t.Errorf("streams: got %d, want %d", got, want)
-		}
-		r.relay.EndStreamsBy(time.Now(), time.Now())
-		if w, _, err := r.do(request(t.Context(), http.MethodPost, "/once/x", "call", "")); err != nil || w.StatusCode != http.StatusOK {
-			t.Errorf("a call: got %v %v, want 200", w, err)
-		}
-		if w, _, err := r.do(plan(t.Context(), "late", 400)); err != nil || w.StatusCode != http.StatusServiceUnavailable {
-			t.Errorf("a new stream: got %v %v, want 503", w, err)
-		}
-		g.Wait()
-		if got := r.relay.Streams(); got != 0 {
-			t.Errorf("streams in the end: got %d, want none", got)
-		}
-		for n, e := range r.engines {
-			if e.Started("late") != 0 {
-				t.Errorf("%s ran the refused stream", n)
-			}
-		}
-	})
-}
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -50,7 +50,7 @@
 func (s *stream) open(ctx context.Context, m *move) (*Answer, error) {
 	e := s.exchange
 	r := &Resume{Handle: m.copy.Handle, Source: m.from.HostPort()}
-	e.relay.budget.spend(e.service.Name, time.Now())
+	e.relay.budget.Spend(e.service.Name, time.Now())
 	u := m.to
 	a, _, err := e.send(ctx, u, r)
 	if err != nil && m.stopping() {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -30,14 +30,14 @@
 	x, now := e.relay, time.Now()
 	p := fail.Place{Peer: "upstream " + u.Name, Step: "send"}
 	if a.NotRun {
-		x.health.answered(u.Name, false, a.Load, now)
+		x.health.Answered(u.Name, false, a.Load, now)
 		event.UpstreamRefused.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
 		return fail.WithRetryAt(fail.New(fail.NotRun, p, "upstream_refused", "status %d, not run", a.Status), now.Add(max(a.RetryAfter, refusedPeriod)))
 	}
 	e.ran++
 	e.mayRun = true
 	spoilt := a.OtherEcho || (a.Status < http.StatusBadRequest && !a.Signed)
-	x.health.answered(u.Name, spoilt || a.Status >= http.StatusInternalServerError, a.Load, now)
+	x.health.Answered(u.Name, spoilt || a.Status >= http.StatusInternalServerError, a.Load, now)
 	if spoilt {
 		event.UpstreamMismatch.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status)
 		return fail.New(fail.Unknown, p, "answer_crossed", "the answer is not that of the request")
@@ -78,7 +78,7 @@
 	now := time.Now()
 	if errorx.IsOfType(err, fail.NotRun) {
 		e.avoid[u.Name] = true
-		x.health.away(u.Name, now)
+		x.health.Away(u.Name, now)
 		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err))
 		return nil, true, err
 	}
@@ -87,7 +87,7 @@
 		e.mayRun = true
 		e.ran++
 		if e.client.Err() == nil { // or it tells nothing of the upstream
-			x.health.answered(u.Name, true, nil, now)
+			x.health.Answered(u.Name, true, nil, now)
 		}
 		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
 		return nil, true, err
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -6,17 +6,18 @@
 	"net/http"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
 // Answer is an upstream's answer, as its header tells it.
 type Answer struct {
 	Body       io.ReadCloser
-	Header     http.Header // to be passed on
-	Length     int64       // of the body, -1 where it is not told
-	Load       *ServerLoad // nil where it is not told
-	NotRun     bool        // the upstream says that it did not run the request
-	OtherEcho  bool        // it names another request than the one that was sent
+	Header     http.Header  // to be passed on
+	Length     int64        // of the body, -1 where it is not told
+	Load       *health.Load // nil where it is not told
+	NotRun     bool         // the upstream says that it did not run the request
+	OtherEcho  bool         // it names another request than the one that was sent
 	RetryAfter time.Duration
 	Signed     bool // it carries the upstream's own mark
 	Status     int
@@ -43,13 +44,6 @@
 	Source string // IP:port of the engine that made the copy
 }
 
-// ServerLoad is what an upstream tells of its load with an answer.
-type ServerLoad struct {
-	Running int
-	Slots   int
-	Waiting int
-}
-
 // Upstreams are the calls to engines and services. Its fields are seams.
 type Upstreams struct {
 	// Migrate copies the memory of the run of a request from one engine to
--- /dev/null
+++ b/region_test.go
@@ -0,0 +1,326 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/client"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/fake/engine"
+	"github.com/linetiller/linetiller/internal/fake/link"
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/settings"
+)
+
+// region is halls of whole boxes, joined in memory, in virtual time.
+type region struct {
+	boxes    map[string]*Box
+	cut      map[string]bool // halls cut off from all others and the platform
+	done     sync.WaitGroup
+	engines  map[string]*engine.Server
+	frozen   map[string]bool // boxes whose calls hang
+	hallOf   map[string]string
+	link     *link.Link
+	mutex    sync.Mutex // guards the maps
+	platform *fakeplatform.Platform
+	refused  map[string]bool // boxes that the platform's store turns away
+	t        *testing.T
+}
+
+const virtualKey = "key"
+
+// engineHosts are the engines' addresses; nothing listens there, the links are
+// in memory.
+var engineHosts = map[string]string{"engine-a": "127.0.1.1:1", "engine-b": "127.0.1.2:1"}
+
+// withRegion runs f with two halls of two boxes and one engine each.
+func withRegion(t *testing.T, f func(t *testing.T, r *region)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t)
+		defer r.close()
+		for _, n := range []string{"engine-a", "engine-b"} {
+			r.startEngine(n)
+		}
+		for _, n := range []string{"box-a1", "box-a2", "box-b1", "box-b2"} {
+			r.startBox(n)
+		}
+		r.declare()
+		time.Sleep(5 * time.Second)
+		f(t, r)
+	})
+}
+
+// newRegion returns a region without boxes and engines.
+func newRegion(t *testing.T) *region {
+	r := &region{
+		boxes: make(map[string]*Box), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
+		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
+		refused: make(map[string]bool), t: t,
+	}
+	r.link.Join("platform", r.platform)
+	return r
+}
+
+func (r *region) close() {
+	for n := range r.boxes {
+		r.kill(n)
+	}
+	r.done.Wait()
+	for _, e := range r.engines {
+		_ = e.Close()
+	}
+	time.Sleep(time.Minute)
+}
+
+func (r *region) declare() {
+	r.apply("box-a1", resource.KindModel, "m", `{"maxTokens":4000}`)
+	r.apply("box-a1", resource.KindWorkspace, "w", `{"keyHashes":["`+resource.HashKey(virtualKey)+`"]}`)
+	for n := range r.engines {
+		r.apply("box-a1", resource.KindUpstream, n, `{"address":"http://`+engineHosts[n]+`","hall":"`+n[len(n)-1:]+`","kvTokens":60000,"maxBatch":100,"models":["m"],"type":"engine"}`)
+	}
+}
+
+func (r *region) apply(at string, k resource.Kind, name, spec string) {
+	r.t.Helper()
+	o := operator.NewClient("http://"+at+"-operator", "", &http.Client{Transport: r.link})
+	if _, err := o.Apply(r.t.Context(), &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: json.RawMessage(spec)}); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// apart reports whether two places cannot reach each other.
+func (r *region) apart(a, b string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	x, y := r.hallOf[a], r.hallOf[b]
+	return r.frozen[a] || r.frozen[b] || (x != y && (r.cut[x] || r.cut[y]))
+}
+
+func (r *region) cutHallB(on bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cut["b"] = on
+}
+
+func (r *region) setFrozen(name string, on bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.frozen[name] = on
+}
+
+func (r *region) startEngine(name string) {
+	e := engine.NewServer(engine.DefaultSettings(), 0)
+	r.engines[name] = e
+	r.hallOf[engineHosts[name]] = name[len(name)-1:]
+	r.link.Join(engineHosts[name], e)
+}
+
+func (r *region) startBox(name string, change ...func(*settings.Settings)) {
+	r.t.Helper()
+	s := settings.Default()
+	s.Box, s.Hall, s.Platform = name, name[4:5], "http://platform"
+	s.BoxAddress, s.ClientAddress, s.OperatorAddress = name, name, name
+	for _, c := range change {
+		c(&s)
+	}
+	r.mutex.Lock()
+	r.hallOf[name] = s.Hall
+	r.mutex.Unlock()
+	b, err := New(&s, func(b *Box) {
+		b.connect = func() error {
+			b.links = r.links(name)
+			b.members.SetAddress(name)
+			if b.settings.Entry != (settings.Entry{}) {
+				b.entry = make([]served, 3)
+			}
+			return nil
+		}
+		b.engineTransport = &reach{from: name, region: r}
+		b.platformTransport = &reach{from: name, region: r}
+		b.routedTransport = &reach{from: name, region: r}
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.mutex.Lock()
+	r.boxes[name] = b
+	r.mutex.Unlock()
+	r.link.Join(name, b.clientServer.Handler)
+	r.link.Join(name+"-operator", b.operatorServer.Handler)
+	r.done.Go(func() { _ = b.Serve(context.Background()) })
+	synctest.Wait()
+}
+
+func (r *region) kill(name string) {
+	r.mutex.Lock()
+	b := r.boxes[name]
+	delete(r.boxes, name)
+	r.mutex.Unlock()
+	r.link.Down(name, true)
+	_ = b.Close()
+}
+
+// run asks boxes for a generation and returns how many tokens came.
+func (r *region) run(key, prompt string, boxes ...string) (int, error) {
+	c := 0
+	g := &client.Generator{HTTP: &http.Client{Transport: r.link}, Key: virtualKey, Taken: func(id, text string) error {
+		c += len(strings.Fields(text)) // a recorded answer comes in one piece
+		if !strings.HasSuffix(id, fmt.Sprintf("/%d", c-1)) {
+			return fmt.Errorf("got token %s, want index %d", id, c-1)
+		}
+		return nil
+	}}
+	for _, b := range boxes {
+		g.Boxes = append(g.Boxes, "http://"+b)
+	}
+	_, _, err := g.Run(r.t.Context(), &client.Ask{Key: key, Model: "m", Prompt: prompt})
+	return c, err
+}
+
+func (r *region) started() int {
+	n := 0
+	for _, e := range r.engines {
+		n += e.Started()
+	}
+	return n
+}
+
+// reach is the way of a box's HTTP calls: those that cannot get through end as
+// connections that are never made.
+type reach struct {
+	from   string
+	region *region
+}
+
+func (h *reach) RoundTrip(q *http.Request) (*http.Response, error) {
+	h.region.mutex.Lock()
+	refused := h.region.refused[h.from] && q.URL.Host == "platform"
+	h.region.mutex.Unlock()
+	if refused {
+		return nil, errRefused
+	}
+	if h.region.apart(h.from, q.URL.Host) {
+		select {
+		case <-q.Context().Done():
+		case <-time.After(time.Second):
+		}
+		return nil, &net.OpError{Op: "dial", Net: "link", Err: errors.New("no route")}
+	}
+	return h.region.link.RoundTrip(q)
+}
+
+// links are a box's calls to other boxes in memory, through the codec.
+func (r *region) links(from string) *box.Links {
+	return &box.Links{
+		Address: func() string { return from },
+		Call: func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
+			return r.call(ctx, from, to, q)
+		},
+		Close: func() error { return nil },
+	}
+}
+
+// linkDelay is how long a message between two boxes takes.
+const linkDelay = time.Millisecond
+
+func (r *region) call(ctx context.Context, from, to string, q *box.Request) (*box.Call, error) {
+	lost := fail.New(fail.Unavailable, fail.Place{Peer: "box " + to, Step: "call"}, "box_unreachable", "no route")
+	b, err := box.Encoding.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	v, err := box.DecodeRequest(bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	r.mutex.Lock()
+	peer := r.boxes[to]
+	r.mutex.Unlock()
+	if peer == nil || r.apart(from, to) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return nil, lost
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(linkDelay):
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	replies := make(chan []byte, 16)
+	go func() {
+		defer close(replies)
+		peer.answer(ctx, v, func(x *box.Reply) error {
+			b, err := box.Encoding.Marshal(x)
+			if err != nil {
+				return err
+			}
+			select {
+			case replies <- b:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	deadline := time.Now().Add(time.Hour)
+	check := time.NewTicker(500 * time.Millisecond) // notices a cut, as an idle limit does
+	return &box.Call{
+		HangUp: func() {
+			check.Stop()
+			cancel()
+		},
+		Peer:     "box " + to,
+		ReadTill: func(t time.Time) { deadline = t },
+		Read: func(x *box.Reply) error {
+			for {
+				select {
+				case b, ok := <-replies:
+					if !ok {
+						return lost
+					}
+					return cbor.Unmarshal(b, x)
+				case <-check.C:
+					r.mutex.Lock()
+					gone := r.boxes[to] != peer
+					r.mutex.Unlock()
+					if gone || r.apart(from, to) || time.Now().After(deadline) {
+						return lost
+					}
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+		},
+	}, nil
+}
+
+// ownerOf returns the box of its hall that owns an engine, as that hall believes.
+func (r *region) ownerOf(engine string) string {
+	for n, b := range r.boxes {
+		if r.hallOf[n] == engine[len(engine)-1:] && b.owners.Mine(b.view.Upstream(engine)) {
+			return n
+		}
+	}
+	return ""
+}
