--- a/join.go
+++ b/join.go
@@ -17,6 +17,11 @@
 	// listenSpread is by how much that differs between boxes: the first that gives up
 	// listening passes on what it reads.
 	listenSpread = 800 * time.Millisecond
+	// settlePeriod is how long a box that the store does not list yet waits, once it has
+	// written its own row, for those of boxes that start with it: on the users' platform
+	// all start within 0.3 s of each other. Without their rows each box takes itself for
+	// one of its hall's readers and reads everything.
+	settlePeriod = 400 * time.Millisecond
 )
 
 // askPeers learns of other boxes and of their configuration from the peers that the
@@ -42,8 +47,11 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatPeriod)
 	defer cancel()
 	b.askPeers(ctx)
-	_ = b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
+	err := b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
 	b.listMembers()
+	if err == nil && b.view.Get(resource.KindBox, b.settings.Box) == nil {
+		b.settle(ctx)
+	}
 	reads := b.follower.Reads()                      // as listed: others may start at this moment, too
 	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
 	if reads || !b.listenForNews(ctx) {
@@ -82,6 +90,19 @@
 	}
 }
 
+// settle writes where this box is and learns of the boxes that start with it.
+func (b *Box) settle(ctx context.Context) {
+	if b.register(ctx) != nil {
+		return // it is tried again while the box runs
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(settlePeriod):
+	}
+	_ = b.follower.RefreshSource(ctx, resource.SourceBoxes) // as above
+	b.listMembers()
+}
+
 // runMembers takes in every change of the boxes that are known.
 func (b *Box) runMembers(ctx context.Context) {
 	for {
--- a/routed_store_test.go
+++ b/routed_store_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -150,6 +152,32 @@
 	})
 }
 
+// TestFewBoxesReadTheListOnTheFirstStart starts eight boxes of a hall that the store does not
+// list yet, within 0.3 s of each other: only the hall's readers read the list of upstreams.
+func TestFewBoxesReadTheListOnTheFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &routes{region: newRegion(t), routed: make(map[string]*routed.Engine)}
+		defer r.close()
+		r.configure(1, routedKey)
+		r.startRouted("i-a1")
+		var names []string
+		for i := range 8 {
+			names = append(names, fmt.Sprint("box-a", i+1))
+			r.startRouter(names[i])
+			time.Sleep(40 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		if got, want := r.platform.Wholes("servers"), 2; got > want {
+			t.Errorf("whole reads of the list: got %d, want at most %d", got, want)
+		}
+		for _, n := range names {
+			if _, whole, status := r.plan(n, "id-"+n, routedKey, 40); !whole {
+				t.Errorf("%s: got status %d, want a whole stream", n, status)
+			}
+		}
+	})
+}
+
 // TestEntriesLapseWithTheStore removes all engines' entries as the store comes back
 // after an outage, and brings them back a second later: nothing is refused meanwhile.
 func TestEntriesLapseWithTheStore(t *testing.T) {
