--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -18,6 +18,7 @@
 	Day    string
 	Losses []Loss  // the largest first
 	Lost   float64 // share of the worth owed
+	Waited float64 // share of the worth owed that waits which ended unserved count for, see waited
 	Tries  []Try   // that did not go well, in order of their end
 }
 
@@ -47,6 +48,7 @@
 			x.Worth += lost * requests * s.weight(c.Name, cause) / c.weighed(a.Tries, s)
 		}
 	}
+	a.Waited = s.waited(r, a.Tries)
 	for _, x := range losses {
 		a.Losses = append(a.Losses, *x)
 	}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -49,7 +49,7 @@
 	d.placed(1, "a", "paused", "u1", "h1")
 	d.line(3, "a", 309, `,"request":"paused","from":"u1","to":"u3","pause_ms":300`)
 	d.line(5, "a", 201, `,"request":"paused","route":"r-1","status":200`)
-	d.line(5, "a", 202, `,"request":"refused","route":"r-1","reason":"deadline"`)
+	d.line(5, "a", 202, `,"request":"refused","route":"r-1","reason":"deadline","took_ms":3900`)
 	d.line(5, "a", 202, `,"request":"no key","route":"r-1","reason":"key_unknown"`)
 	d.placed(5, "b", "stopped", "u2", "h2")
 	d.line(6, "b", 104, "")
@@ -79,7 +79,7 @@
 		PauseMS float64 `toml:"gap_aim_ms"`
 	}{180}
 	s := &Site{Classes: []SiteClass{
-		{AimMS: 1800, LateWorth: 20, Name: "long", Stream: pause, Worth: 130}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
+		{AimMS: 1800, DeadlineMS: 39_000, LateWorth: 20, Name: "long", Stream: pause, Worth: 130}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
 	}}
 	r := &Report{Classes: []Class{
 		{Failed: 9, Late: 2, Name: "long", Number: 12, Refused: 1, Worth: 0.1}, {Failed: 2, Name: "call", Number: 4, Worth: 0.5},
@@ -102,6 +102,9 @@
 	if math.Abs(sum-a.Lost) > 1e-9 || a.Lost < 0.8 {
 		t.Errorf("sum over the causes: got %v, want %v", sum, a.Lost)
 	}
+	if got, want := a.Waited, 0.1*130/(12*130+4); math.Abs(got-want) > 1e-9 {
+		t.Errorf("waits that ended unserved: got %v, want %v", got, want)
+	}
 	var b bytes.Buffer
 	if err := a.Print(&b); err != nil || !strings.Contains(b.String(), "all boxes died") {
 		t.Errorf("got %q %v, want a table", b.String(), err)
--- a/internal/account/print.go
+++ b/internal/account/print.go
@@ -36,6 +36,7 @@
 		_, _ = fmt.Fprintln(t)
 	}
 	_, _ = fmt.Fprintf(t, "lost\t%.4f\t\n", a.Lost)
+	_, _ = fmt.Fprintf(t, "waits that ended unserved, by their length\t%.4f\t\n", a.Waited)
 	return t.Flush()
 }
 
--- a/internal/account/site.go
+++ b/internal/account/site.go
@@ -15,10 +15,11 @@
 
 // SiteClass is one kind of request.
 type SiteClass struct {
-	AimMS     float64 `toml:"aim_ms"` // within which the answer, or its first event, is wanted
-	LateWorth float64 `toml:"late_worth"`
-	Name      string  `toml:"name"`
-	Stream    *struct {
+	AimMS      float64 `toml:"aim_ms"` // within which the answer, or its first event, is wanted
+	DeadlineMS float64 `toml:"deadline_ms"`
+	LateWorth  float64 `toml:"late_worth"`
+	Name       string  `toml:"name"`
+	Stream     *struct {
 		PauseMS float64 `toml:"gap_aim_ms"` // between two events
 	} `toml:"stream"`
 	Worth float64 `toml:"worth"`
@@ -71,30 +72,55 @@
 	return m
 }
 
+// class returns a kind of request; of one that the site does not have, nothing is owed.
+func (s *Site) class(name string) *SiteClass {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return &s.Classes[i]
+		}
+	}
+	return new(SiteClass)
+}
+
 // owed returns the share of the day's worth that each kind was owed.
 func (s *Site) owed(r *Report) map[string]float64 {
-	m, sum := make(map[string]float64), 0.0
+	m, sum := make(map[string]float64), s.owedWorth(r)
 	for _, c := range r.Classes {
-		for _, x := range s.Classes {
-			if x.Name == c.Name {
-				m[c.Name] = x.Worth * float64(c.Number-c.NotOwed)
-				sum += m[c.Name]
-			}
-		}
-	}
-	for n := range m {
-		m[n] /= sum
+		m[c.Name] = s.class(c.Name).Worth * float64(c.Number-c.NotOwed) / sum
 	}
 	return m
 }
 
-// weight returns which share of a request's worth a cause costs.
-func (s *Site) weight(kind string, c Cause) float64 {
-	for _, x := range s.Classes {
-		if x.Name == kind && c.late() && x.Worth > 0 {
-			return 1 - x.LateWorth/x.Worth
+// owedWorth returns the day's worth.
+func (s *Site) owedWorth(r *Report) float64 {
+	sum := 0.0
+	for _, c := range r.Classes {
+		sum += s.class(c.Name).Worth * float64(c.Number-c.NotOwed)
+	}
+	return sum
+}
+
+// waited returns what the users' stricter measure charges for waits, as a share of the
+// worth owed: a request that is held, never sent to an upstream and not served costs the
+// share of its worth that its wait was of the time it had, without steps; each try of a
+// caller by itself.
+func (s *Site) waited(r *Report, tries []Try) float64 {
+	charged := 0.0
+	for i := range tries {
+		t := &tries[i]
+		c := s.class(t.Kind)
+		if !t.Offered && !t.Cause.late() && c.DeadlineMS > 0 {
+			charged += c.Worth * min(1, float64(t.Took)/float64(milliseconds(c.DeadlineMS)))
 		}
 	}
+	return charged / s.owedWorth(r)
+}
+
+// weight returns which share of a request's worth a cause costs.
+func (s *Site) weight(kind string, cause Cause) float64 {
+	if c := s.class(kind); cause.late() && c.Worth > 0 {
+		return 1 - c.LateWorth/c.Worth
+	}
 	return 1
 }
 
--- a/internal/account/try.go
+++ b/internal/account/try.go
@@ -16,7 +16,9 @@
 	Ended   time.Time // the last word of it
 	Hall    string    // of its box
 	Kind    string    // of request
+	Offered bool      // it was sent to an upstream
 	Request string
+	Took    time.Duration // until its end; 0 where it has none
 }
 
 // tries returns the tries that did not go well, of the routes whose kind is known.
@@ -29,7 +31,12 @@
 		}
 		last := lines[len(lines)-1]
 		if c := l.causeOf(lines, &a); c != "" {
-			all = append(all, Try{Cause: c, Ended: last.Time, Hall: l.halls[last.Box], Kind: a.kind, Request: id})
+			t := Try{Cause: c, Ended: last.Time, Hall: l.halls[last.Box], Kind: a.kind, Request: id}
+			t.Offered = slices.ContainsFunc(lines, func(x *explain.Line) bool { return x.Event == event.RequestPlaced.Number })
+			if end := endOf(lines); end != nil {
+				t.Took = milliseconds(number(end, "took_ms"))
+			}
+			all = append(all, t)
 		}
 	}
 	slices.SortFunc(all, func(a, b Try) int { return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Request, b.Request)) })
