--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// hopped takes in that a move was made: the next one has an id of its own.
+func (s *stream) hopped() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.hops++
+}
+
 // moved takes in that the generation goes on at u, from the copy that m made.
 func (s *stream) moved(m *move, u *resource.Upstream) {
 	x := s.exchange.relay
@@ -31,12 +38,12 @@
 	pause := time.Since(s.lastAt)
 	kept := u == m.to
 	s.move = nil
-	s.hops++
 	s.mutex.Unlock()
 	if kept {
 		m.running.Produced.Store(0)
 		s.sitAt(&seat{running: m.running, upstream: u})
 	} else {
+		s.hopped()
 		x.tracker.Finish(m.running, false)
 	}
 	x.metrics.Count(metric.Moves, "result", "moved")
@@ -138,12 +145,13 @@
 	return a, nil
 }
 
-// sitAt takes in that the generation is to run at another upstream; the one before gets
-// back what was held there.
+// sitAt takes in that the generation is to run at another upstream, under an id of its own
+// there; the one before gets back what was held there.
 func (s *stream) sitAt(t *seat) {
 	s.mutex.Lock()
 	old := s.seat
 	s.seat = t
+	s.hops++
 	s.mutex.Unlock()
 	old.release(s.exchange.relay, false)
 }
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -1,11 +1,14 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -168,3 +171,27 @@
 		}
 	}
 }
+
+// TestEachRunHasAnIDOfItsOwn has a stream run at three engines, of which two break off, and
+// checks that the owners are asked for places under three ids: the end of a run must not be
+// taken for that of the next.
+func TestEachRunHasAnIDOfItsOwn(t *testing.T) {
+	withRig(t, 4, 0, func(t *testing.T, r *rig) {
+		for _, n := range []string{"u1", "u2"} {
+			r.engines[n].SetFaults(routed.Faults{BreakAfter: 10})
+		}
+		r.engines["u3"].SetFaults(routed.Faults{Refuse: http.StatusServiceUnavailable})
+		asked := make(map[string]int)
+		r.relay.Place = func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+			asked[w.ID]++
+			return r.place(ctx, w, avoid)
+		}
+		r.put(resource.SourceConfiguration, resource.KindRoute, "checks", `{"host":"`+rigHost+`","pathPrefix":"/checks/","attempts":4,"repeat":"resume","stream":true,"services":[{"name":"llm","weight":1}],"timeoutMilliseconds":39000}`, false)
+		if s, err := r.read(check(t.Context(), 200), nil); err != nil || !s.whole || s.events != 50 {
+			t.Errorf("got %+v %v, want 50 events and an end", s, err)
+		}
+		if len(asked) != 4 {
+			t.Errorf("ids of the asks: got %v, want four", asked)
+		}
+	})
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,7 +32,7 @@
 	closed  bool       // no move may start any more
 	events  int        // passed on
 	firstAt time.Time  // of the first event passed on
-	hops    int        // changes of the upstream
+	hops    int        // moves and new runs
 	lastAt  time.Time  // of the last event passed on
 	move    *move      // under way, or made and not used yet
 	seat    *seat      // where it runs
