--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -22,7 +22,7 @@
 
 // placed adds the send of a stream.
 func (d *testDay) placed(second float64, box, id, upstream, hall string) {
-	d.line(second, box, 207, fmt.Sprintf(`,"request":%q,"route":"r-1","upstream":%q,"hall":%q,"try":1,"prompt_tokens":9`, id, upstream, hall))
+	d.line(second, box, 207, fmt.Sprintf(`,"request":%q,"route":"r-1","upstream":%q,"hall":%q,"try":1,"prompt_tokens":9,"hint":700`, id, upstream, hall))
 }
 
 // broken adds the break of a stream of box a.
@@ -75,11 +75,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	pause := &struct {
-		PauseMS float64 `toml:"gap_aim_ms"`
-	}{180}
+	long := &SiteStream{PauseMS: 180}
+	long.Pieces.Mean = 200
+	short := &SiteStream{PauseMS: 180}
+	short.Pieces.Mean = 3
 	s := &Site{Classes: []SiteClass{
-		{AimMS: 1800, DeadlineMS: 39_000, LateWorth: 20, Name: "long", Stream: pause, Worth: 130}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
+		{AimMS: 1800, DeadlineMS: 39_000, LateWorth: 20, Name: "long", Stream: long, Worth: 130}, {Name: "short", Stream: short, Worth: 14}, {AimMS: 150, LateWorth: 0.3, Name: "call", Worth: 1},
 	}}
 	r := &Report{Classes: []Class{
 		{Failed: 9, Late: 2, Name: "long", Number: 12, Refused: 1, Worth: 0.1}, {Failed: 2, Name: "call", Number: 4, Worth: 0.5},
--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"math"
 	"os"
 	"slices"
 	"time"
@@ -19,6 +20,12 @@
 	stops    map[string][]time.Time     // of boxes that ended with requests unfinished
 }
 
+// routeTries is what was asked of one route.
+type routeTries struct {
+	hint  float64 // tokens of output that callers expect, of all tries; 0 for calls
+	tries int
+}
+
 const (
 	// diedTogether is how far apart the boxes start again that died together: each takes
 	// its own time to come up.
@@ -95,13 +102,31 @@
 	return true, float64(started) >= mostShare*float64(len(l.starts))
 }
 
-// routes returns the number of tries of each route, of streams or of other requests.
-func (l *Log) routes(streams bool) map[string]int {
-	m := make(map[string]int)
-	for _, x := range l.requests {
-		for _, p := range x {
-			if p.Event == event.RequestPlaced.Number && (number(p, "prompt_tokens") > 0) == streams {
-				m[text(p, "route")]++
+// callRoute returns the route of calls, not among those known, whose number of tries is
+// nearest to a number; "" where there is none.
+func (l *Log) callRoute(n int, known map[string]aim) string {
+	best, least := "", math.Inf(1)
+	for route, x := range l.routes() {
+		if x.hint > 0 || known[route].kind != "" {
+			continue
+		}
+		if d := math.Abs(math.Log(float64(x.tries) / float64(max(1, n)))); d < least {
+			best, least = route, d
+		}
+	}
+	return best
+}
+
+// routes returns what was asked of each route.
+func (l *Log) routes() map[string]routeTries {
+	m := make(map[string]routeTries)
+	for _, lines := range l.requests {
+		for _, p := range lines {
+			if p.Event == event.RequestPlaced.Number {
+				x := m[text(p, "route")]
+				x.hint += number(p, "hint")
+				x.tries++
+				m[text(p, "route")] = x
 				break
 			}
 		}
--- a/internal/account/site.go
+++ b/internal/account/site.go
@@ -15,14 +15,20 @@
 
 // SiteClass is one kind of request.
 type SiteClass struct {
-	AimMS      float64 `toml:"aim_ms"` // within which the answer, or its first event, is wanted
-	DeadlineMS float64 `toml:"deadline_ms"`
-	LateWorth  float64 `toml:"late_worth"`
-	Name       string  `toml:"name"`
-	Stream     *struct {
-		PauseMS float64 `toml:"gap_aim_ms"` // between two events
-	} `toml:"stream"`
-	Worth float64 `toml:"worth"`
+	AimMS      float64     `toml:"aim_ms"` // within which the answer, or its first event, is wanted
+	DeadlineMS float64     `toml:"deadline_ms"`
+	LateWorth  float64     `toml:"late_worth"`
+	Name       string      `toml:"name"`
+	Stream     *SiteStream `toml:"stream"`
+	Worth      float64     `toml:"worth"`
+}
+
+// SiteStream describes the answers of a kind of request that are streams.
+type SiteStream struct {
+	PauseMS float64 `toml:"gap_aim_ms"` // between two events
+	Pieces  struct {
+		Mean float64 `toml:"mean"`
+	} `toml:"pieces"` // events
 }
 
 // aim is the kind of request of a route, with what is wanted of it.
@@ -31,6 +37,10 @@
 	kind          string
 }
 
+// tokensAnEvent is how many tokens an event of a stream holds on the users' sites; callers'
+// estimates are in tokens.
+const tokensAnEvent = 4
+
 // ReadSite reads a site's file.
 func ReadSite(path string) (*Site, error) {
 	b, err := os.ReadFile(path)
@@ -44,34 +54,50 @@
 	return s, nil
 }
 
-// aims finds the kind of request of each route. Routes have other names each day: of
-// streams and of other requests apart, each kind is that of the route whose number of
-// tries is nearest to the report's.
+// aims finds the kind of request of each route. Routes have other names each day, and a kind
+// may have several. A route of streams is of the kind whose streams are about as long as its
+// callers expect; another one is that whose number of tries is nearest to the report's.
 func (s *Site) aims(r *Report, l *Log) map[string]aim {
-	number := make(map[string]int)
-	for _, c := range r.Classes {
-		number[c.Name] = c.Number
-	}
 	m := make(map[string]aim)
-	for _, c := range s.Classes {
-		best, least := "", math.Inf(1)
-		for route, n := range l.routes(c.Stream != nil) {
-			if d := math.Abs(math.Log(float64(n) / float64(max(1, number[c.Name])))); d < least && m[route].kind == "" {
-				best, least = route, d
+	for route, x := range l.routes() {
+		if x.hint == 0 {
+			continue
+		}
+		if c := s.nearest(func(c *SiteClass) float64 {
+			if c.Stream == nil {
+				return 0
 			}
+			return c.Stream.Pieces.Mean * tokensAnEvent / (x.hint / float64(x.tries))
+		}); c != nil {
+			m[route] = aim{answer: milliseconds(c.AimMS), kind: c.Name, pause: milliseconds(c.Stream.PauseMS)}
 		}
-		if best == "" {
+	}
+	for _, c := range r.Classes {
+		x := s.class(c.Name)
+		if x.Stream != nil {
 			continue
 		}
-		a := aim{answer: milliseconds(c.AimMS), kind: c.Name}
-		if c.Stream != nil {
-			a.pause = milliseconds(c.Stream.PauseMS)
+		if route := l.callRoute(c.Number, m); route != "" {
+			m[route] = aim{answer: milliseconds(x.AimMS), kind: c.Name}
 		}
-		m[best] = a
 	}
 	return m
 }
 
+// nearest returns the kind of request whose ratio is nearest to 1, among those where it is
+// not 0; nil where there is none.
+func (s *Site) nearest(ratio func(c *SiteClass) float64) *SiteClass {
+	var best *SiteClass
+	least := math.Inf(1)
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if x := ratio(c); x > 0 && math.Abs(math.Log(x)) < least {
+			best, least = c, math.Abs(math.Log(x))
+		}
+	}
+	return best
+}
+
 // class returns a kind of request; of one that the site does not have, nothing is owed.
 func (s *Site) class(name string) *SiteClass {
 	for i := range s.Classes {
