--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -43,8 +43,12 @@
 					}
 					return
 				}
-				if s, err := r.read(q, nil); err != nil || !s.whole || s.events != x.events {
-					t.Errorf("got %+v %v, want %d events and an end", s, err, x.events)
+				s, err := r.read(q, nil)
+				if err != nil || !s.whole || s.events != x.events {
+					t.Fatalf("got %+v %v, want %d events and an end", s, err, x.events)
+				}
+				if got, want := s.head.Get("X-Linetiller-Server-Stamp"), "stamp.u1"; got != want {
+					t.Errorf("mark: got %q, want %q", got, want)
 				}
 			})
 		})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -203,6 +203,7 @@
 		_ = a.Body.Close()
 		if err == nil {
 			s.finished = true
+			s.writeHead(a) // of a stream without an event, whose caller has had all of them
 			return false, nil
 		}
 		if ctx.Err() != nil || fail.Reason(err) == reasonCallerGone {
@@ -239,17 +240,24 @@
 func (s *stream) write(a *Answer, b []byte) error {
 	e := s.exchange
 	_ = s.control.SetWriteDeadline(time.Now().Add(eventWritePeriod))
-	if e.status == 0 {
-		copyHeader(e.writer.Header(), a.Header)
-		e.status = a.Status
-		e.writer.WriteHeader(a.Status)
-	}
+	s.writeHead(a)
 	if _, err := e.writer.Write(b); err != nil {
 		return err
 	}
 	return s.control.Flush()
 }
 
+// writeHead passes the head of an answer on, unless that of one was.
+func (s *stream) writeHead(a *Answer) {
+	e := s.exchange
+	if e.status != 0 {
+		return
+	}
+	copyHeader(e.writer.Header(), a.Header)
+	e.status = a.Status
+	e.writer.WriteHeader(a.Status)
+}
+
 // eventNumber returns the number that an event's id is, and whether it is one.
 func eventNumber(id string) (int64, bool) {
 	n, err := strconv.ParseInt(id, 10, 64)
