--- a/internal/fake/routed/streams.go
+++ b/internal/fake/routed/streams.go
@@ -80,6 +80,9 @@
 	} else if x.memory.events >= events {
 		x.memory.events = events - 1 // a run that is taken up makes one event at least
 	}
+	if f.Repeat && x.memory.events > 0 {
+		x.memory.events--
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for n := x.memory.events + 1; n <= events; n++ {
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -64,6 +64,10 @@
 			r.engines["u2"].SetFaults(routed.Faults{Refuse: http.StatusServiceUnavailable})
 			notice(r)
 		}, 20, false, true},
+		{"the next engine sends the last event again", 20, func(r *rig) {
+			r.engines["u2"].SetFaults(routed.Faults{Repeat: true})
+			notice(r)
+		}, 150, true, true},
 		{"the next engine leaves at once, too", 20, func(r *rig) {
 			notice(r)
 			time.AfterFunc(400*time.Millisecond, func() { r.list("u2", "llm", true) })
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -133,6 +133,14 @@
 	return fail.New(fail.Interrupted, s.place("read stream"), "stream_gap", "event %q came after %d", id, last)
 }
 
+// has reports whether the caller has an event already: an engine that takes up a run which
+// had made all its events sends the last one again.
+func (s *stream) has(id string) bool {
+	last, counted := eventNumber(s.exchange.lastID)
+	n, ok := eventNumber(id)
+	return counted && ok && n <= last
+}
+
 // made returns how many tokens were passed on; the lock is held.
 func (s *stream) made() int {
 	return s.events * s.tokensAnEvent()
@@ -156,6 +164,9 @@
 		if err != nil {
 			return err
 		}
+		if s.has(string(id)) {
+			continue
+		}
 		if err := s.follows(string(id)); err != nil {
 			return err
 		}
