--- a/routed_test.go
+++ b/routed_test.go
@@ -14,7 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/settings"
 )
@@ -225,6 +227,36 @@
 	}
 }
 
+// TestStopAnswersWhatWaits stops a box that holds a request for which no engine has a place
+// until the end. It is told that it has not run, before the box closes its connections.
+func TestStopAnswersWhatWaits(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		b := r.boxes["box-a1"]
+		b.settings.Timeouts.Drain.Duration = time.Second
+		b.settings.Timeouts.Grace.Duration = 4 * time.Second
+		b.relay.Place = func(ctx context.Context, _ *policy.Work, _ map[string]bool) (*placement.Place, error) {
+			<-ctx.Done()
+			return nil, fail.Wrap(fail.NotRun, fail.Place{Peer: "upstreams", Step: "wait for a place"}, "caller_gone", ctx.Err())
+		}
+		status := make(chan int, 1)
+		go func() {
+			_, _, s := r.plan("box-a1", "id", routedKey, 40)
+			status <- s
+		}()
+		time.Sleep(100 * time.Millisecond)
+		b.finish(t.Context())
+		synctest.Wait()
+		select {
+		case got := <-status:
+			if want := http.StatusServiceUnavailable; got != want {
+				t.Errorf("got %d, want %d", got, want)
+			}
+		default:
+			t.Error("the request has no answer as the box stops, want one")
+		}
+	})
+}
+
 // TestAllBoxesLosePower starts every box anew at once: all serve within seconds.
 func TestAllBoxesLosePower(t *testing.T) {
 	withRoutes(t, func(t *testing.T, r *routes) {
--- a/stopping.go
+++ b/stopping.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// abortPeriod bounds the wait for requests that are ended: within what graceMargin leaves.
+	abortPeriod = 200 * time.Millisecond
 	// lastCallsPeriod is what is left for calls in progress once no more are taken: they
 	// take some 60 ms, and 0.3 s is wanted.
 	lastCallsPeriod = time.Second
@@ -55,6 +57,20 @@
 	close(b.left)
 }
 
+// abortRequests ends what is still in progress before connections are closed: streams break
+// off, and what waits is told that it has not run.
+func (b *Box) abortRequests() {
+	done := make(chan struct{})
+	b.workers.Go(func() {
+		_ = b.relay.Abort()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-time.After(abortPeriod):
+	}
+}
+
 // awaitStreams goes on taking calls while streams are in progress, up to a time.
 func (b *Box) awaitStreams(ctx context.Context, until time.Time) {
 	for b.relay.Streams() > 0 && time.Now().Before(until) {
@@ -94,6 +110,7 @@
 	b.awaitStreams(ctx, leaveBy.Add(-lastCallsPeriod))
 	if !b.finishRequests(ctx) {
 		event.BoxStopIncomplete.Log(b.log, "held", b.Held())
+		b.abortRequests()
 		return
 	}
 	b.shut(ctx)
