Take any number that the platform tells in the settings

Cause: the small twins of the large site did not start: their boxes share 33.2 tries, the settings took whole numbers, and every box ended with code 2. A template's number may be any.

Ruled out: rounding in the template, which has no arithmetic.

The memory bound is a setting (limits.memory_mb): as a variable of the environment a fraction would have ended the process at its start.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -12,7 +12,7 @@
 // its own requests, and its part of the fixed extra.
 type Budget struct {
 	boxes  func() int       // that share the extra
-	extra  int              // tries in any window, of all boxes
+	extra  float64          // tries in any window, of all boxes
 	mutex  sync.Mutex       // guards all but boxes
 	ratio  float64          // of tries to requests
 	spans  map[string]*span // by service
@@ -37,13 +37,13 @@
 
 // New returns a budget of a ratio of the requests and some extra tries in any window, which
 // so many boxes share.
-func New(ratio float64, extra int, window time.Duration, boxes func() int) *Budget {
+func New(ratio float64, extra float64, window time.Duration, boxes func() int) *Budget {
 	return &Budget{boxes: boxes, extra: extra, ratio: ratio, spans: make(map[string]*span), window: window}
 }
 
 // at returns a service's span, slid to now; the lock is held.
 func (b *Budget) at(service string, now time.Time) *span {
-	slice := now.UnixNano() / int64(b.window/slices)
+	slice := now.UnixNano() / int64(max(1, b.window/slices))
 	s := b.spans[service]
 	if s == nil {
 		s = &span{slice: slice}
@@ -66,7 +66,7 @@
 }
 
 // Set changes what is allowed; what was counted stays, unless the window changes.
-func (b *Budget) Set(ratio float64, extra int, window time.Duration) {
+func (b *Budget) Set(ratio float64, extra float64, window time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.ratio, b.extra = ratio, extra
@@ -94,7 +94,7 @@
 		requests += s.requests[i]
 		tries += s.tries[i]
 	}
-	allowed := margin * (b.ratio*float64(requests) + float64(b.extra)/float64(max(1, b.boxes())))
+	allowed := margin * (b.ratio*float64(requests) + b.extra/float64(max(1, b.boxes())))
 	if float64(tries+1) > allowed {
 		return false
 	}
--- a/internal/cmd/checkcmd.go
+++ b/internal/cmd/checkcmd.go
@@ -54,7 +54,7 @@
 	}
 	all := []error{errBadInput}
 	for _, x := range f {
-		all = append(all, fmt.Errorf("%s:%d: %s: %s", path, x.Line, x.Key, x.Message))
+		all = append(all, fmt.Errorf("%s:%d: %s", path, x.Line, x))
 	}
 	return errors.Join(all...)
 }
--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -29,11 +31,21 @@
 	}
 }
 
+// limitMemory has the collector keep the process below a number of MiB; 0 sets no limit.
+func limitMemory(mb float64) {
+	const mebibyte = 1 << 20
+	if mb == 0 || mb >= math.MaxInt64/mebibyte {
+		return
+	}
+	debug.SetMemoryLimit(int64(mb * mebibyte))
+}
+
 func runServeCmd(_ context.Context, e *environment, path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return errors.Join(errBadInput, err)
 	}
+	limitMemory(s.Limits.MemoryMB)
 	h, lines := logging.New(e.output, s.Level())
 	defer func() { _ = lines.Close() }()
 	l := slog.New(h).With("box", s.Box)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,7 +101,7 @@
 
 // WithBudget bounds the tries beyond the first of each request: in any window,
 // for each service and over all boxes, a ratio of its requests and some extra.
-func WithBudget(ratio float64, extra int, window time.Duration, boxes func() int) Option {
+func WithBudget(ratio float64, extra float64, window time.Duration, boxes func() int) Option {
 	return func(x *Relay) { x.budget = budget.New(ratio, extra, window, boxes) }
 }
 
@@ -175,7 +175,7 @@
 }
 
 // SetBudget changes the bound on tries beyond the first.
-func (x *Relay) SetBudget(ratio float64, extra int, window time.Duration) {
+func (x *Relay) SetBudget(ratio float64, extra float64, window time.Duration) {
 	x.budget.Set(ratio, extra, window)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"os"
 	"slices"
@@ -38,7 +39,7 @@
 // Budget bounds the tries beyond the first of each request of a route, over all
 // boxes.
 type Budget struct {
-	Extra  int     `toml:"extra"`  // tries in any window, beside the ratio
+	Extra  float64 `toml:"extra"`  // tries in any window, beside the ratio; boxes share them, so that it may be a fraction
 	Ratio  float64 `toml:"ratio"`  // of tries to requests
 	Window Span    `toml:"window"` // that the bound holds for
 }
@@ -55,9 +56,12 @@
 type Limits struct {
 	BodyBytes   int64 `toml:"body_bytes"`   // of one request
 	HeaderBytes int   `toml:"header_bytes"` // of one request
-	Queued      int   `toml:"queued"`       // requests waiting, all workspaces
-	Streams     int   `toml:"streams"`      // requests held at once
-	WeightLoads int   `toml:"weight_loads"` // loads from the weight store at once, of all boxes together
+	// MemoryMB is what the process may use, in MiB: the collector runs more often as it
+	// comes near it. 0 sets no limit.
+	MemoryMB    float64 `toml:"memory_mb"`
+	Queued      int     `toml:"queued"`       // requests waiting, all workspaces
+	Streams     int     `toml:"streams"`      // requests held at once
+	WeightLoads int     `toml:"weight_loads"` // loads from the weight store at once, of all boxes together
 }
 
 // Timeouts bounds how long the box waits; each is made a deadline when a wait begins.
@@ -87,6 +91,7 @@
 	Budget          Budget   `toml:"budget"`           // of tries
 	ClientAddress   string   `toml:"client_address"`   // IP:port for clients
 	Entry           Entry    `toml:"entry"`            // of requests of declared routes
+	FirstStart      bool     `toml:"first_start"`      // the whole system starts for the first time
 	Hall            string   `toml:"hall"`             // the data hall this box stands in
 	Limits          Limits   `toml:"limits"`           // bounds
 	Links           Links    `toml:"links"`            // quic or plain
@@ -100,14 +105,14 @@
 	TLS             TLS      `toml:"tls"`
 }
 
-// Span is a length of time written as in "250ms".
-type Span struct{ time.Duration }
-
 // Fault is one thing wrong with the settings.
 type Fault struct {
 	Key     string
 	Line    int // from 1; 0 where the key is missing
 	Message string
+	// Origin is the comment on the line, "" for none: a template names there the field
+	// that it was filled from.
+	Origin string
 }
 
 // Faults is every fault of a settings file.
@@ -151,10 +156,12 @@
 	s := Default()
 	d := toml.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	if f := decodeFaults(d.Decode(&s)); len(f) > 0 {
-		return nil, f
+	f := decodeFaults(d.Decode(&s))
+	if len(f) == 0 {
+		f = s.check(b)
 	}
-	if f := s.check(b); len(f) > 0 {
+	if len(f) > 0 {
+		f.nameOrigins(b)
 		return nil, f
 	}
 	return &s, nil
@@ -164,11 +171,30 @@
 func (f Faults) Error() string {
 	var l []string
 	for _, x := range f {
-		l = append(l, fmt.Sprintf("line %d: %s: %s", x.Line, x.Key, x.Message))
+		l = append(l, fmt.Sprintf("line %d: %s", x.Line, x))
 	}
 	return strings.Join(l, "\n")
 }
 
+// nameOrigins fills in where faulty lines were filled from.
+func (f Faults) nameOrigins(source []byte) {
+	lines := strings.Split(string(source), "\n")
+	for i := range f {
+		if n := f[i].Line; n > 0 && n <= len(lines) {
+			_, c, _ := strings.Cut(lines[n-1], "#")
+			f[i].Origin = strings.TrimSpace(c)
+		}
+	}
+}
+
+// String returns the fault without its line.
+func (f Fault) String() string {
+	if f.Origin == "" {
+		return f.Key + ": " + f.Message
+	}
+	return f.Key + " (" + f.Origin + "): " + f.Message
+}
+
 // Level returns the log level; it is checked when the settings are read.
 func (s *Settings) Level() slog.Level {
 	var l slog.Level
@@ -176,16 +202,6 @@
 	return l
 }
 
-// UnmarshalText reads a span such as "1.5s".
-func (s *Span) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	if err != nil {
-		return err
-	}
-	s.Duration = d
-	return nil
-}
-
 func (s *Settings) check(source []byte) Faults {
 	var f Faults
 	add := func(key, message string) {
@@ -194,6 +210,7 @@
 	checkNames(s, add)
 	checkAddresses(s, add)
 	checkChoices(s, add)
+	checkNotNegative(s, add)
 	checkPositive(s, add)
 	slices.SortStableFunc(f, func(a, b Fault) int { return a.Line - b.Line })
 	return f
@@ -267,7 +284,6 @@
 		value int64
 	}{
 		{"body_bytes", s.Limits.BodyBytes},
-		{"extra", int64(s.Budget.Extra)},
 		{"header_bytes", int64(s.Limits.HeaderBytes)},
 		{"queued", int64(s.Limits.Queued)},
 		{"streams", int64(s.Limits.Streams)},
@@ -285,8 +301,22 @@
 			add(x.key, "must be above 0")
 		}
 	}
-	if s.Timeouts.Grace.Duration < 0 {
-		add("grace", "must be 0 or above")
+}
+
+// checkNotNegative checks what may be 0.
+func checkNotNegative(s *Settings, add func(key, message string)) {
+	for _, x := range []struct {
+		key   string
+		value float64
+	}{
+		{"extra", s.Budget.Extra},
+		{"grace", s.Timeouts.Grace.Seconds()},
+		{"memory_mb", s.Limits.MemoryMB},
+		{"ratio", s.Budget.Ratio},
+	} {
+		if math.IsNaN(x.value) || math.IsInf(x.value, 0) || x.value < 0 {
+			add(x.key, "must be 0 or above")
+		}
 	}
 }
 
--- /dev/null
+++ b/template_test.go
@@ -0,0 +1,85 @@
+package linetiller_test
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/linetiller/linetiller"
+	"github.com/linetiller/linetiller/internal/settings"
+)
+
+// placeholder is a gap of the template that the platform fills.
+var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
+
+// platformValues are what the platform fills the template's gaps with, on loopback.
+func platformValues() map[string]string {
+	return map[string]string{
+		"bootstrap": "true", "bounds.budget_extra": "630", "bounds.budget_window_s": "10", "bounds.grace_s": "8.0", "bounds.retry_budget_ratio": "0.2",
+		"internal_ports.0": "0", "ip": "127.0.0.1", "limits.memory_mb": "112", "listen.front": "127.0.0.1:0", "listen.readiness": "127.0.0.1:0",
+		"node": "front-a-1", "platform.address": "127.0.0.1:1", "zone": "a",
+	}
+}
+
+// fillTemplate fills the template of the platform's settings.
+func fillTemplate(t *testing.T, values map[string]string) []byte {
+	t.Helper()
+	b, err := os.ReadFile("deploy/box.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return placeholder.ReplaceAllFunc(b, func(g []byte) []byte {
+		n := strings.Trim(string(g), "{}")
+		v, ok := values[n]
+		if !ok {
+			t.Errorf("the template asks for %s, which the test does not know", n)
+		}
+		return []byte(v)
+	})
+}
+
+// TestTemplateTakesAnyNumber fills the template with fractions, zeros, one and huge
+// values of every number that the platform tells. A box starts on each, or the fault
+// names the platform's field.
+func TestTemplateTakesAnyNumber(t *testing.T) {
+	refused := map[string][]string{
+		"bounds.budget_window_s": {"0", "0.0", "-1"},
+		"bounds.budget_extra":    {"-1"}, "bounds.grace_s": {"-1"}, "bounds.retry_budget_ratio": {"-1"}, "limits.memory_mb": {"-1"},
+	}
+	for _, n := range slices.Sorted(maps.Keys(refused)) {
+		for _, v := range []string{"33.2", "0.4", "0", "0.0", "1", "1e3", "1e+300", "9007199254740993", "-1"} {
+			t.Run(n+"="+v, func(t *testing.T) {
+				values := platformValues()
+				values[n] = v
+				b := fillTemplate(t, values)
+				want := slices.Contains(refused[n], v)
+				err := startOnce(b)
+				if got := err != nil; got != want {
+					t.Fatalf("got error %v, want refused %v", err, want)
+				}
+				if want && !strings.Contains(err.Error(), n) {
+					t.Errorf("got %q, want the platform's field named", err)
+				}
+			})
+		}
+	}
+}
+
+// startOnce starts a box on settings, and stops it again.
+func startOnce(b []byte) error {
+	s, err := settings.Parse(b)
+	if err != nil {
+		return err
+	}
+	s.ClientAddress, s.OperatorAddress, s.Entry.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	x, err := linetiller.New(s)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	return errors.Join(x.Close())
+}
