One box reads the store for all halls that reach it

Ruled out: one call for several tables (a feed names one table); longer feeds of the configuration (a read lost in a short silence has to end before a change has to be in force).

Change: the first reader of the first hall, in an order that all agree on, reads for all; that of the next hall reads less often beside it; the readers of the other halls ask those before them for news, which waits up to 0.5 s for some. A reader that cannot read says so, and the next one that can is followed; one that does not answer within 0.9 s is passed over and called beside. While the store is silent one source is read to notice its return, the slower the farther a box is from the first reader. A read that fails at once is tried again before the store counts as away. A box that was paused renews its view from a reader. On the first start of a system boxes write their rows and wait to be told of the others. A leaving box removes its row in one call.

--- a/answer.go
+++ b/answer.go
@@ -34,6 +34,8 @@
 		_ = answer(&box.Reply{})
 	case box.KindMembers:
 		_ = answer(&box.Reply{Members: b.members.Members()})
+	case box.KindNews:
+		_ = answer(b.follower.News(ctx, q.Revisions, q.Wait))
 	case box.KindTurn:
 		b.answerTurn(ctx, q.Turn, answer)
 	case box.KindUpdate:
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -28,7 +28,7 @@
 	b.members.Reconsider(time.Now())
 	ctx, cancel := context.WithTimeout(ctx, refreshPeriod)
 	defer cancel()
-	if b.follower.Refresh(ctx) != nil {
+	if b.follower.Renew(ctx) != nil {
 		b.heartbeats(ctx)
 	}
 	b.beat.Store(int64(time.Since(b.started)))
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -23,6 +23,7 @@
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
 	KindMembers   Kind = "members"   // the boxes that the other side knows
+	KindNews      Kind = "news"      // what the sender does not know yet, once there is some
 	KindTurn      Kind = "turn"      // the turn to move a generation away from an upstream, or to one
 	KindUpdate    Kind = "update"    // how far running generations are
 )
@@ -57,6 +58,7 @@
 	SentAt    time.Time          `cbor:"1,keyasint"`            // by the sender's clock, which times in the message are by
 	Turn      *Turn              `cbor:"8,keyasint,omitempty"`
 	Update    *Update            `cbor:"7,keyasint,omitempty"`
+	Wait      time.Duration      `cbor:"12,keyasint,omitempty"` // news: for some, from the arrival of the request
 }
 
 // Ask asks the owner of an upstream for a place.
@@ -96,10 +98,11 @@
 
 // Reply is one answer.
 type Reply struct {
-	Answer    *policy.Answer     `cbor:"1,keyasint,omitempty"` // ask
-	Changes   []resource.Batch   `cbor:"2,keyasint,omitempty"` // changes
-	Error     string             `cbor:"3,keyasint,omitempty"` // the reason of a refusal by the box itself
-	Halls     []HallRevisions    `cbor:"4,keyasint,omitempty"` // in-force
+	Answer    *policy.Answer     `cbor:"1,keyasint,omitempty"`  // ask
+	Changes   []resource.Batch   `cbor:"2,keyasint,omitempty"`  // changes
+	Error     string             `cbor:"3,keyasint,omitempty"`  // the reason of a refusal by the box itself
+	Fed       bool               `cbor:"13,keyasint,omitempty"` // news: the sender's view is kept up to date from the store
+	Halls     []HallRevisions    `cbor:"4,keyasint,omitempty"`  // in-force
 	Load      *policy.Load       `cbor:"5,keyasint,omitempty"`
 	Loads     []policy.Load      `cbor:"12,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
 	Members   []Member           `cbor:"6,keyasint,omitempty"`  // members
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -37,21 +37,28 @@
 	mutex   sync.Mutex           // guards the fields below
 	awayTo  map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
 	back    chan struct{}        // closed when a source can be read again after failures
-	sources []*source
-	turn    chan struct{} // holds one value while a catch-up is under way
-	view    *resource.View
+	// fedUntil is until when the view counts as kept up to date by another reader's word.
+	fedUntil    time.Time
+	silentPeers map[string]bool      // readers that did not answer when they were last asked
+	state       chan struct{}        // closed when it changes who reads, or whether the store can be read
+	unfedAt     time.Time            // when the last reader that kept the view up to date was found unable, or silent
+	unfedTill   map[string]time.Time // by box: until when it counts as a reader that cannot read the store
+	workers     sync.WaitGroup       // calls of silent readers
+	sources     []*source
+	turn        chan struct{} // holds one value while a catch-up is under way
+	view        *resource.View
 }
 
 const (
 	// awayLife is how long the word that the list of upstreams cannot be read counts: a
-	// reader tells it anew with each failure, which are at most 2 s apart.
-	awayLife      = 3 * time.Second
+	// reader tells it anew with each failure, which are at most 4 s apart.
+	awayLife      = 5 * time.Second
 	catchUpPeriod = 3 * time.Second // for one catch-up: a large configuration takes half a second over 10 Mbit/s
 )
 
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
-	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, Spread: func() float64 { return 0.5 }, turn: make(chan struct{}, 1), view: v}
+	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, silentPeers: make(map[string]bool), Spread: func() float64 { return 0.5 }, state: make(chan struct{}), turn: make(chan struct{}, 1), unfedTill: make(map[string]time.Time), view: v}
 }
 
 // Add adds a source before Run is called.
@@ -63,7 +70,7 @@
 // this box or by one of its hall's readers.
 func (f *Follower) Away() bool {
 	for _, s := range f.sources {
-		if s.name == resource.SourceUpstreams && s.failures.Load() > 0 {
+		if s.name == resource.SourceUpstreams && s.away() {
 			return true
 		}
 	}
@@ -128,7 +135,7 @@
 // Meter has the follower's state told by gauges of m. It is called once all sources
 // are added.
 func (f *Follower) Meter(m *metric.Set) {
-	m.Gauge(metric.PlatformReader, func() float64 { return number(f.rank() >= 0) })
+	m.Gauge(metric.PlatformReader, func() float64 { return number(f.rank() != rankNone) })
 	for _, s := range f.sources {
 		m.GaugeOf(metric.PlatformAway, "source", string(s.name), func() float64 { return number(s.failures.Load() > 0) })
 		m.GaugeOf(metric.PlatformAge, "source", string(s.name), func() float64 {
@@ -140,39 +147,37 @@
 	}
 }
 
-// Reads reports whether this box is one of its hall's readers of the store.
+// Reads reports whether this box is one of the few that read the store while all is well.
 func (f *Follower) Reads() bool {
-	return f.rank() >= 0
+	return f.duty().rank != rankNone
 }
 
 // Refresh brings the view up to date from the store, without waiting for changes.
 func (f *Follower) Refresh(ctx context.Context) error {
-	var g sync.WaitGroup
-	errs := make([]error, len(f.sources))
-	for i, s := range f.sources {
-		g.Go(func() { errs[i] = f.readOnce(ctx, s, 0) })
-	}
-	g.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return f.refresh(ctx, func(*source) bool { return true })
+}
+
+// RefreshRest brings the view up to date from the store, without waiting for changes, but
+// for the boxes.
+func (f *Follower) RefreshRest(ctx context.Context) error {
+	return f.refresh(ctx, func(s *source) bool { return s.name != resource.SourceBoxes })
 }
 
 // RefreshSource brings one source up to date from the store, without waiting for
 // changes.
 func (f *Follower) RefreshSource(ctx context.Context, name resource.Source) error {
-	for _, s := range f.sources {
-		if s.name == name {
-			return f.readOnce(ctx, s, 0)
-		}
+	return f.refresh(ctx, func(s *source) bool { return s.name == name })
+}
+
+// Renew brings the view up to date, from a reader that answers or else from the store.
+func (f *Follower) Renew(ctx context.Context) error {
+	if f.renewFromReader(ctx) {
+		return nil
 	}
-	return nil
+	return f.Refresh(ctx)
 }
 
-// Run follows every source while this box is one of its hall's readers, until
+// Run follows every source while this box is one of those that read the store, until
 // the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var g sync.WaitGroup
@@ -189,6 +194,24 @@
 	}
 }
 
+// refresh reads the sources for which wanted is true, at once.
+func (f *Follower) refresh(ctx context.Context, wanted func(*source) bool) error {
+	var g sync.WaitGroup
+	errs := make([]error, len(f.sources))
+	for i, s := range f.sources {
+		if wanted(s) {
+			g.Go(func() { errs[i] = f.readOnce(ctx, s, 0) })
+		}
+	}
+	g.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // tellAway tells the hall's other boxes whether the list of upstreams cannot be read.
 func (f *Follower) tellAway(s *source, away bool) {
 	if s.name == resource.SourceUpstreams && f.TellAway != nil {
--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -194,7 +194,7 @@
 			l = append(l, box.Member{Hall: "a", Name: fmt.Sprint(j), State: box.StateServing})
 		}
 		m.List(l, testNow)
-		if NewFollower(resource.NewView(), m, nil).rank() >= 0 {
+		if NewFollower(resource.NewView(), m, nil).rank() != rankNone {
 			readers++
 		}
 	}
@@ -203,4 +203,46 @@
 	}
 }
 
+// TestReadersAreFewOverAllHalls checks that of 295 boxes in five halls two read the store
+// while all is well, in two halls, and that every other hall has two boxes that ask for
+// news, each of a box nearer to the store.
+func TestReadersAreFewOverAllHalls(t *testing.T) {
+	var l []box.Member
+	for i := range 295 {
+		l = append(l, box.Member{Hall: fmt.Sprint("hall-", i%5), Name: fmt.Sprint(i), State: box.StateServing})
+	}
+	ranks := make(map[rank]int)
+	peers := make(map[string]string)
+	halls := make(map[string]bool)
+	for _, self := range l {
+		m := member.NewTable(self)
+		m.List(l, testNow)
+		f := NewFollower(resource.NewView(), m, nil)
+		d := f.duty()
+		ranks[d.rank]++
+		if len(d.peers) > 0 {
+			peers[self.Name] = d.peers[0]
+		}
+		if d.rank != rankNone {
+			halls[self.Hall] = true
+		}
+	}
+	if got, want := fmt.Sprint(ranks), "map[first:1 none:293 standby:1]"; got != want {
+		t.Errorf("ranks: got %s, want %s", got, want)
+	}
+	if got, want := len(halls), 2; got != want {
+		t.Errorf("halls with readers: got %d, want %d", got, want)
+	}
+	if got, want := len(peers), 2*5-1; got != want {
+		t.Errorf("boxes that ask for news: got %d, want %d", got, want)
+	}
+	for n := range peers {
+		for i := 0; peers[n] != ""; i++ {
+			if n = peers[n]; i > 2 {
+				t.Fatalf("got a chain of more than three boxes at %s", n)
+			}
+		}
+	}
+}
+
 var testNow = time.Unix(1000, 0)
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -32,9 +32,9 @@
 		}
 		b := &resource.Batch{Source: resource.SourceBoxes}
 		for _, r := range c.Rows {
-			b.Changes = append(b.Changes, resource.Change{Deleted: r.Deleted, Revision: r.Revision, Resource: &resource.Resource{
+			b.Changes = append(b.Changes, resource.Change{Deleted: r.Deleted, Revision: r.Revision, Resource: Versioned(&resource.Resource{
 				Kind: resource.KindBox, Metadata: resource.Metadata{Name: r.Key}, Spec: r.Value,
-			}})
+			}, r.Revision)})
 		}
 		return Dated(b, c), c.Revision, nil
 	}
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -2,75 +2,165 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
-	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 const (
 	// backSpread is the time over which the other sources are read again once one
 	// could be: a quarter of a second keeps the boxes' reads apart.
-	backSpread     = 250 * time.Millisecond
-	idleEvery      = time.Second            // between looks whether this box has become a reader
-	readersPerHall = 2                      // boxes of a hall that read the store
-	retryFirst     = 250 * time.Millisecond // of the wait after one failure, doubled at each more
+	backSpread = 250 * time.Millisecond
+	// failuresAway is how many reads in a row that fail at once tell that the store is away.
+	failuresAway = 2
+	idleEvery    = time.Second           // between looks whether this box has become a reader
+	retryAtOnce  = 20 * time.Millisecond // before the second read after one that failed at once
+	// silentPeriod is when a read that failed did so by a silence: an answer takes 4 ms.
+	silentPeriod = 500 * time.Millisecond
+	retryFirst   = 250 * time.Millisecond // of the wait after a failure, doubled at each more
+	// substituteRetryFirst is the same for boxes that read beside the first reader.
+	substituteRetryFirst = time.Second
+	// substituteStep is the time between the first reads of two substitutes: a read that
+	// the store answers, and a question of the next one, take some 15 ms.
+	substituteStep = 80 * time.Millisecond
 )
 
-// backoff returns the wait after some failures in a row, at most most.
-func (f *Follower) backoff(failures int, most time.Duration) time.Duration {
-	wait := min(most, retryFirst<<min(max(failures-1, 0), 5))
+// backoff returns the wait after some failures in a row of a reader of some rank.
+func (f *Follower) backoff(s *source, r rank) time.Duration {
+	first := retryFirst
+	if r != rankFirst {
+		first = substituteRetryFirst
+	}
+	n := min(max(int(s.failures.Load())-failuresAway, 0), 5)
+	wait := min(s.retryMost(r), first<<n)
 	return wait/2 + time.Duration(f.Spread()*float64(wait)/2)
 }
 
-// follow reads one source again and again while this box is one of its hall's
-// readers. After a failure it waits longer each time, spread out, so that boxes do not
+// follow reads one source again and again while this box is one of those that read the
+// store. After a failure it waits longer each time, spread out, so that boxes do not
 // all return at once.
 func (f *Follower) follow(ctx context.Context, s *source) {
 	for ctx.Err() == nil {
+		state := f.stateChanged()
 		n := f.rank()
-		if n < 0 {
-			pause(ctx, idleEvery)
+		if !f.mayRead(s, n) {
+			f.pauseIdle(ctx, state)
 			continue
 		}
-		back := f.returned()
-		if f.readUnlessBack(ctx, s, s.watch(n), back) != nil {
-			f.pauseFailed(ctx, s, back)
+		if !f.awaitTurn(ctx, s, n) {
 			continue
 		}
-		pause(ctx, s.gather(n))
+		back := f.returned()
+		err := f.readWhileWanted(ctx, s, n, back)
+		switch {
+		case err == nil:
+			pause(ctx, s.gather(n))
+		case f.rank() != n:
+			// what it is to do has changed
+		default:
+			f.pauseFailed(ctx, s, n, back)
+		}
+	}
+}
+
+// awaitTurn waits, before the first read of a substitute, until those nearer to the store
+// would have found that it serves them, and reports whether the read is still wanted.
+func (f *Follower) awaitTurn(ctx context.Context, s *source, r rank) bool {
+	if r != rankSubstitute || f.probedSinceFed(s) {
+		return true
+	}
+	before := len(f.duty().peers)
+	pause(ctx, time.Duration(max(0, before-1))*substituteStep)
+	return f.rank() == rankSubstitute
+}
+
+// mayRead reports whether a source is to be read by a box of that rank. While the store
+// does not answer, only the probe is read: a call that fails is priced as others are. A
+// substitute first sees whether the store answers it at all.
+func (f *Follower) mayRead(s *source, r rank) bool {
+	p := f.probe()
+	switch {
+	case r == rankNone:
+		return false
+	case s == p:
+		return true
+	case r == rankSubstitute:
+		return p.failures.Load() == 0 && f.probedSinceFed(p)
+	default:
+		return p.failures.Load() == 0
+	}
+}
+
+// probe returns the source by which it is noticed that the store is silent, or back.
+func (f *Follower) probe() *source {
+	for _, s := range f.sources {
+		if s.name == resource.SourceUpstreams {
+			return s
+		}
+	}
+	return f.sources[len(f.sources)-1]
+}
+
+// probedSinceFed reports whether the probe was read since this box was last fed.
+func (f *Follower) probedSinceFed(p *source) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return p.readAt.Load() > f.unfedAt.UnixNano()
+}
+
+// watch returns how long one read of a source waits. The first one of a substitute does
+// not: the other sources wait for its answer.
+func (f *Follower) watch(s *source, r rank) time.Duration {
+	if r == rankSubstitute && s == f.probe() && !f.probedSinceFed(s) {
+		return 0
 	}
+	return s.watch(r)
 }
 
 // pauseFailed waits after a failure, but not much beyond the moment when another
 // source of the same store can be read again.
-func (f *Follower) pauseFailed(ctx context.Context, s *source, back <-chan struct{}) {
+func (f *Follower) pauseFailed(ctx context.Context, s *source, r rank, back <-chan struct{}) {
+	if s.failures.Load() == 1 {
+		pause(ctx, retryAtOnce)
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-back:
 		pause(ctx, time.Duration(f.Spread()*float64(backSpread)))
-	case <-time.After(f.backoff(int(s.failures.Load()), s.retryMost())):
+	case <-time.After(f.backoff(s, r)):
 	}
 }
 
-// rank returns this box's place among the few of its hall that read the store, 0
-// for the first, or -1: the others hear of changes from them.
-func (f *Follower) rank() int {
-	s := f.members.Self()
-	l := policy.Rank("reader", f.members.Alive(s.Hall))
-	if len(l) == 0 {
-		return 0 // the box itself is leaving, and knows of no other
+// pauseIdle waits until this box may have come to read.
+func (f *Follower) pauseIdle(ctx context.Context, state <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-state:
+	case <-time.After(idleEvery):
 	}
-	return slices.Index(l[:min(readersPerHall, len(l))], s.Name)
 }
 
-// readFailed takes in that a read ended with err; after is the revision held.
-func (f *Follower) readFailed(s *source, after int64, err error) {
-	if s.failures.Add(1) == 1 {
+// readFailed takes in that a read ended with err, after a silence or at once; after is
+// the revision held. A read that failed at once, as where its connection was reset, is
+// tried again before the store is taken to be away.
+func (f *Follower) readFailed(s *source, after int64, err error, silence bool) {
+	count := int64(1)
+	if silence {
+		count = failuresAway
+	}
+	n := s.failures.Add(count)
+	if n == count {
 		event.PlatformDown.Log(f.log, "source", string(s.name), "step", fail.Step(err), "error", err.Error(), "held", after)
 	}
+	if n < failuresAway {
+		return
+	}
+	if n < failuresAway+count {
+		f.tellState()
+	}
 	f.tellAway(s, true)
 }
 
@@ -78,41 +168,51 @@
 // does not count as failed.
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
 	after := max(s.after.Load(), f.view.Revisions()[s.name])
+	silentAt := time.Now().Add(wait + silentPeriod)
 	b, next, err := s.read(ctx, after, wait)
 	if err != nil {
 		if ctx.Err() == nil {
-			f.readFailed(s, after, err)
+			f.readFailed(s, after, err, time.Now().After(silentAt))
 		}
 		return err
 	}
 	f.readSucceeded(s)
 	s.after.Store(next)
-	s.readAt.Store(time.Now().UnixNano())
 	f.lapse(s, b)
 	f.apply(b, "platform")
 	return nil
 }
 
-// readUnlessBack reads one source. The store's return, seen by another source, ends
-// a read that may have been lost before.
-func (f *Follower) readUnlessBack(ctx context.Context, s *source, wait time.Duration, back <-chan struct{}) error {
+// readWhileWanted reads one source by a box of a rank. The store's return, seen by another
+// source, ends a read that may have been lost before; and a standby that becomes a
+// substitute reads anew, to tell others at once that it can.
+func (f *Follower) readWhileWanted(ctx context.Context, s *source, r rank, back <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
 	go func() {
-		select {
-		case <-back:
-			cancel()
-		case <-done:
+		for ctx.Err() == nil {
+			state := f.stateChanged()
+			if r == rankStandby && f.rank() == rankSubstitute {
+				cancel()
+			}
+			select {
+			case <-back:
+				cancel()
+			case <-state:
+			case <-ctx.Done():
+			}
 		}
 	}()
-	return f.readOnce(ctx, s, wait)
+	return f.readOnce(ctx, s, f.watch(s, r))
 }
 
 // readSucceeded takes in that a source could be read, perhaps again after failures.
 func (f *Follower) readSucceeded(s *source) {
+	s.readAt.Store(time.Now().UnixNano())
 	n := s.failures.Swap(0)
+	if s == f.probe() && (n > 0 || f.rank() == rankSubstitute) {
+		f.tellState() // the other sources may wait for it
+	}
 	if n == 0 {
 		return
 	}
@@ -137,6 +237,13 @@
 	f.back = make(chan struct{})
 }
 
+// tellState tells those that wait that it has changed whether the store can be read.
+func (f *Follower) tellState() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.changeState()
+}
+
 // pause waits for a time, or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
+	ReaderSilent       = Event{slog.LevelWarn, "reader of the store did not answer", 504}
 	RevisionApplied    = Event{slog.LevelInfo, "configuration revision in force", 601}
 	ResourceWritten    = Event{slog.LevelInfo, "resource written", 602}
 	ResourceRefused    = Event{slog.LevelInfo, "resource write refused", 603}
@@ -65,7 +66,7 @@
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard,
 	PlatformDown, PlatformBack, OutcomeNotRecorded,
-	PeerLost, PeerBack, PeerRemoved,
+	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused,
 }
 
--- a/join.go
+++ b/join.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// joinPeriod bounds all of it: a box that could not learn anything serves what it can.
+	joinPeriod = 3 * time.Second
 	// listenPeriod is how long a box that starts waits for its neighbours' word before it
 	// reads everything from the store itself: where all boxes start at once, those that
 	// read have it within some 100 ms and pass it on in three or four steps.
@@ -18,10 +20,13 @@
 	// listening passes on what it reads.
 	listenSpread = 800 * time.Millisecond
 	// settlePeriod is how long a box that the store does not list yet waits, once it has
-	// written its own row, for those of boxes that start with it: on the users' platform
-	// all start within 0.3 s of each other. Without their rows each box takes itself for
-	// one of its hall's readers and reads everything.
+	// written its own row, for those of boxes that start with it: on the users' platform all start
+	// within 0.3 s of each other. Without their rows each box takes itself for one of those
+	// that read everything.
 	settlePeriod = 400 * time.Millisecond
+	// settleSpread is by how much that differs between boxes of a system that starts for the
+	// first time: the first to read the rows tells the others, which then need not.
+	settleSpread = 1200 * time.Millisecond
 )
 
 // askPeers learns of other boxes and of their configuration from the peers that the
@@ -40,22 +45,21 @@
 }
 
 // join learns of the other boxes and takes in the highest configuration that
-// they or the table hold, before the first request. Only its hall's readers read all
+// they or the table hold, before the first request. Only few boxes read all
 // of the store: at 300 boxes with a list of 3,000 upstreams a read by each box cost
 // 0.03 of the worth served.
 func (b *Box) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*heartbeatPeriod)
+	ctx, cancel := context.WithTimeout(ctx, joinPeriod)
 	defer cancel()
 	b.askPeers(ctx)
-	err := b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
-	b.listMembers()
-	if err == nil && b.view.Get(resource.KindBox, b.settings.Box) == nil {
-		b.settle(ctx)
+	if !b.settings.FirstStart || !b.awaitBoxes(ctx) {
+		b.readBoxes(ctx)
 	}
-	reads := b.follower.Reads()                      // as listed: others may start at this moment, too
+	b.listMembers()
 	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
-	if reads || !b.listenForNews(ctx) {
-		_ = b.follower.Refresh(ctx) // as above
+	b.workers.Go(func() { b.follower.RunNews(b.running) })
+	if b.follower.Reads() || !b.listenForNews(ctx) {
+		_ = b.follower.RefreshRest(ctx) // as above
 	}
 	b.listMembers()
 	b.beat.Store(int64(time.Since(b.started)))
@@ -90,8 +94,13 @@
 	}
 }
 
-// settle writes where this box is and learns of the boxes that start with it.
-func (b *Box) settle(ctx context.Context) {
+// readBoxes reads which boxes there are. A box that is not listed writes where it is, and
+// looks again for those that start with it.
+func (b *Box) readBoxes(ctx context.Context) {
+	err := b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure, and tries again
+	if err != nil || b.view.Get(resource.KindBox, b.settings.Box) != nil {
+		return
+	}
 	if b.register(ctx) != nil {
 		return // it is tried again while the box runs
 	}
@@ -100,7 +109,27 @@
 	case <-time.After(settlePeriod):
 	}
 	_ = b.follower.RefreshSource(ctx, resource.SourceBoxes) // as above
-	b.listMembers()
+}
+
+// awaitBoxes writes where this box is, and waits for one of the boxes that start with it
+// to tell of them. It reports whether one has: all but the first few need not read the rows.
+func (b *Box) awaitBoxes(ctx context.Context) bool {
+	_ = b.register(ctx) // as in readBoxes
+	t := time.NewTimer(settlePeriod + rand.N(settleSpread))
+	defer t.Stop()
+	for {
+		c := b.view.Changed()
+		if b.view.Revisions()[resource.SourceBoxes] > 0 {
+			return true
+		}
+		select {
+		case <-c:
+		case <-t.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // runMembers takes in every change of the boxes that are known.
--- /dev/null
+++ b/readers_test.go
@@ -0,0 +1,138 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/fake/routed"
+)
+
+// withHalls runs f with halls of four boxes each, and one engine in the first.
+func withHalls(t *testing.T, halls string, f func(t *testing.T, r *routes)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &routes{region: newRegion(t), routed: make(map[string]*routed.Engine)}
+		defer r.close()
+		r.configure(1, routedKey)
+		r.startRouted("i-a1")
+		for _, h := range halls {
+			for i := range 4 {
+				r.startRouter(fmt.Sprintf("box-%c%d", h, i+1))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		f(t, r)
+	})
+}
+
+// storeCalls returns how many calls of the store boxes have made, by box.
+func (r *region) storeCalls() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return maps.Clone(r.calls)
+}
+
+// firstReader returns the box that calls the store most.
+func (r *region) firstReader() string {
+	before := r.storeCalls()
+	time.Sleep(20 * time.Second)
+	first, most := "", 0
+	for n, c := range r.storeCalls() {
+		if c -= before[n]; c > most {
+			first, most = n, c
+		}
+	}
+	return first
+}
+
+// callsDuring returns how many calls of the store all boxes make in some time.
+func (r *region) callsDuring(d time.Duration) int {
+	total := func() int {
+		n := 0
+		for _, c := range r.storeCalls() {
+			n += c
+		}
+		return n
+	}
+	before := total()
+	time.Sleep(d)
+	return total() - before
+}
+
+// knowsBy checks that every box but one knows by a time that an engine leaves.
+func (r *routes) knowsBy(t *testing.T, engine, but string, d time.Duration) {
+	t.Helper()
+	time.Sleep(d)
+	for n, b := range r.boxes {
+		if u := b.view.Upstream(engine); n != but && u != nil && u.Takes(time.Now()) {
+			t.Errorf("%s: %v after its notice the engine is still used", n, d)
+		}
+	}
+}
+
+// TestCallsDoNotGrowWithHalls counts the store's calls in steady state, with one hall and
+// with five.
+func TestCallsDoNotGrowWithHalls(t *testing.T) {
+	for _, halls := range []string{"a", "abcde"} {
+		withHalls(t, halls, func(t *testing.T, r *routes) {
+			if got, most := r.callsDuring(time.Minute), 90; got > most {
+				t.Errorf("halls %s: got %d calls in a minute, want at most %d", halls, got, most)
+			}
+		})
+	}
+}
+
+// TestOutageCostsFewCalls has the store silent, and then refusing, for 8 s: one source is
+// read to notice its return, by boxes that wait longer the farther they are from it.
+func TestOutageCostsFewCalls(t *testing.T) {
+	withHalls(t, "abcde", func(t *testing.T, r *routes) {
+		r.platform.SetFaults(fakeplatform.Faults{Down: true})
+		if got, most := r.callsDuring(8*time.Second), 70; got > most {
+			t.Errorf("got %d calls in 8 s, want at most %d", got, most)
+		}
+		r.platform.SetFaults(fakeplatform.Faults{})
+		time.Sleep(2 * time.Second)
+		r.configure(2, "new-key")
+		time.Sleep(time.Second)
+		for n := range r.boxes {
+			if _, _, status := r.plan(n, "id-"+n, routedKey, 8); status != http.StatusUnauthorized {
+				t.Errorf("%s: a key taken away after the return: got status %d, want 401", n, status)
+			}
+		}
+	})
+}
+
+// TestFirstReaderFreezes freezes the box that reads the store for all, and then has an
+// engine give notice: all others know within a second.
+func TestFirstReaderFreezes(t *testing.T) {
+	withHalls(t, "abc", func(t *testing.T, r *routes) {
+		first := r.firstReader()
+		r.setFrozen(first, true)
+		time.Sleep(50 * time.Millisecond)
+		r.listRouted("i-a1", "draining")
+		r.knowsBy(t, "i-a1", first, 1500*time.Millisecond)
+		r.setFrozen(first, false)
+	})
+}
+
+// TestFirstReaderIsTurnedAway has the store refuse the box that reads it for all, and then
+// has an engine give notice: all know within half a second, and calls stay few.
+func TestFirstReaderIsTurnedAway(t *testing.T) {
+	withHalls(t, "abcde", func(t *testing.T, r *routes) {
+		first := r.firstReader()
+		r.refuse(first)
+		time.Sleep(3 * time.Second)
+		r.listRouted("i-a1", "draining")
+		r.knowsBy(t, "i-a1", "", 500*time.Millisecond)
+		if got, most := r.callsDuring(20*time.Second), 80; got > most {
+			t.Errorf("got %d calls in 20 s, want at most %d", got, most)
+		}
+	})
+}
--- a/region_test.go
+++ b/region_test.go
@@ -32,6 +32,7 @@
 // region is halls of whole boxes, joined in memory, in virtual time.
 type region struct {
 	boxes    map[string]*Box
+	calls    map[string]int  // of the platform's store, by box
 	cut      map[string]bool // halls cut off from all others and the platform
 	done     sync.WaitGroup
 	engines  map[string]*engine.Server
@@ -71,7 +72,7 @@
 // newRegion returns a region without boxes and engines.
 func newRegion(t *testing.T) *region {
 	r := &region{
-		boxes: make(map[string]*Box), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
+		boxes: make(map[string]*Box), calls: make(map[string]int), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
 		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
 		refused: make(map[string]bool), t: t,
 	}
@@ -213,6 +214,9 @@
 func (h *reach) RoundTrip(q *http.Request) (*http.Response, error) {
 	h.region.mutex.Lock()
 	refused := h.region.refused[h.from] && q.URL.Host == "platform"
+	if q.URL.Host == "platform" {
+		h.region.calls[h.from]++
+	}
 	h.region.mutex.Unlock()
 	if refused {
 		return nil, errRefused
--- a/register.go
+++ b/register.go
@@ -87,11 +87,11 @@
 
 // unregister removes the box's own row, so that the others forget it at once.
 func (b *Box) unregister(ctx context.Context) {
-	row, err := b.store.Get(ctx, configuration.BoxKey(b.settings.Box))
-	if err != nil || row == nil {
+	r := b.view.Get(resource.KindBox, b.settings.Box)
+	if r == nil {
 		return
 	}
-	_, _ = b.store.Commit(ctx, removal(b.settings.Box, row.Revision)) // others remove it in the end
+	_, _ = b.store.Commit(ctx, removal(b.settings.Box, r.Revision())) // others remove it in the end
 }
 
 // removal returns a transaction that removes a box's row as of a revision.
--- a/routed_store_test.go
+++ b/routed_store_test.go
@@ -15,6 +15,7 @@
 	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/settings"
 )
 
 // errRefused is what a call on a store that turns a box away ends with.
@@ -152,6 +153,40 @@
 	})
 }
 
+// TestBoxesOfAFirstStartTellEachOther starts 24 boxes of three halls for the first time, as
+// their settings say, within 0.3 s: each writes its row, and few read anything.
+func TestBoxesOfAFirstStartTellEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &routes{region: newRegion(t), routed: make(map[string]*routed.Engine)}
+		defer r.close()
+		r.configure(1, routedKey)
+		r.startRouted("i-a1")
+		before := r.platform.Counters().Writes
+		var names []string
+		for i := range 24 {
+			names = append(names, fmt.Sprint("box-", string("abc"[i%3]), i+1))
+			r.startRouter(names[i], func(s *settings.Settings) { s.FirstStart = true })
+			time.Sleep(12 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		c := r.platform.Counters()
+		if got, want := c.Writes-before, int64(24); got != want {
+			t.Errorf("writes: got %d, want %d, a row each", got, want)
+		}
+		if got, most := c.Reads, int64(24); got > most {
+			t.Errorf("reads: got %d, want at most %d", got, most)
+		}
+		for _, n := range names {
+			if _, whole, status := r.plan(n, "id-"+n, routedKey, 40); !whole {
+				t.Errorf("%s: got status %d, want a whole stream", n, status)
+			}
+			if got := r.boxes[n].members.Count(); got != 24 {
+				t.Errorf("%s: got %d boxes known, want 24", n, got)
+			}
+		}
+	})
+}
+
 // TestFewBoxesReadTheListOnTheFirstStart starts eight boxes of a hall that the store does not
 // list yet, within 0.3 s of each other: only the hall's readers read the list of upstreams.
 func TestFewBoxesReadTheListOnTheFirstStart(t *testing.T) {
--- a/routed_test.go
+++ b/routed_test.go
@@ -92,11 +92,12 @@
 	r.platform.Remove("servers/" + name)
 }
 
-func (r *routes) startRouter(name string) {
-	r.startBox(name, func(s *settings.Settings) {
+func (r *routes) startRouter(name string, change ...func(*settings.Settings)) {
+	entry := func(s *settings.Settings) {
 		s.Entry = settings.Entry{Address: name + ":1", Metrics: name + ":2", Readiness: name + ":3"}
 		s.Timeouts.Platform.Duration = time.Second
-	})
+	}
+	r.startBox(name, append(change, entry)...)
 	r.link.Join(name+"-entry", r.boxes[name].entry[0].server.Handler)
 }
 
