--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure measure-moves slopes soak soak-cases test tidy format
+.PHONY: all build demo lint measure measure-moves soak soak-cases test tidy format
 
 all: build
 
@@ -44,9 +44,6 @@
 soak-cases: build
 	@for s in $(soak_cases); do bin/soak -programs bin -seed $$s -for 12s || exit 1; done
 
-slopes:
-	go run ./cmd/slopes
-
 include tools/versions.mk
 
 $(tools)/gofumpt: tools/versions.mk
--- /dev/null
+++ b/internal/relay/gone_test.go
@@ -0,0 +1,95 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// goneBound is how long after a caller has gone an upstream may still hear of its request.
+const goneBound = 500 * time.Millisecond
+
+// TestNothingIsSentForACallerThatIsGone has callers leave at each point where a request
+// may wait: for a place, for an upstream that says nothing, before another try, and while
+// a broken stream is taken up elsewhere. Half a second later no upstream is at work on it,
+// and none hears of it from then on.
+func TestNothingIsSentForACallerThatIsGone(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		prepare func(r *rig)
+		request func(ctx context.Context) *http.Request
+		after   time.Duration // when the caller leaves
+	}{
+		{"waiting for a place", func(r *rig) { r.relay.Place = slowPlace(r, 2*time.Second) }, func(ctx context.Context) *http.Request { return plan(ctx, "id", 400) }, time.Second},
+		{"a place comes as it leaves", func(r *rig) { r.relay.Place = slowPlace(r, time.Second) }, func(ctx context.Context) *http.Request { return plan(ctx, "id", 400) }, time.Second},
+		{"a silent service", func(r *rig) { r.fault("s", routed.Faults{Silent: true}) }, often, 300 * time.Millisecond},
+		{"a service that fails", func(r *rig) { r.fault("s", routed.Faults{Status: http.StatusInternalServerError}) }, often, time.Millisecond},
+		{"a silent engine", func(r *rig) { r.fault("u", routed.Faults{Silent: true}) }, func(ctx context.Context) *http.Request { return plan(ctx, "id", 400) }, 300 * time.Millisecond},
+		{"a stream that is taken up", func(r *rig) { r.fault("u", routed.Faults{BreakAfter: 10}) }, func(ctx context.Context) *http.Request { return check(ctx, 2000) }, 700 * time.Millisecond},
+		{"a mute stream", func(r *rig) { r.fault("u", routed.Faults{MuteAfter: 5}) }, func(ctx context.Context) *http.Request { return check(ctx, 2000) }, 1500 * time.Millisecond},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withRig(t, 2, 2, func(t *testing.T, r *rig) {
+				x.prepare(r)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _, _ = r.read(x.request(ctx), nil) }()
+				time.Sleep(x.after)
+				cancel()
+				time.Sleep(goneBound)
+				synctest.Wait()
+				arrived := r.arrived()
+				for n, e := range r.engines {
+					if got := e.Running(); got != 0 {
+						t.Errorf("%s: runs at work: got %d, want 0", n, got)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				if got := r.arrived(); got != arrived {
+					t.Errorf("requests that arrived later: got %d, want 0", got-arrived)
+				}
+			})
+		})
+	}
+}
+
+// often returns a call that may be repeated.
+func often(ctx context.Context) *http.Request {
+	return request(ctx, http.MethodGet, "/often/x", "id", "")
+}
+
+// slowPlace returns a placement that takes some time, as where work waits in a queue.
+func slowPlace(r *rig, d time.Duration) func(context.Context, *policy.Work, map[string]bool) (*placement.Place, error) {
+	return func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(d):
+			return r.place(ctx, w, avoid)
+		}
+	}
+}
+
+// arrived returns how many requests have reached upstreams.
+func (r *rig) arrived() int {
+	n := 0
+	for _, e := range r.engines {
+		n += len(e.Requests())
+	}
+	return n
+}
+
+// fault sets the faults of the upstreams whose names begin so.
+func (r *rig) fault(kind string, f routed.Faults) {
+	for n, e := range r.engines {
+		if n[:1] == kind {
+			e.SetFaults(f)
+		}
+	}
+}
