Part the tests of the promises by what they are about

Cause: promises_test.go had 445 lines over streams, outages, operators and callers.

Ruled out: changing a test on the way: functions and every t.Errorf and t.Fatal are the same lines as before, compared sorted.

Change: streams_test.go, outage_test.go, operators_test.go, callers_test.go.

--- /dev/null
+++ b/outage_test.go
@@ -0,0 +1,69 @@
+package linetiller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/linetiller/linetiller/internal/client"
+	"github.com/linetiller/linetiller/internal/fail"
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestPlatformOutage takes the platform away: what may be repeated is served,
+// what needs the table is refused truthfully, and all is well on its return.
+func TestPlatformOutage(t *testing.T) {
+	h := newHall(t, 2, 1)
+	run := func(key string) (int, error) {
+		c := new(checker)
+		g := h.client(0)
+		g.Taken = c.take
+		_, _, err := g.Run(t.Context(), &client.Ask{Key: key, Model: testModel, Prompt: "length=5"})
+		return c.next, err
+	}
+	h.platform.SetFaults(fakeplatform.Faults{Down: true})
+	if n, err := run(""); err != nil || n != 5 {
+		t.Errorf("without a key: got %d tokens, %v, want 5", n, err)
+	}
+	before := h.started()
+	if _, err := run("k"); !errorx.IsOfType(err, fail.NotRun) || fail.Reason(err) != "table_unavailable" {
+		t.Errorf("with a key: got %v, want not run for want of the table", err)
+	}
+	if got, want := h.started(), before; got != want {
+		t.Errorf("generations started: got %d, want %d", got, want)
+	}
+	if _, err := h.operator(0).Apply(t.Context(), newResource(resource.KindModel, "new", resource.ModelSpec{MaxTokens: 5})); err == nil {
+		t.Error("a write during the outage was accepted")
+	}
+	h.platform.SetFaults(fakeplatform.Faults{})
+	if n, err := run("k"); err != nil || n != 5 {
+		t.Errorf("after its return: got %d tokens, %v, want 5", n, err)
+	}
+}
+
+// TestBoxStartsWhilePlatformIsDown checks that a box which starts in a cut hall
+// takes the configuration that its peers hold.
+func TestBoxStartsWhilePlatformIsDown(t *testing.T) {
+	h := newHall(t, 2, 1)
+	h.platform.SetFaults(fakeplatform.Faults{Down: true})
+	h.settings = withPeers(h.boxes[0].BoxAddress())
+	h.startBox()
+	c := new(checker)
+	g := h.client(2)
+	g.Taken = c.take
+	for {
+		_, _, err := g.Run(t.Context(), &client.Ask{Model: testModel, Prompt: "length=5"})
+		if err == nil {
+			break
+		}
+		if !errorx.IsOfType(err, fail.Unavailable) && !errorx.IsOfType(err, fail.Unauthorized) {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got, want := c.next, 5; got != want {
+		t.Errorf("tokens: got %d, want %d", got, want)
+	}
+}
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -1,7 +1,7 @@
 // The race detector itself fails now and then on whole boxes in virtual time
 // (a segmentation fault in its runtime, with no goroutine of ours running), so
 // make test runs these tests without it. The same parts run under it over
-// loopback in promises_test.go.
+// loopback in streams_test.go, outage_test.go and callers_test.go.
 
 //go:build !race
 
