--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -24,7 +24,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		ErrWriter:             errorOutput,
 		Writer:                output,
-		Commands:              []*cli.Command{newAccountCommand(), newCompareCommand(), newDrawCommand(), newPlayCommand(), newRowsCommand()},
+		Commands:              []*cli.Command{newAccountCommand(), newCompareCommand(), newDrawCommand(), newJournalCommand(), newPlayCommand(), newRowsCommand()},
 	}
 	if err := c.Run(ctx, arguments); err != nil {
 		_, _ = fmt.Fprintln(errorOutput, "experiment:", err)
