Refuse at once a stream whose caller will not await its place

A moved run has had its first event. The new tests failed before.

Conclusion: kept for the callers: what cannot be served is told at once.

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -62,7 +62,7 @@
 // Place returns a place for w at an upstream that is not among those to avoid.
 // Its errors are of type fail.NotRun: nothing was sent anywhere.
 func (p *Reserved) Place(ctx context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
-	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, waitUntil(w))
 	defer cancel()
 	s := &search{placement: p, queued: make(map[string]bool), skip: make(map[string]bool, len(avoid)), work: w}
 	for n := range avoid {
@@ -188,12 +188,20 @@
 // late returns the refusal of work whose time ran out, or whose caller went.
 func (p *Reserved) late(ctx context.Context, w *policy.Work) error {
 	place := fail.Place{Peer: "upstreams", Step: "wait for a place"}
-	if time.Now().Before(w.Deadline) {
+	if time.Now().Before(waitUntil(w)) {
 		return fail.Wrap(fail.NotRun, place, "caller_gone", ctx.Err())
 	}
 	return fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonDeadline), "the deadline passed in the queue"), time.Now())
 }
 
+// waitUntil returns until when work may wait for a place.
+func waitUntil(w *policy.Work) time.Time {
+	if !w.Moved && !w.FirstBy.IsZero() && w.FirstBy.Before(w.Deadline) {
+		return w.FirstBy
+	}
+	return w.Deadline
+}
+
 // left reports whether an upstream is left that runs w's model and takes new work.
 func (p *Reserved) left(w *policy.Work, skip map[string]bool) bool {
 	now := time.Now()
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -34,6 +34,9 @@
 	duration := seconds(e.expectation.tokens * o.step())
 	e.latest = w.Deadline.Add(-min(duration, slack-time.Duration(minSlackShare*float64(slack))))
 	e.urgentAt = e.latest.Add(-urgentDurations*duration - time.Duration(urgentShare*float64(slack)))
+	if b := startBy(w); !b.IsZero() && b.Before(e.latest) {
+		e.latest = b
+	}
 	o.numbers++
 	t := o.shares.enter(w, e.cost, now)
 	lead := t.Sub(w.Arrived).Nanoseconds()
@@ -113,6 +116,15 @@
 	return a
 }
 
+// startBy returns when work has to start so that its caller, who goes unless its first
+// token has come, is still there for it; zero where it need not.
+func startBy(w *Work) time.Time {
+	if w.FirstBy.IsZero() || w.Moved {
+		return time.Time{}
+	}
+	return w.FirstBy.Add(-seconds(readSeconds * float64(toRead(w))))
+}
+
 // sweep refuses, now and not later, waiting work whose deadline can no longer
 // be met, in the order in which it arrived, and puts first what is urgent.
 func (o *Owner) sweep(now time.Time) []Answer {
--- a/internal/policy/owner_refusal_test.go
+++ b/internal/policy/owner_refusal_test.go
@@ -108,3 +108,52 @@
 		t.Errorf("backlog before the small workspace: got %.1f s, want at most %.1f s", got, want)
 	}
 }
+
+// TestOwnerRefusesAtOnceWhatItsCallerWillNotAwait checks that work whose caller goes unless
+// its first token has come is refused as it is asked for where it would wait longer, though
+// its deadline is far; that work which waits is refused before its caller goes; and that
+// neither holds for a run that is moved, which has had its first token.
+func TestOwnerRefusesAtOnceWhatItsCallerWillNotAwait(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		waiting int
+		moved   bool
+		want    Verdict
+	}{
+		{"a long queue", 4000, false, VerdictRefuse},
+		{"a short queue", 0, false, VerdictQueue},
+		{"a long queue, moved", 4000, true, VerdictQueue},
+	} {
+		o := newTestOwner()
+		fill(t, o, testStart)
+		for i := range x.waiting {
+			w := testWork(fmt.Sprintf("wait-%d", i))
+			w.Deadline = testStart.Add(time.Hour)
+			o.Ask(w, testStart)
+		}
+		w := testWork("impatient")
+		w.Deadline, w.FirstBy, w.Moved, w.Priority = testStart.Add(time.Hour), testStart.Add(7*time.Second), x.moved, -1
+		a := o.Ask(w, testStart)
+		if got := a.Verdict; got != x.want {
+			t.Errorf("%s: verdict: got %s, want %s", x.name, got, x.want)
+		}
+		if a.Verdict == VerdictRefuse && !a.RetryAt.After(testStart) {
+			t.Errorf("%s: time to come back: got %v, want one after %v", x.name, a.RetryAt, testStart)
+		}
+		if x.want != VerdictQueue || x.moved {
+			continue
+		}
+		given := time.Duration(0)
+		for d := time.Duration(0); d < 10*time.Second && given == 0; d += sweepPeriod {
+			o.Report(Report{AsOf: testStart.Add(d), Running: 32, StepSeconds: 0.02, Used: 9999}, testStart.Add(d))
+			for _, a := range o.Next(testStart.Add(d)) {
+				if a.ID == "impatient" && a.Verdict == VerdictRefuse {
+					given = d
+				}
+			}
+		}
+		if given == 0 || given > 7*time.Second {
+			t.Errorf("%s: given up after: got %v, want before its caller goes at 7s", x.name, given)
+		}
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -12,6 +12,7 @@
 type Work struct {
 	Arrived      time.Time
 	Deadline     time.Time // of the whole answer
+	FirstBy      time.Time // when its caller goes unless its first token has come; zero where it does not
 	Hall         string    // the data hall that it should stay in; "" is that of its box
 	Hint         int       // the caller's estimate of the output tokens; 0 where it has none
 	ID           string
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -181,6 +181,9 @@
 		Arrived: q.Arrived, Deadline: e.deadline, Hint: q.Hint, ID: q.ID, Kind: e.route.Name, MaxTokens: max(1, q.MaxTokens),
 		Model: e.service.Name + "/" + q.Model, Prefix: q.Prefix, PrefixTokens: q.PrefixTokens, Priority: e.priority(), Prompt: q.Prompt,
 	}
+	if p := e.route.Spec.Patience.Duration(); p > 0 && e.status == 0 {
+		w.FirstBy = q.Arrived.Add(p)
+	}
 	if e.workspace != nil {
 		w.Weight, w.Workspace = e.workspace.Spec.Weight, e.workspace.Name
 	}
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -152,6 +152,7 @@
 	for i, x := range s.Services {
 		f.addRange(fmt.Sprintf("spec.services[%d].weight", i), x.Weight, 0, maxWeight)
 	}
+	f.addRange("spec.patienceMilliseconds", int(s.Patience), 0, maxTimeout)
 	f.addRange("spec.timeoutMilliseconds", int(s.Timeout), 1, maxTimeout)
 	return f
 }
--- a/internal/resource/route.go
+++ b/internal/resource/route.go
@@ -19,6 +19,9 @@
 	// Pause is the longest time between two events of a stream that keeps the
 	// answer in time; 0 where the answer is no stream.
 	Pause Milliseconds `json:"pauseMilliseconds,omitempty"`
+	// Patience is how long a caller waits for the first event of a stream before it goes;
+	// 0 where it waits as long as for the whole.
+	Patience Milliseconds `json:"patienceMilliseconds,omitempty"`
 	// PathPrefix begins the path; of several that do, the longest one counts.
 	PathPrefix string `json:"pathPrefix"`
 	// Priority names the Priority of its requests, unless their workspace has one.
