Nothing further is sent to the upstreams of an evacuated hall

Ruled out: a feed of its own (a call more for every reader): the row lies in the table of the configuration, so one read gives two sources, the evacuations first.

Change: Evacuation, a kind of resource that operators also set by their own interface. An upstream of its hall takes no new work, while what runs there stays; looked at again just before each send, also of calls, of a copy's last part and of a run handed over. Owners tell what waits to go elsewhere at once; where all halls are evacuated, requests are refused at once with a time to come back.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -17,10 +17,12 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// Reader waits up to wait for changes of one source after a revision of the
-// store; where that is 0, or the history since then is gone, it returns all of
-// the source. It also returns the revision after which to go on.
-type Reader func(ctx context.Context, after int64, wait time.Duration) (b *resource.Batch, next int64, err error)
+// Reader waits up to wait for changes of one source, and of those that are read with
+// it, after a revision of the store; where that is 0, or the history since then is
+// gone, it returns all of them. They are to be taken in order, the source's own last,
+// so that a view which is at its revision knows the others up to there. It also returns
+// the revision after which to go on.
+type Reader func(ctx context.Context, after int64, wait time.Duration) (l []resource.Batch, next int64, err error)
 
 // Follower keeps one view up to date. It is safe for concurrent use.
 type Follower struct {
--- a/internal/configuration/outage_test.go
+++ b/internal/configuration/outage_test.go
@@ -44,7 +44,7 @@
 
 // reader returns a reader of one source that waits as it is asked to.
 func (s *silentStore) reader(n resource.Source) Reader {
-	return func(ctx context.Context, after int64, wait time.Duration) (*resource.Batch, int64, error) {
+	return func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
 		began := time.Now()
 		if !began.Before(s.from) && began.Before(s.to) {
 			pause(ctx, wait+callTimeout)
@@ -56,7 +56,7 @@
 		}
 		s.mutex.Unlock()
 		pause(ctx, wait)
-		return &resource.Batch{Source: n, Revision: 1}, after + 1, ctx.Err()
+		return []resource.Batch{{Source: n, Revision: 1}}, after + 1, ctx.Err()
 	}
 }
 
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -25,32 +25,32 @@
 
 // BoxReader reads where boxes wrote that they are.
 func BoxReader(changes changesFunc) Reader {
-	return func(ctx context.Context, after int64, wait time.Duration) (*resource.Batch, int64, error) {
+	return func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
 		c, err := changes(ctx, TableBoxes, after, wait)
 		if err != nil {
 			return nil, 0, err
 		}
-		b := &resource.Batch{Source: resource.SourceBoxes}
+		b := resource.Batch{Source: resource.SourceBoxes}
 		for _, r := range c.Rows {
 			b.Changes = append(b.Changes, resource.Change{Deleted: r.Deleted, Revision: r.Revision, Resource: Versioned(&resource.Resource{
 				Kind: resource.KindBox, Metadata: resource.Metadata{Name: r.Key}, Spec: r.Value,
 			}, r.Revision)})
 		}
-		return Dated(b, c), c.Revision, nil
+		Date(&b, c)
+		return []resource.Batch{b}, c.Revision, nil
 	}
 }
 
-// Dated sets the revision of a batch made from c.
+// Date sets the revision of a batch made from c.
 //
 // The store's revision rises with rows of other tables, too; a batch is dated by
 // its own rows, unless rows may have gone unseen.
-func Dated(b *resource.Batch, c *table.Changes) *resource.Batch {
+func Date(b *resource.Batch, c *table.Changes) {
 	b.Whole = c.Whole
 	b.Revision = b.Newest()
 	if c.Whole {
 		b.Revision = c.Revision
 	}
-	return b
 }
 
 // Key returns the key of a resource's row.
@@ -61,14 +61,14 @@
 // ResourceReader reads what operators declared by the operator interface.
 // A removed resource keeps its row, so that nothing is implied by what is absent.
 func ResourceReader(changes changesFunc) Reader {
-	return func(ctx context.Context, after int64, wait time.Duration) (*resource.Batch, int64, error) {
+	return func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
 		c, err := changes(ctx, TableResources, after, wait)
 		if err != nil {
 			return nil, 0, err
 		}
-		b := &resource.Batch{Changes: fromRows(c.Rows), Source: resource.SourceResources}
+		b := resource.Batch{Changes: fromRows(c.Rows), Source: resource.SourceResources}
 		b.Revision = b.Newest()
-		return b, c.Revision, nil
+		return []resource.Batch{b}, c.Revision, nil
 	}
 }
 
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -169,7 +169,7 @@
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
 	after := max(s.after.Load(), f.view.Revisions()[s.name])
 	silentAt := time.Now().Add(wait + silentPeriod)
-	b, next, err := s.read(ctx, after, wait)
+	l, next, err := s.read(ctx, after, wait)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.readFailed(s, after, err, time.Now().After(silentAt))
@@ -178,8 +178,10 @@
 	}
 	f.readSucceeded(s)
 	s.after.Store(next)
-	f.lapse(s, b)
-	f.apply(b, "platform")
+	for i := range l {
+		f.lapse(s, &l[i])
+		f.apply(&l[i], "platform")
+	}
 	return nil
 }
 
--- a/internal/ownership/assign.go
+++ b/internal/ownership/assign.go
@@ -38,6 +38,7 @@
 		x.mutex.Lock()
 		x.mine = mine
 		x.owner.Leaving = x.owner.Leaving || (u != nil && u.Spec.Leaving)
+		x.evacuate(u != nil && u.Evacuated())
 		x.mutex.Unlock()
 	}
 }
--- /dev/null
+++ b/internal/ownership/evacuation_test.go
@@ -0,0 +1,77 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/upstream"
+)
+
+// TestWhatWaitsGoesElsewhereAtOnce evacuates the hall of an engine for which work waits: it
+// is told so within a tenth of a second, new work gets no place, and once the hall is taken
+// back it does.
+func TestWhatWaitsGoesElsewhereAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := resource.NewView()
+		put := func(revision int64, s resource.Source, k resource.Kind, name, spec string, deleted bool) {
+			v.Take(&resource.Batch{Revision: revision, Source: s, Changes: []resource.Change{{
+				Deleted: deleted, Revision: revision, Resource: &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: json.RawMessage(spec)},
+			}}})
+		}
+		put(1, resource.SourceUpstreams, resource.KindUpstream, "u1", `{"address":"http://u1","hall":"a","models":["m"],"kvTokens":4000,"maxBatch":8,"type":"engine"}`, false)
+		o := New(v, member.NewTable(box.Member{Hall: "a", Name: "box-1", State: box.StateServing}), policy.NewLengths(), metric.NewSet(), slog.New(slog.DiscardHandler))
+		o.ReadLoad = func(context.Context, string) (*upstream.Load, error) { return &upstream.Load{AsOf: time.Now()}, nil }
+		ctx, cancel := context.WithCancel(t.Context())
+		ran := make(chan struct{})
+		go func() {
+			o.Run(ctx)
+			close(ran)
+		}()
+		time.Sleep(5 * time.Second)
+		ask := func(id string) chan *policy.Answer {
+			c := make(chan *policy.Answer, 4)
+			w := policy.Work{Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), ID: id, MaxTokens: 100, Model: "m", Prompt: 3000}
+			go o.Ask(ctx, &box.Ask{Upstream: "u1", Work: w}, func(r *box.Reply) error {
+				c <- r.Answer
+				return nil
+			})
+			return c
+		}
+		if a := <-ask("first"); a.Verdict != policy.VerdictStart {
+			t.Fatalf("the first: got %+v, want a place", a)
+		}
+		waits := ask("waits")
+		if a := <-waits; a.Verdict != policy.VerdictQueue {
+			t.Fatalf("the second: got %+v, want a place in the queue", a)
+		}
+		put(2, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, false)
+		began := time.Now()
+		if a := <-waits; a.Reason != policy.ReasonEvacuated || !a.RetryAt.After(began) {
+			t.Errorf("what waits: got %+v, want a refusal with a time to come back", a)
+		}
+		if got, most := time.Since(began), assignEvery+2*tickEvery; got > most {
+			t.Errorf("what waits: got its answer after %v, want at most %v", got, most)
+		}
+		if a := <-ask("new"); a.Reason != policy.ReasonEvacuated {
+			t.Errorf("new work: got %+v, want a refusal", a)
+		}
+		put(3, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, true)
+		time.Sleep(time.Second)
+		o.Update(&box.Update{Upstream: "u1", Items: []box.Item{{Gone: true, ID: "first"}}})
+		if a := <-ask("back"); a.Verdict != policy.VerdictStart {
+			t.Errorf("after it is taken back: got %+v, want a place", fmt.Sprint(a))
+		}
+		cancel()
+		<-ran
+	})
+}
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -33,11 +33,21 @@
 	return true
 }
 
+// evacuate takes in whether the upstream's hall is evacuated, and has what waits go
+// elsewhere at once; the lock is held.
+func (x *owned) evacuate(evacuated bool) {
+	x.owner.Evacuated = evacuated
+	if evacuated {
+		x.flush(policy.ReasonEvacuated)
+	}
+}
+
 // flush refuses all that waits; the lock is held.
 func (x *owned) flush(r policy.Reason) {
 	for id, c := range x.waiters {
-		x.owner.Leave(id, time.Now())
-		c <- policy.Answer{ID: id, Reason: r, Verdict: policy.VerdictRefuse}
+		now := time.Now()
+		x.owner.Leave(id, now)
+		c <- policy.Answer{ID: id, Reason: r, RetryAt: policy.ClosedRetry(r, now), Verdict: policy.VerdictRefuse}
 		delete(x.waiters, id)
 	}
 }
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -235,6 +235,7 @@
 	}
 	x = &owned{waiters: make(map[string]chan policy.Answer)}
 	x.owner = policy.NewOwner(name, c, o.lengths, time.Now(), policy.WithMaxQueued(o.maxQueued))
+	x.owner.Evacuated = u.Evacuated()
 	x.owner.Leaving = u.Spec.Leaving
 	x.mine = o.Mine(u)
 	o.owners[name] = x
--- a/internal/placement/naive.go
+++ b/internal/placement/naive.go
@@ -32,8 +32,9 @@
 // Place returns an upstream that is not among those to avoid.
 func (p *Naive) Place(_ context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
 	var c []policy.Candidate
+	now := time.Now()
 	for _, u := range p.view.UpstreamsOf(w.Model) {
-		if !u.Spec.Leaving {
+		if u.Takes(now) {
 			c = append(c, policy.Candidate{Name: u.Name})
 		}
 	}
--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -153,7 +153,7 @@
 	}
 	if next == "" && !p.left(w, skip) {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, fail.Place{Peer: "upstreams", Step: "choose"},
-			string(policy.ReasonNoUpstream), "no upstream takes new work for model %q", w.Model), time.Now().Add(time.Second))
+			string(p.noneReason(w)), "no upstream takes new work for model %q", w.Model), time.Now().Add(time.Second))
 	}
 	return p.view.Upstream(next), nil
 }
@@ -213,6 +213,16 @@
 	return false
 }
 
+// noneReason returns why no upstream is left for w.
+func (p *Reserved) noneReason(w *policy.Work) policy.Reason {
+	for _, u := range p.view.UpstreamsOf(w.Model) {
+		if u.Evacuated() {
+			return policy.ReasonEvacuated
+		}
+	}
+	return policy.ReasonNoUpstream
+}
+
 // pause waits before the next ask after some failures in a row, of which err was the
 // last, and counts it.
 func (p *Reserved) pause(ctx context.Context, failures int, err error) {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -104,7 +104,9 @@
 // and not too many have refused.
 func (s *search) takeRefusal(u *resource.Upstream, a *policy.Answer) error {
 	s.skip[u.Name] = true
-	s.refused++
+	if a.Reason != policy.ReasonEvacuated {
+		s.refused++
+	}
 	s.lostSince, s.failures = time.Time{}, 0
 	if s.refused == asksMost || !s.placement.left(s.work, s.skip) {
 		return refusalError(u.Name, a)
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -18,6 +18,17 @@
 	return now.UnixNano()
 }
 
+// closed returns why the upstream gets no new work, or "".
+func (o *Owner) closed() Reason {
+	switch {
+	case o.Evacuated:
+		return ReasonEvacuated
+	case o.Leaving:
+		return ReasonLeaving
+	}
+	return ""
+}
+
 // cost returns the seconds of the engine's time that a generation takes up:
 // its share of the memory or of the batch, whichever is the scarcer.
 func (o *Owner) cost(e *expectation) float64 {
@@ -46,7 +57,7 @@
 
 // fits reports whether e may start now.
 func (o *Owner) fits(e *entry, now time.Time) bool {
-	if o.Leaving || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
+	if o.closed() != "" || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
 		return false
 	}
 	if len(o.running) == 0 && o.foreign == 0 {
@@ -92,8 +103,8 @@
 	}
 	wait := o.queue.ahead(e.order)
 	switch {
-	case o.Leaving:
-		return no(ReasonLeaving, now)
+	case o.closed() != "":
+		return no(o.closed(), ClosedRetry(o.closed(), now))
 	case e.work.Prompt+1 > o.capacity.KVTokens:
 		return no(ReasonTooLarge, time.Time{})
 	case !e.work.Deadline.After(now):
@@ -110,8 +121,8 @@
 func (o *Owner) refuseLate(e *entry, now time.Time) Answer {
 	o.Leave(e.work.ID, now)
 	a := Answer{ID: e.work.ID, Reason: ReasonDeadline, RetryAt: now.Add(seconds(o.queue.total())), Verdict: VerdictRefuse}
-	if o.Leaving {
-		a.Reason, a.RetryAt = ReasonLeaving, now
+	if c := o.closed(); c != "" {
+		a.Reason, a.RetryAt = c, ClosedRetry(c, now)
 	}
 	return a
 }
@@ -135,7 +146,7 @@
 	var late, urgent []*entry
 	for e := range maps.Values(o.queue.byID) {
 		switch {
-		case o.Leaving || now.After(e.latest):
+		case o.closed() != "" || now.After(e.latest):
 			late = append(late, e)
 		case !e.order.urgent && now.After(e.urgentAt):
 			urgent = append(urgent, e)
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -11,6 +11,8 @@
 // upstream's report shows beyond that, and admits nothing until it has a report
 // or its grace has passed.
 type Owner struct {
+	// Evacuated refuses all new work, until the hall is taken back.
+	Evacuated bool
 	// Leaving refuses all new work.
 	Leaving bool
 	// Upstream is the upstream's name.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -62,6 +62,7 @@
 // The reasons.
 const (
 	ReasonDeadline    Reason = "deadline"     // its deadline can no longer be met
+	ReasonEvacuated   Reason = "evacuated"    // the upstream's hall is evacuated
 	ReasonLeaving     Reason = "leaving"      // the upstream gets no new work
 	ReasonMoved       Reason = "moved"        // the upstream has another owner now; ask there
 	ReasonNoUpstream  Reason = "no_upstream"  // no upstream runs the model
@@ -113,6 +114,19 @@
 // DefaultStepSeconds stands in for a step time that was not reported yet.
 const DefaultStepSeconds = 0.03
 
+// evacuatedRetry is when a caller may come back where the only upstreams left are those of
+// evacuated halls: an evacuation lasts seconds at least.
+const evacuatedRetry = time.Second
+
+// ClosedRetry returns when work that an upstream does not take for a reason of its own may
+// come back: at once where another upstream takes it.
+func ClosedRetry(r Reason, now time.Time) time.Time {
+	if r == ReasonEvacuated {
+		return now.Add(evacuatedRetry)
+	}
+	return now
+}
+
 // Run describes a running generation that is to be moved to another upstream.
 type Run struct {
 	Deadline time.Time // of the whole answer
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,19 +42,22 @@
 	return s.run(ctx, a)
 }
 
-// check makes sure, just before the send, that a place may still be used: the box may
-// have been paused since it was given.
+// check makes sure, just before the send, that an upstream may still be used: the box may
+// have been paused since it was chosen.
 func (e *exchange) check(ctx context.Context, t *seat) (*resource.Upstream, error) {
-	if t.place == nil {
-		return t.upstream, nil
-	}
 	e.relay.Fresh(ctx)
 	now := time.Now()
 	place := fail.Place{Peer: "upstream " + t.upstream.Name, Step: stepCheck}
 	u := e.relay.view.Upstream(t.upstream.Name)
-	if u == nil || !u.Takes(now) {
+	switch {
+	case u == nil || !u.Stays(now):
 		e.avoid[t.upstream.Name] = true
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonLeaving), "the upstream is leaving"), now)
+	case u.Evacuated():
+		e.avoid[t.upstream.Name] = true
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonEvacuated), "data hall %q is evacuated", u.Spec.Hall), now)
+	case t.place == nil:
+		return u, nil
 	}
 	if t.place.Stale(now) {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, "stale_place", "the place was given too long ago"), now)
--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -31,7 +31,8 @@
 	moveRetry = 20 * time.Millisecond
 )
 
-// moveAway starts the moves of all generations whose engines are leaving.
+// moveAway starts the moves of all generations whose engines are leaving. Those of a hall
+// that is evacuated go on where they run.
 func (x *Relay) moveAway() {
 	now := time.Now()
 	x.mutex.Lock()
@@ -43,7 +44,7 @@
 	for _, s := range l {
 		u := s.at()
 		v := x.view.Upstream(u.Name)
-		if v != nil && v.Takes(now) {
+		if v != nil && v.Stays(now) {
 			continue
 		}
 		if g := u.Engine(); g == nil || !g.Migrates {
@@ -105,6 +106,9 @@
 	m.copy, m.to, m.stopped = c, to, true
 	m.mutex.Unlock()
 	first := time.Since(began)
+	if !x.takes(to) {
+		return s.withdrawCopy(ctx, m, c, avoid)
+	}
 	c, err = x.Upstreams.Migrate(ctx, m.from, to, e.request.ID, true)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -241,6 +245,23 @@
 	})
 }
 
+// withdrawCopy gives up the copy at an engine that takes no new work any more, while the
+// run still goes on at its source, and returns why.
+func (s *stream) withdrawCopy(ctx context.Context, m *move, c *Copy, avoid map[string]bool) error {
+	x := s.exchange.relay
+	to := m.target()
+	avoid[to.Name] = true
+	m.drop(x)
+	m.mutex.Lock()
+	m.copy, m.stopped = nil, false
+	m.mutex.Unlock()
+	place := fail.Place{Peer: "upstream " + to.Name, Step: "copy"}
+	if err := x.Upstreams.Release(ctx, m.from, c.Handle); err != nil {
+		return fail.Wrap(fail.Unavailable, place, "copy_withdrawn", err)
+	}
+	return fail.New(fail.Unavailable, place, "copy_withdrawn", "the engine takes no new work any more")
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -74,6 +74,13 @@
 	return m.stopped
 }
 
+// target returns the engine to move to, or nil.
+func (m *move) target() *resource.Upstream {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.to
+}
+
 // wait waits for the move's end, but not for long: callers leave after a pause.
 func (m *move) wait(ctx context.Context) {
 	select {
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -10,9 +10,15 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// handOverPeriod is how long after this box learned of an evacuation a run that was
+// stopped for a move before is still handed over: the rest of its memory takes some
+// 100 ms to copy, and the run is lost otherwise.
+const handOverPeriod = 500 * time.Millisecond
+
 // abandonMove gives up the move that is under way or made, if there is one.
 func (s *stream) abandonMove() {
 	s.mutex.Lock()
@@ -24,6 +30,18 @@
 	}
 }
 
+// handOver sends a run that was stopped for a move to an engine which has its memory. Where
+// the engine's hall was evacuated meanwhile, it does so only for a moment: the run has
+// nowhere else to go on.
+func (e *exchange) handOver(ctx context.Context, u *resource.Upstream, r *Resume) (*Answer, error) {
+	v := e.relay.view.Upstream(u.Name)
+	if v != nil && v.Evacuated() && time.Since(v.EvacuatedAt) > handOverPeriod {
+		return nil, fail.New(fail.NotRun, fail.Place{Peer: "upstream " + u.Name, Step: "resume"}, string(policy.ReasonEvacuated), "data hall %q is evacuated", v.Spec.Hall)
+	}
+	a, _, err := e.send(ctx, u, r)
+	return a, err
+}
+
 // hopped takes in that a move was made: the next one has an id of its own.
 func (s *stream) hopped() {
 	s.mutex.Lock()
@@ -59,10 +77,10 @@
 	r := &Resume{Handle: m.copy.Handle, Source: m.from.HostPort()}
 	e.relay.budget.Spend(e.service.Name, time.Now())
 	u := m.to
-	a, _, err := e.send(ctx, u, r)
+	a, err := e.handOver(ctx, u, r)
 	if err != nil && m.stopping() {
 		u = m.from
-		a, _, err = e.send(ctx, u, r)
+		a, err = e.handOver(ctx, u, r)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -121,7 +121,12 @@
 
 // list changes what the platform's list says of an upstream.
 func (r *rig) list(name, service string, leaving bool) {
-	r.put(resource.SourceUpstreams, resource.KindUpstream, name, fmt.Sprintf(`{"address":"http://%s","hall":"a","service":%q,"models":["%s/m"],"leaving":%v,"type":""}`, name, service, service, leaving), false)
+	r.listAt(name, "a", service, leaving)
+}
+
+// listAt does so for an upstream of a data hall.
+func (r *rig) listAt(name, hall, service string, leaving bool) {
+	r.put(resource.SourceUpstreams, resource.KindUpstream, name, fmt.Sprintf(`{"address":"http://%s","hall":%q,"service":%q,"models":["%s/m"],"leaving":%v,"type":""}`, name, hall, service, service, leaving), false)
 }
 
 // remove takes an upstream off the platform's list.
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -87,6 +87,14 @@
 	}
 }
 
+func checkEvacuation(s *EvacuationSpec) Faults {
+	var f Faults
+	if s.Hall == "" {
+		f.add("spec.hall", "must be set")
+	}
+	return f
+}
+
 func checkLimits(s *LimitsSpec) Faults {
 	var f Faults
 	f.addRange("spec.bodyBytes", int(s.BodyBytes), 0, maxLimitBytes)
@@ -105,6 +113,8 @@
 	switch r.Kind {
 	case KindBox:
 		return checkWith(r, func(*BoxSpec) Faults { return nil }) // written by boxes
+	case KindEvacuation:
+		return checkWith(r, checkEvacuation)
 	case KindLimits:
 		return checkWith(r, checkLimits)
 	case KindModel:
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -12,6 +12,7 @@
 // View's lock guards it.
 type index struct {
 	boxes      map[string]*Box
+	evacuated  evacuations
 	limits     map[string]LimitsSpec
 	priorities map[string]int
 	routeSpecs map[string]RouteSpec
@@ -28,6 +29,7 @@
 
 	// What rebuild has to make anew.
 	changedUpstreams []string // by name
+	hallsOutdated    bool
 	keysOutdated     bool
 	routesOutdated   bool
 	servicesChanged  bool
@@ -36,19 +38,24 @@
 // newIndex returns an empty index.
 func newIndex() index {
 	return index{
-		boxes: make(map[string]*Box), limits: make(map[string]LimitsSpec), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
+		boxes: make(map[string]*Box), evacuated: newEvacuations(), limits: make(map[string]LimitsSpec), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
 		services: make(map[string]*Service), upstreams: make(map[string]*Upstream), workspaces: make(map[string]*Workspace),
 		byModel: make(map[string][]*Upstream), byService: make(map[string][]*Upstream), joined: make(map[string]*Upstream),
 	}
 }
 
-// join completes an upstream from its service, where that is declared.
+// join completes an upstream from its service, where that is declared, and tells whether
+// its hall is evacuated.
 func (x *index) join(u *Upstream) *Upstream {
-	s := x.services[u.Spec.Service]
-	if s == nil {
+	s, evacuatedAt := x.services[u.Spec.Service], x.evacuated.halls[u.Spec.Hall]
+	if s == nil && evacuatedAt.IsZero() {
 		return u
 	}
 	v := *u
+	v.EvacuatedAt = evacuatedAt
+	if s == nil {
+		return &v
+	}
 	v.Service = s
 	if v.Spec.Type == "" {
 		v.Spec.Type = UpstreamService
@@ -81,6 +88,10 @@
 	switch c.Resource.Kind {
 	case KindBox:
 		putSpec(x.boxes, c, func(s *BoxSpec) *Box { return &Box{Name: n, Spec: *s} })
+	case KindEvacuation:
+		x.hallsOutdated = true
+		x.evacuated.pending[n] = now
+		putSpec(x.evacuated.names, c, func(s *EvacuationSpec) string { return s.Hall })
 	case KindLimits:
 		putSpec(x.limits, c, func(s *LimitsSpec) LimitsSpec { return *s })
 	case KindPriority:
@@ -152,8 +163,12 @@
 }
 
 // rebuildUpstreams joins the upstreams that have changed with their services, or all
-// where a service has.
+// where a service has or a hall was evacuated or taken back.
 func (x *index) rebuildUpstreams() {
+	if x.hallsOutdated {
+		x.hallsOutdated = false
+		x.servicesChanged = x.evacuated.rebuild() || x.servicesChanged
+	}
 	if !x.servicesChanged && len(x.changedUpstreams) == 0 {
 		return
 	}
--- a/internal/resource/reference.go
+++ b/internal/resource/reference.go
@@ -36,7 +36,7 @@
 		}
 	case KindRoute:
 		return routeReferences(r)
-	case KindBox, KindLimits, KindModel, KindPriority, KindService:
+	case KindBox, KindEvacuation, KindLimits, KindModel, KindPriority, KindService:
 	}
 	return nil
 }
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -14,20 +14,21 @@
 
 // The kinds of resources.
 const (
-	KindBox       Kind = "Box"
-	KindLimits    Kind = "Limits"
-	KindModel     Kind = "Model"
-	KindPriority  Kind = "Priority"
-	KindRoute     Kind = "Route"
-	KindService   Kind = "Service"
-	KindUpstream  Kind = "Upstream"
-	KindVersion   Kind = "Version"
-	KindWorkspace Kind = "Workspace"
+	KindBox        Kind = "Box"
+	KindEvacuation Kind = "Evacuation"
+	KindLimits     Kind = "Limits"
+	KindModel      Kind = "Model"
+	KindPriority   Kind = "Priority"
+	KindRoute      Kind = "Route"
+	KindService    Kind = "Service"
+	KindUpstream   Kind = "Upstream"
+	KindVersion    Kind = "Version"
+	KindWorkspace  Kind = "Workspace"
 )
 
 // Kinds lists every kind that operators declare, in the order in which they are
 // applied.
-var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindService, KindUpstream, KindRoute, KindLimits}
+var Kinds = []Kind{KindModel, KindVersion, KindPriority, KindWorkspace, KindService, KindUpstream, KindRoute, KindLimits, KindEvacuation}
 
 // Metadata identifies a resource and its version.
 type Metadata struct {
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -8,6 +8,7 @@
 const (
 	SourceBoxes         Source = "boxes"         // what boxes write of themselves
 	SourceConfiguration Source = "configuration" // the platform's configuration, whole each time
+	SourceEvacuations   Source = "evacuations"   // the data halls that the platform's operators evacuate
 	SourceResources     Source = "resources"     // what operators declare by the operator interface
 	SourceUpstreams     Source = "upstreams"     // the platform's list of upstreams
 )
--- a/internal/resource/upstream.go
+++ b/internal/resource/upstream.go
@@ -9,10 +9,11 @@
 
 // Upstream is an upstream with its decoded spec, completed from its service.
 type Upstream struct {
-	LapsedAt time.Time // when this box learned that its entry had gone; zero where it stands
-	Name     string
-	Service  *Service // nil where its service is not declared
-	Spec     UpstreamSpec
+	EvacuatedAt time.Time // when this box learned that its hall is evacuated; zero where it is not
+	LapsedAt    time.Time // when this box learned that its entry had gone; zero where it stands
+	Name        string
+	Service     *Service // nil where its service is not declared
+	Spec        UpstreamSpec
 }
 
 // UpstreamSpec declares an engine or a plain service.
@@ -75,8 +76,18 @@
 	return a
 }
 
+// Evacuated reports whether the upstream's hall is evacuated.
+func (u *Upstream) Evacuated() bool {
+	return !u.EvacuatedAt.IsZero()
+}
+
 // Takes reports whether the upstream may be given new work.
 func (u *Upstream) Takes(now time.Time) bool {
+	return !u.Evacuated() && u.Stays(now)
+}
+
+// Stays reports whether what runs at the upstream may go on there.
+func (u *Upstream) Stays(now time.Time) bool {
 	if u.Spec.Leaving {
 		return false
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -226,8 +226,9 @@
 }
 
 func (r *Router) upstreams(name string) []*resource.Upstream {
+	now := time.Now()
 	return r.view.Upstreams(func(u *resource.Upstream) bool {
-		return u.Spec.Type == resource.UpstreamService && u.Spec.Service == name && !u.Spec.Leaving
+		return u.Spec.Type == resource.UpstreamService && u.Spec.Service == name && u.Takes(now)
 	})
 }
 
