Engines that are cold get no more than they bear

Ruled out: counting only while an engine is known to be cold (engines become cold at any moment and their entry tells it up to a heartbeat later); shares by box for engines (less than one a second for each of 62 boxes).

Change: coldMilliseconds of an upstream, coldPerSecond of a service, overage and slack in the settings. An owner starts at most half of what a cold engine bears in any second, always (a warm one reads no more than 7 prompts a second here); plain services, which have no owner, get from each box its share while they are cold and count as more loaded.

--- a/assemble.go
+++ b/assemble.go
@@ -49,7 +49,7 @@
 	b.assembleFollower(store)
 
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
-		ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
+		ownership.WithCold(ownership.Cold(s.Cold)), ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
 	b.owners.Away = b.follower.Away
 	b.owners.Leaving = b.tellLeaving
 	b.owners.ReadLoad = b.readLoad
@@ -121,7 +121,7 @@
 func (b *Box) assembleRelay(l *policy.Lengths) {
 	g := b.settings.Budget
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
-		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count))
+		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdMost(b.coldMost))
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
 	b.relay.Place = b.reserved.Place
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -22,6 +22,8 @@
 	"route_unknown":          "no route leads there",
 	"run_unknown":            "the engine did not run it any more, or not yet",
 	"service_unknown":        "the service of its route is not declared",
+	"copy_withdrawn":         "the engine that its memory was copied to takes no new work any more",
+	"evacuated":              "its data hall is evacuated: nothing further is sent there",
 	"stale_place":            "its place was given too long ago",
 	"stream_broken":          "the stream broke off before its end",
 	"stream_gap":             "an event was missing in the upstream's stream",
--- /dev/null
+++ b/internal/health/cold_test.go
@@ -0,0 +1,56 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestColdUpstreamGetsItsShare has a crowd of calls come to services of which both are cold,
+// and then one: this box may send each two a second while it is cold, and more are refused
+// until one is warm.
+func TestColdUpstreamGetsItsShare(t *testing.T) {
+	h, now := New("a"), time.Now()
+	h.ColdMost = func(*resource.Upstream) int { return 2 }
+	warmAt := now.Add(2500 * time.Millisecond)
+	l := []*resource.Upstream{
+		{Name: "s1", ColdUntil: warmAt, Spec: resource.UpstreamSpec{Hall: "a"}},
+		{Name: "s2", ColdUntil: warmAt, Spec: resource.UpstreamSpec{Hall: "b"}},
+	}
+	sent := make(map[string]int)
+	crowd := func(calls int) (refused int) {
+		for range calls {
+			u, back := h.Choose(l, nil, now)
+			if u == nil {
+				if !back.Equal(warmAt) {
+					t.Errorf("a call that was refused: got back at %v, want %v", back, warmAt)
+				}
+				refused++
+				continue
+			}
+			sent[u.Name]++
+			h.Begin(u.Name)()
+		}
+		return refused
+	}
+	if got, want := crowd(100), 96; got != want {
+		t.Errorf("refused in the first second: got %d, want %d", got, want)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	if got, want := crowd(100), 96; got != want {
+		t.Errorf("refused in the second second: got %d, want %d", got, want)
+	}
+	l[1].ColdUntil = time.Time{}
+	if got := crowd(100); got != 0 {
+		t.Errorf("refused with one warm: got %d, want 0", got)
+	}
+	if got, want := sent["s1"], 4; got != want {
+		t.Errorf("sent to the one that is cold still: got %d, want %d", got, want)
+	}
+	now = warmAt
+	crowd(100)
+	if sent["s1"] <= 4 {
+		t.Error("nothing is sent to the one that is warm again")
+	}
+}
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,10 @@
 // Tracker is what this box has seen of upstreams with its own requests, which goes before
 // what others say of them. It is safe for concurrent use.
 type Tracker struct {
+	// ColdMost returns how many requests a second this box may send to an upstream while
+	// it is cold; a seam. By default none is bounded.
+	ColdMost func(u *resource.Upstream) int
+
 	hall  string
 	mutex sync.Mutex
 	seen  map[string]*evidence
@@ -30,10 +35,11 @@
 type evidence struct {
 	active    int // requests of this box in progress
 	askedAt   time.Time
-	awayUntil time.Time // it did not answer a connection a moment ago
-	misses    int       // connections in a row that it did not answer
-	failures  float64   // share of failures among the last answers
-	load      float64   // running and waiting requests for each slot, as last told
+	awayUntil time.Time   // it did not answer a connection a moment ago
+	coldSends []time.Time // of the last second, while it was cold
+	misses    int         // connections in a row that it did not answer
+	failures  float64     // share of failures among the last answers
+	load      float64     // running and waiting requests for each slot, as last told
 	loadAt    time.Time
 }
 
@@ -44,7 +50,11 @@
 }
 
 const (
-	awayPeriod = time.Second // that an upstream which could not be reached is passed over
+	// coldPenalty is the load that a cold upstream counts for: it is slower, by how much is
+	// not told, and one that is warm and not full goes before it.
+	coldPenalty = 0.5
+	coldWindow  = time.Second // in which requests to a cold upstream are counted
+	awayPeriod  = time.Second // that an upstream which could not be reached is passed over
 	// goneMisses is how many connections in a row an upstream does not answer before it
 	// counts as out of reach: on a link that loses packets each of ten fails by itself.
 	goneMisses     = 5
@@ -60,7 +70,7 @@
 
 // New returns a tracker, for a box of a hall, that has seen nothing.
 func New(hall string) *Tracker {
-	return &Tracker{hall: hall, seen: make(map[string]*evidence)}
+	return &Tracker{ColdMost: func(*resource.Upstream) int { return math.MaxInt }, hall: hall, seen: make(map[string]*evidence)}
 }
 
 // Answered notes an answer, or the lack of one.
@@ -126,9 +136,9 @@
 		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
-		if e := t.at(u.Name); e.gone(now) {
-			if backAt.IsZero() || e.awayUntil.Before(backAt) {
-				backAt = e.awayUntil
+		if at := t.closedUntil(u, now); !at.IsZero() {
+			if backAt.IsZero() || at.Before(backAt) {
+				backAt = at
 			}
 			continue
 		}
@@ -146,9 +156,7 @@
 	if first.upstream == nil {
 		return nil, backAt
 	}
-	if e := t.at(first.upstream.Name); e.misses >= goneMisses {
-		e.awayUntil = now.Add(probePeriod)
-	}
+	t.at(first.upstream.Name).chosen(first.upstream, now)
 	return first.upstream, time.Time{}
 }
 
@@ -163,6 +171,19 @@
 	}
 }
 
+// closedUntil returns until when an upstream that takes new work is to get none from this
+// box, or zero: it is out of reach, or cold and has had its share; the lock is held.
+func (t *Tracker) closedUntil(u *resource.Upstream, now time.Time) time.Time {
+	e := t.at(u.Name)
+	switch {
+	case e.gone(now):
+		return e.awayUntil
+	case e.coldFull(u, t.ColdMost, now):
+		return u.ColdUntil
+	}
+	return time.Time{}
+}
+
 // score returns how much load an upstream counts as having; the lock is held.
 func (t *Tracker) score(u *resource.Upstream, now time.Time) float64 {
 	e := t.at(u.Name)
@@ -172,12 +193,35 @@
 	if u.Spec.Hall != t.hall {
 		s += hallPenalty
 	}
+	if u.Cold(now) {
+		s += coldPenalty
+	}
 	if now.Before(e.awayUntil) {
 		s += failurePenalty
 	}
 	return s
 }
 
+// chosen notes that a request goes to the upstream.
+func (e *evidence) chosen(u *resource.Upstream, now time.Time) {
+	if e.misses >= goneMisses {
+		e.awayUntil = now.Add(probePeriod)
+	}
+	if u.Cold(now) {
+		e.coldSends = append(e.coldSends, now)
+	}
+}
+
+// coldFull reports whether an upstream is cold and has had what this box may send it.
+func (e *evidence) coldFull(u *resource.Upstream, most func(*resource.Upstream) int, now time.Time) bool {
+	if !u.Cold(now) {
+		e.coldSends = nil
+		return false
+	}
+	e.coldSends = slices.DeleteFunc(e.coldSends, func(t time.Time) bool { return now.Sub(t) > coldWindow })
+	return len(e.coldSends) >= most(u)
+}
+
 // gone reports whether the upstream is out of reach.
 func (e *evidence) gone(now time.Time) bool {
 	return e.misses >= goneMisses && now.Before(e.awayUntil)
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -31,6 +31,7 @@
 	assignedBoxes uint64    // and the versions for which they were;
 	assignedView  uint64    // used by Run alone
 
+	cold      Cold
 	lengths   *policy.Lengths
 	log       *slog.Logger
 	maxQueued int
@@ -42,6 +43,10 @@
 	view      *resource.View
 }
 
+// Cold tells how many requests a second engines get that have just started: so many times
+// what their service says that a cold engine bears, and some more.
+type Cold struct{ Overage, Slack float64 }
+
 // Option sets one thing of Owners.
 type Option func(*Owners)
 
@@ -54,6 +59,9 @@
 	// cannot be had: notices are of 1.5 to 2.1 s, a report tells one half a second late
 	// and costs a 2,500th of what a long generation is worth (prices of the users' days).
 	awayReportEvery = 150 * time.Millisecond
+	// coldShare is the share of what a cold engine bears that one owner hands out: for a
+	// moment two boxes may both hold themselves for the owner.
+	coldShare = 0.5
 	// readingMost is how many tokens of prompts engines of routes read at once. They
 	// read some 7.5 a millisecond between the tokens of others: 0.9 s, of an aim of 1.5.
 	readingMost   = 7000
@@ -65,7 +73,7 @@
 // New returns owners that answer for the upstreams in v.
 func New(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, log *slog.Logger, options ...Option) *Owners {
 	o := &Owners{
-		lengths: l, log: log, maxQueued: 10_000, members: m, metrics: s,
+		cold: Cold{Overage: 1}, lengths: l, log: log, maxQueued: 10_000, members: m, metrics: s,
 		owners: make(map[string]*owned), report: time.Second, view: v,
 	}
 	for _, x := range options {
@@ -77,6 +85,11 @@
 	return o
 }
 
+// WithCold bounds what engines get that have just started.
+func WithCold(c Cold) Option {
+	return func(o *Owners) { o.cold = c }
+}
+
 // WithMaxQueued bounds the work that waits at one upstream.
 func WithMaxQueued(n int) Option {
 	return func(o *Owners) { o.maxQueued = n }
@@ -233,6 +246,9 @@
 	if u.Engine() != nil {
 		c.ReadingMost = readingMost
 	}
+	if n := u.ColdPerSecond(); n > 0 {
+		c.StartsMost = max(1, coldShare*(n*o.cold.Overage+o.cold.Slack))
+	}
 	x = &owned{waiters: make(map[string]chan policy.Answer)}
 	x.owner = policy.NewOwner(name, c, o.lengths, time.Now(), policy.WithMaxQueued(o.maxQueued))
 	x.owner.Evacuated = u.Evacuated()
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -60,6 +60,9 @@
 	if o.closed() != "" || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
 		return false
 	}
+	if o.startsEnough(now) {
+		return false
+	}
 	if len(o.running) == 0 && o.foreign == 0 {
 		return true
 	}
@@ -136,6 +139,17 @@
 	return w.FirstBy.Add(-seconds(readSeconds * float64(toRead(w))))
 }
 
+// startsEnough reports whether so many generations were started within the last second that
+// an engine which is cold would bear no more. Engines become cold at any moment and tell it
+// late, so that the bound always holds: warm ones read prompts for longer than it takes.
+func (o *Owner) startsEnough(now time.Time) bool {
+	if o.capacity.StartsMost <= 0 {
+		return false
+	}
+	o.starts = slices.DeleteFunc(o.starts, func(t time.Time) bool { return now.Sub(t) > time.Second })
+	return float64(len(o.starts)+1) > o.capacity.StartsMost
+}
+
 // sweep refuses, now and not later, waiting work whose deadline can no longer
 // be met, in the order in which it arrived, and puts first what is urgent.
 func (o *Owner) sweep(now time.Time) []Answer {
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -33,6 +33,7 @@
 	running     map[string]*running
 	shares      *shares
 	stalled     int
+	starts      []time.Time // of the last second, where they are bounded
 	tune        Tuning
 	usedTokens  int // by known generations
 	z           float64
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,6 +33,7 @@
 	CopyToken   time.Duration // that copying a token of memory to another engine of its hall takes; 0 where it cannot
 	KVTokens    int           // memory for prompts and outputs, in tokens
 	MaxBatch    int           // generations in one batch at most
+	StartsMost  float64       // generations that are started in any second at most; 0 is no bound
 	ReadingMost int           // tokens of prompts that are read at once at most, unless of one prompt alone; 0 is no bound
 }
 
--- a/internal/policy/running.go
+++ b/internal/policy/running.go
@@ -98,6 +98,9 @@
 		reading: toRead(e.work), work: e.work,
 	}
 	o.running[e.work.ID] = r
+	if o.capacity.StartsMost > 0 {
+		o.starts = append(o.starts, now)
+	}
 	o.reading += r.reading
 	o.usedTokens += e.work.Prompt
 	o.forecast.add(&r.forecast, 1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,6 +99,12 @@
 	return x
 }
 
+// WithColdMost bounds how many requests a second this box sends to a plain upstream while
+// that is cold.
+func WithColdMost(f func(u *resource.Upstream) int) Option {
+	return func(x *Relay) { x.health.ColdMost = f }
+}
+
 // WithBudget bounds the tries beyond the first of each request: in any window,
 // for each service and over all boxes, a ratio of its requests and some extra.
 func WithBudget(ratio float64, extra float64, window time.Duration, boxes func() int) Option {
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -107,6 +107,9 @@
 		x.changedUpstreams = append(x.changedUpstreams, n)
 		putSpec(x.upstreams, c, func(s *UpstreamSpec) *Upstream {
 			u := &Upstream{Name: n, Spec: *s}
+			if s.Cold > 0 {
+				u.ColdUntil = now.Add(s.Cold.Duration())
+			}
 			if s.Lapsed {
 				u.LapsedAt = now
 			}
--- a/internal/resource/service.go
+++ b/internal/resource/service.go
@@ -8,6 +8,9 @@
 
 // ServiceSpec declares a service: upstreams that are alike.
 type ServiceSpec struct {
+	// ColdPerSecond is how many requests a second an upstream bears from all boxes while
+	// it is cold; 0 is no bound.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 	// Engine describes its upstreams where they are model engines.
 	Engine *EngineSpec `json:"engine,omitempty"`
 	// HealthPath is where an upstream tells whether it is well.
--- a/internal/resource/upstream.go
+++ b/internal/resource/upstream.go
@@ -9,6 +9,7 @@
 
 // Upstream is an upstream with its decoded spec, completed from its service.
 type Upstream struct {
+	ColdUntil   time.Time // until when it is cold, as far as its entry told
 	EvacuatedAt time.Time // when this box learned that its hall is evacuated; zero where it is not
 	LapsedAt    time.Time // when this box learned that its entry had gone; zero where it stands
 	Name        string
@@ -18,16 +19,17 @@
 
 // UpstreamSpec declares an engine or a plain service.
 type UpstreamSpec struct {
-	Address     string       `json:"address"`               // http://IP:port
-	ChecksFence bool         `json:"checksFence,omitempty"` // it refuses orders with an old fence
-	Hall        string       `json:"hall"`                  // the data hall it stands in
-	KVTokens    int          `json:"kvTokens,omitempty"`    // engine: memory for prompts and outputs, in tokens
-	Lapsed      bool         `json:"lapsed,omitempty"`      // its entry went while the platform's store was away; it may be back
-	Leaving     bool         `json:"leaving,omitempty"`     // it gets no new work
-	MaxBatch    int          `json:"maxBatch,omitempty"`    // engine: generations at once within the inter-token target
-	Models      []string     `json:"models,omitempty"`      // engine: the models it runs
-	Repeatable  []string     `json:"repeatable,omitempty"`  // service: methods that may be repeated
-	Service     string       `json:"service,omitempty"`     // service: the name in /services/NAME/
+	Address     string       `json:"address"`                    // http://IP:port
+	ChecksFence bool         `json:"checksFence,omitempty"`      // it refuses orders with an old fence
+	Cold        Milliseconds `json:"coldMilliseconds,omitempty"` // how much longer it is cold, from when the entry was written
+	Hall        string       `json:"hall"`                       // the data hall it stands in
+	KVTokens    int          `json:"kvTokens,omitempty"`         // engine: memory for prompts and outputs, in tokens
+	Lapsed      bool         `json:"lapsed,omitempty"`           // its entry went while the platform's store was away; it may be back
+	Leaving     bool         `json:"leaving,omitempty"`          // it gets no new work
+	MaxBatch    int          `json:"maxBatch,omitempty"`         // engine: generations at once within the inter-token target
+	Models      []string     `json:"models,omitempty"`           // engine: the models it runs
+	Repeatable  []string     `json:"repeatable,omitempty"`       // service: methods that may be repeated
+	Service     string       `json:"service,omitempty"`          // service: the name in /services/NAME/
 	Type        UpstreamType `json:"type"`
 }
 
@@ -76,6 +78,20 @@
 	return a
 }
 
+// Cold reports whether the upstream is known to be cold: it bears few requests.
+func (u *Upstream) Cold(now time.Time) bool {
+	return now.Before(u.ColdUntil)
+}
+
+// ColdPerSecond returns how many requests a second the upstream bears while it is cold; 0
+// is no bound.
+func (u *Upstream) ColdPerSecond() float64 {
+	if u.Service == nil {
+		return 0
+	}
+	return u.Service.Spec.ColdPerSecond
+}
+
 // Evacuated reports whether the upstream's hall is evacuated.
 func (u *Upstream) Evacuated() bool {
 	return !u.EvacuatedAt.IsZero()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,12 @@
 	Window Span    `toml:"window"` // that the bound holds for
 }
 
+// Cold bounds what upstreams get that have just started, and bear few requests a second.
+type Cold struct {
+	Overage float64 `toml:"overage"` // times what a cold upstream's service says that it bears, and
+	Slack   float64 `toml:"slack"`   // requests beside, in any second
+}
+
 // Entry is where requests of declared routes come in, from the platform's
 // balancer. Without it a box takes none.
 type Entry struct {
@@ -90,6 +96,7 @@
 	BoxAddress      string   `toml:"box_address"`      // IP:port for other boxes, UDP or, with plain links, TCP
 	Budget          Budget   `toml:"budget"`           // of tries
 	ClientAddress   string   `toml:"client_address"`   // IP:port for clients
+	Cold            Cold     `toml:"cold"`             // what cold upstreams get
 	Entry           Entry    `toml:"entry"`            // of requests of declared routes
 	FirstStart      bool     `toml:"first_start"`      // the whole system starts for the first time
 	Hall            string   `toml:"hall"`             // the data hall this box stands in
@@ -122,6 +129,7 @@
 func Default() Settings {
 	return Settings{
 		Budget:   Budget{Extra: 50, Ratio: 0.2, Window: Span{10 * time.Second}},
+		Cold:     Cold{Overage: 1},
 		Links:    LinksQUIC,
 		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000, WeightLoads: 2},
 		LogLevel: "info",
@@ -312,7 +320,9 @@
 		{"extra", s.Budget.Extra},
 		{"grace", s.Timeouts.Grace.Seconds()},
 		{"memory_mb", s.Limits.MemoryMB},
+		{"overage", s.Cold.Overage},
 		{"ratio", s.Budget.Ratio},
+		{"slack", s.Cold.Slack},
 	} {
 		if math.IsNaN(x.value) || math.IsInf(x.value, 0) || x.value < 0 {
 			add(x.key, "must be 0 or above")
--- a/template_test.go
+++ b/template_test.go
@@ -17,10 +17,14 @@
 // placeholder is a gap of the template that the platform fills.
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 
+// optional is a part of the template that stands where the platform tells a value.
+var optional = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+
 // platformValues are what the platform fills the template's gaps with, on loopback.
 func platformValues() map[string]string {
 	return map[string]string{
 		"bootstrap": "true", "bounds.budget_extra": "630", "bounds.budget_window_s": "10", "bounds.grace_s": "8.0", "bounds.retry_budget_ratio": "0.2",
+		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
 		"internal_ports.0": "0", "ip": "127.0.0.1", "limits.memory_mb": "112", "listen.front": "127.0.0.1:0", "listen.readiness": "127.0.0.1:0",
 		"node": "front-a-1", "platform.address": "127.0.0.1:1", "zone": "a",
 	}
@@ -33,6 +37,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	b = optional.ReplaceAllFunc(b, func(g []byte) []byte {
+		m := optional.FindSubmatch(g)
+		v, ok := values[string(m[1])]
+		if !ok {
+			return nil
+		}
+		return []byte(strings.ReplaceAll(string(m[2]), "{{.}}", v))
+	})
 	return placeholder.ReplaceAllFunc(b, func(g []byte) []byte {
 		n := strings.Trim(string(g), "{}")
 		v, ok := values[n]
@@ -49,7 +61,8 @@
 func TestTemplateTakesAnyNumber(t *testing.T) {
 	refused := map[string][]string{
 		"bounds.budget_window_s": {"0", "0.0", "-1"},
-		"bounds.budget_extra":    {"-1"}, "bounds.grace_s": {"-1"}, "bounds.retry_budget_ratio": {"-1"}, "limits.memory_mb": {"-1"},
+		"bounds.cold_overage":    {"-1"}, "bounds.cold_slack": {"-1"},
+		"bounds.budget_extra": {"-1"}, "bounds.grace_s": {"-1"}, "bounds.retry_budget_ratio": {"-1"}, "limits.memory_mb": {"-1"},
 	}
 	for _, n := range slices.Sorted(maps.Keys(refused)) {
 		for _, v := range []string{"33.2", "0.4", "0", "0.0", "1", "1e3", "1e+300", "9007199254740993", "-1"} {
@@ -70,6 +83,21 @@
 	}
 }
 
+// TestTemplateWithoutColdUpstreams fills the template on a platform that tells nothing of
+// upstreams that have just started.
+func TestTemplateWithoutColdUpstreams(t *testing.T) {
+	values := platformValues()
+	delete(values, "bounds.cold_overage")
+	delete(values, "bounds.cold_slack")
+	s, err := settings.Parse(fillTemplate(t, values))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Cold, settings.Default().Cold; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // startOnce starts a box on settings, and stops it again.
 func startOnce(b []byte) error {
 	s, err := settings.Parse(b)
