--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Engine is the stand-in. It is an http.Handler.
@@ -19,9 +20,11 @@
 	// Peer returns the engine at an address; a seam.
 	Peer func(address string) *Engine
 
+	arrivals []time.Time
 	id       string
 	mutex    sync.Mutex
 	changed  chan struct{} // closed when the engine dies or a run is stopped
+	cold     cold
 	copies   map[string]*memory
 	dead     bool
 	faults   Faults
@@ -156,6 +159,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.arrive()
 	if f.Refuse != 0 {
 		e.refuse(w, f.Refuse)
 		return
--- a/internal/fake/soak/faults.go
+++ b/internal/fake/soak/faults.go
@@ -121,7 +121,7 @@
 // startWithoutStore kills every box and starts them again while the store refuses: they
 // know no configuration then, and may refuse nothing for good.
 func startWithoutStore(w *world, _ *rand.Rand) (func(), error) {
-	w.platform.SetFaults(fakeplatform.Faults{Down: true})
+	w.setStore(fakeplatform.Faults{Down: true})
 	var g sync.WaitGroup
 	for _, b := range w.boxes {
 		if p := b.take(); p != nil {
@@ -130,7 +130,7 @@
 		}
 	}
 	g.Wait()
-	return func() { w.platform.SetFaults(fakeplatform.Faults{}) }, nil
+	return func() { w.setStore(fakeplatform.Faults{}) }, nil
 }
 
 // proxyFault delays, silences, halves or resets a proxy's connections.
@@ -192,13 +192,13 @@
 func storeFault(w *world, r *rand.Rand) (func(), error) {
 	switch r.IntN(4) {
 	case 0:
-		w.platform.SetFaults(fakeplatform.Faults{Down: true})
+		w.setStore(fakeplatform.Faults{Down: true})
 	case 1:
-		w.platform.SetFaults(fakeplatform.Faults{DelayMilliseconds: 400})
+		w.setStore(fakeplatform.Faults{DelayMilliseconds: 400})
 	case 2:
-		w.platform.SetFaults(fakeplatform.Faults{LateMilliseconds: 1500, LoseAnswers: 3})
+		w.setStore(fakeplatform.Faults{LateMilliseconds: 1500, LoseAnswers: 3})
 	default:
 		w.platform.ForgetHistory()
 	}
-	return func() { w.platform.SetFaults(fakeplatform.Faults{}) }, nil
+	return func() { w.setStore(fakeplatform.Faults{}) }, nil
 }
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -36,6 +36,7 @@
 	f.SetOutput(output)
 	programs := f.String("programs", "bin", "`folder` of the built programs")
 	seed := f.Uint64("seed", 0, "`number` by which faults are drawn; 0 draws one")
+	halls := f.Bool("halls", true, "evacuate halls and start engines cold, too")
 	span := f.Duration("for", 20*time.Second, "how long faults strike")
 	if f.Parse(arguments[1:]) != nil {
 		return exitUsage
@@ -44,7 +45,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	broken, err := run(*programs, *seed, *span, output)
+	broken, err := run(*programs, *seed, *span, *halls, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitBroken
@@ -60,8 +61,8 @@
 }
 
 // run runs one soak and returns the promises that were broken.
-func run(programs string, seed uint64, span time.Duration, output io.Writer) (broken []string, err error) {
-	w, err := newWorld(programs)
+func run(programs string, seed uint64, span time.Duration, halls bool, output io.Writer) (broken []string, err error) {
+	w, err := newWorld(programs, halls)
 	if err != nil {
 		return nil, err
 	}
@@ -76,6 +77,9 @@
 	for i := range callersCount {
 		g.Go(func() { c.run(ctx, i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
+	if halls {
+		g.Go(func() { w.evacuateInTurn(ctx, rand.New(rand.NewPCG(seed, hallsStream))) })
+	}
 	struck := w.strikeAll(ctx, rand.New(rand.NewPCG(seed, 0)))
 	g.Wait()
 	time.Sleep(quietPeriod)
@@ -83,6 +87,8 @@
 		c.fail("not every box serves %s after the last fault", servePeriod)
 	}
 	c.inForce()
+	c.evacuated()
+	c.spared()
 	if len(w.trouble) > 0 {
 		return c.broken, fmt.Errorf("trouble of its own: %v", w.trouble)
 	}
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -23,10 +23,13 @@
 // with one to the store; engines and services of this process, behind proxies.
 type world struct {
 	boxes     []*soakBox
+	away      []interval // when the store was bad
+	cold      bool       // engines start cold
+	emptied   []emptied
 	newest    int // version of the configuration
 	directory string
 	logs      *logFile
-	mutex     sync.Mutex // guards dead, newest, trouble, upstreams and version
+	mutex     sync.Mutex // guards away, dead, emptied, newest, trouble, upstreams and version
 	dead      []*soakUpstream
 	platform  *fakeplatform.Platform
 	programs  string
@@ -49,6 +52,7 @@
 
 // soakUpstream is one engine or service.
 type soakUpstream struct {
+	cold    interval // when it is cold
 	engine  *routed.Engine
 	name    string
 	proxy   *proxy
@@ -67,12 +71,12 @@
 )
 
 // newWorld starts everything, in two data halls.
-func newWorld(programs string) (*world, error) {
+func newWorld(programs string, cold bool) (*world, error) {
 	d, err := os.MkdirTemp("", "linetiller-soak-")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
+	w := &world{cold: cold, directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
 	w.store = httptest.NewServer(w.platform)
 	w.configure()
 	for i := range enginesCount {
@@ -120,11 +124,13 @@
 address = %q
 readiness = %q
 metrics = %q
+[cold]
+slack = %d
 [timeouts]
 platform = "1s"
 drain = "500ms"
 leave = "3s"
-`, b.name, 'a'+i%2, addresses[0], addresses[1], addresses[2], b.store.address(), addresses[3], addresses[4], addresses[5])
+`, b.name, 'a'+i%2, addresses[0], addresses[1], addresses[2], b.store.address(), addresses[3], addresses[4], addresses[5], coldSlack)
 	if err := os.WriteFile(b.settings, []byte(s), 0o600); err != nil {
 		return err
 	}
@@ -186,14 +192,15 @@
 		fmt.Sprintf(route, "once", "once", "unsafe", 2000, serviceDesk, 1, false)+","+
 		fmt.Sprintf(route, "often", "often", "safe", 2000, serviceDesk, 2, false)+","+
 		fmt.Sprintf(route, "extra", fmt.Sprintf("extra%d", v), "safe", 2000, serviceDesk, 2, false)+
-		`],"services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]}},{"name":"desk"}],
-"tenants":[{"name":"w","api_keys":[%q]}]}`, v, soakKey)))
+		`],"services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]},"cold_per_s":%d},{"name":"desk","cold_per_s":%d}],
+"tenants":[{"name":"w","api_keys":[%q]}]}`, v, w.coldBears(), w.coldBears(), soakKey)))
 }
 
 // list writes an upstream's entry.
 func (w *world) list(u *soakUpstream, state string) {
+	left := max(0, time.Until(u.cold.to).Milliseconds())
 	w.platform.Put("servers/"+u.name, json.RawMessage(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"%c","state":%q,"models":[{"name":"m"}]}`, u.service, u.proxy.address(), u.name[2], state)))
+		`{"service":%q,"address":%q,"zone":"%c","state":%q,"cold_left_ms":%d,"models":[{"name":"m"}]}`, u.service, u.proxy.address(), u.name[2], state, left)))
 }
 
 // loseUpstream ends an upstream, whose entry goes later.
@@ -247,6 +254,11 @@
 	s.EventEvery, s.CopyToken = 10*time.Millisecond, 20*time.Microsecond
 	u := &soakUpstream{engine: routed.New(name, s), name: name, service: service}
 	u.engine.Peer = w.peer
+	if w.cold {
+		now := time.Now()
+		u.cold = interval{now, now.Add(coldPeriod)}
+		u.engine.SetCold(u.cold.to, coldPerSecond)
+	}
 	u.server = httptest.NewUnstartedServer(u.engine)
 	u.server.Config.ErrorLog = quietLog
 	u.server.Start()
