--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -26,7 +27,8 @@
 
 const (
 	asksMost    = 3                // upstreams whose refusal for want of room is taken
-	looksMost   = 4                // upstreams that are asked before work waits at one
+	looksMost   = 4                // upstreams that are asked before work looks in other halls, and
+	looksAway   = 4                // upstreams of other halls that are asked then, before it waits at one
 	ownerPeriod = 10 * time.Second // of finding no owner that answers, after which work is refused
 )
 
@@ -44,10 +46,8 @@
 	p := s.placement
 	next := s.next
 	s.next = ""
-	if next == "" && len(s.queued) > 0 && len(s.queued) < looksMost {
-		others := maps.Clone(s.skip)
-		maps.Copy(others, s.queued)
-		if u, err := p.choose(s.work, others, ""); err == nil && u != nil {
+	if next == "" && len(s.queued) > 0 && len(s.queued) < looksMost+looksAway {
+		if u := s.other(); u != nil {
 			return u, false, nil
 		}
 	}
@@ -55,6 +55,28 @@
 	return u, len(s.queued) > 0, err
 }
 
+// other returns an upstream at which the work might start at once, or nil: in any hall at
+// first, and once it would have to wait at several, in the other halls. A run there ends
+// with a cut between the halls, but one that waits comes late.
+func (s *search) other() *resource.Upstream {
+	p, w := s.placement, s.work
+	others := maps.Clone(s.skip)
+	maps.Copy(others, s.queued)
+	if len(s.queued) < looksMost {
+		return p.view.Upstream(p.route(w, others))
+	}
+	if w.Moved {
+		return nil
+	}
+	home := cmp.Or(w.Hall, p.members.Self().Hall)
+	for _, u := range p.view.UpstreamsOf(w.Model) {
+		if u.Spec.Hall == home {
+			others[u.Name] = true
+		}
+	}
+	return p.view.Upstream(p.route(w, others))
+}
+
 // step asks about one upstream. It returns neither a place nor an error where the
 // search goes on.
 func (s *search) step(ctx context.Context) (*Place, error) {
--- /dev/null
+++ b/internal/placement/search_test.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
+)
+
+// fullHalls returns a placement before 60 engines in three halls, of which those of the
+// halls named have no room: work waits there. It counts the asks by hall.
+func fullHalls(full ...string) (p *Reserved, asked map[string]int) {
+	v, m := testView(60, 6)
+	p = NewReserved(v, m, policy.NewLengths(), metric.NewSet(), 1)
+	asked = make(map[string]int)
+	answer := func(ctx context.Context, a *box.Ask, answer func(*box.Reply) error) {
+		h := v.Upstream(a.Upstream).Spec.Hall
+		asked[h]++
+		if !slices.Contains(full, h) {
+			_ = answer(&box.Reply{Answer: &policy.Answer{ID: a.Work.ID, Verdict: policy.VerdictStart}})
+			return
+		}
+		_ = answer(&box.Reply{Answer: &policy.Answer{ID: a.Work.ID, Verdict: policy.VerdictQueue}})
+		<-ctx.Done()
+	}
+	p.AskLocal = answer
+	p.Call = func(ctx context.Context, _ string, a *box.Ask, f func(*box.Reply) error) error {
+		answer(ctx, a, f)
+		return ctx.Err()
+	}
+	return p, asked
+}
+
+// TestFullHallIsLeftBeforeWorkWaits asks for places from a hall in which none of twenty
+// engines has room, while others have: a stream that waits at home comes late, which costs
+// most of its worth, while one elsewhere ends early only where the halls are cut off.
+func TestFullHallIsLeftBeforeWorkWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, asked := fullHalls("h0")
+		for range 20 {
+			began := time.Now()
+			w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), FirstBy: began.Add(7 * time.Second), ID: "id", MaxTokens: 400, Model: "m", Prompt: 3000}
+			v, err := p.Place(t.Context(), w, nil)
+			if err != nil || v.Upstream.Spec.Hall == "h0" {
+				t.Fatalf("got %+v %v, want a place in another hall", v, err)
+			}
+		}
+		if got, most := asked["h0"], 20*looksMost; got > most {
+			t.Errorf("asks in the full hall: got %d, want at most %d", got, most)
+		}
+	})
+}
+
+// TestWorkWaitsWhereAllHallsAreFull asks where no engine has room: a few are asked in each
+// of the halls, and then the work waits.
+func TestWorkWaitsWhereAllHallsAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, asked := fullHalls("h0", "h1", "h2")
+		began := time.Now()
+		w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), FirstBy: began.Add(200 * time.Millisecond), ID: "id", MaxTokens: 400, Model: "m", Prompt: 3000}
+		if v, err := p.Place(t.Context(), w, nil); err == nil {
+			t.Fatalf("got %+v, want no place", v)
+		}
+		total := 0
+		for n := range maps.Values(asked) {
+			total += n
+		}
+		if most := looksMost + looksAway + 1; total > most || asked["h0"] == 0 || asked["h1"]+asked["h2"] == 0 {
+			t.Errorf("asks by hall: got %v, want some in each, and at most %d", asked, most)
+		}
+	})
+}
