What comes late yields to what can still be in time

Cause: under a crowd the longest waiting work went first once it was urgent, and so what was late already before what was not: at an owner under a load of 1.5 times what it serves 40 of 200 streams were in time, 41 late. The route's target was not known to owners at all.

Change: work carries when its first token is wanted. Once that can no longer be met it goes behind all that can, and is refused at once where such work waits beside it, since each new one would go before it. 201 and the account tell the first event's time and the longest pause: late by waiting, by reading, by a pause.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -118,3 +118,29 @@
 		t.Errorf("window: got %q, want %q", got, want)
 	}
 }
+
+// TestLateStreamsAreToldApart checks why streams were late by the times that their last lines
+// tell: a wait for a place, a prompt that was read slowly, a pause at the engine, or none.
+func TestLateStreamsAreToldApart(t *testing.T) {
+	a := &aim{answer: 1800 * time.Millisecond, kind: "long", pause: 180 * time.Millisecond}
+	for _, x := range []struct {
+		waited, first, pause int // milliseconds
+		want                 Cause
+	}{
+		{100, 600, 60, ""},
+		{1700, 2100, 60, CauseLateWait},
+		{300, 2100, 60, CauseLateRead},
+		{100, 600, 400, CauseLateStall},
+	} {
+		text := fmt.Sprintf(`{"time":"2026-12-02T10:00:00Z","box":"a","event":207,"request":"r","waited_ms":%d}`+"\n"+
+			`{"time":"2026-12-02T10:00:09Z","box":"a","event":201,"request":"r","status":200,"first_ms":%d,"pause_ms":%d}`+"\n", x.waited, x.first, x.pause)
+		lines, err := explain.Read(strings.NewReader(text))
+		if err != nil || len(lines) != 2 {
+			t.Fatal(lines, err)
+		}
+		l := []*explain.Line{&lines[0], &lines[1]}
+		if got := finishedCause(l, l[1], a); got != x.want {
+			t.Errorf("waited %d ms, first event after %d ms, pause of %d ms: got %q, want %q", x.waited, x.first, x.pause, got, x.want)
+		}
+	}
+}
--- a/internal/account/cause.go
+++ b/internal/account/cause.go
@@ -1,5 +1,7 @@
 package account
 
+import "slices"
+
 // Cause is why a request was lost or late.
 type Cause string
 
@@ -12,7 +14,10 @@
 	CauseFailed        Cause = "failed at each upstream"
 	CauseGone          Cause = "engine gone without notice"
 	CauseLate          Cause = "late: slow, or waited"
-	CauseLatePause     Cause = "late: a pause"
+	CauseLatePause     Cause = "late: a pause as it moved"
+	CauseLateStall     Cause = "late: a pause at its engine"
+	CauseLateRead      Cause = "late: its prompt read slowly"
+	CauseLateWait      Cause = "late: waited for a place"
 	CauseReclaimed     Cause = "engine reclaimed before its run had left"
 	CauseRefused       Cause = "refused"
 	CauseUnseen        Cause = "no box saw it"
@@ -21,5 +26,5 @@
 
 // late reports whether a request with that cause was served, late.
 func (c Cause) late() bool {
-	return c == CauseLate || c == CauseLatePause
+	return slices.Contains([]Cause{CauseLate, CauseLatePause, CauseLateRead, CauseLateStall, CauseLateWait}, c)
 }
--- a/internal/account/try.go
+++ b/internal/account/try.go
@@ -107,7 +107,28 @@
 	if a.pause == 0 && milliseconds(number(end, "took_ms")) > a.answer {
 		return CauseLate
 	}
-	return "" // or a stream that was late to start, which its lines do not tell
+	if a.pause > 0 {
+		return lateStreamCause(lines, end, a)
+	}
+	return ""
+}
+
+// lateStreamCause tells why a stream was late, or "": its first event came late, mostly after
+// a wait for a place or mostly while its prompt was read, or a pause was too long.
+func lateStreamCause(lines []*explain.Line, end *explain.Line, a *aim) Cause {
+	first := milliseconds(number(end, "first_ms"))
+	if first <= a.answer {
+		if milliseconds(number(end, "pause_ms")) > a.pause {
+			return CauseLateStall
+		}
+		return ""
+	}
+	for _, x := range slices.Backward(lines) {
+		if x.Event == event.RequestPlaced.Number && 2*milliseconds(number(x, "waited_ms")) > first {
+			return CauseLateWait
+		}
+	}
+	return CauseLateRead
 }
 
 // endOf returns the line that tells how a try ended, or nil.
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -48,6 +48,9 @@
 	if b := startBy(w); !b.IsZero() && b.Before(e.latest) {
 		e.latest = b
 	}
+	if !w.TargetAt.IsZero() && !w.Moved {
+		e.inTimeBy = w.TargetAt.Add(-readPeriod(w))
+	}
 	o.numbers++
 	t := o.shares.enter(w, e.cost, now)
 	lead := t.Sub(w.Arrived).Nanoseconds()
@@ -93,6 +96,13 @@
 	o.queue.insert(e)
 }
 
+// putLast moves work that comes late behind what can still be in time.
+func (o *Owner) putLast(e *entry) {
+	o.queue.remove(e.work.ID)
+	e.order.late, e.order.urgent = true, false
+	o.queue.insert(e)
+}
+
 // readsEnough reports whether so many prompts are being read that e's would come late.
 func (o *Owner) readsEnough(e *entry) bool {
 	n := toRead(e.work)
@@ -136,7 +146,12 @@
 	if w.FirstBy.IsZero() || w.Moved {
 		return time.Time{}
 	}
-	return w.FirstBy.Add(-seconds(readSeconds * float64(toRead(w))))
+	return w.FirstBy.Add(-readPeriod(w))
+}
+
+// readPeriod returns how long an engine reads the prompt of w.
+func readPeriod(w *Work) time.Duration {
+	return seconds(readSeconds * float64(toRead(w)))
 }
 
 // startsEnough reports whether so many generations were started within the last second that
@@ -150,29 +165,56 @@
 	return float64(len(o.starts)+1) > o.capacity.StartsMost
 }
 
-// sweep refuses, now and not later, waiting work whose deadline can no longer
-// be met, in the order in which it arrived, and puts first what is urgent.
+// sweep refuses, now and not later, waiting work whose deadline can no longer be met, in
+// the order in which it arrived, puts first what is urgent, and last what comes late.
 func (o *Owner) sweep(now time.Time) []Answer {
 	if now.Sub(o.latestSweep) < sweepPeriod {
 		return nil
 	}
 	o.latestSweep = now
-	var late, urgent []*entry
+	var given, overdue, urgent []*entry
 	for e := range maps.Values(o.queue.byID) {
 		switch {
 		case o.closed() != "" || now.After(e.latest):
-			late = append(late, e)
-		case !e.order.urgent && now.After(e.urgentAt):
+			given = append(given, e)
+		case e.overdue(now):
+			overdue = append(overdue, e)
+		case e.mustGoFirst(now):
 			urgent = append(urgent, e)
 		}
 	}
 	for _, e := range urgent {
 		o.putFirst(e)
 	}
-	slices.SortFunc(late, func(a, b *entry) int { return cmp.Compare(a.order.number, b.order.number) })
+	for _, e := range overdue {
+		o.putLast(e)
+	}
+	given = append(given, o.yielding(overdue)...)
+	slices.SortFunc(given, func(a, b *entry) int { return cmp.Compare(a.order.number, b.order.number) })
 	var l []Answer
-	for _, e := range late {
+	for _, e := range given {
 		l = append(l, o.refuseLate(e, now))
 	}
 	return l
 }
+
+// yielding returns which of the work that has just become late is better refused: all of it
+// where other work waits that can still be in time, and goes before it, as does each new one.
+// Its caller then hears at once that it may try elsewhere.
+func (o *Owner) yielding(overdue []*entry) []*entry {
+	if f := o.queue.first(); f == nil || f.order.late {
+		return nil
+	}
+	return overdue
+}
+
+// mustGoFirst reports whether waiting work has become urgent.
+func (e *entry) mustGoFirst(now time.Time) bool {
+	return !e.order.late && !e.order.urgent && now.After(e.urgentAt)
+}
+
+// overdue reports whether waiting work has become late: its first token can no longer come
+// by its target.
+func (e *entry) overdue(now time.Time) bool {
+	return !e.order.late && !e.inTimeBy.IsZero() && now.After(e.inTimeBy)
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -19,11 +19,12 @@
 	Kind         string // what the caller calls it; "" where it does not say
 	MaxTokens    int    // output tokens at most
 	Model        string
-	Moved        bool   // its memory comes from another engine, so that no prompt is read
-	Prefix       uint64 // key of the prompt's prefix; 0 where there is none
-	PrefixTokens int    // tokens of that prefix
-	Priority     int    // higher goes first
-	Prompt       int    // prompt tokens
+	Moved        bool      // its memory comes from another engine, so that no prompt is read
+	Prefix       uint64    // key of the prompt's prefix; 0 where there is none
+	PrefixTokens int       // tokens of that prefix
+	Priority     int       // higher goes first
+	Prompt       int       // prompt tokens
+	TargetAt     time.Time // when its first token is wanted, after which the answer is late; zero where nothing says so
 	Weight       float64
 	Workspace    string
 }
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -16,6 +16,7 @@
 type entry struct {
 	cost        float64 // seconds of the engine's time
 	expectation expectation
+	inTimeBy    time.Time // when it must start for its first token to come by its target; zero where it has none
 	key         Key
 	latest      time.Time // when it must start to meet its deadline
 	urgentAt    time.Time // when it goes before other costly work
@@ -28,9 +29,10 @@
 	count       int     // of entries in the subtree
 }
 
-// order is the rank of an entry: higher priority first, then the cheaper class,
-// then what is urgent, then the lower time.
+// order is the rank of an entry: what can still be in time first, then higher priority,
+// then the cheaper class, then what is urgent, then the lower time.
 type order struct {
+	late     bool   // its first token comes after its target
 	class    int    // of cost
 	number   uint64 // of arrival, so that no two are equal
 	priority int
@@ -101,6 +103,9 @@
 }
 
 func (o order) before(p order) bool {
+	if o.late != p.late {
+		return p.late
+	}
 	if o.priority != p.priority {
 		return o.priority > p.priority
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -24,10 +24,12 @@
 
 	avoid     map[string]bool // upstreams not to be tried again
 	deadline  time.Time
-	fallback  *wholeAnswer // an upstream's failure, to be passed on where no other upstream does better
-	lastID    string       // of the last event that the caller has, "" where it has none
-	mayRun    bool         // something was sent that may have run
-	ran       int          // upstreams that may have run it
+	firstIn   time.Duration // from its arrival to the first event passed on; 0 before
+	fallback  *wholeAnswer  // an upstream's failure, to be passed on where no other upstream does better
+	lastID    string        // of the last event that the caller has, "" where it has none
+	longest   time.Duration // between two events passed on
+	mayRun    bool          // something was sent that may have run
+	ran       int           // upstreams that may have run it
 	route     *resource.Route
 	service   *resource.Service
 	status    int // of the answer passed on
@@ -184,6 +186,9 @@
 	if p := e.route.Spec.Patience.Duration(); p > 0 && e.status == 0 {
 		w.FirstBy = q.Arrived.Add(p)
 	}
+	if d := e.route.Spec.Target.Duration(); d > 0 && e.status == 0 {
+		w.TargetAt = q.Arrived.Add(d)
+	}
 	if e.workspace != nil {
 		w.Weight, w.Workspace = e.workspace.Spec.Weight, e.workspace.Name
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,6 +196,9 @@
 func (x *Relay) account(e *exchange, err error) {
 	now := time.Now()
 	l := []any{"request", e.request.ID, "route", e.routeName(), "upstream", e.upstreamName(), "took_ms", now.Sub(e.request.Arrived).Milliseconds(), "tries", e.tries}
+	if e.firstIn > 0 {
+		l = append(l, "first_ms", e.firstIn.Milliseconds(), "pause_ms", e.longest.Milliseconds())
+	}
 	if err == nil {
 		x.metrics.Count(metric.Requests, "outcome", "answered")
 		event.RequestFinished.Log(x.log, append(l, "status", e.status)...)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -186,6 +186,9 @@
 	if s.events == 0 {
 		close(s.first)
 		s.firstAt = now
+		s.exchange.firstIn = now.Sub(s.exchange.request.Arrived)
+	} else {
+		s.exchange.longest = max(s.exchange.longest, now.Sub(s.lastAt))
 	}
 	s.events++
 	s.lastAt = now
