Work that waits looks around again; the route's priority decides among equals

Change: a wait at one engine ends after 0.2 s, then 0.4 s and so on, and the search looks at four others; sixteen are asked at first, eight of them in other halls. Among work of one priority that goes first whose route does. What a workspace is charged for work that gives up is given back: a hundred looks put it 20 s behind others (found by the test).

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -98,9 +98,9 @@
 	}
 }
 
-// ask asks u's owner and waits while w is queued, or until a much better upstream is
-// known. Unless patient, it returns errQueued in place of waiting.
-func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work, patient bool) (*policy.Answer, error) {
+// ask asks u's owner and waits while w is queued, but no longer than wait, after which it
+// returns errQueued, or until a much better upstream is known.
+func (p *Reserved) ask(ctx context.Context, u *resource.Upstream, w *policy.Work, wait time.Duration) (*policy.Answer, error) {
 	owner := policy.First(u.Name, p.members.Alive(u.Spec.Hall))
 	place := fail.Place{Peer: "box " + owner, Step: "ask"}
 	if owner == "" {
@@ -114,13 +114,15 @@
 	go func() { failed <- p.exchange(ctx, owner, &box.Ask{Upstream: u.Name, Work: *w}, replies) }()
 	t := time.NewTicker(rerouteEvery)
 	defer t.Stop()
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
 	for {
 		select {
 		case r := <-replies:
 			if a := p.final(r); a != nil {
 				return a, nil
 			}
-			if r.Answer != nil && !patient {
+			if r.Answer != nil && wait == 0 {
 				return nil, errQueued
 			}
 		case err := <-failed:
@@ -129,6 +131,10 @@
 			if to := p.better(w, u.Name); to != "" {
 				return nil, movedError{to}
 			}
+		case <-waited.C:
+			if wait > 0 {
+				return nil, errQueued
+			}
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -19,17 +19,29 @@
 	lostSince time.Time // when the first of them failed
 	next      string    // the upstream to ask about, where one is known to be better
 	placement *Reserved
-	queued    map[string]bool // upstreams where it would have to wait
+	queued    map[string]bool // upstreams where it would have to wait, in this round
+	rounds    int             // waits at one upstream that ended without a place
 	refused   int             // upstreams that refused for want of room
 	skip      map[string]bool // upstreams to avoid, and those that refused
 	work      *policy.Work
 }
 
 const (
-	asksMost    = 3                // upstreams whose refusal for want of room is taken
-	looksMost   = 4                // upstreams that are asked before work looks in other halls, and
-	looksAway   = 4                // upstreams of other halls that are asked then, before it waits at one
-	ownerPeriod = 10 * time.Second // of finding no owner that answers, after which work is refused
+	asksMost = 3 // upstreams whose refusal for want of room is taken
+	// looksMost and looksAway are how many upstreams are asked, of all halls and then of
+	// others, before work waits at one: an ask takes 3 ms. Four and four start 1 in 100
+	// streams of a crowded day less in time. Later rounds, of which there are many where
+	// all engines are full, ask fewer.
+	looksMost      = 8
+	looksAway      = 8
+	looksMostLater = 2
+	looksAwayLater = 2
+	// lookAgainFirst is how long work waits at one upstream before it looks around again:
+	// engines elsewhere get free meanwhile, at 60 engines each 20 ms one. It doubles with
+	// each round, up to lookAgainMost, so that much work which waits long asks little.
+	lookAgainFirst = 200 * time.Millisecond
+	lookAgainMost  = 3200 * time.Millisecond
+	ownerPeriod    = 10 * time.Second // of finding no owner that answers, after which work is refused
 )
 
 // errQueued says that work would have to wait where it was asked for.
@@ -40,29 +52,41 @@
 
 func (e movedError) Error() string { return "moved to " + e.to }
 
-// choose returns the upstream to ask about next, and whether to wait there. Those
+// choose returns the upstream to ask about next, and how long to wait there. Those
 // where the work would have to wait are passed over a few times, while there are others.
-func (s *search) choose() (u *resource.Upstream, patient bool, err error) {
+func (s *search) choose() (u *resource.Upstream, wait time.Duration, err error) {
 	p := s.placement
 	next := s.next
 	s.next = ""
-	if next == "" && len(s.queued) > 0 && len(s.queued) < looksMost+looksAway {
-		if u := s.other(); u != nil {
-			return u, false, nil
+	most, away := s.looks()
+	if next == "" && len(s.queued) > 0 && len(s.queued) < most+away {
+		if u := s.other(most); u != nil {
+			return u, 0, nil
 		}
 	}
 	u, err = p.choose(s.work, s.skip, next)
-	return u, len(s.queued) > 0, err
+	if len(s.queued) > 0 {
+		wait = s.patience()
+	}
+	return u, wait, err
+}
+
+// looks returns how many upstreams are asked in this round, of all halls and then of others.
+func (s *search) looks() (most, away int) {
+	if s.rounds > 0 {
+		return looksMostLater, looksAwayLater
+	}
+	return looksMost, looksAway
 }
 
 // other returns an upstream at which the work might start at once, or nil: in any hall at
 // first, and once it would have to wait at several, in the other halls. A run there ends
 // with a cut between the halls, but one that waits comes late.
-func (s *search) other() *resource.Upstream {
+func (s *search) other(most int) *resource.Upstream {
 	p, w := s.placement, s.work
 	others := maps.Clone(s.skip)
 	maps.Copy(others, s.queued)
-	if len(s.queued) < looksMost {
+	if len(s.queued) < most {
 		return p.view.Upstream(p.route(w, others))
 	}
 	if w.Moved {
@@ -81,18 +105,18 @@
 // search goes on.
 func (s *search) step(ctx context.Context) (*Place, error) {
 	p := s.placement
-	u, patient, err := s.choose()
+	u, wait, err := s.choose()
 	if err != nil {
 		return nil, err
 	}
 	var a *policy.Answer
 	if u != nil {
-		a, err = p.ask(ctx, u, s.work, patient)
+		a, err = p.ask(ctx, u, s.work, wait)
 	}
 	var m movedError
 	switch {
 	case errors.Is(err, errQueued):
-		s.queued[u.Name] = true
+		s.waited(u, wait)
 		return nil, nil
 	case errors.As(err, &m):
 		s.next = m.to
@@ -108,6 +132,26 @@
 	return nil, s.takeFailure(ctx, err)
 }
 
+// patience returns how long the work waits at one upstream in this round. The time of a run
+// that is moved is bounded by its mover.
+func (s *search) patience() time.Duration {
+	if s.work.Moved {
+		return lookAgainMost
+	}
+	return min(lookAgainMost, lookAgainFirst<<min(s.rounds, 8))
+}
+
+// waited takes in that the work did not start at an upstream for some time: it looks at
+// others, anew where it has been patient.
+func (s *search) waited(u *resource.Upstream, wait time.Duration) {
+	if wait == 0 {
+		s.queued[u.Name] = true
+		return
+	}
+	clear(s.queued)
+	s.rounds++
+}
+
 // takeFailure waits after an ask to which no owner answered, and gives up where
 // none has answered for long.
 func (s *search) takeFailure(ctx context.Context, err error) error {
--- a/internal/placement/search_test.go
+++ b/internal/placement/search_test.go
@@ -57,6 +57,46 @@
 	})
 }
 
+// TestWorkLooksAgainWhileItWaits has no engine of 60 with room, until one gets free that is
+// not where the work waits: it starts there soon, long before its target.
+func TestWorkLooksAgainWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := fullHalls("h0", "h1", "h2")
+		began := time.Now()
+		free := func(a *box.Ask, f func(*box.Reply) error) bool {
+			if time.Since(began) < 300*time.Millisecond {
+				return false
+			}
+			u := p.view.Upstream(a.Upstream)
+			if u.Spec.Hall != "h2" {
+				return false
+			}
+			_ = f(&box.Reply{Answer: &policy.Answer{ID: a.Work.ID, Verdict: policy.VerdictStart}})
+			return true
+		}
+		local, call := p.AskLocal, p.Call
+		p.AskLocal = func(ctx context.Context, a *box.Ask, f func(*box.Reply) error) {
+			if !free(a, f) {
+				local(ctx, a, f)
+			}
+		}
+		p.Call = func(ctx context.Context, o string, a *box.Ask, f func(*box.Reply) error) error {
+			if free(a, f) {
+				return nil
+			}
+			return call(ctx, o, a, f)
+		}
+		w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), FirstBy: began.Add(7 * time.Second), ID: "id", MaxTokens: 400, Model: "m", Prompt: 3000}
+		v, err := p.Place(t.Context(), w, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); v.Upstream.Spec.Hall != "h2" || took > 1300*time.Millisecond {
+			t.Errorf("got a place in %s after %v, want one in h2 within 1.3 s", v.Upstream.Spec.Hall, took)
+		}
+	})
+}
+
 // TestWorkWaitsWhereAllHallsAreFull asks where no engine has room: a few are asked in each
 // of the halls, and then the work waits.
 func TestWorkWaitsWhereAllHallsAreFull(t *testing.T) {
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -52,9 +52,10 @@
 		e.inTimeBy = w.TargetAt.Add(-readPeriod(w))
 	}
 	o.numbers++
-	t := o.shares.enter(w, e.cost, now)
+	t, charge := o.shares.enter(w, e.cost, now)
+	e.charge = charge
 	lead := t.Sub(w.Arrived).Nanoseconds()
-	e.order = order{class: classOf(e.cost), number: o.numbers, priority: w.Priority, time: o.arrivalOrder(e.cost, w.Arrived) + lead}
+	e.order = order{class: classOf(e.cost), number: o.numbers, priority: w.Priority, route: w.RoutePriority, time: o.arrivalOrder(e.cost, w.Arrived) + lead}
 	return e
 }
 
@@ -92,7 +93,7 @@
 // putFirst moves urgent work ahead in the queue.
 func (o *Owner) putFirst(e *entry) {
 	o.queue.remove(e.work.ID)
-	e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, time: e.latest.UnixNano(), urgent: true}
+	e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, route: e.order.route, time: e.latest.UnixNano(), urgent: true}
 	o.queue.insert(e)
 }
 
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -102,6 +102,7 @@
 	}
 	e := o.entry(w, now)
 	if a := o.refusal(e, now); a.Verdict == VerdictRefuse {
+		o.shares.refund(w, e.charge)
 		o.shares.leave(w, now)
 		return a
 	}
@@ -141,6 +142,7 @@
 // Leave takes waiting work out of the queue; the caller has given up on it.
 func (o *Owner) Leave(id string, now time.Time) {
 	if e := o.queue.remove(id); e != nil {
+		o.shares.refund(e.work, e.charge)
 		o.shares.leave(e.work, now)
 	}
 }
--- a/internal/policy/owner_refusal_test.go
+++ b/internal/policy/owner_refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -90,6 +91,56 @@
 	}
 }
 
+// TestRouteDecidesAmongEqualPriorities asks for work of one workspace by routes of different
+// priority: the dearer one goes first where its route does, and what comes late after both.
+func TestRouteDecidesAmongEqualPriorities(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	for _, x := range []struct {
+		id            string
+		route, tokens int
+	}{{"check", 8, 10}, {"plan", 9, 3000}, {"late plan", 9, 3000}} {
+		w := testWork(x.id)
+		w.Kind, w.MaxTokens, w.RoutePriority = x.id, x.tokens, x.route
+		w.TargetAt = testStart.Add(2 * time.Second)
+		if x.id == "late plan" {
+			w.TargetAt = testStart.Add(-time.Second)
+		}
+		o.Ask(w, testStart)
+	}
+	o.Next(testStart.Add(sweepPeriod))
+	var got []string
+	for e := o.queue.first(); e != nil; e = o.queue.first() {
+		got = append(got, e.work.ID)
+		o.Leave(e.work.ID, testStart)
+	}
+	if want := []string{"plan", "check"}; !slices.Equal(got, want) {
+		t.Errorf("order: got %v, want %v, the late one refused", got, want)
+	}
+}
+
+// TestLooksAreNotCharged has a workspace ask and give up many times, as work does that looks
+// for a place at many upstreams: its share is as if it had not.
+func TestLooksAreNotCharged(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	for i := range 100 {
+		w := testWork(fmt.Sprint("look-", i))
+		w.Workspace = "looks"
+		o.Ask(w, testStart)
+		o.Leave(w.ID, testStart)
+	}
+	for _, n := range []string{"looks", "others"} {
+		w := testWork(n)
+		w.Workspace = n
+		o.Ask(w, testStart)
+	}
+	a, b := o.queue.byID["looks"].order.time, o.queue.byID["others"].order.time
+	if got := time.Duration(a - b).Abs(); got > time.Millisecond {
+		t.Errorf("the workspace that looked around goes %v later, want no later", got)
+	}
+}
+
 // TestLargeWorkspaceDoesNotCrowdOutSmallOne checks that a workspace that asks
 // for little goes before the backlog of one that asks for much.
 func TestLargeWorkspaceDoesNotCrowdOutSmallOne(t *testing.T) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,23 +10,24 @@
 
 // Work describes a generation that is to be placed.
 type Work struct {
-	Arrived      time.Time
-	Deadline     time.Time // of the whole answer
-	FirstBy      time.Time // when its caller goes unless its first token has come; zero where it does not
-	Hall         string    // the data hall that it should stay in; "" is that of its box
-	Hint         int       // the caller's estimate of the output tokens; 0 where it has none
-	ID           string
-	Kind         string // what the caller calls it; "" where it does not say
-	MaxTokens    int    // output tokens at most
-	Model        string
-	Moved        bool      // its memory comes from another engine, so that no prompt is read
-	Prefix       uint64    // key of the prompt's prefix; 0 where there is none
-	PrefixTokens int       // tokens of that prefix
-	Priority     int       // higher goes first
-	Prompt       int       // prompt tokens
-	TargetAt     time.Time // when its first token is wanted, after which the answer is late; zero where nothing says so
-	Weight       float64
-	Workspace    string
+	Arrived       time.Time
+	Deadline      time.Time // of the whole answer
+	FirstBy       time.Time // when its caller goes unless its first token has come; zero where it does not
+	Hall          string    // the data hall that it should stay in; "" is that of its box
+	Hint          int       // the caller's estimate of the output tokens; 0 where it has none
+	ID            string
+	Kind          string // what the caller calls it; "" where it does not say
+	MaxTokens     int    // output tokens at most
+	Model         string
+	Moved         bool      // its memory comes from another engine, so that no prompt is read
+	Prefix        uint64    // key of the prompt's prefix; 0 where there is none
+	PrefixTokens  int       // tokens of that prefix
+	Priority      int       // higher goes first
+	Prompt        int       // prompt tokens
+	RoutePriority int       // of its route, among work of one priority; higher goes first
+	TargetAt      time.Time // when its first token is wanted, after which the answer is late; zero where nothing says so
+	Weight        float64
+	Workspace     string
 }
 
 // Capacity describes an engine.
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -14,7 +14,8 @@
 
 // entry is one piece of waiting work.
 type entry struct {
-	cost        float64 // seconds of the engine's time
+	cost        float64       // seconds of the engine's time
+	charge      time.Duration // to the share of its workspace
 	expectation expectation
 	inTimeBy    time.Time // when it must start for its first token to come by its target; zero where it has none
 	key         Key
@@ -30,12 +31,13 @@
 }
 
 // order is the rank of an entry: what can still be in time first, then higher priority,
-// then the cheaper class, then what is urgent, then the lower time.
+// then that of its route, then the cheaper class, then what is urgent, then the lower time.
 type order struct {
 	late     bool   // its first token comes after its target
 	class    int    // of cost
 	number   uint64 // of arrival, so that no two are equal
 	priority int
+	route    int   // priority of its route
 	time     int64 // nanoseconds
 	urgent   bool
 }
@@ -109,6 +111,9 @@
 	if o.priority != p.priority {
 		return o.priority > p.priority
 	}
+	if o.route != p.route {
+		return o.route > p.route
+	}
 	if o.class != p.class {
 		return o.class < p.class
 	}
--- a/internal/policy/shares.go
+++ b/internal/policy/shares.go
@@ -23,8 +23,8 @@
 }
 
 // enter charges work of that cost (seconds of the engine) to its workspace and
-// returns the time from which it counts in the queue's order.
-func (s *shares) enter(w *Work, cost float64, now time.Time) time.Time {
+// returns the time from which it counts in the queue's order, and what was charged.
+func (s *shares) enter(w *Work, cost float64, now time.Time) (at time.Time, charge time.Duration) {
 	c := s.clocks[w.Workspace]
 	if c == nil {
 		c = &clock{until: now}
@@ -42,9 +42,18 @@
 		c.until = m
 	}
 	t := c.until
-	c.until = t.Add(seconds(cost * s.weight / c.weight))
+	charge = seconds(cost * s.weight / c.weight)
+	c.until = t.Add(charge)
 	lead := t.Sub(now)
-	return w.Arrived.Add(lead)
+	return w.Arrived.Add(lead), charge
+}
+
+// refund gives back what was charged for work that was given up before it started: it may
+// ask here again, and at many upstreams.
+func (s *shares) refund(w *Work, charge time.Duration) {
+	if c := s.clocks[w.Workspace]; c != nil {
+		c.until = c.until.Add(-charge)
+	}
 }
 
 // leave says that work of a workspace no longer waits.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -181,7 +181,7 @@
 	q := e.request
 	w := &policy.Work{
 		Arrived: q.Arrived, Deadline: e.deadline, Hint: q.Hint, ID: q.ID, Kind: e.route.Name, MaxTokens: max(1, q.MaxTokens),
-		Model: e.service.Name + "/" + q.Model, Prefix: q.Prefix, PrefixTokens: q.PrefixTokens, Priority: e.priority(), Prompt: q.Prompt,
+		Model: e.service.Name + "/" + q.Model, Prefix: q.Prefix, PrefixTokens: q.PrefixTokens, Priority: e.priority(), Prompt: q.Prompt, RoutePriority: e.route.Priority,
 	}
 	if p := e.route.Spec.Patience.Duration(); p > 0 && e.status == 0 {
 		w.FirstBy = q.Arrived.Add(p)
