--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,90 @@
+package linetiller_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+const modulePath = "github.com/linetiller/linetiller"
+
+// layerOf returns the layers that the developer guide lists, by package, from 1.
+func layerOf(t *testing.T) map[string]int {
+	t.Helper()
+	_, page, found := strings.Cut(read(t, "docs/developer-guide.md"), "### Layers\n")
+	if !found {
+		t.Fatal("the guide lists no layers")
+	}
+	page, _, _ = strings.Cut(page, "\n## ")
+	layers := make(map[string]int)
+	for i, line := range regexp.MustCompile(`(?m)^    (.+)$`).FindAllStringSubmatch(page, -1) {
+		for _, n := range strings.Fields(line[1]) {
+			layers[n] = i + 1
+		}
+	}
+	return layers
+}
+
+// layerName returns the name under which the guide lists a package, by its path below the
+// module's, and whether it is one that boxes run.
+func layerName(path string) (name string, listed bool) {
+	path = strings.TrimPrefix(path, modulePath)
+	path = strings.TrimPrefix(strings.TrimPrefix(path, "/"), "internal/")
+	for _, beside := range []string{"fake/", "measure", "process"} {
+		if strings.HasPrefix(path, beside) {
+			return path, false
+		}
+	}
+	if path == "" {
+		return "linetiller", true
+	}
+	return path, true
+}
+
+// TestLayersHold checks every import of one package of ours by another against the layers
+// that the developer guide lists.
+func TestLayersHold(t *testing.T) {
+	layers := layerOf(t)
+	checked := 0
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, "cmd/") {
+			return err
+		}
+		from, listed := layerName(strings.TrimSuffix(filepath.Dir(path), "."))
+		if !listed {
+			return nil
+		}
+		if layers[from] == 0 {
+			t.Errorf("%s: package %s is in no layer", path, from)
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, x := range file.Imports {
+			p := strings.Trim(x.Path.Value, `"`)
+			if !strings.HasPrefix(p, modulePath) {
+				continue
+			}
+			checked++
+			to, ok := layerName(p)
+			switch {
+			case !ok && layers[from] < layers["experiment"]:
+				t.Errorf("%s imports %s, a stand-in or a measurement", path, to)
+			case ok && layers[to] >= layers[from]:
+				t.Errorf("%s (layer %d) imports %s (layer %d)", path, layers[from], to, layers[to])
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := checked, 300; got < want {
+		t.Errorf("imports checked: got %d, want at least %d", got, want)
+	}
+}
