--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -55,7 +55,10 @@
 	t, charge := o.shares.enter(w, e.cost, now)
 	e.charge = charge
 	lead := t.Sub(w.Arrived).Nanoseconds()
-	e.order = order{class: classOf(e.cost), number: o.numbers, priority: w.Priority, route: w.RoutePriority, time: o.arrivalOrder(e.cost, w.Arrived) + lead}
+	e.order = order{
+		class: classOf(e.cost), late: e.overdue(now), number: o.numbers, priority: w.Priority, route: w.RoutePriority,
+		time: o.arrivalOrder(e.cost, w.Arrived) + lead,
+	}
 	return e
 }
 
@@ -90,6 +93,15 @@
 	return o.forecast.peak(g, float64(o.usedTokens), o.z) + float64(o.foreign)
 }
 
+// inTimeWaits reports whether work waits that can still be in time. What becomes late beside
+// it would go behind it, and behind each that comes after, so that it is better refused: it
+// then looks elsewhere, or its caller hears at once when to come back. What was late as it
+// came, since it has looked elsewhere before, waits for what nobody else wants.
+func (o *Owner) inTimeWaits() bool {
+	f := o.queue.first()
+	return f != nil && !f.order.late
+}
+
 // putFirst moves urgent work ahead in the queue.
 func (o *Owner) putFirst(e *entry) {
 	o.queue.remove(e.work.ID)
@@ -190,7 +202,9 @@
 	for _, e := range overdue {
 		o.putLast(e)
 	}
-	given = append(given, o.yielding(overdue)...)
+	if o.inTimeWaits() {
+		given = append(given, overdue...)
+	}
 	slices.SortFunc(given, func(a, b *entry) int { return cmp.Compare(a.order.number, b.order.number) })
 	var l []Answer
 	for _, e := range given {
@@ -199,16 +213,6 @@
 	return l
 }
 
-// yielding returns which of the work that has just become late is better refused: all of it
-// where other work waits that can still be in time, and goes before it, as does each new one.
-// Its caller then hears at once that it may try elsewhere.
-func (o *Owner) yielding(overdue []*entry) []*entry {
-	if f := o.queue.first(); f == nil || f.order.late {
-		return nil
-	}
-	return overdue
-}
-
 // mustGoFirst reports whether waiting work has become urgent.
 func (e *entry) mustGoFirst(now time.Time) bool {
 	return !e.order.late && !e.order.urgent && now.After(e.urgentAt)
--- a/internal/policy/late_test.go
+++ b/internal/policy/late_test.go
@@ -142,3 +142,27 @@
 		t.Errorf("once there is room: got %+v, want it to start", a)
 	}
 }
+
+// TestLateWorkThatAsksAgainStaysLate has late work come again to an engine, as it does while
+// it looks around: it goes behind all that can be in time, whichever came first.
+func TestLateWorkThatAsksAgainStaysLate(t *testing.T) {
+	late := func() *Work {
+		w := testWork("late")
+		w.TargetAt, w.FirstBy, w.Deadline = testStart.Add(-time.Second), testStart.Add(10*time.Second), testStart.Add(time.Minute)
+		return w
+	}
+	o := newTestOwner()
+	fill(t, o, testStart)
+	o.Ask(late(), testStart)
+	w := testWork("in time")
+	w.TargetAt, w.Deadline = testStart.Add(5*time.Second), testStart.Add(time.Minute)
+	o.Ask(w, testStart)
+	if got := o.queue.first().work.ID; got != "in time" {
+		t.Errorf("goes first: got %s, want what can be in time", got)
+	}
+	o.Leave("late", testStart)
+	o.Ask(late(), testStart)
+	if got := o.queue.first().work.ID; got != "in time" {
+		t.Errorf("goes first as the late one asks again: got %s, want what can be in time", got)
+	}
+}
