A script of an evacuation by the command line; comments that name no sites

Cause: that an operator sets, sees and withdraws an evacuation was shown below the commands only; some comments told measurements by whose deployments they were.

Ruled out: the script beside the others: they run at the same time in one hall, which it empties.

No code of boxes.

--- a/internal/account/site.go
+++ b/internal/account/site.go
@@ -37,7 +37,7 @@
 	kind          string
 }
 
-// tokensAnEvent is how many tokens an event of a stream holds on the users' sites; callers'
+// tokensAnEvent is how many tokens an event of a stream holds; callers'
 // estimates are in tokens.
 const tokensAnEvent = 4
 
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -50,7 +50,7 @@
 	silencePeriod     = 10 * time.Second
 	stallSteps        = 12 // steps without a token after which a generation counts as stalled
 	stallFloor        = 700 * time.Millisecond
-	// firstTokenFloor is the same before the first token: on the users' sites half of
+	// firstTokenFloor is the same before the first token: under mixed load half of
 	// the prompts were read within 0.6 s, 99 in 100 within 2 s.
 	firstTokenFloor = 2 * time.Second
 	sweepPeriod     = 200 * time.Millisecond
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -111,7 +111,8 @@
 }
 
 // readSeconds is the time that an engine takes to read a token of a prompt between the
-// tokens of the generations that run: on the users' sites 7.5 tokens a millisecond.
+// tokens of the generations that run: an engine that reads 14 a millisecond alone
+// reads 7.5 so, as measured under load.
 const readSeconds = 1.0 / 7500
 
 // DefaultStepSeconds stands in for a step time that was not reported yet.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,7 +42,7 @@
 	// eventWritePeriod bounds how long a caller may take to take one event.
 	eventWritePeriod = 10 * time.Second
 	// firstSilence is how long a stream that may be resumed may take to its first event
-	// before it is run elsewhere: on the users' sites 99 in 100 come within 2 s.
+	// before it is run elsewhere: 99 in 100 come within 2 s under load.
 	firstSilence = 2 * time.Second
 	// nextSilence is the same between two events, which come every 30 to 60 ms: more than
 	// an engine that reads a long prompt takes, and less than the 2 s after which callers leave.
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -12,9 +12,19 @@
 // TestScripts runs the program's commands as scripts, against a hall of two
 // boxes over loopback.
 func TestScripts(t *testing.T) {
+	runScripts(t, "testdata/script")
+}
+
+// TestEvacuationScript does so for one that empties the hall, in a hall of its own.
+func TestEvacuationScript(t *testing.T) {
+	runScripts(t, "testdata/evacuation")
+}
+
+func runScripts(t *testing.T, directory string) {
+	t.Helper()
 	h := newHall(t, 2, 1)
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata/script",
+		Dir: directory,
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("BOX1", "http://"+h.boxes[0].ClientAddress())
 			e.Setenv("BOX2", "http://"+h.boxes[1].ClientAddress())
