A stream whose answer tells its own end is whole, also while it is moved

A stop that is answered as taken counted for more than the end of the answer itself.

Change: the end that an answer tells by its length or its chunks is believed. Where an answer has neither, the stop's answer decides as before.

Measured: TestRunEndsAsItsStopIsTaken failed before: 100 of 100 events passed on and the stream broken.

--- a/internal/fake/link/link.go
+++ b/internal/fake/link/link.go
@@ -107,7 +107,7 @@
 	select {
 	case <-a.ready:
 		return &http.Response{
-			Body: &body{PipeReader: pr, cancel: cancel}, ContentLength: -1, Header: a.header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r,
+			Body: &body{PipeReader: pr, cancel: cancel}, ContentLength: -1, TransferEncoding: []string{"chunked"}, Header: a.header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r,
 			Status: http.StatusText(a.status), StatusCode: a.status,
 		}, nil
 	case <-r.Context().Done():
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/relay"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 // pauseAim is the longest pause that keeps a plan in time.
@@ -175,3 +177,30 @@
 		})
 	}
 }
+
+// TestRunEndsAsItsStopIsTaken gives notice shortly before a run's end, and has the order to
+// stop taken although the run ended by itself meanwhile: no engine has anything to go on
+// from. Its caller has all events, and the stream is whole.
+func TestRunEndsAsItsStopIsTaken(t *testing.T) {
+	const events = 100
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		migrate := r.relay.Upstreams.Migrate
+		r.relay.Upstreams.Migrate = func(ctx context.Context, from, to *resource.Upstream, id string, last bool) (*relay.Copy, error) {
+			if !last {
+				return migrate(ctx, from, to, id, last)
+			}
+			for r.engines[from.Name].Running() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			return &relay.Copy{Handle: "of-a-run-that-has-ended", Made: events}, nil
+		}
+		s, err := r.read(plan(t.Context(), "id", 4*events), func(n int) {
+			if n == events-30 {
+				r.list("u1", "llm", true)
+			}
+		})
+		if err != nil || !s.whole || s.events != events {
+			t.Errorf("got %+v %v, want %d events and an end", s, err, events)
+		}
+	})
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -101,15 +101,22 @@
 
 // endsWhole reports whether a stream that ends now has reached its own end: it has
 // events, unless the caller may have had all of them before, and was not stopped for a
-// move. An order to stop may come too late, which its answer tells.
-func (s *stream) endsWhole(ctx context.Context) bool {
+// move. A stream that is stopped is cut off, so that an end which the answer itself tells is
+// the run's own; without it, an order to stop may come too late, which its answer tells.
+func (s *stream) endsWhole(ctx context.Context, a *Answer) bool {
 	s.mutex.Lock()
 	m, events := s.move, s.events
 	s.mutex.Unlock()
-	if m != nil && m.stopping() {
+	if events == 0 && s.exchange.lastID == "" {
+		return false
+	}
+	if m == nil || a.Framed {
+		return true
+	}
+	if m.stopping() {
 		m.wait(ctx)
 	}
-	return (events > 0 || s.exchange.lastID != "") && (m == nil || !m.stopping())
+	return !m.stopping()
 }
 
 // eventsPassed returns how many events were passed on.
@@ -158,7 +165,7 @@
 		silence.Reset(s.silence())
 		b, id, err := x.Next()
 		silence.Stop()
-		if errors.Is(err, io.EOF) && s.endsWhole(ctx) {
+		if errors.Is(err, io.EOF) && s.endsWhole(ctx, a) {
 			return nil
 		}
 		if err != nil {
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -13,6 +13,7 @@
 // Answer is an upstream's answer, as its header tells it.
 type Answer struct {
 	Body       io.ReadCloser
+	Framed     bool         // its body tells its own end, so that one cut off is told from one that is whole
 	Header     http.Header  // to be passed on
 	Length     int64        // of the body, -1 where it is not told
 	Load       *health.Load // nil where it is not told
