The test of full halls counts under a lock, and ends before a second look

Ruled out: a race of the boxes' code (both accesses are the test's).

Change: a lock; the caller goes half way to the second look.

--- a/internal/placement/search_test.go
+++ b/internal/placement/search_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,13 +16,21 @@
 
 // fullHalls returns a placement before 60 engines in three halls, of which those of the
 // halls named have no room: work waits there. It counts the asks by hall.
-func fullHalls(full ...string) (p *Reserved, asked map[string]int) {
+func fullHalls(full ...string) (p *Reserved, asked func() map[string]int) {
 	v, m := testView(60, 6)
 	p = NewReserved(v, m, policy.NewLengths(), metric.NewSet(), 1)
-	asked = make(map[string]int)
+	var mutex sync.Mutex // an ask that is given up may still be under way
+	counts := make(map[string]int)
+	asked = func() map[string]int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return maps.Clone(counts)
+	}
 	answer := func(ctx context.Context, a *box.Ask, answer func(*box.Reply) error) {
 		h := v.Upstream(a.Upstream).Spec.Hall
-		asked[h]++
+		mutex.Lock()
+		counts[h]++
+		mutex.Unlock()
 		if !slices.Contains(full, h) {
 			_ = answer(&box.Reply{Answer: &policy.Answer{ID: a.Work.ID, Verdict: policy.VerdictStart}})
 			return
@@ -51,7 +60,7 @@
 				t.Fatalf("got %+v %v, want a place in another hall", v, err)
 			}
 		}
-		if got, most := asked["h0"], 20*looksMost; got > most {
+		if got, most := asked()["h0"], 20*looksMost; got > most {
 			t.Errorf("asks in the full hall: got %d, want at most %d", got, most)
 		}
 	})
@@ -103,16 +112,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, asked := fullHalls("h0", "h1", "h2")
 		began := time.Now()
-		w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), FirstBy: began.Add(200 * time.Millisecond), ID: "id", MaxTokens: 400, Model: "m", Prompt: 3000}
+		w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), FirstBy: began.Add(lookAgainFirst / 2), ID: "id", MaxTokens: 400, Model: "m", Prompt: 3000}
 		if v, err := p.Place(t.Context(), w, nil); err == nil {
 			t.Fatalf("got %+v, want no place", v)
 		}
 		total := 0
-		for n := range maps.Values(asked) {
+		counts := asked()
+		for n := range maps.Values(counts) {
 			total += n
 		}
-		if most := looksMost + looksAway + 1; total > most || asked["h0"] == 0 || asked["h1"]+asked["h2"] == 0 {
-			t.Errorf("asks by hall: got %v, want some in each, and at most %d", asked, most)
+		if most := looksMost + looksAway + 1; total > most || counts["h0"] == 0 || counts["h1"]+counts["h2"] == 0 {
+			t.Errorf("asks by hall: got %v, want some in each, and at most %d", counts, most)
 		}
 	})
 }
