Refusals tell the size of the prompt and what was lacking; an account by size

Metrics: linetiller_prompt_tokens by outcome, linetiller_refusals_short_of_total. No decision changed.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -144,3 +144,45 @@
 		}
 	}
 }
+
+// TestSizesAreToldApart counts what became of twenty streams by their size: the largest two
+// are refused for want of a turn, one of the next is late.
+func TestSizesAreToldApart(t *testing.T) {
+	d := new(testDay)
+	for i := range 20 {
+		id := fmt.Sprint("r-", i)
+		d.line(1, "a", 207, fmt.Sprintf(`,"request":%q,"route":"r-1","upstream":"u1","hall":"h1","try":1,"hint":700`, id))
+		end := fmt.Sprintf(`,"request":%q,"route":"r-1","status":200,"first_ms":300,"prompt_tokens":%d`, id, 100+i)
+		event := 201
+		switch {
+		case i >= 18:
+			event, end = 202, fmt.Sprintf(`,"request":%q,"route":"r-1","reason":"late","short_of":"turn","prompt_tokens":%d`, id, 100+i)
+		case i == 17:
+			end = strings.Replace(end, "300", "9000", 1)
+		}
+		d.line(2, "a", event, end)
+	}
+	lines, err := explain.Read(strings.NewReader(d.log.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := &SiteStream{PauseMS: 180}
+	long.Pieces.Mean = 200
+	s := &Site{Classes: []SiteClass{{AimMS: 1800, Name: "long", Stream: long, Worth: 130}}}
+	got := NewLog(lines).Sizes(s, new(Report))
+	if len(got) != 4 {
+		t.Fatalf("size classes: got %+v, want 4", got)
+	}
+	for i, want := range []SizeClass{{Tries: 10, Prompt: 100}, {Tries: 4, Prompt: 110}, {Tries: 4, Prompt: 114, Late: 1}, {Tries: 2, Prompt: 118}} {
+		if g := &got[i]; g.Tries != want.Tries || g.Prompt != want.Prompt || g.Late != want.Late {
+			t.Errorf("%s: got %+v, want %+v", g.Name, *g, want)
+		}
+	}
+	if g := &got[3]; g.Served() != 0 || g.Refused["late/turn"] != 2 {
+		t.Errorf("largest tenth: got %+v, want both refused for want of a turn", *g)
+	}
+	var b bytes.Buffer
+	if err := PrintSizes(&b, got); err != nil || !strings.Contains(b.String(), "late/turn 2") {
+		t.Errorf("got %q %v, want a table", b.String(), err)
+	}
+}
--- a/internal/experiment/accountcmd.go
+++ b/internal/experiment/accountcmd.go
@@ -20,7 +20,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "site", Usage: "the site's `FILE`", Required: true},
 			&cli.StringFlag{Name: "report", Usage: "the day's report, a `FILE`", Required: true},
-			&cli.StringFlag{Name: "by", Usage: "also the tries by `WHAT`: hall or window"},
+			&cli.StringFlag{Name: "by", Usage: "also the tries by `WHAT`: hall, window or size"},
 		},
 		Action: printAccount,
 	}
@@ -50,11 +50,13 @@
 		return nil
 	case "hall":
 		return a.PrintTries(w, account.ByHall)
+	case "size":
+		return account.PrintSizes(w, l.Sizes(s, r))
 	case "window":
 		if len(a.Tries) == 0 {
 			return errors.New("no try was lost")
 		}
 		return a.PrintTries(w, account.ByWindow(a.Tries[0].Ended))
 	}
-	return fmt.Errorf("tries are told by hall or window, not by %q", c.String("by"))
+	return fmt.Errorf("tries are told by hall, window or size, not by %q", c.String("by"))
 }
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -12,6 +12,7 @@
 	"deadline":               "its time ran out",
 	"key_unknown":            "its key opens no workspace",
 	"last_event_invalid":     "it named a last event that is not a number",
+	"late":                   "it would have come late, and others waited that could still be in time",
 	"leaving":                "the upstream was leaving",
 	"move_lost":              "it had been copied to another engine, which did not take it up",
 	"no_owner":               "no box answered for the engines",
--- a/internal/fail/fail.go
+++ b/internal/fail/fail.go
@@ -37,6 +37,7 @@
 	propertyPeer       = errorx.RegisterPrintableProperty("peer")
 	propertyReason     = errorx.RegisterPrintableProperty("reason")
 	propertyRetryAfter = errorx.RegisterProperty("retry_after")
+	propertyShortOf    = errorx.RegisterPrintableProperty("short_of")
 	propertyStep       = errorx.RegisterPrintableProperty("step")
 )
 
@@ -75,6 +76,11 @@
 	return t
 }
 
+// ShortOf returns what was lacking where e arose, or "".
+func ShortOf(e error) string {
+	return text(e, propertyShortOf)
+}
+
 // Step returns the step at which e arose, or "".
 func Step(e error) string {
 	return text(e, propertyStep)
@@ -89,6 +95,15 @@
 	return x.WithProperty(propertyRetryAfter, t)
 }
 
+// WithShortOf returns e with what was lacking.
+func WithShortOf(e error, what string) error {
+	x := errorx.Cast(e)
+	if x == nil {
+		x = Unavailable.WrapWithNoMessage(e)
+	}
+	return x.WithProperty(propertyShortOf, what)
+}
+
 // Wrap returns e as an error of type t that arose at p for the given reason.
 func Wrap(t *errorx.Type, p Place, reason string, e error) error {
 	return decorate(t.Wrap(e, "%s at %s", p.Step, p.Peer), p, reason)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -28,6 +28,7 @@
 	PlatformAway    Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
 	PlatformCalls   Name = "linetiller_platform_calls_total"         // counter, by step and outcome
 	PlatformReader  Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
+	PromptTokens    Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
 	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
 	Requests        Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
@@ -35,6 +36,7 @@
 	Resumptions     Name = "linetiller_resumptions_total"            // counter, by reason
 	Retries         Name = "linetiller_retries_total"                // counter, by reason
 	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
+	Shortages       Name = "linetiller_refusals_short_of_total"      // counter, by short_of: what refused work had waited for
 	StallSeconds    Name = "linetiller_stall_seconds"                // histogram: per generation
 	Streams         Name = "linetiller_streams"                      // gauge: requests held
 	TimeBetween     Name = "linetiller_time_between_tokens_seconds"  // histogram
@@ -46,8 +48,8 @@
 // Names lists every metric.
 var Names = []Name{
 	Boxes, Generations, KeyCommits, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
-	PlatformReader, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
-	Revision, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamReports,
+	PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
+	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamReports,
 }
 
 // Set holds the metrics of one box. It is safe for concurrent use.
@@ -95,6 +97,11 @@
 	return s.set.GetOrCreateHistogram(string(n))
 }
 
+// HistogramOf returns a histogram with a label.
+func (s *Set) HistogramOf(n Name, label, value string) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(fmt.Sprintf("%s{%s=%q}", n, label, value))
+}
+
 // Value returns a counter's value, for tests.
 func (s *Set) Value(n Name, label, value string) uint64 {
 	return s.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", n, label, value)).Get()
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -193,6 +193,9 @@
 // refusalError returns an owner's refusal as an error.
 func refusalError(upstream string, a *policy.Answer) error {
 	err := fail.New(fail.NotRun, fail.Place{Peer: "upstream " + upstream, Step: "ask"}, string(a.Reason), "refused: %s", a.Reason)
+	if a.ShortOf != "" {
+		err = fail.WithShortOf(err, string(a.ShortOf))
+	}
 	if a.RetryAt.IsZero() {
 		return err
 	}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -64,18 +64,11 @@
 
 // fits reports whether e may start now.
 func (o *Owner) fits(e *entry, now time.Time) bool {
-	if o.closed() != "" || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)) {
-		return false
-	}
-	if o.startsEnough(now) {
-		return false
-	}
-	if len(o.running) == 0 && o.foreign == 0 {
-		return true
-	}
-	if o.stalled > 0 || float64(len(o.running)+1) > o.batch || o.readsEnough(e) {
-		return false
-	}
+	return o.shortOf(e, now) == ""
+}
+
+// holds reports whether the memory has room for e.
+func (o *Owner) holds(e *entry, now time.Time) bool {
 	o.refresh(now)
 	o.decay(now)
 	c := float64(o.capacity.KVTokens)
@@ -145,14 +138,42 @@
 
 // refuseLate takes waiting work out of the queue and returns its refusal.
 func (o *Owner) refuseLate(e *entry, now time.Time) Answer {
+	a := Answer{ID: e.work.ID, Reason: ReasonDeadline, ShortOf: o.shortOf(e, now), Verdict: VerdictRefuse}
+	if o.queue.first() != e {
+		a.ShortOf = ShortageTurn
+	}
+	if e.order.late && !now.After(e.latest) {
+		a.Reason = ReasonLate
+	}
 	o.Leave(e.work.ID, now)
-	a := Answer{ID: e.work.ID, Reason: ReasonDeadline, RetryAt: now.Add(seconds(o.queue.total())), Verdict: VerdictRefuse}
+	a.RetryAt = now.Add(seconds(o.queue.total()))
 	if c := o.closed(); c != "" {
 		a.Reason, a.RetryAt = c, ClosedRetry(c, now)
 	}
 	return a
 }
 
+// shortOf returns what e lacks to start now, or "".
+func (o *Owner) shortOf(e *entry, now time.Time) Shortage {
+	switch {
+	case o.closed() != "" || (o.report.AsOf.IsZero() && now.Before(o.graceEnds)):
+		return ShortageReport
+	case o.startsEnough(now):
+		return ShortageStarts
+	case len(o.running) == 0 && o.foreign == 0:
+		return ""
+	case o.stalled > 0:
+		return ShortageStalled
+	case float64(len(o.running)+1) > o.batch:
+		return ShortageBatch
+	case o.readsEnough(e):
+		return ShortageReading
+	case !o.holds(e, now):
+		return ShortageMemory
+	}
+	return ""
+}
+
 // startBy returns when work has to start so that its caller, who goes unless its first
 // token has come, is still there for it; zero where it need not.
 func startBy(w *Work) time.Time {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -66,6 +66,7 @@
 const (
 	ReasonDeadline    Reason = "deadline"     // its deadline can no longer be met
 	ReasonEvacuated   Reason = "evacuated"    // the upstream's hall is evacuated
+	ReasonLate        Reason = "late"         // its target can no longer be met, and work waits there that can meet its own
 	ReasonLeaving     Reason = "leaving"      // the upstream gets no new work
 	ReasonMoved       Reason = "moved"        // the upstream has another owner now; ask there
 	ReasonNoUpstream  Reason = "no_upstream"  // no upstream runs the model
@@ -79,9 +80,24 @@
 	ID      string
 	Reason  Reason    // of a refusal
 	RetryAt time.Time // of a refusal: when to come back
+	ShortOf Shortage  `cbor:",omitempty"` // of a refusal of work that waited
 	Verdict Verdict
 }
 
+// Shortage is what work lacked to start at an upstream.
+type Shortage string
+
+// The shortages.
+const (
+	ShortageBatch   Shortage = "batch"   // as many generations run as keep the time between tokens
+	ShortageMemory  Shortage = "memory"  // the forecast of what runs leaves no room for it
+	ShortageReading Shortage = "reading" // too many prompts are being read
+	ShortageReport  Shortage = "report"  // the upstream gets nothing new, or what it runs isn't known yet
+	ShortageStalled Shortage = "stalled" // generations there stand still
+	ShortageStarts  Shortage = "starts"  // as many started within a second as a cold engine bears
+	ShortageTurn    Shortage = "turn"    // other work goes first
+)
+
 // Load is what an owner tells of its upstream with every answer.
 type Load struct {
 	// Ahead is the backlog that stands before new work of each class, in seconds
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,7 +199,11 @@
 	if e.firstIn > 0 {
 		l = append(l, "first_ms", e.firstIn.Milliseconds(), "pause_ms", e.longest.Milliseconds())
 	}
+	if e.request.Prompt > 0 {
+		l = append(l, "prompt_tokens", e.request.Prompt)
+	}
 	if err == nil {
+		x.countPrompt(e, "answered")
 		x.metrics.Count(metric.Requests, "outcome", "answered")
 		event.RequestFinished.Log(x.log, append(l, "status", e.status)...)
 		return
@@ -215,10 +219,22 @@
 	default:
 		x.metrics.Count(metric.Requests, "outcome", "refused")
 		x.metrics.Count(metric.Refusals, "reason", fail.Reason(err))
+		x.countPrompt(e, "refused")
+		if s := fail.ShortOf(err); s != "" {
+			x.metrics.Count(metric.Shortages, "short_of", s)
+			l = append(l, "short_of", s)
+		}
 		event.RequestRefused.Log(x.log, append(l, "error", err.Error())...)
 	}
 }
 
+// countPrompt takes in the size of the prompt of a request of an engine that has ended.
+func (x *Relay) countPrompt(e *exchange, outcome string) {
+	if e.request.Prompt > 0 {
+		x.metrics.HistogramOf(metric.PromptTokens, "outcome", outcome).Update(float64(e.request.Prompt))
+	}
+}
+
 // enter takes in a request, unless the relay is closing.
 func (x *Relay) enter() error {
 	x.mutex.Lock()
