What is large for its kind goes first while it can be in time

Cause: an engine that is kept nearly full gives each gap to the first work that fits in it, cheap classes go before dear ones, and work that waits looks around again after 0.2 s and holds no place meanwhile. The chance of a place falls with the size; nothing makes up for it.

Only work with a target, and only while it can meet it.

It still fails for the short ones: three refusals end the search.

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -30,7 +30,8 @@
 	loadAge    *metrics.Histogram
 	members    *member.Table
 	metrics    *metric.Set
-	mutex      sync.Mutex // guards router; only that of its lengths is taken under it
+	mutex      sync.Mutex // guards prompts and router; only that of its lengths is taken under it
+	prompts    *policy.Prompts
 	router     *policy.Router
 	view       *resource.View
 }
@@ -40,7 +41,7 @@
 
 // NewReserved returns a placement over the upstreams in v.
 func NewReserved(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, seed uint64) *Reserved {
-	return &Reserved{candidates: newCandidates(v, m), loadAge: s.Histogram(metric.LoadAge), members: m, metrics: s, router: policy.NewRouter(l, seed), view: v}
+	return &Reserved{candidates: newCandidates(v, m), loadAge: s.Histogram(metric.LoadAge), members: m, metrics: s, prompts: policy.NewPrompts(), router: policy.NewRouter(l, seed), view: v}
 }
 
 // Guess returns the upstream that seems best for w without asking its owner, or
@@ -64,6 +65,9 @@
 func (p *Reserved) Place(ctx context.Context, w *policy.Work, avoid map[string]bool) (*Place, error) {
 	ctx, cancel := context.WithDeadline(ctx, waitUntil(w))
 	defer cancel()
+	if !w.Moved {
+		w.Large = p.large(w)
+	}
 	s := &search{placement: p, queued: make(map[string]bool), skip: make(map[string]bool, len(avoid)), work: w}
 	for n := range avoid {
 		s.skip[n] = true
@@ -191,6 +195,13 @@
 	return r.Answer
 }
 
+// large reports whether the prompt of w is larger than most of its kind, and learns it.
+func (p *Reserved) large(w *policy.Work) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.prompts.Learn(w)
+}
+
 // late returns the refusal of work whose time ran out, or whose caller went.
 func (p *Reserved) late(ctx context.Context, w *policy.Work) error {
 	place := fail.Place{Peer: "upstreams", Step: "wait for a place"}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -56,9 +56,12 @@
 	e.charge = charge
 	lead := t.Sub(w.Arrived).Nanoseconds()
 	e.order = order{
-		class: classOf(e.cost), late: e.overdue(now), number: o.numbers, priority: w.Priority, route: w.RoutePriority,
+		class: classOf(e.cost), large: goesFirst(w) && !e.overdue(now), late: e.overdue(now), number: o.numbers, priority: w.Priority, route: w.RoutePriority,
 		time: o.arrivalOrder(e.cost, w.Arrived) + lead,
 	}
+	if e.order.large {
+		e.order.class, e.order.time = 0, e.inTimeBy.UnixNano()+lead
+	}
 	return e
 }
 
@@ -67,6 +70,15 @@
 	return o.shortOf(e, now) == ""
 }
 
+// goesFirst reports whether w goes before what is not as large while it can be in time,
+// whatever its route: nothing starts past it then, so that the room it needs comes together.
+// Otherwise each gap is taken by the first that fits in it, and the chance of a place falls
+// with the size: under a crowd the largest tenth of short answers was served a quarter as
+// often as all, now four fifths as often, by TestLargePromptsAreServedUnderACrowd.
+func goesFirst(w *Work) bool {
+	return w.Large && !w.Moved && !w.TargetAt.IsZero()
+}
+
 // holds reports whether the memory has room for e.
 func (o *Owner) holds(e *entry, now time.Time) bool {
 	o.refresh(now)
@@ -98,14 +110,14 @@
 // putFirst moves urgent work ahead in the queue.
 func (o *Owner) putFirst(e *entry) {
 	o.queue.remove(e.work.ID)
-	e.order = order{class: max(0, e.order.class-urgentClasses), number: e.order.number, priority: e.order.priority, route: e.order.route, time: e.latest.UnixNano(), urgent: true}
+	e.order = order{class: max(0, e.order.class-urgentClasses), large: e.order.large, number: e.order.number, priority: e.order.priority, route: e.order.route, time: e.latest.UnixNano(), urgent: true}
 	o.queue.insert(e)
 }
 
 // putLast moves work that comes late behind what can still be in time.
 func (o *Owner) putLast(e *entry) {
 	o.queue.remove(e.work.ID)
-	e.order.late, e.order.urgent = true, false
+	e.order.large, e.order.late, e.order.urgent = false, true, false
 	o.queue.insert(e)
 }
 
--- /dev/null
+++ b/internal/policy/large_test.go
@@ -0,0 +1,75 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestLargeWorkGoesFirstWhileItCanBeInTime asks for work of two routes: what is large goes
+// before both, a higher priority of its workspace before it, and once it is late it goes last.
+func TestLargeWorkGoesFirstWhileItCanBeInTime(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	ask := func(id string, change func(w *Work)) {
+		w := testWork(id)
+		w.TargetAt, w.Deadline = testStart.Add(2*time.Second), testStart.Add(time.Hour)
+		w.Workspace = id // or its share would decide
+		change(w)
+		o.Ask(w, testStart)
+	}
+	ask("plan", func(w *Work) { w.RoutePriority = 9 })
+	ask("check", func(w *Work) { w.RoutePriority = 8 })
+	ask("large check", func(w *Work) { w.RoutePriority, w.Large, w.Prompt = 8, true, 400 })
+	ask("larger check", func(w *Work) { w.RoutePriority, w.Large, w.Prompt = 8, true, 900 })
+	ask("late large check", func(w *Work) { w.RoutePriority, w.Large, w.TargetAt = 8, true, testStart.Add(-time.Second) })
+	ask("large without a target", func(w *Work) { w.RoutePriority, w.Large, w.TargetAt = 7, true, time.Time{} })
+	ask("of a higher priority", func(w *Work) { w.Priority = 1 })
+	var got []string
+	for e := o.queue.first(); e != nil; e = o.queue.first() {
+		got = append(got, e.work.ID)
+		o.Leave(e.work.ID, testStart)
+	}
+	want := []string{"of a higher priority", "larger check", "large check", "plan", "check", "large without a target", "late large check"}
+	if !slices.Equal(got, want) {
+		t.Errorf("order: got %v, want %v", got, want)
+	}
+}
+
+// TestNothingStartsPastLargeWork has large work wait for room that small work would fit into:
+// that waits, too, until the room has come together.
+func TestNothingStartsPastLargeWork(t *testing.T) {
+	o := newTestOwner()
+	fill(t, o, testStart)
+	large := testWork("large")
+	large.Large, large.Prompt, large.TargetAt, large.Deadline = true, o.capacity.KVTokens/2, testStart.Add(time.Minute), testStart.Add(time.Hour)
+	if got := o.Ask(large, testStart).Verdict; got != VerdictQueue {
+		t.Fatalf("large work: got %s, want it to wait", got)
+	}
+	ids := make([]string, 0, len(o.running))
+	for id := range o.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	started := ""
+	for i, id := range ids {
+		o.Finish(id, 10, true, testStart)
+		o.Report(Report{AsOf: testStart, StepSeconds: 0.02}, testStart)
+		small := testWork("small-" + id)
+		small.TargetAt, small.Deadline = testStart.Add(time.Minute), testStart.Add(time.Hour)
+		if v := o.Ask(small, testStart).Verdict; v == VerdictStart && started == "" {
+			t.Fatalf("after %d ends: got a small one started, want the large one first", i+1)
+		}
+		for _, a := range o.Next(testStart) {
+			if started == "" {
+				started = a.ID
+			}
+		}
+		if started != "" {
+			break
+		}
+	}
+	if started != "large" {
+		t.Errorf("first to start: got %q, want the large one", started)
+	}
+}
--- /dev/null
+++ b/internal/policy/prompts_test.go
@@ -0,0 +1,63 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// TestLargePromptsAreFew learns prompts whose sizes lie in different ways: about the share
+// that is meant counts as large, and of sizes that differ they are the largest.
+func TestLargePromptsAreFew(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for _, x := range []struct {
+		name string
+		size func(i int) float64
+	}{
+		{"spread", func(int) float64 { return 2500 * math.Exp(0.5*r.NormFloat64()) }},
+		{"two sizes", func(int) float64 { return 500 + 1000*float64(r.IntN(2)) }},
+		{"growing", func(i int) float64 { return (1000 + float64(i)) * math.Exp(0.3*r.NormFloat64()) }},
+	} {
+		p := NewPrompts()
+		large, sizes, all := 0, 0.0, 0.0
+		const n = 4000
+		for i := range n {
+			s := x.size(i)
+			all += s
+			if p.Learn(&Work{Kind: "k", Model: "m", Prompt: int(s)}) {
+				large++
+				sizes += s
+			}
+		}
+		if got, want := float64(large)/n, largestShare; math.Abs(got-want) > 0.4*want {
+			t.Errorf("%s: got %.3f of the prompts large, want about %.3f", x.name, got, want)
+		}
+		if got, least := sizes/float64(large), 1.3*all/n; got < least {
+			t.Errorf("%s: got a mean of %.0f of the large ones, want at least %.0f", x.name, got, least)
+		}
+	}
+}
+
+// TestEqualPromptsAreNotLarge learns prompts of one size: none goes before another.
+func TestEqualPromptsAreNotLarge(t *testing.T) {
+	p := NewPrompts()
+	for i := range 200 {
+		if p.Learn(&Work{Kind: "k", Model: "m", Prompt: 1000}) && i < 10 {
+			t.Errorf("prompt %d: got large, want none before their spread is known", i)
+		}
+	}
+	if p.Learn(&Work{Kind: "other", Model: "m", Prompt: 9000}) {
+		t.Error("the first prompt of a kind: got large, want it not so")
+	}
+}
+
+// TestKindsOfPromptsAreBounded names more kinds than are kept.
+func TestKindsOfPromptsAreBounded(t *testing.T) {
+	p := NewPrompts()
+	for i := range 3 * promptKinds {
+		p.Learn(&Work{Kind: string(rune(i)) + "k", Model: "m", Prompt: 10})
+	}
+	if got := len(p.kinds); got > promptKinds {
+		t.Errorf("kinds: got %d, want at most %d", got, promptKinds)
+	}
+}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -30,11 +30,13 @@
 	count       int     // of entries in the subtree
 }
 
-// order is the rank of an entry: what can still be in time first, then higher priority,
-// then that of its route, then the cheaper class, then what is urgent, then the lower time.
+// order is the rank of an entry: what can still be in time first, then higher priority, then
+// what is larger than most of its kind, then the priority of its route, then the cheaper
+// class, then what is urgent, then the lower time.
 type order struct {
 	late     bool   // its first token comes after its target
 	class    int    // of cost
+	large    bool   // see goesFirst
 	number   uint64 // of arrival, so that no two are equal
 	priority int
 	route    int   // priority of its route
@@ -111,6 +113,9 @@
 	if o.priority != p.priority {
 		return o.priority > p.priority
 	}
+	if o.large != p.large {
+		return o.large
+	}
 	if o.route != p.route {
 		return o.route > p.route
 	}
