--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/policy"
 )
 
 // longWait is from how many milliseconds on the wait for a place is worth a word.
@@ -38,7 +39,7 @@
 	case event.CallerGone.Number:
 		return fmt.Sprintf("the caller left after %s ms", end.text("took_ms"))
 	case event.RequestRefused.Number:
-		return "it was refused and did not run: " + failureText(end)
+		return "it was refused and did not run: " + failureText(end) + shortageText(end)
 	}
 	c := failureText(end)
 	if x := about(all, end.text("upstream"), end.Time); x != nil {
@@ -65,6 +66,14 @@
 	return fmt.Sprintf("%s (%s at %s)", reasonText(x.text("reason")), x.text("step"), x.text("peer"))
 }
 
+// shortageText tells what a request had waited for that was refused, or "".
+func shortageText(x *Line) string {
+	if s := x.text("short_of"); s != "" {
+		return "; it had waited for " + shortages[policy.Shortage(s)]
+	}
+	return ""
+}
+
 // finishedCause tells what made a request that was answered late, where something did.
 func finishedCause(own []Line, end *Line) string {
 	c := fmt.Sprintf("it was answered with status %s after %s ms", end.text("status"), end.text("took_ms"))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -29,7 +29,7 @@
 		}
 		all = append(all, l...)
 	}
-	for _, id := range []string{"refused", "cut", "late", "moved", "lost", "resumed"} {
+	for _, id := range []string{"refused", "passed-over", "cut", "late", "moved", "lost", "resumed"} {
 		s, err := Tell(all, id)
 		if err != nil {
 			t.Errorf("%s: %v", id, err)
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -1,5 +1,7 @@
 package explain
 
+import "github.com/linetiller/linetiller/internal/policy"
+
 // reasons tells the reasons of failures in plain words; a test holds them and those
 // that the relay gives together.
 var reasons = map[string]string{
@@ -42,3 +44,14 @@
 	}
 	return r
 }
+
+// shortages tells in plain words what refused work had waited for.
+var shortages = map[policy.Shortage]string{
+	policy.ShortageBatch:   "a place in the engine's batch",
+	policy.ShortageMemory:  "room in the engine's memory",
+	policy.ShortageReading: "the prompts that the engine was reading",
+	policy.ShortageReport:  "the engine's first report",
+	policy.ShortageStalled: "generations at the engine that stood still",
+	policy.ShortageStarts:  "the engine to bear another start",
+	policy.ShortageTurn:    "its turn, behind other work",
+}
