Work is refused once it could only start in vain

Cause: a search waited until the caller goes, while owners refuse what can no longer start in time for it; work that looks around was not with an owner then, and its caller heard nothing.

Change: a search ends when a start would come too late for the caller, by the time to read the prompt, and not before half of the caller's patience, since that time is an estimate. The test failed first: refused after 2 s, not 1.6. That of full halls has a smaller prompt and the same wait of 0.1 s.

--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -211,10 +211,19 @@
 	return fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonDeadline), "the deadline passed in the queue"), time.Now())
 }
 
-// waitUntil returns until when work may wait for a place.
+// waitUntil returns until when work may wait for a place: later its caller would go before
+// its first token came, and is better told while it is there. How long a prompt takes to be
+// read is an estimate, so that any work may wait for half of its caller's patience.
 func waitUntil(w *policy.Work) time.Time {
-	if !w.Moved && !w.FirstBy.IsZero() && w.FirstBy.Before(w.Deadline) {
-		return w.FirstBy
+	b := policy.StartBy(w)
+	if b.IsZero() {
+		return w.Deadline
+	}
+	if half := w.Arrived.Add(w.FirstBy.Sub(w.Arrived) / 2); b.Before(half) {
+		b = half
+	}
+	if b.Before(w.Deadline) {
+		return b
 	}
 	return w.Deadline
 }
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -45,7 +45,7 @@
 	duration := seconds(e.expectation.tokens * o.step())
 	e.latest = w.Deadline.Add(-min(duration, slack-time.Duration(minSlackShare*float64(slack))))
 	e.urgentAt = e.latest.Add(-urgentDurations*duration - time.Duration(urgentShare*float64(slack)))
-	if b := startBy(w); !b.IsZero() && b.Before(e.latest) {
+	if b := StartBy(w); !b.IsZero() && b.Before(e.latest) {
 		e.latest = b
 	}
 	if !w.TargetAt.IsZero() && !w.Moved {
@@ -186,9 +186,9 @@
 	return ""
 }
 
-// startBy returns when work has to start so that its caller, who goes unless its first
+// StartBy returns when work has to start so that its caller, who goes unless its first
 // token has come, is still there for it; zero where it need not.
-func startBy(w *Work) time.Time {
+func StartBy(w *Work) time.Time {
 	if w.FirstBy.IsZero() || w.Moved {
 		return time.Time{}
 	}
