--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -52,44 +52,12 @@
 	view    *resource.View
 }
 
-// List is the resources of a kind.
-type List struct {
-	Items    []*resource.Resource `json:"items"`
-	Revision string               `json:"revision"` // from which a watch may go on
-}
-
-// WatchType tells what a watch event says.
-type WatchType string
-
-// The types of watch events.
-const (
-	WatchApplied  WatchType = "applied"
-	WatchBookmark WatchType = "bookmark" // nothing changed; the revision is still in force
-	WatchDeleted  WatchType = "deleted"
-)
-
-// WatchEvent is one line of a watch.
-type WatchEvent struct {
-	Resource *resource.Resource `json:"resource,omitempty"`
-	Revision string             `json:"revision"`
-	Type     WatchType          `json:"type"`
-}
-
-// Problem is the body of an answer that is not a success.
-type Problem struct {
-	Code    string             `json:"code"`
-	Current *resource.Resource `json:"current,omitempty"` // of a conflict
-	Faults  resource.Faults    `json:"faults,omitempty"`
-	Message string             `json:"message"`
-}
-
 const (
-	bookmarkEvery  = 5 * time.Second
-	maxBodyBytes   = 256 << 10
-	settleTries    = 5
-	settleWait     = 100 * time.Millisecond
-	statusPeriod   = 2 * time.Second
-	conditionForce = "InForce"
+	bookmarkEvery = 5 * time.Second
+	maxBodyBytes  = 256 << 10
+	settleTries   = 5
+	settleWait    = 100 * time.Millisecond
+	statusPeriod  = 2 * time.Second
 )
 
 // New returns a server over v. Where keyHash is not empty, callers must show
@@ -326,40 +294,6 @@
 	return bytes.Equal(x.Bytes(), y.Bytes())
 }
 
-// statusOf tells, for each hall, at how many boxes a resource is in force.
-func statusOf(x *resource.Resource, halls []box.HallRevisions, now time.Time) *resource.Status {
-	st := &resource.Status{ObservedGeneration: x.Metadata.Generation}
-	missing, unknown := 0, 0
-	for _, h := range halls {
-		v := resource.HallStatus{Boxes: len(h.Revisions) + h.Silent, Hall: h.Hall, Unknown: h.Silent}
-		for _, r := range h.Revisions {
-			if r >= x.Revision() {
-				v.InForce++
-			}
-		}
-		missing += len(h.Revisions) - v.InForce
-		unknown += h.Silent
-		st.Halls = append(st.Halls, v)
-	}
-	c := resource.Condition{LastTransitionTime: now, Reason: "EveryBox", Status: "True", Type: conditionForce}
-	switch {
-	case missing > 0:
-		c.Reason, c.Status, c.Message = "Spreading", "False", strconv.Itoa(missing)+" boxes are behind"
-	case unknown > 0:
-		c.Reason, c.Status, c.Message = "BoxesSilent", "Unknown", strconv.Itoa(unknown)+" boxes did not answer"
-	}
-	st.Conditions = []resource.Condition{c}
-	return st
-}
-
-func watchEvent(c *resource.Change) *WatchEvent {
-	e := &WatchEvent{Resource: c.Resource, Revision: strconv.FormatInt(c.Revision, 10), Type: WatchApplied}
-	if c.Deleted {
-		e.Type = WatchDeleted
-	}
-	return e
-}
-
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,38 @@
+package operator
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// conditionForce is the condition that tells whether a resource is in force everywhere.
+const conditionForce = "InForce"
+
+// statusOf tells, for each hall, at how many boxes a resource is in force.
+func statusOf(x *resource.Resource, halls []box.HallRevisions, now time.Time) *resource.Status {
+	st := &resource.Status{ObservedGeneration: x.Metadata.Generation}
+	missing, unknown := 0, 0
+	for _, h := range halls {
+		v := resource.HallStatus{Boxes: len(h.Revisions) + h.Silent, Hall: h.Hall, Unknown: h.Silent}
+		for _, r := range h.Revisions {
+			if r >= x.Revision() {
+				v.InForce++
+			}
+		}
+		missing += len(h.Revisions) - v.InForce
+		unknown += h.Silent
+		st.Halls = append(st.Halls, v)
+	}
+	c := resource.Condition{LastTransitionTime: now, Reason: "EveryBox", Status: "True", Type: conditionForce}
+	switch {
+	case missing > 0:
+		c.Reason, c.Status, c.Message = "Spreading", "False", strconv.Itoa(missing)+" boxes are behind"
+	case unknown > 0:
+		c.Reason, c.Status, c.Message = "BoxesSilent", "Unknown", strconv.Itoa(unknown)+" boxes did not answer"
+	}
+	st.Conditions = []resource.Condition{c}
+	return st
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,14 +5,9 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"log/slog"
-	"math"
-	"net/netip"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -112,19 +107,6 @@
 	TLS             TLS      `toml:"tls"`
 }
 
-// Fault is one thing wrong with the settings.
-type Fault struct {
-	Key     string
-	Line    int // from 1; 0 where the key is missing
-	Message string
-	// Origin is the comment on the line, "" for none: a template names there the field
-	// that it was filled from.
-	Origin string
-}
-
-// Faults is every fault of a settings file.
-type Faults []Fault
-
 // Default returns the settings that hold where a file names nothing else.
 func Default() Settings {
 	return Settings{
@@ -175,192 +157,9 @@
 	return &s, nil
 }
 
-// Error lists the faults, one a line.
-func (f Faults) Error() string {
-	var l []string
-	for _, x := range f {
-		l = append(l, fmt.Sprintf("line %d: %s", x.Line, x))
-	}
-	return strings.Join(l, "\n")
-}
-
-// nameOrigins fills in where faulty lines were filled from.
-func (f Faults) nameOrigins(source []byte) {
-	lines := strings.Split(string(source), "\n")
-	for i := range f {
-		if n := f[i].Line; n > 0 && n <= len(lines) {
-			_, c, _ := strings.Cut(lines[n-1], "#")
-			f[i].Origin = strings.TrimSpace(c)
-		}
-	}
-}
-
-// String returns the fault without its line.
-func (f Fault) String() string {
-	if f.Origin == "" {
-		return f.Key + ": " + f.Message
-	}
-	return f.Key + " (" + f.Origin + "): " + f.Message
-}
-
 // Level returns the log level; it is checked when the settings are read.
 func (s *Settings) Level() slog.Level {
 	var l slog.Level
 	_ = l.UnmarshalText([]byte(s.LogLevel))
 	return l
 }
-
-func (s *Settings) check(source []byte) Faults {
-	var f Faults
-	add := func(key, message string) {
-		f = append(f, Fault{Key: key, Line: lineOf(source, key), Message: message})
-	}
-	checkNames(s, add)
-	checkAddresses(s, add)
-	checkChoices(s, add)
-	checkNotNegative(s, add)
-	checkPositive(s, add)
-	slices.SortStableFunc(f, func(a, b Fault) int { return a.Line - b.Line })
-	return f
-}
-
-func checkAddresses(s *Settings, add func(key, message string)) {
-	for _, x := range []struct{ key, value string }{
-		{"box_address", s.BoxAddress},
-		{"client_address", s.ClientAddress},
-		{"operator_address", s.OperatorAddress},
-	} {
-		if _, err := netip.ParseAddrPort(x.value); err != nil {
-			add(x.key, "must be IP:port")
-		}
-	}
-	if s.Entry != (Entry{}) {
-		checkEntry(s, add)
-	}
-	if !strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://") {
-		add("platform", "must be http://IP:port or https://IP:port")
-	}
-}
-
-func checkEntry(s *Settings, add func(key, message string)) {
-	for _, x := range []struct{ key, value string }{
-		{"address", s.Entry.Address}, {"metrics", s.Entry.Metrics}, {"readiness", s.Entry.Readiness},
-	} {
-		if _, err := netip.ParseAddrPort(x.value); err != nil {
-			add("entry."+x.key, "must be IP:port")
-		}
-	}
-}
-
-func checkChoices(s *Settings, add func(key, message string)) {
-	var l slog.Level
-	if l.UnmarshalText([]byte(s.LogLevel)) != nil {
-		add("log_level", "must be debug, info, warn or error")
-	}
-	if s.Policy != PolicyNaive && s.Policy != PolicyReserved {
-		add("policy", "must be naive or reserved")
-	}
-	if s.Links != LinksPlain && s.Links != LinksQUIC {
-		add("links", "must be quic or plain")
-	}
-	if s.OperatorKeyHash != "" && len(s.OperatorKeyHash) != 64 {
-		add("operator_key_hash", "must be a SHA-256 hash of 64 hex digits")
-	}
-	checkTLS(s, add)
-}
-
-func checkTLS(s *Settings, add func(key, message string)) {
-	if given := s.TLS.Authority != "" || s.TLS.Certificate != "" || s.TLS.Key != ""; given || s.TLS.Clients {
-		if s.TLS.Authority == "" || s.TLS.Certificate == "" || s.TLS.Key == "" {
-			add("tls", "authority, certificate and key must all be set")
-		}
-	}
-}
-
-func checkNames(s *Settings, add func(key, message string)) {
-	if s.Box == "" {
-		add("box", "must be set")
-	}
-	if s.Hall == "" {
-		add("hall", "must be set")
-	}
-}
-
-func checkPositive(s *Settings, add func(key, message string)) {
-	for _, x := range []struct {
-		key   string
-		value int64
-	}{
-		{"body_bytes", s.Limits.BodyBytes},
-		{"header_bytes", int64(s.Limits.HeaderBytes)},
-		{"queued", int64(s.Limits.Queued)},
-		{"streams", int64(s.Limits.Streams)},
-		{"weight_loads", int64(s.Limits.WeightLoads)},
-		{"drain", int64(s.Timeouts.Drain.Duration)},
-		{"heartbeat", int64(s.Timeouts.Heartbeat.Duration)},
-		{"leave", int64(s.Timeouts.Leave.Duration)},
-		{"platform", int64(s.Timeouts.Platform.Duration)},
-		{"report", int64(s.Timeouts.Report.Duration)},
-		{"request", int64(s.Timeouts.Request.Duration)},
-		{"silence", int64(s.Timeouts.Silence.Duration)},
-		{"window", int64(s.Budget.Window.Duration)},
-	} {
-		if x.value <= 0 {
-			add(x.key, "must be above 0")
-		}
-	}
-}
-
-// checkNotNegative checks what may be 0.
-func checkNotNegative(s *Settings, add func(key, message string)) {
-	for _, x := range []struct {
-		key   string
-		value float64
-	}{
-		{"extra", s.Budget.Extra},
-		{"grace", s.Timeouts.Grace.Seconds()},
-		{"memory_mb", s.Limits.MemoryMB},
-		{"overage", s.Cold.Overage},
-		{"ratio", s.Budget.Ratio},
-		{"slack", s.Cold.Slack},
-	} {
-		if math.IsNaN(x.value) || math.IsInf(x.value, 0) || x.value < 0 {
-			add(x.key, "must be 0 or above")
-		}
-	}
-}
-
-func decodeFaults(err error) Faults {
-	var m *toml.StrictMissingError
-	if errors.As(err, &m) {
-		var f Faults
-		for _, e := range m.Errors {
-			l, _ := e.Position()
-			f = append(f, Fault{Key: strings.Join(e.Key(), "."), Line: l, Message: "unknown key"})
-		}
-		return f
-	}
-	var d *toml.DecodeError
-	if errors.As(err, &d) {
-		l, _ := d.Position()
-		return Faults{{Key: strings.Join(d.Key(), "."), Line: l, Message: d.Error()}}
-	}
-	if err != nil {
-		return Faults{{Message: err.Error()}}
-	}
-	return nil
-}
-
-// lineOf returns the line on which the last part of key is set, or 0.
-func lineOf(source []byte, key string) int {
-	for i, l := range strings.Split(string(source), "\n") {
-		n, _, ok := strings.Cut(l, "=")
-		if ok && strings.TrimSpace(n) == key {
-			return i + 1
-		}
-		if strings.TrimSpace(l) == "["+key+"]" {
-			return i + 1
-		}
-	}
-	return 0
-}
