--- a/internal/placement/reserved.go
+++ b/internal/placement/reserved.go
@@ -195,7 +195,7 @@
 	return r.Answer
 }
 
-// large reports whether the prompt of w is larger than most of its kind, and learns it.
+// large reports whether the prompt of w is large for its kind, and learns it.
 func (p *Reserved) large(w *policy.Work) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -17,7 +17,7 @@
 	Hint          int       // the caller's estimate of the output tokens; 0 where it has none
 	ID            string
 	Kind          string // what the caller calls it; "" where it does not say
-	Large         bool   `cbor:",omitempty"` // its prompt is larger than most of its kind, see Prompts
+	Large         bool   `cbor:",omitempty"` // its prompt is large for its kind, see Prompts
 	MaxTokens     int    // output tokens at most
 	Model         string
 	Moved         bool      // its memory comes from another engine, so that no prompt is read
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -31,7 +31,7 @@
 }
 
 // order is the rank of an entry: what can still be in time first, then higher priority, then
-// what is larger than most of its kind, then the priority of its route, then the cheaper
+// what is large for its kind, then the priority of its route, then the cheaper
 // class, then what is urgent, then the lower time.
 type order struct {
 	late     bool   // its first token comes after its target
