A method of the account no longer shares the name of its type

Cause: read as a newcomer, sizedTry was a type and the method that makes one. Ruled out: the duplicates listed, which are import lists, set-ups of stand-ins and error checks of like shape. Change: the method is sizeOf; no behaviour changed. Before and after: the account's tests pass.

--- a/internal/account/sizes.go
+++ b/internal/account/sizes.go
@@ -43,7 +43,7 @@
 	aims := s.aims(r, l)
 	for _, lines := range l.requests {
 		a := aims[routeOf(lines)]
-		if t, ok := l.sizedTry(lines, &a); ok {
+		if t, ok := l.sizeOf(lines, &a); ok {
 			tries[a.kind] = append(tries[a.kind], t)
 		}
 	}
@@ -103,8 +103,8 @@
 	return c
 }
 
-// sizedTry returns a try with its size; false where it has no prompt or no end.
-func (l *Log) sizedTry(lines []*explain.Line, a *aim) (sizedTry, bool) {
+// sizeOf returns a try with its size; false where it has no prompt or no end.
+func (l *Log) sizeOf(lines []*explain.Line, a *aim) (sizedTry, bool) {
 	end := endOf(lines)
 	if end == nil || a.kind == "" {
 		return sizedTry{}, false
