Owners go by their box's view as they are asked

Cause: an owner learned of evacuations and of leaving upstreams in the look at what falls to its box, at most every 100 ms; the asking box had caught the owner's box up, whose view knew, and the owner did not. Ruled out: the asking box; it knew, or it would not have asked. Change: an owner takes in what the view says of its upstream as each ask comes. It holds because an ask carries its box's revisions, which the answering box catches up with first. Before: the new test gets a place in the queue of an evacuated hall.

--- a/internal/ownership/assign.go
+++ b/internal/ownership/assign.go
@@ -37,11 +37,7 @@
 		mine := u != nil && o.Mine(u)
 		x.mutex.Lock()
 		x.mine = mine
-		if u != nil {
-			x.owner.Born, x.owner.Told = u.Spec.Born, u.Told
-		}
-		x.owner.Leaving = x.owner.Leaving || (u != nil && u.Leaves())
-		x.evacuate(u != nil && u.Evacuated())
+		x.see(u)
 		x.mutex.Unlock()
 	}
 }
--- a/internal/ownership/evacuation_test.go
+++ b/internal/ownership/evacuation_test.go
@@ -17,18 +17,20 @@
 	"github.com/linetiller/linetiller/internal/upstream"
 )
 
+// put has a view take in one change.
+func put(v *resource.View, revision int64, s resource.Source, k resource.Kind, name, spec string, deleted bool) {
+	v.Take(&resource.Batch{Revision: revision, Source: s, Changes: []resource.Change{{
+		Deleted: deleted, Revision: revision, Resource: &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: json.RawMessage(spec)},
+	}}})
+}
+
 // TestWhatWaitsGoesElsewhereAtOnce evacuates the hall of an engine for which work waits: it
 // is told so within a tenth of a second, new work gets no place, and once the hall is taken
 // back it does.
 func TestWhatWaitsGoesElsewhereAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := resource.NewView()
-		put := func(revision int64, s resource.Source, k resource.Kind, name, spec string, deleted bool) {
-			v.Take(&resource.Batch{Revision: revision, Source: s, Changes: []resource.Change{{
-				Deleted: deleted, Revision: revision, Resource: &resource.Resource{Kind: k, Metadata: resource.Metadata{Name: name}, Spec: json.RawMessage(spec)},
-			}}})
-		}
-		put(1, resource.SourceUpstreams, resource.KindUpstream, "u1", `{"address":"http://u1","hall":"a","models":["m"],"kvTokens":4000,"maxBatch":8,"type":"engine"}`, false)
+		put(v, 1, resource.SourceUpstreams, resource.KindUpstream, "u1", `{"address":"http://u1","hall":"a","models":["m"],"kvTokens":4000,"maxBatch":8,"type":"engine"}`, false)
 		o := New(v, member.NewTable(box.Member{Hall: "a", Name: "box-1", State: box.StateServing}), policy.NewLengths(), metric.NewSet(), slog.New(slog.DiscardHandler))
 		o.ReadLoad = func(context.Context, string) (*upstream.Load, error) { return &upstream.Load{AsOf: time.Now()}, nil }
 		ctx, cancel := context.WithCancel(t.Context())
@@ -54,7 +56,7 @@
 		if a := <-waits; a.Verdict != policy.VerdictQueue {
 			t.Fatalf("the second: got %+v, want a place in the queue", a)
 		}
-		put(2, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, false)
+		put(v, 2, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, false)
 		began := time.Now()
 		if a := <-waits; a.Reason != policy.ReasonEvacuated || !a.RetryAt.After(began) {
 			t.Errorf("what waits: got %+v, want a refusal with a time to come back", a)
@@ -65,7 +67,7 @@
 		if a := <-ask("new"); a.Reason != policy.ReasonEvacuated {
 			t.Errorf("new work: got %+v, want a refusal", a)
 		}
-		put(3, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, true)
+		put(v, 3, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, true)
 		time.Sleep(time.Second)
 		o.Update(&box.Update{Upstream: "u1", Items: []box.Item{{Gone: true, ID: "first"}}})
 		if a := <-ask("back"); a.Verdict != policy.VerdictStart {
@@ -75,3 +77,40 @@
 		<-ran
 	})
 }
+
+// TestOwnerGoesByItsViewAsItIsAsked asks an owner for a place the moment after its box has
+// learned that the hall is evacuated, or taken back: the asking box caught this one up with
+// its own view first, and sent what that allows.
+//
+// Seen once: a caller was refused as evacuated 40 ms after the hall was taken back. Its box
+// knew, and so did that of the owner, which looked at evacuations at most every 100 ms.
+func TestOwnerGoesByItsViewAsItIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := resource.NewView()
+		put(v, 1, resource.SourceUpstreams, resource.KindUpstream, "u1", `{"address":"http://u1","hall":"a","models":["m"],"kvTokens":4000,"maxBatch":8,"type":"engine"}`, false)
+		o := New(v, member.NewTable(box.Member{Hall: "a", Name: "box-1", State: box.StateServing}), policy.NewLengths(), metric.NewSet(), slog.New(slog.DiscardHandler))
+		ask := func(id string) policy.Answer {
+			var a policy.Answer
+			w := policy.Work{Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), ID: id, MaxTokens: 10, Model: "m", Prompt: 10}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			o.Ask(ctx, &box.Ask{Upstream: "u1", Work: w}, func(r *box.Reply) error {
+				a = *r.Answer
+				cancel()
+				return nil
+			})
+			return a
+		}
+		if a := ask("before"); a.Reason == policy.ReasonEvacuated {
+			t.Fatalf("before: got %+v, want no word of an evacuation", a)
+		}
+		put(v, 2, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, false)
+		if a := ask("evacuated"); a.Reason != policy.ReasonEvacuated {
+			t.Errorf("evacuated: got %+v, want a refusal", a)
+		}
+		put(v, 3, resource.SourceEvacuations, resource.KindEvacuation, "e", `{"hall":"a"}`, true)
+		if a := ask("taken back"); a.Reason == policy.ReasonEvacuated {
+			t.Errorf("taken back: got %+v, want no word of an evacuation", a)
+		}
+	})
+}
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/upstream"
 )
 
@@ -91,6 +92,16 @@
 	x.reporting = false
 }
 
+// see takes in what the box's view says of the upstream, nil where it is not known any more;
+// the lock is held.
+func (x *owned) see(u *resource.Upstream) {
+	if u != nil {
+		x.owner.Born, x.owner.Told = u.Spec.Born, u.Told
+	}
+	x.owner.Leaving = x.owner.Leaving || (u != nil && u.Leaves())
+	x.evacuate(u != nil && u.Evacuated())
+}
+
 // take takes in a report; leaving tells that the upstream is known to leave, and told that it
 // said so itself.
 func (x *owned) take(l *upstream.Load, leaving, told bool) {
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -113,6 +113,7 @@
 	}
 	now := time.Now()
 	x.mutex.Lock()
+	x.see(o.view.Upstream(a.Upstream)) // what the asking box knew, this one has caught up with
 	v := x.owner.Ask(&a.Work, now)
 	var c chan policy.Answer
 	if v.Verdict == policy.VerdictQueue {
