Sight: the store's era, and answers that are passed over as older

What callers saw: 404 for a route that a confirmed change had added. Cause: not known yet. Neither a log line nor a counter told which version an answer of the store had, nor that a view passed it over, so that a store whose versions went back and one that had forgotten its history looked alike. Ruled out: nothing by this change, which decides nothing. Change: 404 and a gauge tell the header by which the store says that it came back from a copy; 405 and a counter tell each whole read that brought less than what is held.

--- a/assemble.go
+++ b/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/lease"
@@ -43,6 +44,7 @@
 	seed := xxhash.Sum64String(s.Box)
 	lengths := policy.NewLengths()
 	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport),
+		platform.WithStoreRestored(func(era, before int64) { event.StoreRestored.Log(b.log, "era", era, "before", before) }),
 		platform.WithStoreCalled(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewEngines(engineCallPeriod, upstream.WithTransport(b.engineTransport))
@@ -76,6 +78,7 @@
 	b.assembleRelay(lengths)
 	b.assembleOrders()
 	b.assembleServers()
+	b.metrics.Gauge(metric.PlatformEra, func() float64 { return float64(store.Era()) })
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -36,6 +36,7 @@
 
 	log     *slog.Logger
 	members *member.Table
+	metrics *metric.Set
 	mutex   sync.Mutex           // guards the fields below
 	awayTo  map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
 	back    chan struct{}        // closed when a source can be read again after failures
@@ -60,7 +61,7 @@
 
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
-	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, silentPeers: make(map[string]bool), Spread: func() float64 { return 0.5 }, state: make(chan struct{}), turn: make(chan struct{}, 1), unfedTill: make(map[string]time.Time), view: v}
+	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, metrics: metric.NewSet(), silentPeers: make(map[string]bool), Spread: func() float64 { return 0.5 }, state: make(chan struct{}), turn: make(chan struct{}, 1), unfedTill: make(map[string]time.Time), view: v}
 }
 
 // Add adds a source before Run is called.
@@ -137,6 +138,7 @@
 // Meter has the follower's state told by gauges of m. It is called once all sources
 // are added.
 func (f *Follower) Meter(m *metric.Set) {
+	f.metrics = m
 	m.Gauge(metric.PlatformReader, func() float64 { return number(f.rank() != rankNone) })
 	for _, s := range f.sources {
 		m.GaugeOf(metric.PlatformAway, "source", string(s.name), func() float64 { return number(s.failures.Load() > 0) })
@@ -193,6 +195,11 @@
 func (f *Follower) apply(b *resource.Batch, from string) {
 	if f.view.Take(b) {
 		event.RevisionApplied.Log(f.log, "source", string(b.Source), "revision", b.Revision, "changes", len(b.Changes), "whole", b.Whole, "from", from)
+		return
+	}
+	if held := f.view.Revisions()[b.Source]; b.Whole && b.Revision < held {
+		f.metrics.Count(metric.PlatformOlder, "source", string(b.Source))
+		event.AnswerPassedOver.Log(f.log, "source", string(b.Source), "told", b.Revision, "held", held, "from", from)
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,8 @@
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
+	StoreRestored      = Event{slog.LevelWarn, "platform's store was restored", 404}
+	AnswerPassedOver   = Event{slog.LevelWarn, "older answer of the platform passed over", 405}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
@@ -67,7 +69,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamEnded,
-	PlatformDown, PlatformBack, OutcomeNotRecorded,
+	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused,
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -27,6 +27,8 @@
 	PlatformAge     Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
 	PlatformAway    Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
 	PlatformCalls   Name = "linetiller_platform_calls_total"         // counter, by step and outcome
+	PlatformEra     Name = "linetiller_platform_era"                 // gauge: how often the platform's store was restored, as it told this box
+	PlatformOlder   Name = "linetiller_platform_older_answers_total" // counter, by source: older than what is held, and passed over
 	PlatformReader  Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
 	PromptTokens    Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
@@ -50,7 +52,7 @@
 // Names lists every metric.
 var Names = []Name{
 	Boxes, Generations, KeyCommits, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
-	PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
+	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamEnds, UpstreamReports,
 	UpstreamWords,
 }
