Failing test: a change after the store was restored

What callers saw: 404 for a route that a change had added 2.2 s before; here, 401 for the key that a change brought and 200 for the one that it took away, at all four boxes. Cause, as the test shows it: the store came back from a copy, its versions were given out again, and views pass over what comes under a lower version than the one they hold. Ruled out: a history that is gone without the store having gone back. Change: the stand-in store takes copies and comes back from them (PUT /fake/copy, /fake/restore), tells the era in every answer, gives versions out again, and answers 410 for a version that it does not have.

--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -1,7 +1,7 @@
 // Package platform is a small stand-in of the platform's store: rows in
 // transactions, feeds of changes whose history can be lost, and objects, with
-// switches for outage, slowness, lost and late answers. It keeps everything in
-// memory and speaks the published protocol.
+// switches for outage, slowness, lost and late answers, and for coming back from a
+// copy. It keeps everything in memory and speaks the published protocol.
 package platform
 
 import (
@@ -33,7 +33,9 @@
 type Platform struct {
 	mutex    sync.Mutex
 	changed  chan struct{} // closed at the next change
+	copied   snapshot
 	counters Counters
+	era      int64 // how often the store came back from a copy
 	faults   Faults
 	forgot   int64 // feeds that ask for changes after a lower revision are told that history is gone
 	mux      *http.ServeMux
@@ -61,7 +63,9 @@
 	p.mux.HandleFunc("GET /rows-get", p.getRows)
 	p.mux.HandleFunc("POST /rows-tx", p.postTransaction)
 	p.mux.HandleFunc("GET /fake/counters", p.getCounters)
+	p.mux.HandleFunc("PUT /fake/copy", func(http.ResponseWriter, *http.Request) { p.Copy() })
 	p.mux.HandleFunc("PUT /fake/faults", p.putFaults)
+	p.mux.HandleFunc("PUT /fake/restore", func(http.ResponseWriter, *http.Request) { p.Restore() })
 	p.mux.HandleFunc("PUT /fake/rows/{table}/{key}", p.putRow)
 	return p
 }
@@ -70,16 +74,7 @@
 func (p *Platform) Commit(t *table.Transaction) table.Result {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.counters.Writes++
-	if c := p.broken(t.Conditions); len(c) > 0 {
-		return table.Result{Current: c, Revision: p.revision}
-	}
-	p.revision++
-	for _, w := range t.Writes {
-		p.rows[w.Key] = table.Row{Deleted: w.Delete, Key: w.Key, Revision: p.revision, Value: w.Value}
-	}
-	p.signal()
-	return table.Result{Committed: true, Revision: p.revision}
+	return p.commit(t)
 }
 
 // Counters returns how often the store was called.
@@ -141,6 +136,9 @@
 	}
 	p.mutex.Unlock()
 	time.Sleep(time.Duration(f.DelayMilliseconds) * time.Millisecond)
+	p.mutex.Lock()
+	p.tellEra(w)
+	p.mutex.Unlock()
 	switch {
 	case f.Down:
 		http.Error(w, "down", http.StatusServiceUnavailable)
@@ -185,6 +183,20 @@
 	return rows
 }
 
+// commit applies a transaction; the lock is held.
+func (p *Platform) commit(t *table.Transaction) table.Result {
+	p.counters.Writes++
+	if c := p.broken(t.Conditions); len(c) > 0 {
+		return table.Result{Current: c, Revision: p.revision}
+	}
+	p.revision++
+	for _, w := range t.Writes {
+		p.rows[w.Key] = table.Row{Deleted: w.Delete, Key: w.Key, Revision: p.revision, Value: w.Value}
+	}
+	p.signal()
+	return table.Result{Committed: true, Revision: p.revision}
+}
+
 func (p *Platform) getCounters(w http.ResponseWriter, _ *http.Request) {
 	answer(w, p.Counters())
 }
--- a/internal/fake/platform/rows.go
+++ b/internal/fake/platform/rows.go
@@ -54,8 +54,13 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.counters.Reads++
+	era := p.era
+	p.tellEra(w)
 	for {
-		if after < p.forgot {
+		if p.era != era {
+			panic(http.ErrAbortHandler)
+		}
+		if after < p.forgot || after > p.revision {
 			http.Error(w, "history is gone", http.StatusGone)
 			return
 		}
@@ -84,6 +89,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.counters.Reads++
+	p.tellEra(w)
 	limit, err := strconv.Atoi(r.FormValue("limit"))
 	if err != nil || limit > maxRows {
 		limit = maxRows
@@ -115,7 +121,10 @@
 	for _, v := range x.Remove {
 		t.Writes = append(t.Writes, table.Write{Delete: true, Key: v.Table + "/" + v.Key})
 	}
-	v := p.Commit(t)
+	p.mutex.Lock()
+	p.tellEra(w)
+	v := p.commit(t)
+	p.mutex.Unlock()
 	if v.Committed {
 		answer(w, wireRows{Rows: []wireRow{}, Ver: v.Revision})
 		return
