A revision holds the store's era; a configuration counts by its own version

What callers saw: 404 for a route that a change had added 2.2 s before; in the test, 401 for a new key and 200 for the one taken away, at all four boxes. Cause: what boxes hold was ordered by the store's versions, taken to rise for ever. A store that comes back from a copy gives them out again: what operators wrote afterwards came under lower versions and was passed over, until the store had passed the version held. Class: an order taken from a counter that its owner may set back. Ruled out: a history that is gone without the store having gone back (three acknowledged changes between revisions 51 and 52); readers that know and do not tell (no 601 at any). The operators' configuration counts by the version that they gave it: that of the copy is passed over, the next one is taken in at any version of the store. Why it holds: neither order can fall, and neither stands still while operators write. Other tables of the store still go by what the copy holds: entries of upstreams, evacuations, rows of boxes, leases and request keys.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -15,6 +15,7 @@
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
 )
 
 // Reader waits up to wait for changes of one source, and of those that are read with
@@ -194,12 +195,12 @@
 // apply takes a batch into the view.
 func (f *Follower) apply(b *resource.Batch, from string) {
 	if f.view.Take(b) {
-		event.RevisionApplied.Log(f.log, "source", string(b.Source), "revision", b.Revision, "changes", len(b.Changes), "whole", b.Whole, "from", from)
+		event.RevisionApplied.Log(f.log, "source", string(b.Source), "era", revision.Era(b.Revision), "revision", revision.Version(b.Revision), "changes", len(b.Changes), "whole", b.Whole, "from", from)
 		return
 	}
 	if held := f.view.Revisions()[b.Source]; b.Whole && b.Revision < held {
 		f.metrics.Count(metric.PlatformOlder, "source", string(b.Source))
-		event.AnswerPassedOver.Log(f.log, "source", string(b.Source), "told", b.Revision, "held", held, "from", from)
+		event.AnswerPassedOver.Log(f.log, "source", string(b.Source), "era", revision.Era(b.Revision), "told", revision.Version(b.Revision), "held_era", revision.Era(held), "held", revision.Version(held), "from", from)
 	}
 }
 
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -7,6 +7,7 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
 )
 
 const (
@@ -93,6 +94,15 @@
 	}
 }
 
+// position returns the store's revision up to which a source is known: read by this box, or
+// heard from another.
+func (f *Follower) position(s *source) int64 {
+	if !s.name.ByStore() {
+		return s.after.Load()
+	}
+	return max(s.after.Load(), f.view.Revisions()[s.name])
+}
+
 // probe returns the source by which it is noticed that the store is silent, or back.
 func (f *Follower) probe() *source {
 	for _, s := range f.sources {
@@ -153,7 +163,7 @@
 	}
 	n := s.failures.Add(count)
 	if n == count {
-		event.PlatformDown.Log(f.log, "source", string(s.name), "step", fail.Step(err), "error", err.Error(), "held", after)
+		event.PlatformDown.Log(f.log, "source", string(s.name), "step", fail.Step(err), "error", err.Error(), "era", revision.Era(after), "held", revision.Version(after))
 	}
 	if n < failuresAway {
 		return
@@ -167,7 +177,7 @@
 // readOnce reads one source and takes in what it holds. A read that the context ended
 // does not count as failed.
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
-	after := max(s.after.Load(), f.view.Revisions()[s.name])
+	after := f.position(s)
 	silentAt := time.Now().Add(wait + silentPeriod)
 	l, next, err := s.read(ctx, after, wait)
 	if err != nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -11,6 +11,7 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
 )
 
 // What an upstream says of itself with an answer, as metrics name it.
@@ -78,7 +79,7 @@
 		"request", e.request.ID, "route", e.routeName(), "workspace", e.workspaceName(), "upstream", u.Name,
 		"hall", u.Spec.Hall, "try", e.tries, "resumed", r != nil, "waited_ms", time.Since(e.request.Arrived).Milliseconds(),
 		"left_ms", time.Until(e.deadline).Milliseconds(), "priority", e.priority(), "prompt_tokens", e.request.Prompt, "hint", e.request.Hint,
-		"configuration", v[resource.SourceConfiguration], "upstreams", v[resource.SourceUpstreams],
+		"configuration", v[resource.SourceConfiguration], "upstreams", revision.Version(v[resource.SourceUpstreams]),
 	}
 	if e.lastID != "" {
 		l = append(l, "last_event", e.lastID)
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -7,7 +7,7 @@
 // The sources.
 const (
 	SourceBoxes         Source = "boxes"         // what boxes write of themselves
-	SourceConfiguration Source = "configuration" // the platform's configuration, whole each time
+	SourceConfiguration Source = "configuration" // the platform's configuration, whole each time; its revisions are the operators' versions
 	SourceEvacuations   Source = "evacuations"   // the data halls that the platform's operators evacuate
 	SourceResources     Source = "resources"     // what operators declare by the operator interface
 	SourceUpstreams     Source = "upstreams"     // the platform's list of upstreams
@@ -38,6 +38,12 @@
 	return r
 }
 
+// ByStore reports whether the revisions of a source are those of the store, so that what has
+// changed since one of them can be read there.
+func (s Source) ByStore() bool {
+	return s != SourceConfiguration
+}
+
 // Behind reports whether o knows of more than r.
 func (r Revisions) Behind(o Revisions) bool {
 	for s, v := range o {
--- a/restored_test.go
+++ b/restored_test.go
@@ -62,7 +62,7 @@
 // changed since then were answered that there is no such revision, until the store had given
 // it out again. The change was below it.
 func TestChangeAfterTheStoreWasRestored(t *testing.T) {
-	withRoutes(t, func(t *testing.T, r *routes) {
+	withRoutes(t, func(_ *testing.T, r *routes) {
 		r.change(2, 3)
 		r.platform.Copy()
 		r.change(4, 5, 6, 7, 8, 9)
