What a restored store tells as a whole does not take back what boxes know

What callers would see: requests to an engine that has gone, and to an evacuated hall, for as long as the copy is all that the store holds. Cause: under the later era the rows of the copy count as newer than what was heard since. Ruled out: the order of versions within the row's own history; the copy does not tell which of its rows are old, and rows are written again under versions below those held. Change: whole reads in the 6 s after a box learned of a new era are tentative, and the flag goes along between boxes. Changes read within the era, later starts of upstreams and notices are taken in at once. A tentative whole batch raises the view's revision also where nothing changes, so that the word of the new era reaches every box. Why it holds: whoever lives writes again within that time, and what does not is then as the store says.

--- /dev/null
+++ b/internal/configuration/era.go
@@ -0,0 +1,68 @@
+package configuration
+
+import (
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
+)
+
+// era is the store's era as a box knows it. The follower's lock guards it.
+type era struct {
+	known  bool  // one is
+	newest int64 // the highest one
+	since  time.Time
+}
+
+// doubtPeriod is how long after this box learned that the store came back from a copy whole
+// reads count as tentative: operators and upstreams write theirs again within that time.
+const doubtPeriod = 6 * time.Second
+
+// doubt marks what a read after a revision brought as tentative, where the store may have
+// told it from the copy from which it came back. What it tells as changed since within one
+// era was written in that.
+func (f *Follower) doubt(b *resource.Batch, after int64) {
+	f.noteEra(b)
+	if !b.Source.ByStore() || !f.doubts(time.Now()) {
+		return
+	}
+	if !b.Whole && (len(b.Changes) == 0 || revision.Era(b.Newest()) == revision.Era(after)) {
+		return
+	}
+	b.Tentative = true
+	for i := range b.Changes {
+		b.Changes[i].Tentative = true
+	}
+}
+
+// doubts reports whether this box learned a moment ago that the store came back from a copy.
+func (f *Follower) doubts(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.era.since.IsZero() && now.Sub(f.era.since) < doubtPeriod
+}
+
+// logHeld tells that changes of a batch wait where others did not before.
+func (f *Follower) logHeld(b *resource.Batch, before int) {
+	if n := f.view.Held(b.Source); n > before {
+		event.ChangesHeld.Log(f.log, "source", string(b.Source), "era", revision.Era(b.Revision), "revision", revision.Version(b.Revision), "changes", n)
+	}
+}
+
+// noteEra takes in the era of a batch.
+func (f *Follower) noteEra(b *resource.Batch) {
+	if !b.Source.ByStore() || b.Revision == 0 {
+		return
+	}
+	n := revision.Era(b.Revision)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.era.known && n <= f.era.newest {
+		return
+	}
+	if f.era.known {
+		f.era.since = time.Now()
+	}
+	f.era.known, f.era.newest = true, n
+}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -41,6 +41,7 @@
 	mutex   sync.Mutex           // guards the fields below
 	awayTo  map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
 	back    chan struct{}        // closed when a source can be read again after failures
+	era     era                  // of the store, as this box knows it
 	// fedUntil is until when the view counts as kept up to date by another reader's word.
 	fedUntil    time.Time
 	silentPeers map[string]bool      // readers that did not answer when they were last asked
@@ -194,6 +195,8 @@
 
 // apply takes a batch into the view.
 func (f *Follower) apply(b *resource.Batch, from string) {
+	f.noteEra(b)
+	defer f.logHeld(b, f.view.Held(b.Source))
 	if f.view.Take(b) {
 		event.RevisionApplied.Log(f.log, "source", string(b.Source), "era", revision.Era(b.Revision), "revision", revision.Version(b.Revision), "changes", len(b.Changes), "whole", b.Whole, "from", from)
 		return
--- a/internal/configuration/lapse.go
+++ b/internal/configuration/lapse.go
@@ -12,9 +12,10 @@
 const returnPeriod = 2500 * time.Millisecond
 
 // lapse keeps, for a moment, upstreams whose entries went while the store was
-// away: they may live and be about to come back.
+// away: they may live and be about to come back. The view does so by itself for what the
+// store lacks since it came back from a copy.
 func (f *Follower) lapse(s *source, b *resource.Batch) {
-	if s.name != resource.SourceUpstreams || time.Since(time.Unix(0, s.backAt.Load())) > returnPeriod {
+	if s.name != resource.SourceUpstreams || b.Tentative || time.Since(time.Unix(0, s.backAt.Load())) > returnPeriod {
 		return
 	}
 	if b.Whole {
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -189,6 +189,7 @@
 	f.readSucceeded(s)
 	s.after.Store(next)
 	for i := range l {
+		f.doubt(&l[i], after)
 		f.lapse(s, &l[i])
 		f.apply(&l[i], "platform")
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
 	StoreRestored      = Event{slog.LevelWarn, "platform's store was restored", 404}
 	AnswerPassedOver   = Event{slog.LevelWarn, "older answer of the platform passed over", 405}
+	ChangesHeld        = Event{slog.LevelInfo, "changes of a restored store wait", 406}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
@@ -69,7 +70,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamEnded,
-	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver,
+	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused,
 }
--- a/internal/resource/change.go
+++ b/internal/resource/change.go
@@ -5,4 +5,7 @@
 	Deleted  bool      `json:"deleted,omitempty"`
 	Resource *Resource `json:"resource"`
 	Revision int64     `json:"revision"`
+	// Tentative is set where the store may have told a row as it was before it came back from
+	// a copy: whoever knows better goes on by that for a moment.
+	Tentative bool `json:"tentative,omitempty"`
 }
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -26,7 +26,10 @@
 	// moment at which the store was read.
 	Settled bool   `json:"settled,omitempty"`
 	Source  Source `json:"source"`
-	Whole   bool   `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
+	// Tentative is set where what a whole batch does not name may be lacking only in the copy
+	// from which the store came back; see Change.
+	Tentative bool `json:"tentative,omitempty"`
+	Whole     bool `json:"whole,omitempty"` // Changes is all of the source; what it does not name is gone
 }
 
 // Newest returns the highest revision of the changes.
--- /dev/null
+++ b/internal/resource/tentative.go
@@ -0,0 +1,126 @@
+package resource
+
+import (
+	"time"
+
+	"github.com/linetiller/linetiller/internal/revision"
+)
+
+// A store that comes back from a copy tells its rows as they were some seconds before, under
+// a later era, until those that wrote them have written again. Which rows are of the copy it
+// does not tell. So what is read from it as a whole in that time is tentative: a change that
+// would take a resource back waits, until the store tells otherwise or the time is over in
+// which it is written again.
+
+const (
+	// heldReturn is how long the return of an upstream waits that had gone: the entry of one
+	// which does not live lapses after three heartbeats, 3.6 s.
+	heldReturn = 6 * time.Second
+	// heldRest is how long all else waits, but for upstreams that are gone; see LapsePeriod.
+	heldRest = 3 * time.Second
+	// tentativePeriod is how long what was tentative as it came is passed on so.
+	tentativePeriod = 3 * time.Second
+)
+
+// heldChange is a change that waits.
+type heldChange struct {
+	entry
+	due time.Time // when it is taken in, unless something newer has come
+}
+
+// Held returns how many changes of a source wait, since the store may have told them from a
+// copy.
+func (v *View) Held(s Source) int {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	n := 0
+	for _, h := range v.held {
+		if h.source == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Holds reports whether a change of a resource waits.
+func (v *View) Holds(k Kind, name string) bool {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	_, ok := v.held[key(k, name)]
+	return ok
+}
+
+// hold has a change wait; the lock is held.
+func (v *View) hold(k string, e *entry, d time.Duration) {
+	h, waits := v.held[k]
+	if waits && h.Revision >= e.Revision {
+		return
+	}
+	if !waits {
+		h.due = v.now().Add(d)
+		time.AfterFunc(d, v.settle)
+	}
+	h.entry = *e
+	v.held[k] = h
+}
+
+// settle takes in the changes that have waited long enough.
+func (v *View) settle() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	moved := false
+	for k, h := range v.held {
+		if v.now().Before(h.due) {
+			continue
+		}
+		h.Tentative = false
+		moved = v.set(k, h.entry) || moved
+	}
+	if moved {
+		v.signal()
+	}
+}
+
+// told returns the change of a resource as it is passed on: the one that waits, where there
+// is one; the lock is held.
+func (v *View) told(k string, e *entry) Change {
+	if h, ok := v.held[k]; ok {
+		return h.Change
+	}
+	c := e.Change
+	c.Tentative = !e.tentativeTill.IsZero() && v.now().Before(e.tentativeTill)
+	return c
+}
+
+// holdPeriod returns for how long a change waits that is to replace old: 0 where it does not.
+// A lower version under a later era is either of the copy, or was given out again. What only
+// goes forward is not waited for: an upstream that leaves, or a later start of it.
+func holdPeriod(old, e *entry) time.Duration {
+	if !e.Tentative || revision.Era(old.Revision) >= revision.Era(e.Revision) {
+		return 0
+	}
+	isUpstream := e.Resource.Kind == KindUpstream
+	switch {
+	case e.Deleted && old.Deleted:
+		return 0
+	case e.Deleted && isUpstream:
+		return LapsePeriod
+	case e.Deleted:
+		return heldRest
+	case revision.Version(e.Revision) >= revision.Version(old.Revision), isUpstream && goesForward(old, e):
+		return 0
+	case isUpstream:
+		return heldReturn
+	}
+	return heldRest
+}
+
+// goesForward reports whether an upstream's entry tells what cannot be of before another one.
+func goesForward(old, e *entry) bool {
+	x, err := Decode[UpstreamSpec](e.Resource)
+	if err != nil {
+		return false
+	}
+	before, err := Decode[UpstreamSpec](old.Resource)
+	return err == nil && (x.Born > before.Born || (x.Leaving && !old.Deleted))
+}
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -14,6 +14,9 @@
 type entry struct {
 	Change
 	source Source
+	// tentativeTill is until when the change is passed on as one that the store may have told
+	// from a copy; zero for others.
+	tentativeTill time.Time
 }
 
 // View is what one box knows of the resources.
@@ -22,16 +25,20 @@
 // get values that are never changed afterwards. View's lock is the innermost of
 // a box: no other lock is taken while it is held.
 type View struct {
-	mutex     sync.RWMutex  // guards the fields below
-	changed   chan struct{} // closed at the next change
-	floors    Revisions     // of each source: older changes are accounted for
+	mutex     sync.RWMutex          // guards the fields below
+	changed   chan struct{}         // closed at the next change
+	floors    Revisions             // of each source: older changes are accounted for
+	held      map[string]heldChange // by kind and name: changes that wait, since the store may have told them from a copy
 	index     index
 	leaps     map[Source][]leap
 	marks     []string // keys of removed resources, oldest first
 	now       func() time.Time
 	resources map[string]entry // by kind and name; removals stay as marks
 	revisions Revisions
-	version   uint64
+	// tentativeTill is, of each source, until when what is gone from it is passed on as
+	// tentative.
+	tentativeTill map[Source]time.Time
+	version       uint64
 }
 
 // maxMarks bounds the removals that are remembered. An older change of a
@@ -42,8 +49,9 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
-		changed: make(chan struct{}), floors: make(Revisions), index: newIndex(), leaps: make(map[Source][]leap),
-		now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
+		changed: make(chan struct{}), floors: make(Revisions), held: make(map[string]heldChange), index: newIndex(),
+		leaps: make(map[Source][]leap), now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
+		tentativeTill: make(map[Source]time.Time),
 	}
 }
 
@@ -97,7 +105,7 @@
 		if v.revisions[s] <= have[s] {
 			continue
 		}
-		b := Batch{Revision: v.revisions[s], Settled: true, Source: s, Whole: v.leapt(s, have[s])}
+		b := Batch{Revision: v.revisions[s], Settled: true, Source: s, Tentative: v.now().Before(v.tentativeTill[s]), Whole: v.leapt(s, have[s])}
 		if b.Whole {
 			b.Changes = v.live(s)
 		} else {
@@ -167,7 +175,8 @@
 // A change at or below the revision in force of its own resource is passed
 // over, and a revision below the current one leaves that as it is, so that
 // neither ever falls. A resource that a whole batch tells again as it stands keeps the
-// revision of its last change. Take reports whether anything was taken in.
+// revision of its last change. A tentative change that would go back to what may be of a copy
+// of the store waits; see holdPeriod. Take reports whether anything was taken in.
 func (v *View) Take(b *Batch) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -175,9 +184,12 @@
 	if complete && b.Revision < v.revisions[b.Source] {
 		return false // the view is ahead of it
 	}
+	if b.Tentative {
+		v.tentativeTill[b.Source] = v.now().Add(tentativePeriod)
+	}
 	moved, named := v.setAll(b, complete)
 	r := b.Revision
-	if b.Whole && !v.removeOthers(b, named) && !b.Settled {
+	if b.Whole && !v.removeOthers(b, named) && !b.Settled && !b.Tentative {
 		r = b.Newest()
 	} else {
 		moved = moved || b.Whole
@@ -213,9 +225,12 @@
 // live returns all resources of a source that stand.
 func (v *View) live(s Source) []Change {
 	var l []Change
-	for _, e := range v.resources {
-		if e.source == s && !e.Deleted {
-			l = append(l, e.Change)
+	for k, e := range v.resources {
+		if e.source != s {
+			continue
+		}
+		if c := v.told(k, &e); !c.Deleted {
+			l = append(l, c)
 		}
 	}
 	return l
@@ -228,7 +243,7 @@
 		if e.source != b.Source || e.Deleted || named[k] || e.Revision >= b.Revision {
 			continue
 		}
-		e.Deleted, e.Revision = true, b.Revision
+		e.Deleted, e.Revision, e.Tentative = true, b.Revision, b.Tentative
 		moved = v.set(k, e) || moved
 	}
 	return moved
@@ -236,8 +251,19 @@
 
 // set takes in one change, unless the view has a newer one.
 func (v *View) set(k string, e entry) bool {
-	if old, ok := v.resources[k]; ok && old.Revision >= e.Revision {
-		return false
+	if old, ok := v.resources[k]; ok {
+		if old.Revision >= e.Revision {
+			return false
+		}
+		if d := holdPeriod(&old, &e); d > 0 {
+			v.hold(k, &e, d)
+			return false
+		}
+	}
+	delete(v.held, k)
+	e.tentativeTill = time.Time{}
+	if e.Tentative {
+		e.tentativeTill = v.now().Add(tentativePeriod)
 	}
 	v.resources[k] = e
 	v.index.put(e.Change, e.source, v.now())
@@ -258,7 +284,7 @@
 		if c.Revision <= v.floors[b.Source] && !complete {
 			continue // it is accounted for
 		}
-		e := entry{c, b.Source}
+		e := entry{Change: c, source: b.Source}
 		if b.Whole && v.stands(k, &e) {
 			continue
 		}
@@ -283,9 +309,12 @@
 // order of revision.
 func (v *View) since(s Source, r int64) []Change {
 	var l []Change
-	for _, e := range v.resources {
-		if e.source == s && e.Revision > r {
-			l = append(l, e.Change)
+	for k, e := range v.resources {
+		if e.source != s {
+			continue
+		}
+		if c := v.told(k, &e); c.Revision > r {
+			l = append(l, c)
 		}
 	}
 	slices.SortFunc(l, func(a, b Change) int {
