A box writes its row again that a restored store has lost

What callers would see: a box that started in the seconds before the copy is forgotten by the others, its upstreams get another owner, for up to 15 s. Cause: boxes look at their own rows every 5 to 15 s, and only at what their view holds. Ruled out: that the readers do not tell; the row's loss reaches every box's view. Change: the loss of a box's own row, which waits in its view, has the box look at the store and write the row, at most every half second; the others go on knowing it meanwhile. Only boxes whose rows are lost call the store. Before: TestBoxesAfterTheStoreWasRestored found no row within 2 s; after: it does.

--- a/register.go
+++ b/register.go
@@ -1,6 +1,7 @@
 package linetiller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -18,26 +19,33 @@
 // no call where all is as it should be.
 const registerEvery = 10 * time.Second
 
+// registerAgainAfter is how soon a box looks at its row again which the store has lost: what
+// it wrote comes back to it within some 100 ms.
+const registerAgainAfter = 500 * time.Millisecond
+
 // register writes where this box is, unless the store has it so.
 func (b *Box) register(ctx context.Context) error {
 	want := resource.BoxSpec{Address: b.links.Address(), Hall: b.settings.Hall}
+	v, err := json.Marshal(&want)
+	if err != nil {
+		return err
+	}
 	revision := int64(0)
 	if r := b.view.Get(resource.KindBox, b.settings.Box); r != nil {
-		if s, err := resource.Decode[resource.BoxSpec](r); err == nil && *s == want {
+		if s, err := resource.Decode[resource.BoxSpec](r); err == nil && *s == want && !b.rowLost() {
 			return nil
 		}
 		row, err := b.store.Get(ctx, configuration.BoxKey(b.settings.Box))
 		if err != nil {
 			return err
 		}
+		if row != nil && bytes.Equal(row.Value, v) {
+			return nil // the readers have yet to hear of it
+		}
 		if row != nil {
 			revision = row.Revision
 		}
 	}
-	v, err := json.Marshal(&want)
-	if err != nil {
-		return err
-	}
 	_, err = b.store.Commit(ctx, &table.Transaction{
 		Conditions: []table.Condition{{Key: configuration.BoxKey(b.settings.Box), Revision: revision}},
 		Writes:     []table.Write{{Key: configuration.BoxKey(b.settings.Box), Value: v}},
@@ -67,20 +75,41 @@
 	}
 }
 
+// rowLost reports whether the store, which came back from a copy, has lost this box's row.
+func (b *Box) rowLost() bool {
+	return b.view.Holds(resource.KindBox, b.settings.Box)
+}
+
 // runRegister keeps the box's own row as it should be, and removes those of boxes
 // that are long gone.
 func (b *Box) runRegister(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		if !b.stopping.Load() {
 			if err := b.register(ctx); err != nil && ctx.Err() == nil {
 				event.PlatformDown.Log(b.log, "source", "boxes", "step", fail.Step(err), "error", err.Error())
 			}
 		}
 		b.removeGone(ctx)
+		b.awaitRegister(ctx)
+	}
+}
+
+// awaitRegister waits until the box's own row is to be looked at again.
+func (b *Box) awaitRegister(ctx context.Context) {
+	soon := time.After(registerAgainAfter)
+	late := time.After(registerEvery/2 + time.Duration(rand.Int64N(int64(registerEvery))))
+	select {
+	case <-ctx.Done():
+		return
+	case <-soon:
+	}
+	for c := b.view.Changed(); !b.rowLost(); c = b.view.Changed() {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(registerEvery/2 + time.Duration(rand.Int64N(int64(registerEvery)))):
+		case <-late:
+			return
+		case <-c:
 		}
 	}
 }
