--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,6 +33,8 @@
 type Keeper struct {
 	// Commit applies a transaction; a seam.
 	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
+	// Era returns the era of the store, and when this box learned of it; a seam.
+	Era func() (era int64, since time.Time)
 	// Get reads a row; a seam.
 	Get func(ctx context.Context, key string) (*table.Row, error)
 	// Name names a write; a seam.
