A lease counts in the store's era in which it was taken

What callers would see: an engine given orders by two boxes under one fence. Cause: a fence counted on from the lease's row, which a copy of the store may lack or hold as it was; a lease was free where there is no row. Ruled out: conditions alone. A write under a version of an older era is refused since revisions hold the era, but a lease whose row is gone needs none. Change: a lease stands only while the store's era, as the box knows it, is the one in which it was taken; in a new era, and as a box starts after one, none is taken for the 15 s that a lease lasts at most, so that all that the store forgot have ended; a write whose answer is of another era holds nothing; a fence holds the era above the count. Why it holds: within one era the store is as strict as before, and between two neither holders nor fences overlap, also where a holder has not heard. Cost: no orders to engines for 15 s after the store was restored, or a box started later. Before: two holders at once, both with fence 1 (or 2); after: none until 15 s have passed, then a higher fence.

--- a/assemble.go
+++ b/assemble.go
@@ -44,7 +44,7 @@
 	seed := xxhash.Sum64String(s.Box)
 	lengths := policy.NewLengths()
 	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport),
-		platform.WithStoreRestored(func(era, before int64) { event.StoreRestored.Log(b.log, "era", era, "before", before) }),
+		platform.WithStoreRestored(b.storeRestored),
 		platform.WithStoreCalled(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewEngines(engineCallPeriod, upstream.WithTransport(b.engineTransport))
@@ -117,6 +117,7 @@
 func (b *Box) assembleOrders() {
 	k := lease.NewKeeper(b.settings.Box + "/" + crand.Text())
 	k.Commit = b.store.Commit
+	k.Era = b.follower.Era
 	k.Get = b.store.Get
 	k.Name = crand.Text
 	b.orders = order.New(b.view, k, b.metrics, b.log, b.settings.Limits.WeightLoads)
@@ -173,6 +174,12 @@
 	return b.view.Limits().IdleTimeout.Duration()
 }
 
+// storeRestored takes in that the store told a newer era: it came back from a copy.
+func (b *Box) storeRestored(era, before int64) {
+	event.StoreRestored.Log(b.log, "era", era, "before", before)
+	b.follower.NoteEra(era)
+}
+
 // readLoad reads the load report of an engine, of a declared route or not.
 func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
 	if !b.hasEntry() {
--- a/internal/configuration/era.go
+++ b/internal/configuration/era.go
@@ -10,20 +10,41 @@
 
 // era is the store's era as a box knows it. The follower's lock guards it.
 type era struct {
-	known  bool  // one is
-	newest int64 // the highest one
-	since  time.Time
+	known  bool      // one is
+	newest int64     // the highest one
+	since  time.Time // when this box learned that the store came back from a copy; zero where it never did
 }
 
 // doubtPeriod is how long after this box learned that the store came back from a copy whole
 // reads count as tentative: operators and upstreams write theirs again within that time.
 const doubtPeriod = 6 * time.Second
 
+// Era returns the store's era as this box knows it, and when it learned that the store came
+// back from a copy, zero where it never did. A box that starts knows only that it did so once.
+func (f *Follower) Era() (era int64, since time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.era.newest, f.era.since
+}
+
+// NoteEra takes in the era of the store.
+func (f *Follower) NoteEra(n int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.era.known && n <= f.era.newest {
+		return
+	}
+	if n > 0 {
+		f.era.since = time.Now()
+	}
+	f.era.known, f.era.newest = true, n
+}
+
 // doubt marks what a read after a revision brought as tentative, where the store may have
 // told it from the copy from which it came back. What it tells as changed since within one
 // era was written in that.
 func (f *Follower) doubt(b *resource.Batch, after int64) {
-	f.noteEra(b)
+	f.noteEraOf(b)
 	if !b.Source.ByStore() || !f.doubts(time.Now()) {
 		return
 	}
@@ -50,19 +71,9 @@
 	}
 }
 
-// noteEra takes in the era of a batch.
-func (f *Follower) noteEra(b *resource.Batch) {
-	if !b.Source.ByStore() || b.Revision == 0 {
-		return
+// noteEraOf takes in the era of a batch.
+func (f *Follower) noteEraOf(b *resource.Batch) {
+	if b.Source.ByStore() && b.Revision > 0 {
+		f.NoteEra(revision.Era(b.Revision))
 	}
-	n := revision.Era(b.Revision)
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.era.known && n <= f.era.newest {
-		return
-	}
-	if f.era.known {
-		f.era.since = time.Now()
-	}
-	f.era.known, f.era.newest = true, n
 }
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -195,7 +195,7 @@
 
 // apply takes a batch into the view.
 func (f *Follower) apply(b *resource.Batch, from string) {
-	f.noteEra(b)
+	f.noteEraOf(b)
 	defer f.logHeld(b, f.view.Held(b.Source))
 	if f.view.Take(b) {
 		event.RevisionApplied.Log(f.log, "source", string(b.Source), "era", revision.Era(b.Revision), "revision", revision.Version(b.Revision), "changes", len(b.Changes), "whole", b.Whole, "from", from)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,11 @@
 // Package lease keeps rows in the platform's table by which one box at a time
 // holds something, with an epoch that rises with each holder and serves as the
 // fence of its orders.
+//
+// A store that came back from a copy may have lost the row of a lease that holds. So a lease
+// counts only in the store's era in which it was taken, and in a new one none is taken until
+// all that the store has forgotten have ended. An epoch holds the era above the count, so
+// that it rises although the count may begin anew.
 package lease
 
 import (
@@ -9,6 +14,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/revision"
 	"github.com/linetiller/linetiller/internal/table"
 )
 
@@ -24,7 +30,9 @@
 type Lease struct {
 	Epoch int64 // the fence of orders given under it
 
+	current  func() (era int64, since time.Time) // see Keeper.Era
 	deadline time.Time
+	era      int64
 	key      string
 	revision int64
 }
@@ -33,7 +41,8 @@
 type Keeper struct {
 	// Commit applies a transaction; a seam.
 	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
-	// Era returns the era of the store, and when this box learned of it; a seam.
+	// Era returns the era of the store as this box knows it, and when it learned that the
+	// store came back from a copy, zero where it never did; a seam.
 	Era func() (era int64, since time.Time)
 	// Get reads a row; a seam.
 	Get func(ctx context.Context, key string) (*table.Row, error)
@@ -55,19 +64,23 @@
 
 // NewKeeper returns a keeper for the holder of that name.
 func NewKeeper(holder string) *Keeper {
-	return &Keeper{holder: holder}
+	return &Keeper{Era: func() (int64, time.Time) { return 0, time.Time{} }, holder: holder}
 }
 
-// Take takes the lease on a thing, or returns nil where it is held: by another
+// Take takes the lease on a thing, or returns nil where it is held, or may be: by another
 // box, or by this one, which then waits for its end, too.
 func (k *Keeper) Take(ctx context.Context, thing string) (*Lease, error) {
+	era, since := k.Era()
+	if !since.IsZero() && time.Since(since) < Period {
+		return nil, nil
+	}
 	key := prefix + thing
 	row, err := k.Get(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	r := Record{Epoch: 1}
-	revision := int64(0)
+	r := Record{Epoch: revision.Of(era, 1)}
+	condition := int64(0)
 	if row != nil {
 		var old Record
 		if err := json.Unmarshal(row.Value, &old); err != nil {
@@ -76,45 +89,52 @@
 		if time.Now().Before(old.Deadline) {
 			return nil, nil
 		}
-		r.Epoch, revision = old.Epoch+1, row.Revision
+		r.Epoch, condition = max(old.Epoch+1, r.Epoch), row.Revision
 	}
-	return k.write(ctx, key, revision, r)
+	return k.write(ctx, key, condition, era, r)
 }
 
 // Extend makes a lease last longer, where l is one that has not ended, and takes
 // it otherwise. It returns nil where another box has it.
 func (k *Keeper) Extend(ctx context.Context, thing string, l *Lease) (*Lease, error) {
-	if l == nil || !time.Now().Before(l.deadline) {
+	if l == nil || !l.stands(time.Now()) {
 		return k.Take(ctx, thing)
 	}
-	return k.write(ctx, l.key, l.revision, Record{Epoch: l.Epoch})
+	return k.write(ctx, l.key, l.revision, l.era, Record{Epoch: l.Epoch})
 }
 
 // Valid reports whether an order may still be given under the lease. The clock
 // is read anew, so that a holder that was paused finds its lease at an end.
 func (l *Lease) Valid(now time.Time) bool {
-	return now.Before(l.deadline.Add(-Margin))
+	return l.stands(now.Add(Margin))
+}
+
+// stands reports whether the lease has not ended, by the store as this box knows it.
+func (l *Lease) stands(now time.Time) bool {
+	era, _ := l.current()
+	return now.Before(l.deadline) && era == l.era
 }
 
-// write writes the row. The deadline counts from before the write, so that the
+// write writes the row in an era of the store. The deadline counts from before the write, so that the
 // holder never believes longer than the row says. Where the answer is lost, the
-// row is read back, and the write's name tells.
-func (k *Keeper) write(ctx context.Context, key string, revision int64, r Record) (*Lease, error) {
+// row is read back, and the write's name tells. Where the store's era proves to be another,
+// the lease is not held: the store forgot who may hold it.
+func (k *Keeper) write(ctx context.Context, key string, condition, era int64, r Record) (*Lease, error) {
 	r.Deadline = time.Now().Add(Period)
 	r.Holder, r.Write = k.holder, k.Name()
 	b, err := json.Marshal(r)
 	if err != nil {
 		return nil, err
 	}
-	l := &Lease{Epoch: r.Epoch, deadline: r.Deadline, key: key}
+	l := &Lease{Epoch: r.Epoch, current: k.Era, deadline: r.Deadline, era: era, key: key}
 	v, err := k.Commit(ctx, &table.Transaction{
-		Conditions: []table.Condition{{Key: key, Revision: revision}},
+		Conditions: []table.Condition{{Key: key, Revision: condition}},
 		Writes:     []table.Write{{Key: key, Value: b}},
 	})
 	if err != nil {
 		return k.settle(ctx, l, r.Write, err)
 	}
-	if !v.Committed {
+	if !v.Committed || revision.Era(v.Revision) != era {
 		return nil, nil
 	}
 	l.revision = v.Revision
@@ -130,7 +150,7 @@
 		return nil, cause
 	}
 	var r Record
-	if json.Unmarshal(row.Value, &r) != nil || r.Write != write {
+	if json.Unmarshal(row.Value, &r) != nil || r.Write != write || revision.Era(row.Revision) != l.era {
 		return nil, cause
 	}
 	l.revision = row.Revision
