Claims of request keys outlast a restored store

What callers saw in the tests: a request that may run at most once was claimed a second time, at once, after the store came back from a copy without its key; outcomes were not recorded; a lost answer came back as an empty one. Cause: a claim was the row alone, and a free key whatever has no row. A missing object read as one without bytes. Ruled out: versions; an insert asks for no row, which holds in any era. Change: boxes keep their claims for a minute and write them again once they hear of a newer era; for 5 s none claims a key, truthfully refused with a time to come back; an insert whose answer is of another era is taken back; outcomes and releases go by the attempt where the row is lost or older; a lost object makes the outcome unknown. The era, and since when it is known, is kept in one place, whoever tells it first: the store's header or another box.

--- a/assemble.go
+++ b/assemble.go
@@ -13,7 +13,6 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/delivery"
-	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/lease"
@@ -44,13 +43,14 @@
 	seed := xxhash.Sum64String(s.Box)
 	lengths := policy.NewLengths()
 	store := platform.NewStore(s.Platform, platform.WithStoreTimeout(s.Timeouts.Platform.Duration), platform.WithStoreTransport(b.platformTransport),
-		platform.WithStoreRestored(b.storeRestored),
+		platform.WithStoreRestored(func(era int64) { b.follower.NoteEra(era) }),
 		platform.WithStoreCalled(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewEngines(engineCallPeriod, upstream.WithTransport(b.engineTransport))
 	b.routed = platform.NewEngines(platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
+	b.keys.Era = b.follower.Era
 	b.rests = health.NewRests(b.view)
 
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
@@ -78,7 +78,10 @@
 	b.assembleRelay(lengths)
 	b.assembleOrders()
 	b.assembleServers()
-	b.metrics.Gauge(metric.PlatformEra, func() float64 { return float64(store.Era()) })
+	b.metrics.Gauge(metric.PlatformEra, func() float64 {
+		era, _ := b.follower.Era()
+		return float64(era)
+	})
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
@@ -102,6 +105,7 @@
 func (b *Box) assembleFollower(s *platform.Store) {
 	b.follower = configuration.NewFollower(b.view, b.members, b.log)
 	b.follower.Ask = b.links.Once
+	b.follower.Restored = b.keys.Restored
 	b.follower.TellAway = b.tellAway
 	b.follower.Spread = rand.Float64
 	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
@@ -174,12 +178,6 @@
 	return b.view.Limits().IdleTimeout.Duration()
 }
 
-// storeRestored takes in that the store told a newer era: it came back from a copy.
-func (b *Box) storeRestored(era, before int64) {
-	event.StoreRestored.Log(b.log, "era", era, "before", before)
-	b.follower.NoteEra(era)
-}
-
 // readLoad reads the load report of an engine, of a declared route or not.
 func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
 	if !b.hasEntry() {
--- a/internal/configuration/era.go
+++ b/internal/configuration/era.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"sync"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/event"
@@ -8,11 +9,11 @@
 	"github.com/linetiller/linetiller/internal/revision"
 )
 
-// era is the store's era as a box knows it. The follower's lock guards it.
+// era is the store's era as a box knows it.
 type era struct {
-	known  bool      // one is
-	newest int64     // the highest one
-	since  time.Time // when this box learned that the store came back from a copy; zero where it never did
+	mutex  sync.Mutex // guards the fields below
+	newest int64      // the highest one
+	since  time.Time  // when this box learned that the store came back from a copy; zero where it never did
 }
 
 // doubtPeriod is how long after this box learned that the store came back from a copy whole
@@ -22,22 +23,34 @@
 // Era returns the store's era as this box knows it, and when it learned that the store came
 // back from a copy, zero where it never did. A box that starts knows only that it did so once.
 func (f *Follower) Era() (era int64, since time.Time) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	f.era.mutex.Lock()
+	defer f.era.mutex.Unlock()
 	return f.era.newest, f.era.since
 }
 
 // NoteEra takes in the era of the store.
 func (f *Follower) NoteEra(n int64) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.era.known && n <= f.era.newest {
+	before, restored := f.era.take(n)
+	if !restored {
 		return
 	}
-	if n > 0 {
-		f.era.since = time.Now()
+	event.StoreRestored.Log(f.log, "era", n, "before", before)
+	if f.Restored != nil {
+		f.Restored()
 	}
-	f.era.known, f.era.newest = true, n
+}
+
+// take takes in an era. It returns the one before, and whether the store came back from a
+// copy since that was told.
+func (e *era) take(n int64) (before int64, restored bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	before = e.newest
+	if n <= before {
+		return before, false
+	}
+	e.newest, e.since = n, time.Now()
+	return before, true
 }
 
 // doubt marks what a read after a revision brought as tentative, where the store may have
@@ -59,9 +72,8 @@
 
 // doubts reports whether this box learned a moment ago that the store came back from a copy.
 func (f *Follower) doubts(now time.Time) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return !f.era.since.IsZero() && now.Sub(f.era.since) < doubtPeriod
+	_, since := f.Era()
+	return !since.IsZero() && now.Sub(since) < doubtPeriod
 }
 
 // logHeld tells that changes of a batch wait where others did not before.
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -29,6 +29,8 @@
 type Follower struct {
 	// Ask sends a request to another box; a seam for tests.
 	Ask func(ctx context.Context, address string, q *box.Request) (*box.Reply, error)
+	// Restored is told once this box has learned that the store came back from a copy; a seam.
+	Restored func()
 	// TellAway tells the hall's other boxes that the list of upstreams cannot be read, or
 	// can be again; a seam. It does not wait.
 	TellAway func(away bool)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	Boxes           Name = "linetiller_boxes"                        // gauge, by hall: boxes believed alive
 	Generations     Name = "linetiller_generations_total"            // counter, by outcome
 	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
+	KeyRewrites     Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
 	LoadAge         Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
 	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
@@ -51,7 +52,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, Generations, KeyCommits, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
+	Boxes, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamEnds, UpstreamReports,
 	UpstreamWords,
--- a/internal/requestkey/requestkey.go
+++ b/internal/requestkey/requestkey.go
@@ -15,6 +15,7 @@
 
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/revision"
 	"github.com/linetiller/linetiller/internal/table"
 )
 
@@ -68,19 +69,23 @@
 
 	cancel  context.CancelFunc
 	ctx     context.Context
+	ledger  ledger
 	metrics *metric.Set
 	pending chan *item
-	worker  sync.WaitGroup
+	// restored holds a value where the store came back from a copy since claims were last
+	// written again.
+	restored chan struct{}
+	worker   sync.WaitGroup
 }
 
 const (
-	settlePeriod  = 5 * time.Second
 	batchMost     = 256
 	bodyMost      = 16 << 10 // bytes of an answer kept in the row itself
 	pendingMost   = 4096
 	retryWaitMost = time.Second
 	retryWait     = 20 * time.Millisecond
 	rowPrefix     = "request/"
+	settleTries   = 3 // of a write that meets the row of its own attempt under another revision
 )
 
 // New returns keys that are kept in the platform's table.
@@ -88,9 +93,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keys{
 		Commit: c.Commit, Get: c.Get, GetObject: c.Object, PutObject: c.PutObject,
-		cancel: cancel, ctx: ctx, metrics: m, pending: make(chan *item, pendingMost),
+		Era:    func() (int64, time.Time) { return 0, time.Time{} },
+		cancel: cancel, ctx: ctx, ledger: ledger{claims: make(map[string]*ledgered)}, metrics: m, pending: make(chan *item, pendingMost),
+		restored: make(chan struct{}, 1),
 	}
 	k.worker.Go(k.run)
+	k.worker.Go(k.runRewrite)
 	return k
 }
 
@@ -99,12 +107,16 @@
 	return rowPrefix + workspace + "/" + key
 }
 
-// Answer returns the answer that a finished record holds.
+// Answer returns the answer that a finished record holds. A fail.Unknown error means that
+// the store has lost it.
 func (k *Keys) Answer(ctx context.Context, r *Record) (string, error) {
 	if r.Object == "" {
 		return r.Body, nil
 	}
 	b, err := k.GetObject(ctx, r.Object)
+	if err == nil && b == nil {
+		return "", fail.New(fail.Unknown, place(), "answer_lost", "the store has no object %q", r.Object)
+	}
 	return string(b), err
 }
 
@@ -117,11 +129,16 @@
 
 // Insert claims a key. Where another attempt holds it, it returns that
 // attempt's claim and false. An error means that the key is not held: what may
-// have reached the table is taken back as soon as it answers.
+// have reached the table is taken back as soon as it answers. No key is claimed while
+// others may have yet to write theirs again to a store that was restored.
 func (k *Keys) Insert(ctx context.Context, key string, r Record) (*Claim, bool, error) {
-	o := k.write(ctx, &item{
-		condition: table.Condition{Key: key}, insert: true, write: table.Write{Key: key, Value: encode(&r)},
-	})
+	if err := k.settling(); err != nil {
+		return nil, false, err
+	}
+	era, _ := k.Era()
+	i := writeOf(key, 0, &r)
+	i.insert = true
+	o := k.write(ctx, i)
 	if o.err != nil {
 		return nil, false, o.err
 	}
@@ -129,7 +146,13 @@
 		c, err := claimOf(o.current)
 		return c, false, err
 	}
-	return &Claim{Key: key, Record: r, Revision: o.revision}, true, nil
+	if now, _ := k.Era(); now != era || revision.Era(o.revision) != era {
+		k.takeBack(i, o.revision)
+		return nil, false, errRestored()
+	}
+	c := &Claim{Key: key, Record: r, Revision: o.revision}
+	k.ledger.put(c)
+	return c, true, nil
 }
 
 // Look returns the claim on a key, or nil.
@@ -143,15 +166,24 @@
 
 // Release removes a claim on a key whose request did not run.
 func (k *Keys) Release(ctx context.Context, c *Claim) error {
-	o := k.write(ctx, &item{
-		condition: table.Condition{Key: c.Key, Revision: c.Revision}, write: table.Write{Delete: true, Key: c.Key},
-	})
-	return o.err
+	k.ledger.drop(c.Key)
+	r := c.Revision
+	for range settleTries {
+		o := k.write(ctx, &item{
+			condition: table.Condition{Key: c.Key, Revision: r}, write: table.Write{Delete: true, Key: c.Key},
+		})
+		if o.err != nil || o.current == nil {
+			return o.err
+		}
+		standing, ok := c.standing(&o)
+		if !ok || standing == 0 {
+			return nil
+		}
+		r = standing
+	}
+	return nil
 }
 
-// Restored takes in that the store came back from a copy.
-func (k *Keys) Restored() {}
-
 // Store puts the answer into r, in an object of its own where it is large.
 func (k *Keys) Store(ctx context.Context, key string, r *Record, answer string) error {
 	if len(answer) <= bodyMost {
@@ -162,19 +194,27 @@
 	return k.PutObject(ctx, r.Object, []byte(answer))
 }
 
-// Update writes a new record under a claim and moves the claim on.
+// Update writes a new record under a claim and moves the claim on. A claim that a restored
+// store has lost, or holds as it was, is written all the same.
 func (k *Keys) Update(ctx context.Context, c *Claim, r Record) error {
-	o := k.write(ctx, &item{
-		condition: table.Condition{Key: c.Key, Revision: c.Revision}, write: table.Write{Key: c.Key, Value: encode(&r)},
-	})
-	if o.err != nil {
-		return o.err
-	}
-	if o.current != nil {
-		return fail.New(fail.Conflict, place(), "key_taken", "the key %q is held by another attempt", c.Key)
+	condition := c.Revision
+	for range settleTries {
+		o := k.write(ctx, writeOf(c.Key, condition, &r))
+		if o.err != nil {
+			return o.err
+		}
+		if o.current == nil {
+			c.Record, c.Revision = r, o.revision
+			k.ledger.put(c)
+			return nil
+		}
+		standing, ok := c.standing(&o)
+		if !ok {
+			break
+		}
+		condition = standing
 	}
-	c.Record, c.Revision = r, o.revision
-	return nil
+	return fail.New(fail.Conflict, place(), "key_taken", "the key %q is held by another attempt", c.Key)
 }
 
 func claimOf(r *table.Row) (*Claim, error) {
@@ -196,6 +236,11 @@
 	return b
 }
 
+// writeOf returns the write of a record under a condition; 0 means that there is no row.
+func writeOf(key string, condition int64, r *Record) *item {
+	return &item{condition: table.Condition{Key: key, Revision: condition}, write: table.Write{Key: key, Value: encode(r)}}
+}
+
 func place() fail.Place {
 	return fail.Place{Peer: "platform", Step: "write request key"}
 }
--- a/internal/requestkey/restored_test.go
+++ b/internal/requestkey/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,14 +20,30 @@
 // keysBox is a box that keeps request keys in a store.
 type keysBox struct {
 	*Keys
-	era   int64 // that it knows of
+	era   int64      // that it knows of
+	mutex sync.Mutex // guards era and since
 	since time.Time
 }
 
-// hear has the box hear of an era of the store.
-func (b *keysBox) hear(era int64) {
-	b.era, b.since = era, time.Now()
-	b.Restored()
+// known returns what the box knows of the store's era.
+func (b *keysBox) known() (int64, time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.era, b.since
+}
+
+// hear has the box hear of the store's era.
+func (b *keysBox) hear(p *fakeplatform.Platform) {
+	era := p.Era()
+	b.mutex.Lock()
+	news := era > b.era
+	if news {
+		b.era, b.since = era, time.Now()
+	}
+	b.mutex.Unlock()
+	if news {
+		b.Restored()
+	}
 }
 
 // withBoxes runs f with two boxes on one store, in virtual time.
@@ -37,7 +54,7 @@
 		l.Join("store", p)
 		newBox := func() *keysBox {
 			b := &keysBox{Keys: New(platform.NewStore("http://store", platform.WithStoreTransport(l)).Table(), metric.NewSet())}
-			b.Era = func() (int64, time.Time) { return b.era, b.since }
+			b.Era = b.known
 			return b
 		}
 		a, b := newBox(), newBox()
@@ -99,7 +116,7 @@
 				p.Restore()
 				repeat := func() {
 					if x.hears {
-						b.hear(1)
+						b.hear(p)
 					}
 					c, ours, err := b.Insert(ctx, restoredKey, record("second"))
 					if ours || (err == nil && c.Record.Try != "first") || (err != nil && !errorx.IsOfType(err, fail.Unavailable)) {
@@ -109,13 +126,13 @@
 				if x.otherFirst {
 					repeat()
 				}
-				a.hear(1)
+				a.hear(p)
 				time.Sleep(2 * time.Second)
 				wantRow(t, p, "2 s after the holder heard", "first", StateRunning)
 				if !x.otherFirst {
 					repeat()
 				}
-				b.hear(1)
+				b.hear(p)
 				time.Sleep(settlePeriod)
 				c, ours, err := b.Insert(ctx, restoredKey, record("third"))
 				if ours || err != nil || c.Record.Try != "first" {
@@ -148,7 +165,7 @@
 				}
 				p.Restore()
 				if x.heard {
-					a.hear(1)
+					a.hear(p)
 				}
 				r.State = StateFinished
 				if err := a.Update(ctx, c, r); err != nil {
@@ -167,7 +184,7 @@
 		c := a.claim(ctx, t, "first")
 		p.Copy()
 		p.Restore()
-		a.hear(1)
+		a.hear(p)
 		if err := a.Release(ctx, c); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/requestkey/writer.go
+++ b/internal/requestkey/writer.go
@@ -26,7 +26,7 @@
 type outcome struct {
 	current  *table.Row // the row that stood in the way
 	err      error
-	revision int64
+	revision int64 // of the row that was written, or of the store where a row stood in the way
 }
 
 // collect returns first and what else waits, up to a batch; a row that stands
@@ -63,7 +63,7 @@
 			k.settle(batch, r.Revision)
 			return
 		case err == nil:
-			batch = k.sortOut(batch, r.Current)
+			batch = k.sortOut(batch, r)
 			continue
 		}
 		lost = lost || errorx.IsOfType(err, fail.Unknown)
@@ -110,10 +110,10 @@
 }
 
 // sortOut answers the items whose conditions fail and returns the others.
-func (k *Keys) sortOut(batch []*item, current []table.Row) []*item {
-	rows := make(map[string]*table.Row, len(current))
-	for n := range current {
-		rows[current[n].Key] = &current[n]
+func (k *Keys) sortOut(batch []*item, x *table.Result) []*item {
+	rows := make(map[string]*table.Row, len(x.Current))
+	for n := range x.Current {
+		rows[x.Current[n].Key] = &x.Current[n]
 	}
 	var rest []*item
 	for _, i := range batch {
@@ -124,7 +124,7 @@
 		case i.took(r):
 			k.settle([]*item{i}, r.Revision)
 		default:
-			i.done <- outcome{current: r}
+			i.done <- outcome{current: r, revision: x.Revision}
 		}
 	}
 	return rest
--- a/restored_test.go
+++ b/restored_test.go
@@ -112,12 +112,11 @@
 		}
 		r.listRouted("i-a1", "draining")
 		r.listRouted("i-b3", "ready")
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second) // the store's return is noticed after a second at most
 		r.wantUpstream("written again", "i-a1", false)
 		r.wantUpstream("written again", "i-a2", false)
 		r.wantUpstream("written again", "i-b3", true)
 		r.wantUpstream("not written again", "i-b4", false)
-		time.Sleep(time.Second)
 		r.platform.Remove("servers/i-a2")
 		for range 10 {
 			time.Sleep(time.Second)
