The soak: a store that comes back from copies

The stand-in store comes back from copies of up to 4 s, one after another, beside all other faults and with up to 200 writes of others lost, and once more at the end with a change of the configuration after it. Operators and upstreams write theirs again up to 1.5 s later, and the entries of upstreams that are gone lapse after 3.6 s.

--- /dev/null
+++ b/internal/fake/soak/copies.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
+)
+
+const (
+	copiesStream = 1 << 23         // of the random numbers, beside those of faults and callers
+	copyAgeMost  = 4 * time.Second // of the copy from which the store comes back
+	entryLapse   = 3600 * time.Millisecond
+	// lostWritesMost bounds the writes of others that the store loses with a copy: by so much
+	// its versions go back.
+	lostWritesMost = 200
+	restoredLeast  = 300 * time.Millisecond
+	// restoredSpread is by how much the time differs for which the store is away, and then
+	// the time until operators and upstreams write theirs again.
+	restoredSpread = 1500 * time.Millisecond
+)
+
+// copiesInTurn has the store come back from copies, one after another until the context
+// ends, and once more then, with a change of the configuration after it.
+func (w *world) copiesInTurn(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		w.restoreStore(r)
+	}
+	w.restoreStore(r)
+	w.configure()
+}
+
+// restoreStore has the store come back from a copy. Operators and upstreams go on meanwhile,
+// and write theirs again some time later.
+func (w *world) restoreStore(r *rand.Rand) {
+	w.platform.Copy()
+	for range r.IntN(lostWritesMost) {
+		w.platform.Put("other/row", struct{}{})
+	}
+	w.configure()
+	time.Sleep(time.Duration(r.Int64N(int64(copyAgeMost))))
+	from := time.Now()
+	w.setStore(fakeplatform.Faults{Down: true})
+	time.Sleep(restoredLeast + time.Duration(r.Int64N(int64(restoredSpread))))
+	w.platform.Restore()
+	w.setStore(fakeplatform.Faults{})
+	time.Sleep(time.Duration(r.Int64N(int64(restoredSpread))))
+	w.writeAgain()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.away = append(w.away, interval{from, time.Now()})
+}
+
+// writeAgain writes what operators and upstreams have in the store. The entries of upstreams
+// that are gone lapse.
+func (w *world) writeAgain() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock() // what changes later is written later
+	w.putConfiguration(w.newest)
+	for _, h := range []byte{'a', 'b'} {
+		w.putEvacuation(h)
+	}
+	for _, u := range w.upstreams {
+		w.putUpstream(u)
+	}
+	gone := append([]*soakUpstream(nil), w.dead...)
+	w.workers.Go(func() {
+		time.Sleep(entryLapse)
+		for _, u := range gone {
+			if w.platform.Row("servers/"+u.name) != nil {
+				w.platform.Remove("servers/" + u.name)
+			}
+		}
+	})
+}
+
+// putEvacuation writes whether a hall is evacuated; the lock is held.
+func (w *world) putEvacuation(hall byte) {
+	key := "op/evacuate/" + string(hall)
+	if w.evacuating[hall] {
+		w.platform.Put(key, json.RawMessage(`{}`))
+		return
+	}
+	w.platform.Remove(key)
+}
+
+// setEvacuation evacuates a hall, or takes it back.
+func (w *world) setEvacuation(hall byte, evacuated bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.evacuating[hall] = evacuated
+	w.putEvacuation(hall)
+}
--- a/internal/fake/soak/halls.go
+++ b/internal/fake/soak/halls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -40,12 +39,11 @@
 	for ctx.Err() == nil {
 		hall := "ab"[r.IntN(2)]
 		wait(time.Duration(r.Int64N(int64(time.Second))))
-		key := "op/evacuate/" + string(hall)
-		w.platform.Put(key, json.RawMessage(`{}`))
+		w.setEvacuation(hall, true)
 		e := emptied{interval{from: time.Now()}, hall}
 		wait(evacuationLeast + time.Duration(r.Int64N(int64(3*time.Second))))
 		e.to = time.Now()
-		w.platform.Remove(key)
+		w.setEvacuation(hall, false)
 		w.mutex.Lock()
 		w.emptied = append(w.emptied, e)
 		w.mutex.Unlock()
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -36,6 +36,7 @@
 	f.SetOutput(output)
 	programs := f.String("programs", "bin", "`folder` of the built programs")
 	seed := f.Uint64("seed", 0, "`number` by which faults are drawn; 0 draws one")
+	copies := f.Bool("copies", true, "have the store come back from copies, too")
 	halls := f.Bool("halls", true, "evacuate halls and start engines cold, too")
 	words := f.Bool("words", true, "have upstreams say that they leave, or ask for rest, with their answers, and requests end them")
 	span := f.Duration("for", 20*time.Second, "how long faults strike")
@@ -46,7 +47,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	broken, err := run(*programs, *seed, *span, *halls, *words, output)
+	broken, err := run(*programs, *seed, *span, extras{copies: *copies, halls: *halls, words: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitBroken
@@ -61,9 +62,16 @@
 	return 0
 }
 
+// extras are what goes on beside the faults that are drawn, each by random numbers of its own.
+type extras struct {
+	copies bool // the store comes back from copies
+	halls  bool // halls are evacuated, and engines start cold
+	words  bool // upstreams say that they leave, or ask for rest, with their answers, and requests end them
+}
+
 // run runs one soak and returns the promises that were broken.
-func run(programs string, seed uint64, span time.Duration, halls, words bool, output io.Writer) (broken []string, err error) {
-	w, err := newWorld(programs, halls)
+func run(programs string, seed uint64, span time.Duration, x extras, output io.Writer) (broken []string, err error) {
+	w, err := newWorld(programs, x.halls)
 	if err != nil {
 		return nil, err
 	}
@@ -78,13 +86,14 @@
 	for i := range callersCount {
 		g.Go(func() { c.run(ctx, i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
 	}
-	if halls {
+	if x.copies {
+		g.Go(func() { w.copiesInTurn(ctx, rand.New(rand.NewPCG(seed, copiesStream))) })
+	}
+	if x.halls {
 		g.Go(func() { w.evacuateInTurn(ctx, rand.New(rand.NewPCG(seed, hallsStream))) })
 	}
-	if words {
+	if x.words {
 		g.Go(func() { w.wordsInTurn(ctx, rand.New(rand.NewPCG(seed, wordsStream))) })
-	}
-	if words {
 		g.Go(func() { c.deadlyInTurn(ctx, rand.New(rand.NewPCG(seed, deadlyStream))) })
 	}
 	struck := w.strikeAll(ctx, rand.New(rand.NewPCG(seed, 0)))
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -22,23 +22,25 @@
 // world is what a soak runs: boxes as processes, each behind a proxy of its own and
 // with one to the store; engines and services of this process, behind proxies.
 type world struct {
-	boxes     []*soakBox
-	away      []interval // when the store was bad
-	cold      bool       // engines start cold
-	emptied   []emptied
-	newest    int // version of the configuration
-	directory string
-	logs      *logFile
-	mutex     sync.Mutex // guards away, crashes, dead, emptied, newest, trouble, upstreams and version
-	crashes   []crash
-	dead      []*soakUpstream
-	platform  *fakeplatform.Platform
-	programs  string
-	store     *httptest.Server
-	trouble   []error // of the soak's own
-	upstreams map[string]*soakUpstream
-	version   int
-	workers   sync.WaitGroup
+	boxes   []*soakBox
+	away    []interval // when the store was bad
+	cold    bool       // engines start cold
+	emptied []emptied
+	// evacuating are the halls that are evacuated now.
+	evacuating map[byte]bool
+	newest     int // version of the configuration
+	directory  string
+	logs       *logFile
+	mutex      sync.Mutex // guards away, crashes, dead, emptied, evacuating, newest, trouble, upstreams and version
+	crashes    []crash
+	dead       []*soakUpstream
+	platform   *fakeplatform.Platform
+	programs   string
+	store      *httptest.Server
+	trouble    []error // of the soak's own
+	upstreams  map[string]*soakUpstream
+	version    int
+	workers    sync.WaitGroup
 }
 
 // soakBox is one box.
@@ -56,7 +58,8 @@
 type soakUpstream struct {
 	cold    interval // when it is cold
 	engine  *routed.Engine
-	leaving bool // it has said so; the world's lock guards it
+	leaving bool   // it has said so; the world's lock guards it
+	listed  string // the state of its entry; the world's lock guards it
 	name    string
 	proxy   *proxy
 	server  *httptest.Server
@@ -79,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{cold: cold, directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
+	w := &world{cold: cold, directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), evacuating: make(map[byte]bool), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
 	w.store = httptest.NewServer(w.platform)
 	w.configure()
 	for i := range enginesCount {
@@ -186,8 +189,12 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock() // a later version is written later
 	w.version++
-	v := w.version
-	w.newest = v
+	w.newest = w.version
+	w.putConfiguration(w.newest)
+}
+
+// putConfiguration writes a version of the configuration; the lock is held.
+func (w *world) putConfiguration(v int) {
 	route := `{"name":%q,"host":"` + soakHost + `","path_prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":1800,"priority":0,"service":%q,"max_attempts":%d,"resumable":%v}`
 	w.platform.Put("op/config", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[`+
 		fmt.Sprintf(route, "plan", "plan", "streaming", 20_000, serviceLLM, 1, false)+","+
@@ -201,9 +208,17 @@
 
 // list writes an upstream's entry.
 func (w *world) list(u *soakUpstream, state string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	u.listed = state
+	w.putUpstream(u)
+}
+
+// putUpstream writes an upstream's entry; the lock is held.
+func (w *world) putUpstream(u *soakUpstream) {
 	left := max(0, time.Until(u.cold.to).Milliseconds())
 	w.platform.Put("servers/"+u.name, json.RawMessage(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"%c","state":%q,"cold_left_ms":%d,"models":[{"name":"m"}]}`, u.service, u.proxy.address(), u.name[2], state, left)))
+		`{"service":%q,"address":%q,"zone":"%c","state":%q,"cold_left_ms":%d,"models":[{"name":"m"}]}`, u.service, u.proxy.address(), u.name[2], u.listed, left)))
 }
 
 // loseUpstream ends an upstream, whose entry goes later.
@@ -256,7 +271,7 @@
 func (w *world) startUpstream(name, service string) error {
 	s := routed.DefaultSettings()
 	s.EventEvery, s.CopyToken = 10*time.Millisecond, 20*time.Microsecond
-	u := &soakUpstream{engine: routed.New(name, s), name: name, service: service}
+	u := &soakUpstream{engine: routed.New(name, s), listed: "ready", name: name, service: service}
 	u.engine.Peer = w.peer
 	u.engine.Crashed = func(request string) { w.crash(u, request) }
 	if w.cold {
