Declared resources that a restored store has lost are written again

What operators would see: a change or a removal that was accepted goes back at all boxes 3 s after the store came back from a copy. Cause: those rows are the system's own, and nobody wrote them again. Ruled out: to hold what boxes know for good without writing; a box that starts would go by the copy, and status would tell of a revision in force that is not. Change: what the store lacks of them, or has as it was, waits at all boxes until it is written again, which the readers of the store do after a second, row by row under the condition that it stands as it was read. For 5 s operators' writes are refused, with a time to come back; a write whose answer is of a newer era is told as not known. Watches tell what is in force, and not what waits.

--- a/assemble.go
+++ b/assemble.go
@@ -158,6 +158,7 @@
 
 	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
 	o.Commit = b.store.Commit
+	o.Era = b.follower.Era
 	o.Get = b.store.Get
 	o.InForce = b.inForce
 	o.Refresh = b.follower.Refresh
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -59,7 +59,7 @@
 }
 
 // ResourceReader reads what operators declared by the operator interface.
-// A removed resource keeps its row, so that nothing is implied by what is absent.
+// A removed resource keeps its row, so that what is absent is lost.
 func ResourceReader(changes changesFunc) Reader {
 	return func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
 		c, err := changes(ctx, TableResources, after, wait)
@@ -67,7 +67,7 @@
 			return nil, 0, err
 		}
 		b := resource.Batch{Changes: fromRows(c.Rows), Source: resource.SourceResources}
-		b.Revision = b.Newest()
+		Date(&b, c)
 		return []resource.Batch{b}, c.Revision, nil
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	RevisionApplied    = Event{slog.LevelInfo, "configuration revision in force", 601}
 	ResourceWritten    = Event{slog.LevelInfo, "resource written", 602}
 	ResourceRefused    = Event{slog.LevelInfo, "resource write refused", 603}
+	ResourceRewritten  = Event{slog.LevelInfo, "resource written again", 604}
 )
 
 // All lists every event in order of its number.
@@ -72,7 +73,7 @@
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamEnded,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
-	RevisionApplied, ResourceWritten, ResourceRefused,
+	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
 
 // Log writes e to l with the given attributes.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -31,6 +31,7 @@
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
 	"github.com/linetiller/linetiller/internal/table"
 )
 
@@ -38,6 +39,9 @@
 type Server struct {
 	// Commit applies a transaction of the table; a seam.
 	Commit func(ctx context.Context, t *table.Transaction) (*table.Result, error)
+	// Era returns the era of the store as this box knows it, and when it learned that the
+	// store came back from a copy, zero where it never did; a seam.
+	Era func() (era int64, since time.Time)
 	// Get reads a row of the table; a seam.
 	Get func(ctx context.Context, key string) (*table.Row, error)
 	// InForce tells which revisions the boxes of each hall have in force; a seam.
@@ -55,15 +59,20 @@
 const (
 	bookmarkEvery = 5 * time.Second
 	maxBodyBytes  = 256 << 10
-	settleTries   = 5
-	settleWait    = 100 * time.Millisecond
-	statusPeriod  = 2 * time.Second
+	// reasonRestored is why a write is refused, or its outcome not known, around the moment
+	// at which the store comes back from a copy.
+	reasonRestored = "platform_restored"
+	// settlePeriod is how long writes wait then, for boxes to write again what was lost.
+	settlePeriod = 5 * time.Second
+	settleTries  = 5
+	settleWait   = 100 * time.Millisecond
+	statusPeriod = 2 * time.Second
 )
 
 // New returns a server over v. Where keyHash is not empty, callers must show
 // the bearer key of that SHA-256 hash.
 func New(v *resource.View, m *metric.Set, l *slog.Logger, keyHash string) *Server {
-	s := &Server{keyHash: keyHash, log: l, metrics: m, mux: http.NewServeMux(), view: v}
+	s := &Server{Era: func() (int64, time.Time) { return 0, time.Time{} }, keyHash: keyHash, log: l, metrics: m, mux: http.NewServeMux(), view: v}
 	s.mux.HandleFunc("DELETE /v1/resources/{kind}/{name}", s.deleteResource)
 	s.mux.HandleFunc("GET /v1/resources/{kind}", s.getList)
 	s.mux.HandleFunc("GET /v1/resources/{kind}/{name}", s.getResource)
@@ -88,6 +97,9 @@
 }
 
 func (s *Server) deleteResource(w http.ResponseWriter, r *http.Request) {
+	if s.settling(w) {
+		return
+	}
 	k, n := resource.Kind(r.PathValue("kind")), r.PathValue("name")
 	row, old, err := s.current(r.Context(), k, n)
 	if err != nil {
@@ -148,13 +160,13 @@
 	defer t.Stop()
 	for {
 		changed := s.view.Changed()
-		l, revision := s.view.Since(after)
+		l, newest := s.view.Since(after)
 		for i := range l {
 			if x := &l[i]; k == "" || x.Resource.Kind == k {
 				_ = e.Encode(watchEvent(x))
 			}
 		}
-		after = max(after, revision)
+		after = max(after, newest)
 		if c.Flush() != nil {
 			return
 		}
@@ -179,6 +191,9 @@
 }
 
 func (s *Server) putResource(w http.ResponseWriter, r *http.Request) {
+	if s.settling(w) {
+		return
+	}
 	x, p := readResource(w, r)
 	if p != nil {
 		s.refuse(w, http.StatusUnprocessableEntity, p)
@@ -242,7 +257,11 @@
 	v.Write = rand.Text()
 	v.Resource.Status = nil
 	v.Resource.Metadata.ResourceVersion = ""
-	other, revision, err := s.commit(r.Context(), row.Key, row.Revision, v)
+	era, _ := s.Era()
+	other, at, err := s.commit(r.Context(), row.Key, row.Revision, v)
+	if err == nil && other == nil && revision.Era(at) != era {
+		err = fail.New(fail.Unknown, fail.Place{Peer: "platform", Step: "write resource"}, reasonRestored, "the store was restored meanwhile")
+	}
 	if err != nil {
 		s.refuseTable(w, err)
 		return
@@ -257,9 +276,20 @@
 		s.refuse(w, http.StatusConflict, p)
 		return
 	}
-	event.ResourceWritten.Log(s.log, "kind", v.Resource.Kind, "name", v.Resource.Metadata.Name, "revision", revision, "deleted", v.Deleted)
+	event.ResourceWritten.Log(s.log, "kind", v.Resource.Kind, "name", v.Resource.Metadata.Name, "revision", revision.Version(at), "deleted", v.Deleted)
 	_ = s.Refresh(r.Context())
-	writeJSON(w, http.StatusOK, configuration.Versioned(v.Resource, revision))
+	writeJSON(w, http.StatusOK, configuration.Versioned(v.Resource, at))
+}
+
+// settling refuses a write, and reports whether it does, where this box learned a moment ago
+// that the store came back from a copy: what it lost is yet to be written again.
+func (s *Server) settling(w http.ResponseWriter) bool {
+	_, since := s.Era()
+	if since.IsZero() || time.Since(since) >= settlePeriod {
+		return false
+	}
+	s.refuseTable(w, fail.New(fail.Unavailable, fail.Place{Peer: "platform", Step: "write resource"}, reasonRestored, "the store was restored, and what it lost is being written again"))
+	return true
 }
 
 func readResource(w http.ResponseWriter, r *http.Request) (*resource.Resource, *Problem) {
--- a/internal/resource/tentative.go
+++ b/internal/resource/tentative.go
@@ -13,6 +13,9 @@
 // which it is written again.
 
 const (
+	// heldDeclared is how long what operators declared waits: boxes write it again themselves,
+	// and need no longer than the store takes to take writes.
+	heldDeclared = 10 * time.Minute
 	// heldReturn is how long the return of an upstream waits that had gone: the entry of one
 	// which does not live lapses after three heartbeats, 3.6 s.
 	heldReturn = 6 * time.Second
@@ -50,6 +53,20 @@
 	return ok
 }
 
+// Lost returns the resources of a source that the store may have lost since it came back from
+// a copy, as they are in force.
+func (v *View) Lost(s Source) []Change {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	var l []Change
+	for k, h := range v.held {
+		if h.source == s {
+			l = append(l, v.resources[k].Change)
+		}
+	}
+	return l
+}
+
 // hold has a change wait; the lock is held.
 func (v *View) hold(k string, e *entry, d time.Duration) {
 	h, waits := v.held[k]
@@ -103,6 +120,8 @@
 	switch {
 	case e.Deleted && old.Deleted:
 		return 0
+	case e.source == SourceResources && revision.Version(e.Revision) < revision.Version(old.Revision), e.source == SourceResources && e.Deleted:
+		return heldDeclared
 	case e.Deleted && isUpstream:
 		return LapsePeriod
 	case e.Deleted:
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -109,7 +109,7 @@
 		if b.Whole {
 			b.Changes = v.live(s)
 		} else {
-			b.Changes = v.since(s, have[s])
+			b.Changes = v.since(s, have[s], v.told)
 		}
 		l = append(l, b)
 	}
@@ -160,7 +160,8 @@
 func (v *View) Since(r int64) ([]Change, int64) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	return v.since(SourceResources, r), v.revisions[SourceResources]
+	inForce := func(_ string, e *entry) Change { return e.Change }
+	return v.since(SourceResources, r, inForce), v.revisions[SourceResources]
 }
 
 // SourceOf returns the source of a resource that the view holds.
@@ -305,15 +306,15 @@
 	v.changed = make(chan struct{})
 }
 
-// since returns the newest change of each resource of a source changed after r, in
-// order of revision.
-func (v *View) since(s Source, r int64) []Change {
+// since returns the newest change of each resource of a source changed after r, as change
+// returns it, in order of revision.
+func (v *View) since(s Source, r int64, change func(k string, e *entry) Change) []Change {
 	var l []Change
 	for k, e := range v.resources {
 		if e.source != s {
 			continue
 		}
-		if c := v.told(k, &e); c.Revision > r {
+		if c := change(k, &e); c.Revision > r {
 			l = append(l, c)
 		}
 	}
--- a/linetiller.go
+++ b/linetiller.go
@@ -175,7 +175,7 @@
 		b.follower.Run, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
 	if !b.hasEntry() {
-		l = append(l, b.orders.Run) // the platform orders its engines itself
+		l = append(l, b.orders.Run, b.runRewrite) // the platform's operators and engines write theirs themselves
 	}
 	if b.naive != nil {
 		l = append(l, b.naive.Run)
--- /dev/null
+++ b/rewrite.go
@@ -0,0 +1,82 @@
+package linetiller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/configuration"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// rewriteAfter is how long a reader waits before it writes again what operators declared and
+// the store has lost: meanwhile it hears of what other boxes know and it does not.
+const rewriteAfter = time.Second
+
+// rewrite writes a declared resource again as it is in force, unless its row has changed
+// since it was read.
+func (b *Box) rewrite(ctx context.Context, c *resource.Change) error {
+	x := *c.Resource
+	x.Metadata.ResourceVersion = ""
+	v, err := json.Marshal(&configuration.Value{Deleted: c.Deleted, Resource: &x, Write: rand.Text()})
+	if err != nil {
+		return err
+	}
+	key := configuration.Key(x.Kind, x.Metadata.Name)
+	row, err := b.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	condition := int64(0)
+	if row != nil {
+		condition = row.Revision
+	}
+	if !b.view.Holds(x.Kind, x.Metadata.Name) {
+		return nil // it was written meanwhile
+	}
+	r, err := b.store.Commit(ctx, &table.Transaction{
+		Conditions: []table.Condition{{Key: key, Revision: condition}}, Writes: []table.Write{{Key: key, Value: v}},
+	})
+	if err != nil || !r.Committed {
+		return err
+	}
+	event.ResourceRewritten.Log(b.log, "kind", x.Kind, "name", x.Metadata.Name, "era", revision.Era(r.Revision), "revision", revision.Version(r.Revision), "deleted", c.Deleted)
+	return nil
+}
+
+// rewriteAll writes all declared resources again that the store has lost.
+func (b *Box) rewriteAll(ctx context.Context) {
+	l := b.view.Lost(resource.SourceResources)
+	for i := range l {
+		if err := b.rewrite(ctx, &l[i]); err != nil && ctx.Err() == nil {
+			event.PlatformDown.Log(b.log, "source", "resources", "step", fail.Step(err), "error", err.Error())
+		}
+	}
+}
+
+// runRewrite has declared resources written again that a restored store has lost, by the boxes
+// that read it.
+func (b *Box) runRewrite(ctx context.Context) {
+	for {
+		c := b.view.Changed()
+		if len(b.view.Lost(resource.SourceResources)) == 0 || !b.follower.Reads() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c:
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rewriteAfter):
+		}
+		b.rewriteAll(ctx)
+	}
+}
