--- a/restored_test.go
+++ b/restored_test.go
@@ -305,3 +305,44 @@
 		}
 	})
 }
+
+// TestRestoredStoreIsReadByFew counts the calls of twelve boxes after the store is back: those
+// that read it read each table whole once or twice, and no other box calls it for that.
+func TestRestoredStoreIsReadByFew(t *testing.T) {
+	calls := func(restored bool) (n, wholes int) {
+		withRoutes(t, func(_ *testing.T, r *routes) {
+			for _, name := range []string{"box-a3", "box-a4", "box-a5", "box-a6", "box-b3", "box-b4", "box-b5", "box-b6"} {
+				r.startRouter(name)
+			}
+			time.Sleep(20 * time.Second)
+			r.platform.Copy()
+			r.change(2, 3, 4)
+			time.Sleep(5 * time.Second)
+			tables := []string{"box", "op", "servers"}
+			for _, x := range tables {
+				wholes -= r.platform.Wholes(x)
+			}
+			r.platform.SetFaults(fakeplatform.Faults{Down: true})
+			time.Sleep(restoredAway)
+			if restored {
+				r.platform.Restore()
+			}
+			r.platform.SetFaults(fakeplatform.Faults{})
+			n = r.callsDuring(10 * time.Second)
+			for _, x := range tables {
+				wholes += r.platform.Wholes(x)
+			}
+		})
+		return n, wholes
+	}
+	n, wholes := calls(true)
+	before, wholesBefore := calls(false)
+	t.Logf("calls in 10 s: %d, after an outage alone %d; whole reads: %d and %d", n, before, wholes, wholesBefore)
+	const readers, tables = 4, 3 // two in each hall at most
+	if most := 2 * readers * tables; wholes > most {
+		t.Errorf("whole reads: got %d, want at most %d", wholes, most)
+	}
+	if most := before + 2*readers*tables; n > most {
+		t.Errorf("calls: got %d, want at most %d", n, most)
+	}
+}
