Failing tests: writes at the very moment at which a restored store is heard of

Found reading the change again. An operator's write passes the wait if its own read tells the era first; a claim passes it if the era comes between two looks at it. Both are listed.

--- a/internal/requestkey/restored_test.go
+++ b/internal/requestkey/restored_test.go
@@ -211,3 +211,25 @@
 		}
 	})
 }
+
+// TestKeyIsNotClaimedAsTheStoreIsRestored has a box hear that the store was restored at the
+// very moment at which it begins to claim a key: it claims none.
+func TestKeyIsNotClaimedAsTheStoreIsRestored(t *testing.T) {
+	withBoxes(t, func(ctx context.Context, t *testing.T, p *fakeplatform.Platform, a, _ *keysBox) {
+		p.Copy()
+		p.Restore()
+		if _, _, err := a.Insert(ctx, "request/w/other", record("t")); err == nil {
+			t.Fatal("the first claim, which tells the era: got it held, want a refusal")
+		}
+		asked := 0
+		a.Era = func() (int64, time.Time) {
+			if asked++; asked == 1 {
+				return 0, time.Time{}
+			}
+			return 1, time.Now()
+		}
+		if c, ours, err := a.Insert(ctx, restoredKey, record("first")); ours || err == nil {
+			t.Errorf("got %+v %v %v, want a refusal", c, ours, err)
+		}
+	})
+}
--- a/restored_test.go
+++ b/restored_test.go
@@ -282,13 +282,22 @@
 }
 
 // TestDeclaringWaitsForWhatTheStoreLost declares a resource right after the store came back
-// from a copy, at a box that has heard of it: the operator is told that nothing was written,
-// and when to come back, since the row may be one that is yet to be written again.
+// from a copy, at a box that has heard of it or learns it from the read before its write: the
+// operator is told that nothing was written, and when to come back, since the row may be one
+// that is yet to be written again.
 func TestDeclaringWaitsForWhatTheStoreLost(t *testing.T) {
+	for _, wait := range []time.Duration{0, 1500 * time.Millisecond} {
+		t.Run(wait.String(), func(t *testing.T) { declareAfter(t, wait) })
+	}
+}
+
+// declareAfter declares a resource some time after the store came back from a copy, and again
+// later.
+func declareAfter(t *testing.T, wait time.Duration) {
 	withRegion(t, func(t *testing.T, r *region) {
 		r.platform.Copy()
 		r.platform.Restore()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(wait)
 		o := operator.NewClient("http://box-a1-operator", "", &http.Client{Transport: r.link})
 		x := &resource.Resource{Kind: resource.KindPriority, Metadata: resource.Metadata{Name: "new"}, Spec: json.RawMessage(`{"value":2}`)}
 		_, err := o.Apply(t.Context(), x)
