The wait after a store was restored is looked at once, right before the write

What operators and callers would see: a resource written, or a key claimed, in the moments in which others write again what the store lost; it may be taken for what is of the copy, or run a request twice. Cause: the wait was looked at before the read, or apart from the era, that may tell of the restored store. Change: one look at the era and at since when it is known, after the read and right before the write. It holds because the answer of the write itself tells a later one.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -115,9 +115,9 @@
 	return now.Before(l.deadline) && era == l.era
 }
 
-// write writes the row in an era of the store. The deadline counts from before the write, so that the
-// holder never believes longer than the row says. Where the answer is lost, the
-// row is read back, and the write's name tells. Where the store's era proves to be another,
+// write writes the row in an era of the store. The deadline counts from before the
+// write, so that the holder never believes longer than the row says. Where the answer
+// is lost, the row is read back, and the write's name tells. Where the store's era proves to be another,
 // the lease is not held: the store forgot who may hold it.
 func (k *Keeper) write(ctx context.Context, key string, condition, era int64, r Record) (*Lease, error) {
 	r.Deadline = time.Now().Add(Period)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -59,10 +59,8 @@
 const (
 	bookmarkEvery = 5 * time.Second
 	maxBodyBytes  = 256 << 10
-	// reasonRestored is why a write is refused, or its outcome not known, around the moment
-	// at which the store comes back from a copy.
-	reasonRestored = "platform_restored"
-	// settlePeriod is how long writes wait then, for boxes to write again what was lost.
+	// settlePeriod is how long writes wait after the store came back from a copy, for boxes to
+	// write again what it lost.
 	settlePeriod = 5 * time.Second
 	settleTries  = 5
 	settleWait   = 100 * time.Millisecond
@@ -97,9 +95,6 @@
 }
 
 func (s *Server) deleteResource(w http.ResponseWriter, r *http.Request) {
-	if s.settling(w) {
-		return
-	}
 	k, n := resource.Kind(r.PathValue("kind")), r.PathValue("name")
 	row, old, err := s.current(r.Context(), k, n)
 	if err != nil {
@@ -191,9 +186,6 @@
 }
 
 func (s *Server) putResource(w http.ResponseWriter, r *http.Request) {
-	if s.settling(w) {
-		return
-	}
 	x, p := readResource(w, r)
 	if p != nil {
 		s.refuse(w, http.StatusUnprocessableEntity, p)
@@ -252,15 +244,20 @@
 	return l
 }
 
-// write commits v over row and answers with what now stands.
+// write commits v over row, which was read, and answers with what now stands. That read may
+// have told this box that the store came back from a copy.
 func (s *Server) write(w http.ResponseWriter, r *http.Request, row *table.Row, v *configuration.Value) {
+	era, since := s.Era()
+	if !since.IsZero() && time.Since(since) < settlePeriod {
+		s.refuseTable(w, errRestored(fail.Unavailable, "the store was restored, and what it lost is being written again"))
+		return
+	}
 	v.Write = rand.Text()
 	v.Resource.Status = nil
 	v.Resource.Metadata.ResourceVersion = ""
-	era, _ := s.Era()
 	other, at, err := s.commit(r.Context(), row.Key, row.Revision, v)
 	if err == nil && other == nil && revision.Era(at) != era {
-		err = fail.New(fail.Unknown, fail.Place{Peer: "platform", Step: "write resource"}, reasonRestored, "the store was restored meanwhile")
+		err = errRestored(fail.Unknown, "the store was restored meanwhile")
 	}
 	if err != nil {
 		s.refuseTable(w, err)
@@ -281,15 +278,10 @@
 	writeJSON(w, http.StatusOK, configuration.Versioned(v.Resource, at))
 }
 
-// settling refuses a write, and reports whether it does, where this box learned a moment ago
-// that the store came back from a copy: what it lost is yet to be written again.
-func (s *Server) settling(w http.ResponseWriter) bool {
-	_, since := s.Era()
-	if since.IsZero() || time.Since(since) >= settlePeriod {
-		return false
-	}
-	s.refuseTable(w, fail.New(fail.Unavailable, fail.Place{Peer: "platform", Step: "write resource"}, reasonRestored, "the store was restored, and what it lost is being written again"))
-	return true
+// errRestored returns the error of a write around the moment at which the store comes back from
+// a copy.
+func errRestored(t *errorx.Type, message string) error {
+	return fail.New(t, fail.Place{Peer: "platform", Step: "write resource"}, "platform_restored", "%s", message)
 }
 
 func readResource(w http.ResponseWriter, r *http.Request) (*resource.Resource, *Problem) {
--- a/internal/requestkey/requestkey.go
+++ b/internal/requestkey/requestkey.go
@@ -132,10 +132,10 @@
 // have reached the table is taken back as soon as it answers. No key is claimed while
 // others may have yet to write theirs again to a store that was restored.
 func (k *Keys) Insert(ctx context.Context, key string, r Record) (*Claim, bool, error) {
-	if err := k.settling(); err != nil {
-		return nil, false, err
+	era, since := k.Era()
+	if !since.IsZero() && time.Since(since) < settlePeriod {
+		return nil, false, errRestored()
 	}
-	era, _ := k.Era()
 	i := writeOf(key, 0, &r)
 	i.insert = true
 	o := k.write(ctx, i)
--- a/internal/requestkey/restored.go
+++ b/internal/requestkey/restored.go
@@ -117,14 +117,6 @@
 	return rewriteWritten
 }
 
-// settling returns an error where this box learned a moment ago that the store was restored.
-func (k *Keys) settling() error {
-	if _, since := k.Era(); since.IsZero() || time.Since(since) >= settlePeriod {
-		return nil
-	}
-	return errRestored()
-}
-
 // errRestored returns the error of a key that is not claimed since the store was restored.
 func errRestored() error {
 	return fail.New(fail.Unavailable, place(), "platform_restored", "the store was restored, and may have lost who holds the key")
