A whole read notes what it accounts for, and leaves the view's revision

Cause: since a whole read raised the view's revision to that of the store. Each box that read a table as it started then was ahead of the others, which asked it for nothing and passed that on; with processor charged, boxes came late to the changes that followed. What the read accounts for is kept beside it: what a box that is behind tells of before is passed over, and taken as heard so that it is not asked again; and a box whose revision lies within the step is told all there is, since the reader never knew what had gone meanwhile (that half was wrong before, too: TestWholeReadTellsOthersWhatItNeverKnew failed). TestBoxBehindBringsNothingBack asks, in place of a revision that is never behind, that the view is not behind once it has heard: what the revision was for.

--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -182,24 +182,26 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	complete := b.Whole || b.Settled
-	if complete && b.Revision < v.revisions[b.Source] {
-		return false // the view is ahead of it
+	if complete && b.Revision < max(v.revisions[b.Source], v.floors[b.Source]) {
+		v.leap(b.Source, b.Revision)
+		v.revisions[b.Source] = max(v.revisions[b.Source], b.Revision)
+		return false // the view is ahead of it, by a whole read if not by a change
 	}
 	if b.Tentative {
 		v.tentativeTill[b.Source] = v.now().Add(tentativePeriod)
 	}
 	moved, named := v.setAll(b, complete)
-	if b.Whole {
-		moved = v.removeOthers(b, named) || moved
+	r := b.Revision
+	if b.Whole && !v.removeOthers(b, named) && !b.Settled && !b.Tentative {
+		r = b.Newest() // others lack nothing, and need not ask for it
+	} else {
+		moved = moved || b.Whole
 	}
-	// A whole read that changes nothing raises the revision without a word to others: what a
-	// box that is behind has yet to tell is accounted for, and nobody lacks anything.
-	quiet := b.Whole && !b.Settled && !b.Tentative && v.revisions[b.Source] > 0
-	moved = moved || (b.Revision > v.revisions[b.Source] && !quiet)
+	moved = moved || r > v.revisions[b.Source]
 	if complete {
 		v.leap(b.Source, b.Revision)
 	}
-	v.revisions[b.Source] = max(v.revisions[b.Source], b.Revision)
+	v.revisions[b.Source] = max(v.revisions[b.Source], r)
 	if moved {
 		v.signal()
 	}
