Requests that crash upstreams are called by the field's words

A rename without a change of behaviour: fingerprint, crash, quarantine for what was called print, end and bar. Names in logs, metrics, answers and between boxes stay.

--- a/answer.go
+++ b/answer.go
@@ -26,10 +26,10 @@
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
 	case box.KindCleared:
-		b.relay.NoteCleared(q.Prints)
+		b.relay.NoteCleared(q.Fingerprints)
 		_ = answer(&box.Reply{})
-	case box.KindEnded:
-		b.relay.NoteEnds(q.Prints, q.Ended, q.Born)
+	case box.KindCrashed:
+		b.relay.NoteCrash(q.Fingerprints, q.Crashed, q.Born)
 		_ = answer(&box.Reply{})
 	case box.KindHeartbeat:
 		_ = answer(&box.Reply{Loads: b.owners.Loads()})
--- a/assemble.go
+++ b/assemble.go
@@ -134,8 +134,10 @@
 	g := b.settings.Budget
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
 		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdMost(b.coldMost), relay.WithRests(b.rests))
-	b.relay.Cleared = func(p policy.Print) { b.tell("", box.Request{Kind: box.KindCleared, Prints: []policy.Print{p}}) }
-	b.relay.Ended = b.tellEnd
+	b.relay.Cleared = func(p policy.Fingerprint) {
+		b.tell("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
+	}
+	b.relay.Crashed = b.tellCrash
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
 	b.relay.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its answer") }
--- a/endings_test.go
+++ b/crashes_test.go
@@ -14,10 +14,10 @@
 	"github.com/linetiller/linetiller/internal/relay"
 )
 
-// TestBoxesHearUnderWhatUpstreamsEnd has callers send a request that ends each upstream which it
+// TestBoxesHearUnderWhatUpstreamsCrash has callers send a request that ends each upstream which it
 // reaches to one box after another: two upstreams end, in whichever halls, and all boxes know
 // it from then on. A hall that is cut off goes by what it has seen itself.
-func TestBoxesHearUnderWhatUpstreamsEnd(t *testing.T) {
+func TestBoxesHearUnderWhatUpstreamsCrash(t *testing.T) {
 	for _, cut := range []bool{false, true} {
 		withRoutes(t, func(t *testing.T, r *routes) {
 			ended := 0
@@ -73,9 +73,9 @@
 		const body = "asked by many"
 		for round := range 3 {
 			ends := func(upstream string) {
-				p := relay.PrintOf(&relay.Request{Body: []byte(body), Host: routedHost, Method: http.MethodPost, Target: "/call/x"})
+				p := relay.FingerprintOf(&relay.Request{Body: []byte(body), Host: routedHost, Method: http.MethodPost, Target: "/call/x"})
 				for _, b := range r.boxes {
-					b.relay.NoteEnds([]policy.Print{p}, fmt.Sprint(upstream, round), 0)
+					b.relay.NoteCrash([]policy.Fingerprint{p}, fmt.Sprint(upstream, round), 0)
 				}
 				time.Sleep(time.Second)
 			}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,7 +47,7 @@
 	MoveCopied         = Event{slog.LevelInfo, "memory of a generation copied", 312}
 	LeavingHeard       = Event{slog.LevelInfo, "upstream told that it is leaving", 313}
 	LeavingAnswered    = Event{slog.LevelInfo, "answer of an upstream that is leaving", 314}
-	UpstreamEnded      = Event{slog.LevelWarn, "upstream ended under a request", 315}
+	UpstreamCrashed    = Event{slog.LevelWarn, "upstream ended under a request", 315}
 	UpstreamRefused    = Event{slog.LevelInfo, "upstream did not run a request", 311}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
@@ -70,7 +70,7 @@
 	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, Reloaded, ReloadFailed, LinesOmitted,
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
-	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamEnded,
+	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -45,7 +45,7 @@
 	TimeBetween     Name = "linetiller_time_between_tokens_seconds"  // histogram
 	TimeToFirst     Name = "linetiller_time_to_first_token_seconds"  // histogram
 	Tokens          Name = "linetiller_tokens_total"                 // counter: delivered to clients
-	UpstreamEnds    Name = "linetiller_upstream_ends_total"          // counter: requests under which an upstream ended
+	UpstreamCrashes Name = "linetiller_upstream_ends_total"          // counter: requests under which an upstream ended
 	UpstreamReports Name = "linetiller_upstream_report_errors_total" // counter
 	UpstreamWords   Name = "linetiller_upstream_words_total"         // counter, by word: answers in which an upstream said something of itself
 )
@@ -54,7 +54,7 @@
 var Names = []Name{
 	Boxes, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
-	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamEnds, UpstreamReports,
+	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords,
 }
 
--- /dev/null
+++ b/internal/policy/quarantine_test.go
@@ -0,0 +1,104 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestTwoCrashesQuarantineARequest checks when a request is sent to no further upstream: once two starts
+// of upstreams ended under it, apart in time from others, and for as long as they are remembered.
+func TestTwoCrashesQuarantineARequest(t *testing.T) {
+	now := time.Now()
+	at := now.Add
+	type fact struct {
+		after        time.Duration
+		upstream     string
+		born         int64
+		fingerprints []Fingerprint
+	}
+	const own, other = Fingerprint(1), Fingerprint(2)
+	both := []Fingerprint{own, other}
+	for _, x := range []struct {
+		name  string
+		facts []fact
+		later time.Duration
+		want  bool
+	}{
+		{"one", []fact{{0, "a", 1, both}}, time.Second, false},
+		{"two", []fact{{0, "a", 1, both}, {time.Second, "b", 1, both}}, 2 * time.Second, true},
+		{"the second was another's", []fact{{0, "a", 1, both}, {time.Second, "b", 1, []Fingerprint{other}}}, 2 * time.Second, false},
+		{"one that several boxes tell of", []fact{{0, "a", 1, both}, {time.Second, "a", 1, both}}, 2 * time.Second, false},
+		{"one that has started again", []fact{{0, "a", 1, both}, {time.Second, "a", 2, both}}, 2 * time.Second, true},
+		{"two long ago", []fact{{0, "a", 1, both}, {time.Second, "b", 1, both}}, time.Hour, false},
+		{"a rack with one more after it", []fact{
+			{0, "a", 1, both}, {time.Millisecond, "b", 1, both}, {2 * time.Millisecond, "c", 1, both}, {time.Second, "d", 1, both},
+		}, 2 * time.Second, false},
+		{"a rack twice", []fact{
+			{0, "a", 1, both}, {0, "b", 1, nil}, {0, "c", 1, nil}, {time.Second, "d", 1, both}, {time.Second, "e", 1, nil}, {time.Second, "f", 1, nil},
+		}, 2 * time.Second, false},
+	} {
+		q := NewQuarantine()
+		for _, f := range x.facts {
+			q.Add(f.fingerprints, f.upstream, f.born, at(f.after))
+		}
+		if got := q.Quarantined(own, at(x.later)); got != x.want {
+			t.Errorf("%s: got quarantined %v, want %v", x.name, got, x.want)
+		}
+		q.Clear(own)
+		if q.Quarantined(own, at(x.later)) {
+			t.Errorf("%s: quarantined although it ran to its end", x.name)
+		}
+	}
+}
+
+// TestCrashesAreBounded has more requests than are remembered be running as upstreams end, over
+// days: what is old goes.
+func TestCrashesAreBounded(t *testing.T) {
+	now, q := time.Now(), NewQuarantine()
+	for i := range 10 {
+		var fingerprints []Fingerprint
+		for n := range 4000 {
+			fingerprints = append(fingerprints, Fingerprint(i*4000+n+1))
+		}
+		q.Add(fingerprints, fmt.Sprint("u-", i), 0, now.Add(time.Duration(i)*time.Second))
+	}
+	if got := len(q.fingerprints); got > maxFingerprints {
+		t.Errorf("requests: got %d, want at most %d", got, maxFingerprints)
+	}
+	q.Add(nil, "later", 0, now.Add(time.Hour))
+	if got := len(q.fingerprints) + len(q.recent); got != 1 {
+		t.Errorf("remembered an hour later: got %d, want 1, the end itself", got)
+	}
+}
+
+// BenchmarkQuarantine measures what a request pays for a look: while nothing is remembered, and while
+// 16 upstreams ended under 64 requests each. The third takes in such an end.
+func BenchmarkQuarantine(b *testing.B) {
+	now := time.Now()
+	fingerprints := make([]Fingerprint, 64)
+	for i := range fingerprints {
+		fingerprints[i] = Fingerprint(i + 1)
+	}
+	b.Run("empty", func(b *testing.B) {
+		q := NewQuarantine()
+		for b.Loop() {
+			_ = q.Empty()
+		}
+	})
+	b.Run("quarantined", func(b *testing.B) {
+		q := NewQuarantine()
+		for i := range 16 {
+			q.Add(fingerprints, fmt.Sprint("u-", i), 0, now.Add(time.Duration(i)*time.Second))
+		}
+		for b.Loop() {
+			_ = q.Quarantined(fingerprints[0], now)
+		}
+	})
+	b.Run("crash", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			NewQuarantine().Add(fingerprints, "u", 0, now)
+		}
+	})
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,7 +46,7 @@
 // have been paused since it was chosen.
 func (e *exchange) check(ctx context.Context, t *seat) (*resource.Upstream, error) {
 	e.relay.Fresh(ctx)
-	if err := e.barred(); err != nil {
+	if err := e.quarantined(); err != nil {
 		return nil, err // heard while it waited
 	}
 	now := time.Now()
@@ -73,7 +73,7 @@
 
 // seat finds an upstream for w: an engine that has a place for it, or a plain service.
 func (e *exchange) seat(ctx context.Context, w *policy.Work) (*seat, error) {
-	if err := e.barred(); err != nil {
+	if err := e.quarantined(); err != nil {
 		return nil, err
 	}
 	x, now := e.relay, time.Now()
--- a/internal/relay/ends_test.go
+++ b/internal/relay/crash_test.go
@@ -39,11 +39,11 @@
 	}
 }
 
-// TestRequestThatEndsUpstreams sends a request again and again that ends each upstream which it
+// TestRequestThatCrashesUpstreams sends a request again and again that ends each upstream which it
 // reaches, as callers do that come back: it was seen to end 27 engines of a small fleet in 20 s, one
 // after another, since each try and each resumption was taken for a new request. Two upstreams
 // end, and from then on it gets its final answer at once; what else runs is served.
-func TestRequestThatEndsUpstreams(t *testing.T) {
+func TestRequestThatCrashesUpstreams(t *testing.T) {
 	for _, x := range []struct {
 		name string
 		send func(r *rig, id string) *http.Request
@@ -87,9 +87,9 @@
 	}
 }
 
-// TestWhatIsNoEndOfAnUpstream checks that a request is not held to have ended upstreams that
+// TestWhatIsNoCrashOfAnUpstream checks that a request is not held to have ended upstreams that
 // live, were cut off, said that they leave, or went together with others.
-func TestWhatIsNoEndOfAnUpstream(t *testing.T) {
+func TestWhatIsNoCrashOfAnUpstream(t *testing.T) {
 	for _, x := range []struct {
 		name   string
 		strike func(r *rig, engine string)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -22,8 +22,8 @@
 	request *Request
 	writer  http.ResponseWriter
 
-	asked     policy.Print    // what it asks for; 0 before that is needed
-	avoid     map[string]bool // upstreams not to be tried again
+	asked     policy.Fingerprint // what it asks for; 0 before that is needed
+	avoid     map[string]bool    // upstreams not to be tried again
 	deadline  time.Time
 	firstIn   time.Duration // from its arrival to the first event passed on; 0 before
 	fallback  *wholeAnswer  // an upstream's failure, to be passed on where no other upstream does better
@@ -160,7 +160,7 @@
 // tryAgain reports whether another upstream is to be tried after err.
 func (e *exchange) tryAgain(err error) bool {
 	x := e.relay
-	if e.client.Err() != nil || e.tries >= triesMost || !time.Now().Before(e.deadline) || e.barred() != nil {
+	if e.client.Err() != nil || e.tries >= triesMost || !time.Now().Before(e.deadline) || e.quarantined() != nil {
 		return false
 	}
 	if !errorx.IsOfType(err, fail.NotRun) && (!e.route.Spec.Repeat.Again() || e.ran >= e.route.Spec.Attempts) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,11 +29,11 @@
 // Relay carries requests. It is safe for concurrent use; Close waits for those
 // in progress.
 type Relay struct {
-	// Cleared tells other boxes that a request ran to its end under which upstreams had ended
-	// before; a seam.
-	Cleared func(p policy.Print)
-	// Ended tells other boxes that an upstream ended under a request; a seam.
-	Ended func(u *resource.Upstream, p policy.Print)
+	// Cleared announces to other boxes that a request ran to its end under which upstreams had
+	// crashed before; a seam.
+	Cleared func(p policy.Fingerprint)
+	// Crashed announces to other boxes that an upstream crashed under a request; a seam.
+	Crashed func(u *resource.Upstream, p policy.Fingerprint)
 	// Fresh makes sure that the box's views are not those of before a pause; a seam.
 	Fresh func(ctx context.Context)
 	// Guess chooses an engine without asking for a place; a seam.
@@ -50,21 +50,21 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
-	budget    *budget.Budget
-	cancel    context.CancelFunc
-	ctx       context.Context // ends with Abort
-	ends      *policy.Ends
-	health    *health.Tracker
-	lengths   *policy.Lengths
-	log       *slog.Logger
-	meter     *meter.Meter
-	metrics   *metric.Set
-	pace      pace
-	placeWait *metrics.Histogram
-	rests     *health.Rests
-	tracker   *placement.Tracker
-	view      *resource.View
-	workers   sync.WaitGroup
+	budget     *budget.Budget
+	cancel     context.CancelFunc
+	ctx        context.Context // ends with Abort
+	quarantine *policy.Quarantine
+	health     *health.Tracker
+	lengths    *policy.Lengths
+	log        *slog.Logger
+	meter      *meter.Meter
+	metrics    *metric.Set
+	pace       pace
+	placeWait  *metrics.Histogram
+	rests      *health.Rests
+	tracker    *placement.Tracker
+	view       *resource.View
+	workers    sync.WaitGroup
 
 	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
 	closing bool
@@ -97,13 +97,13 @@
 func New(v *resource.View, t *placement.Tracker, l *policy.Lengths, hall string, m *metric.Set, log *slog.Logger, options ...Option) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Relay{
-		Cleared: func(policy.Print) {},
-		Ended:   func(*resource.Upstream, policy.Print) {},
+		Cleared: func(policy.Fingerprint) {},
+		Crashed: func(*resource.Upstream, policy.Fingerprint) {},
 		Fresh:   func(context.Context) {},
 		Leaving: func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:  func() bool { return true },
 		budget:  budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel:  cancel, ctx: ctx, ends: policy.NewEnds(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		cancel:  cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
@@ -167,17 +167,17 @@
 	return x.view.Revisions()[resource.SourceConfiguration] > 0
 }
 
-// NoteCleared takes in that requests ran to their ends at another box.
-func (x *Relay) NoteCleared(prints []policy.Print) {
+// NoteCleared records that requests ran to their ends at another box.
+func (x *Relay) NoteCleared(prints []policy.Fingerprint) {
 	for _, p := range prints {
-		x.ends.Clear(p)
+		x.quarantine.Clear(p)
 	}
 }
 
-// NoteEnds takes in that an upstream, which was born at a time, ended under requests of another
+// NoteCrash records that an upstream, which was born at a time, crashed under requests of another
 // box.
-func (x *Relay) NoteEnds(prints []policy.Print, upstream string, born int64) {
-	x.ends.Add(prints, upstream, born, time.Now())
+func (x *Relay) NoteCrash(prints []policy.Fingerprint, upstream string, born int64) {
+	x.quarantine.Add(prints, upstream, born, time.Now())
 }
 
 // Run watches for upstreams that leave, until the context ends.
@@ -240,8 +240,8 @@
 		event.RequestFinished.Log(x.log, append(l, "status", e.status)...)
 		return
 	}
-	if fail.Reason(err) == reasonEnds {
-		x.metrics.Count(metric.Refusals, "reason", reasonEnds)
+	if fail.Reason(err) == reasonQuarantined {
+		x.metrics.Count(metric.Refusals, "reason", reasonQuarantined)
 	}
 	l = append(l, "reason", fail.Reason(err), "step", fail.Step(err), "peer", fail.Peer(err))
 	switch {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -231,7 +231,7 @@
 		if ctx.Err() != nil || fail.Reason(err) == reasonCallerGone {
 			return false, fail.Wrap(fail.Interrupted, s.place("read stream"), reasonCallerGone, err)
 		}
-		s.exchange.noteEnd(s.at())
+		s.exchange.noteCrash(s.at())
 		if a, err = s.takeOver(ctx, err); err != nil {
 			return false, err
 		}
--- a/linetiller.go
+++ b/linetiller.go
@@ -44,7 +44,7 @@
 	clientListener   net.Listener
 	clientServer     *http.Server
 	deliverer        *delivery.Deliverer
-	endings          endings
+	crashes          crashes
 	engines          *upstream.Engines
 	follower         *configuration.Follower
 	keys             *requestkey.Keys
