--- a/answer.go
+++ b/answer.go
@@ -26,10 +26,10 @@
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
 	case box.KindCleared:
-		b.relay.NoteCleared(q.Fingerprints)
+		b.relay.NoteCleared(q.Fingerprints, q.From.Name)
 		_ = answer(&box.Reply{})
 	case box.KindCrashed:
-		b.relay.NoteCrash(q.Fingerprints, q.Crashed, q.Born)
+		b.relay.NoteCrash(q.Fingerprints, q.Crashed, q.Born, q.From.Name)
 		_ = answer(&box.Reply{})
 	case box.KindHeartbeat:
 		_ = answer(&box.Reply{Loads: b.owners.Loads()})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,9 @@
 	LeavingAnswered    = Event{slog.LevelInfo, "answer of an upstream that is leaving", 314}
 	UpstreamCrashed    = Event{slog.LevelWarn, "upstream ended under a request", 315}
 	UpstreamRefused    = Event{slog.LevelInfo, "upstream did not run a request", 311}
+	RequestQuarantined = Event{slog.LevelWarn, "request quarantined", 316}
+	CrashNotCounted    = Event{slog.LevelInfo, "broken request not counted as a crash", 317}
+	RequestCleared     = Event{slog.LevelInfo, "request cleared of crashes", 318}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
@@ -71,6 +74,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
+	RequestQuarantined, CrashNotCounted, RequestCleared,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,6 +19,7 @@
 	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
 	KeyRewrites     Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	CrashesIgnored  Name = "linetiller_crashes_not_counted_total"    // counter, by reason: broken requests that were not counted as crashes of their upstreams
 	LoadAge         Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
 	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
 	Moves           Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
@@ -32,6 +33,7 @@
 	PlatformOlder   Name = "linetiller_platform_older_answers_total" // counter, by source: older than what is held, and passed over
 	PlatformReader  Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
 	PromptTokens    Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
+	Quarantined     Name = "linetiller_quarantined_requests"         // gauge: requests that are sent to no upstream, since upstreams crashed under them
 	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
 	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
 	Requests        Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
@@ -52,8 +54,8 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
-	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
+	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
+	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords,
 }
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -42,8 +42,9 @@
 	return &Quarantine{fingerprints: make(map[Fingerprint][]crash)}
 }
 
-// Add records that an upstream, which was born at a time, crashed under requests.
-func (q *Quarantine) Add(fingerprints []Fingerprint, upstream string, born int64, now time.Time) {
+// Add records that an upstream, which was born at a time, crashed under requests. It returns those
+// that are quarantined from now on.
+func (q *Quarantine) Add(fingerprints []Fingerprint, upstream string, born int64, now time.Time) (quarantined []Fingerprint) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.forget(now)
@@ -52,10 +53,15 @@
 		q.recent = append(q.recent, x)
 	}
 	for _, p := range fingerprints {
+		before := q.count(p, now)
 		if !slices.ContainsFunc(q.fingerprints[p], x.same) && (len(q.fingerprints) < maxFingerprints || q.fingerprints[p] != nil) {
 			q.fingerprints[p] = append(q.fingerprints[p], x)
 		}
+		if before < crashesMost && q.count(p, now) >= crashesMost {
+			quarantined = append(quarantined, p)
+		}
 	}
+	return quarantined
 }
 
 // Quarantined reports whether a request may be sent to no further upstream.
@@ -78,13 +84,7 @@
 func (q *Quarantine) Crashes(p Fingerprint, now time.Time) int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	n := 0
-	for _, x := range q.fingerprints[p] {
-		if now.Sub(x.at) < crashLife && !q.together(&x) {
-			n++
-		}
-	}
-	return n
+	return q.count(p, now)
 }
 
 // Empty reports whether nothing is remembered of any request.
@@ -94,6 +94,30 @@
 	return len(q.fingerprints) == 0
 }
 
+// Size returns how many requests are quarantined.
+func (q *Quarantine) Size(now time.Time) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	n := 0
+	for p := range q.fingerprints {
+		if q.count(p, now) >= crashesMost {
+			n++
+		}
+	}
+	return n
+}
+
+// count is Crashes; the lock is held.
+func (q *Quarantine) count(p Fingerprint, now time.Time) int {
+	n := 0
+	for _, x := range q.fingerprints[p] {
+		if now.Sub(x.at) < crashLife && !q.together(&x) {
+			n++
+		}
+	}
+	return n
+}
+
 // forget drops what is old; the lock is held.
 func (q *Quarantine) forget(now time.Time) {
 	old := func(x crash) bool { return now.Sub(x.at) >= crashLife }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,6 +109,7 @@
 	for _, o := range options {
 		o(x)
 	}
+	m.Gauge(metric.Quarantined, func() float64 { return float64(x.quarantine.Size(time.Now())) })
 	return x
 }
 
@@ -168,16 +169,16 @@
 }
 
 // NoteCleared records that requests ran to their ends at another box.
-func (x *Relay) NoteCleared(prints []policy.Fingerprint) {
-	for _, p := range prints {
-		x.quarantine.Clear(p)
+func (x *Relay) NoteCleared(l []policy.Fingerprint, from string) {
+	for _, p := range l {
+		x.clear(p, from)
 	}
 }
 
 // NoteCrash records that an upstream, which was born at a time, crashed under requests of another
 // box.
-func (x *Relay) NoteCrash(prints []policy.Fingerprint, upstream string, born int64) {
-	x.quarantine.Add(prints, upstream, born, time.Now())
+func (x *Relay) NoteCrash(l []policy.Fingerprint, upstream string, born int64, from string) {
+	x.recordCrash(l, upstream, born, from)
 }
 
 // Run watches for upstreams that leave, until the context ends.
