--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -20,6 +20,8 @@
 type Engine struct {
 	// Crashed is called with the id of a request that has ended the engine; a seam.
 	Crashed func(request string)
+	// CrashedUnder is called with the body of a request that has ended the engine; a seam.
+	CrashedUnder func(body string)
 	// Peer returns the engine at an address; a seam.
 	Peer func(address string) *Engine
 
@@ -42,13 +44,13 @@
 // New returns an engine of that id.
 func New(id string, s Settings) *Engine {
 	return &Engine{
-		Crashed: func(string) {},
-		Peer:    func(string) *Engine { return nil }, changed: make(chan struct{}), copies: make(map[string]*memory), id: id, link: make(chan struct{}, 1),
+		Crashed: func(string) {}, CrashedUnder: func(string) {},
+		Peer: func(string) *Engine { return nil }, changed: make(chan struct{}), copies: make(map[string]*memory), id: id, link: make(chan struct{}, 1),
 		runs: make(map[string]*run), settings: s, started: make(map[string]int),
 	}
 }
 
-// Deadly is the body of a request that ends each engine which it reaches.
+// Deadly is how the body of a request begins that ends each engine which it reaches.
 const Deadly = "deadly"
 
 // Event returns the data of event n of a request, which is the same at every
@@ -185,9 +187,10 @@
 		return
 	}
 	visit := e.arrive(id)
-	if string(b) == Deadly {
+	if strings.HasPrefix(string(b), Deadly) && f.Status == 0 {
 		e.Die()
 		e.Crashed(id)
+		e.CrashedUnder(string(b))
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -152,3 +152,27 @@
 		}
 	})
 }
+
+// TestFailureDoesNotClearAPoisonRequest has an upstream answer a poison request with a failure of
+// its own, without running it to its end, between two crashes: that cleared it of the first, so
+// that upstreams crashed for as long as some of them failed.
+func TestFailureDoesNotClearAPoisonRequest(t *testing.T) {
+	withRig(t, 0, 8, func(t *testing.T, r *rig) {
+		r.mortal()
+		for i := range 8 {
+			f := routed.Faults{}
+			if i%2 == 1 {
+				f.Status = http.StatusInternalServerError
+			}
+			for _, e := range r.engines {
+				e.SetFaults(f)
+			}
+			q := request(t.Context(), http.MethodPost, "/once/x", fmt.Sprint("id-", i), routed.Deadly)
+			_, _, _ = r.do(q)
+			time.Sleep(time.Second)
+		}
+		if got, want := r.ended, 2; got != want {
+			t.Errorf("upstreams that crashed: got %d, want %d", got, want)
+		}
+	})
+}
