An upstream's failure does not clear a request of crashes

What callers saw: with some upstreams that answer with failures of their own, a poison request went on to crash the others. Cause: any whole answer counted as a run to its end, a 500 too, and cleared the request at all boxes. Evidence: TestFailureDoesNotClearAPoisonRequest, 4 crashes for 2, failed on.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -39,7 +39,9 @@
 		}
 		return true, fail.Wrap(fail.Unknown, p, "answer_cut", err)
 	}
-	e.cleared()
+	if a.Status < http.StatusMultipleChoices {
+		e.cleared()
+	}
 	w := &wholeAnswer{*a, b}
 	if a.Status >= http.StatusInternalServerError {
 		e.fallback = w
