Crashes that come together count, and a stream that outlives them clears its request

What callers saw: engines crashed for as long as a caller sent a poison request several times at once, or several callers different ones: 14 to 48 crashes within a minute, 10 to 42 retries later than 3 s after the third.

Cause: three crashes within 250 ms were taken for a lost rack, and counted against no request, for good. A licence to pass over evidence had no end.

Change: a crash that comes with others weighs two thirds of one that comes alone; two alone or three in any way quarantine a request. What ran at one upstream of a rack that loses its power twice is not refused, as before. What many ask for runs at all of them: half a second after a crash each box clears a request of which it has a stream that got further than the one that crashed (TestRackIsLost fails without it). A stream that is behind does not vouch, or one that crashes its engines late would never be stopped (TestStreamThatIsBehindDoesNotVouch fails without the comparison). An upstream that does not tell when it started counts again after 2 s. Boxes announce a crash with its time and its suspects; the message has a kind of its own, which boxes of before do not know: while a fleet is upgraded the two halves do not hear of each other's crashes.

--- a/answer.go
+++ b/answer.go
@@ -25,12 +25,8 @@
 		_ = answer(&box.Reply{})
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
-	case box.KindCleared:
-		b.relay.NoteCleared(q.Fingerprints, q.From.Name)
-		_ = answer(&box.Reply{})
-	case box.KindCrashed:
-		b.relay.NoteCrash(q.Fingerprints, q.Crashed, q.Born, q.From.Name)
-		_ = answer(&box.Reply{})
+	case box.KindCleared, box.KindCrashed:
+		_ = answer(b.answerCrashes(q))
 	case box.KindHeartbeat:
 		_ = answer(&box.Reply{Loads: b.owners.Loads()})
 	case box.KindInForce:
--- a/internal/box/clock.go
+++ b/internal/box/clock.go
@@ -23,14 +23,11 @@
 	for i := range q.Loads {
 		shift(&q.Loads[i].AsOf, by)
 	}
-	if q.Update == nil {
-		return
+	if q.Crash != nil {
+		shift(&q.Crash.At, by)
 	}
-	for i := range q.Update.Items {
-		if w := q.Update.Items[i].Work; w != nil {
-			shift(&w.Arrived, by)
-			shift(&w.Deadline, by)
-		}
+	if q.Update != nil {
+		q.Update.shift(by)
 	}
 }
 
@@ -51,6 +48,16 @@
 	}
 }
 
+// shift moves the times in u.
+func (u *Update) shift(by time.Duration) {
+	for i := range u.Items {
+		if w := u.Items[i].Work; w != nil {
+			shift(&w.Arrived, by)
+			shift(&w.Deadline, by)
+		}
+	}
+}
+
 func shift(t *time.Time, by time.Duration) {
 	if !t.IsZero() {
 		*t = t.Add(by)
--- a/internal/box/clock_test.go
+++ b/internal/box/clock_test.go
@@ -20,6 +20,11 @@
 	if got, want := here.Sub(q.Ask.Work.Arrived), time.Second; got != want {
 		t.Errorf("age: got %s, want %s", got, want)
 	}
+	q = &Request{SentAt: there, Crash: &policy.Crash{At: there.Add(-time.Minute)}}
+	q.Shift(here)
+	if got, want := here.Sub(q.Crash.At), time.Minute; got != want {
+		t.Errorf("age of a crash: got %s, want %s", got, want)
+	}
 	r := &Reply{SentAt: there, Answer: &policy.Answer{}, Load: &policy.Load{AsOf: there}}
 	r.Shift(here)
 	if got := r.Load.AsOf; !got.Equal(here) {
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -20,7 +20,7 @@
 	KindAway      Kind = "away"      // whether the platform's list of upstreams cannot be read
 	KindChanges   Kind = "changes"   // configuration after a revision
 	KindCleared   Kind = "cleared"   // that requests were served under which upstreams had crashed
-	KindCrashed   Kind = "ended"     // that an upstream ended under requests
+	KindCrashed   Kind = "crashed"   // that an upstream crashed under requests
 	KindHeartbeat Kind = "heartbeat" // that the sender lives
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
@@ -52,13 +52,13 @@
 	Ask          *Ask                 `cbor:"2,keyasint,omitempty"`
 	Away         bool                 `cbor:"11,keyasint,omitempty"` // away: it cannot be read
 	Born         int64                `cbor:"13,keyasint,omitempty"` // leaving: when the upstream started, in Unix milliseconds; 0 where that is not told
-	Crashed      string               `cbor:"14,keyasint,omitempty"` // crashed: the upstream
+	Crash        *policy.Crash        `cbor:"16,keyasint,omitempty"` // crashed
 	From         Member               `cbor:"3,keyasint"`
 	Forward      bool                 `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
 	Kind         Kind                 `cbor:"5,keyasint"`
 	Leaving      string               `cbor:"9,keyasint,omitempty"`  // leaving: the upstream
 	Loads        []policy.Load        `cbor:"10,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
-	Fingerprints []policy.Fingerprint `cbor:"15,keyasint,omitempty"` // cleared, crashed: of the requests
+	Fingerprints []policy.Fingerprint `cbor:"15,keyasint,omitempty"` // cleared: of the requests
 	Revisions    resource.Revisions   `cbor:"6,keyasint"`            // known to the sender
 	SentAt       time.Time            `cbor:"1,keyasint"`            // by the sender's clock, which times in the message are by
 	Turn         *Turn                `cbor:"8,keyasint,omitempty"`
--- /dev/null
+++ b/internal/policy/crash.go
@@ -0,0 +1,52 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Crash is the crash of one start of an upstream, with the requests that ran there, as boxes
+// announce it to one another.
+type Crash struct {
+	At       time.Time `cbor:"1,keyasint"`           // when the first box noticed it
+	Born     int64     `cbor:"2,keyasint,omitempty"` // when the upstream had started, in Unix milliseconds; 0 where that is not told
+	Suspects []Suspect `cbor:"3,keyasint,omitempty"`
+	Upstream string    `cbor:"4,keyasint"`
+}
+
+// Suspect is a request that ran at an upstream as it crashed. Most are innocent, as an upstream
+// runs many at once.
+type Suspect struct {
+	Cleared     bool        `cbor:"1,keyasint,omitempty"` // another run of it got further
+	Events      int         `cbor:"2,keyasint,omitempty"` // of its stream that had been passed on
+	Fingerprint Fingerprint `cbor:"3,keyasint"`
+}
+
+// sameStartWithin is how far apart two reports of one crash may be, of an upstream that does not
+// tell when it started.
+const sameStartWithin = 2 * time.Second
+
+// same reports whether two crashes are of the same start of an upstream.
+func (c *Crash) same(d *Crash) bool {
+	if c.Upstream != d.Upstream || c.Born != d.Born {
+		return false
+	}
+	return c.Born != 0 || c.At.Sub(d.At).Abs() < sameStartWithin
+}
+
+// suspect returns what is known of a request at the crash, or nil.
+func (c *Crash) suspect(p Fingerprint) *Suspect {
+	i := slices.IndexFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == p })
+	if i < 0 {
+		return nil
+	}
+	return &c.Suspects[i]
+}
+
+// merge adds what another box knows of the same suspect, and reports whether that is news.
+func (s *Suspect) merge(t *Suspect) bool {
+	before := *s
+	s.Cleared = s.Cleared || t.Cleared
+	s.Events = max(s.Events, t.Events)
+	return *s != before
+}
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -6,146 +6,228 @@
 	"time"
 )
 
-// Quarantine remembers under which requests upstreams crashed. Most of them are innocent, as an
-// upstream runs many at once; one under which two upstreams crashed is sent to no third, or it
-// would crash one after another.
+// Quarantine remembers under which requests upstreams crashed. A request is quarantined, and sent
+// to no further upstream, once so many crashes count against it that it is taken for their cause:
+// it would crash one upstream after another.
 //
 // It reads no clock and is safe for concurrent use.
 type Quarantine struct {
-	mutex        sync.Mutex
-	fingerprints map[Fingerprint][]crash // oldest first
-	recent       []crash                 // of all upstreams, oldest first
-}
-
-// crash is the crash of one start of an upstream.
-type crash struct {
-	at       time.Time
-	born     int64
-	upstream string
+	mutex   sync.Mutex
+	crashes []*Crash                 // oldest first
+	of      map[Fingerprint][]*Crash // those that a request is a suspect of, oldest first
+	size    int                      // suspects of all crashes
 }
 
 const (
-	// crashesMost is how many upstreams may crash under one request.
-	crashesMost = 2
-	// crashLife is how long a crash is remembered: callers come back within their deadlines.
+	// crashLife is how long a request stays a suspect: callers come back within their deadlines.
 	crashLife = 2 * time.Minute
-	// togetherLeast upstreams which crash within togetherWindow of one another are lost with a
-	// rack or their power, and not for what they ran.
+	// maxSuspects bounds what is remembered, of some 100 B each.
+	maxSuspects = 16_384
+	// togetherLeast upstreams that crash within togetherWindow of one another may have lost
+	// their rack or its power.
 	togetherLeast  = 3
 	togetherWindow = 250 * time.Millisecond
-	// maxFingerprints bounds the requests that are remembered, of some 200 B each.
-	maxFingerprints = 16_384
+
+	// A request is quarantined at quarantineWeight: after two crashes, as after one each of the
+	// requests that ran there would be refused. Of crashes that come together it takes three: what
+	// ran in a rack that loses its power twice is not refused, and a caller that sends several poison
+	// requests at once is stopped nonetheless.
+	aloneWeight      = 3
+	togetherWeight   = 2
+	quarantineWeight = 6
 )
 
 // NewQuarantine returns a quarantine of no request.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{fingerprints: make(map[Fingerprint][]crash)}
+	return &Quarantine{of: make(map[Fingerprint][]*Crash)}
 }
 
-// Add records that an upstream, which was born at a time, crashed under requests. It returns those
-// that are quarantined from now on.
-func (q *Quarantine) Add(fingerprints []Fingerprint, upstream string, born int64, now time.Time) (quarantined []Fingerprint) {
+// Clear records that a run of a request got further than those that crashed: they crashed for
+// another reason. It reports whether that is news.
+func (q *Quarantine) Clear(p Fingerprint) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.forget(now)
-	x := crash{now, born, upstream}
-	if !slices.ContainsFunc(q.recent, x.same) {
-		q.recent = append(q.recent, x)
-	}
-	for _, p := range fingerprints {
-		before := q.count(p, now)
-		if !slices.ContainsFunc(q.fingerprints[p], x.same) && (len(q.fingerprints) < maxFingerprints || q.fingerprints[p] != nil) {
-			q.fingerprints[p] = append(q.fingerprints[p], x)
-		}
-		if before < crashesMost && q.count(p, now) >= crashesMost {
-			quarantined = append(quarantined, p)
-		}
+	news := false
+	for _, c := range q.of[p] {
+		s := c.suspect(p)
+		news = news || !s.Cleared
+		s.Cleared = true
 	}
-	return quarantined
+	return news
 }
 
-// Quarantined reports whether a request may be sent to no further upstream.
-func (q *Quarantine) Quarantined(p Fingerprint, now time.Time) bool {
-	return q.Crashes(p, now) >= crashesMost
+// Crashes returns how many upstreams crashed under a request that it is a suspect of.
+func (q *Quarantine) Crashes(p Fingerprint, now time.Time) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.forget(p, now)
+	n := 0
+	for _, c := range q.of[p] {
+		if !c.suspect(p).Cleared {
+			n++
+		}
+	}
+	return n
 }
 
-// Clear records that a request ran to its end: upstreams crashed for another reason. It reports
-// whether any had crashed under it.
-func (q *Quarantine) Clear(p Fingerprint) bool {
+// Empty reports whether nothing is remembered of any request.
+func (q *Quarantine) Empty() bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	_, crashed := q.fingerprints[p]
-	delete(q.fingerprints, p)
-	return crashed
+	return len(q.of) == 0
 }
 
-// Crashes returns how many upstreams crashed under a request, but for those that crashed together
-// with others.
-func (q *Quarantine) Crashes(p Fingerprint, now time.Time) int {
+// Quarantined reports whether a request may be sent to no further upstream.
+func (q *Quarantine) Quarantined(p Fingerprint, now time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.count(p, now)
+	q.forget(p, now)
+	return q.weight(p) >= quarantineWeight
 }
 
-// Empty reports whether nothing is remembered of any request.
-func (q *Quarantine) Empty() bool {
+// Record adds what boxes know of crashes. It returns the requests that are quarantined from now
+// on, and reports whether anything was news.
+func (q *Quarantine) Record(l []Crash, now time.Time) (quarantined []Fingerprint, news bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return len(q.fingerprints) == 0
+	q.forgetAll(now)
+	before := make(map[Fingerprint]bool)
+	for i := range l {
+		for _, s := range l[i].Suspects {
+			before[s.Fingerprint] = q.weight(s.Fingerprint) >= quarantineWeight
+		}
+	}
+	for i := range l {
+		news = q.record(&l[i]) || news
+	}
+	q.forgetAll(now)
+	for p, was := range before {
+		if !was && q.weight(p) >= quarantineWeight {
+			quarantined = append(quarantined, p)
+		}
+	}
+	slices.Sort(quarantined)
+	return quarantined, news
 }
 
 // Size returns how many requests are quarantined.
 func (q *Quarantine) Size(now time.Time) int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.forgetAll(now)
 	n := 0
-	for p := range q.fingerprints {
-		if q.count(p, now) >= crashesMost {
+	for p := range q.of {
+		if q.weight(p) >= quarantineWeight {
 			n++
 		}
 	}
 	return n
 }
 
-// count is Crashes; the lock is held.
-func (q *Quarantine) count(p Fingerprint, now time.Time) int {
-	n := 0
-	for _, x := range q.fingerprints[p] {
-		if now.Sub(x.at) < crashLife && !q.together(&x) {
-			n++
+// drop removes a request from a crash; the lock is held.
+func (q *Quarantine) drop(p Fingerprint, c *Crash) {
+	i := slices.IndexFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == p })
+	c.Suspects = slices.Delete(c.Suspects, i, i+1)
+	q.size--
+	l := q.of[p]
+	i = slices.Index(l, c)
+	if l = slices.Delete(l, i, i+1); len(l) == 0 {
+		delete(q.of, p)
+		return
+	}
+	q.of[p] = l
+}
+
+// forget drops the crashes of a request that are too old to count; the lock is held.
+func (q *Quarantine) forget(p Fingerprint, now time.Time) {
+	for _, c := range slices.Clone(q.of[p]) {
+		if now.Sub(c.At) >= crashLife {
+			q.drop(p, c)
 		}
 	}
-	return n
 }
 
-// forget drops what is old; the lock is held.
-func (q *Quarantine) forget(now time.Time) {
-	old := func(x crash) bool { return now.Sub(x.at) >= crashLife }
-	if len(q.recent) == 0 || !old(q.recent[0]) {
+// forgetAll drops what is too old to count; the lock is held.
+func (q *Quarantine) forgetAll(now time.Time) {
+	old := func(c *Crash) bool { return now.Sub(c.At) >= crashLife }
+	if len(q.crashes) == 0 || !old(q.crashes[0]) {
 		return
 	}
-	q.recent = slices.DeleteFunc(q.recent, old)
-	for p, l := range q.fingerprints {
-		if l = slices.DeleteFunc(l, old); len(l) == 0 {
-			delete(q.fingerprints, p)
-		} else {
-			q.fingerprints[p] = l
+	for p := range q.of {
+		q.forget(p, now)
+	}
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool { return old(c) && len(c.Suspects) == 0 })
+}
+
+// makeRoom drops the oldest suspects that are not quarantined until there is room for another
+// one, and reports whether there is; the lock is held.
+func (q *Quarantine) makeRoom() bool {
+	if q.size < maxSuspects {
+		return true
+	}
+	for _, c := range q.crashes {
+		for _, s := range slices.Clone(c.Suspects) {
+			if q.weight(s.Fingerprint) < quarantineWeight {
+				q.drop(s.Fingerprint, c)
+			}
+		}
+		if q.size < maxSuspects {
+			return true
 		}
 	}
+	return false
 }
 
-// same reports whether two crashes are those of one start of an upstream.
-func (x *crash) same(y crash) bool {
-	return x.upstream == y.upstream && x.born == y.born
+// record adds what is known of one crash, and reports whether that is news; the lock is held.
+func (q *Quarantine) record(d *Crash) (news bool) {
+	i := slices.IndexFunc(q.crashes, d.same)
+	if i < 0 {
+		c := &Crash{At: d.At, Born: d.Born, Upstream: d.Upstream}
+		i = len(q.crashes)
+		for i > 0 && q.crashes[i-1].At.After(c.At) {
+			i--
+		}
+		q.crashes = slices.Insert(q.crashes, i, c)
+	}
+	c := q.crashes[i]
+	for _, s := range d.Suspects {
+		if known := c.suspect(s.Fingerprint); known != nil {
+			news = known.merge(&s) || news
+			continue
+		}
+		if !q.makeRoom() {
+			return news
+		}
+		c.Suspects = append(c.Suspects, s)
+		q.of[s.Fingerprint] = append(q.of[s.Fingerprint], c)
+		q.size++
+		news = true
+	}
+	return news
 }
 
 // together reports whether an upstream crashed with others; the lock is held.
-func (q *Quarantine) together(x *crash) bool {
+func (q *Quarantine) together(c *Crash) bool {
 	n := 0
-	for _, y := range q.recent {
-		if y.at.Sub(x.at).Abs() < togetherWindow {
+	for _, d := range q.crashes {
+		if d.At.Sub(c.At).Abs() < togetherWindow {
 			n++
 		}
 	}
 	return n >= togetherLeast
 }
+
+// weight returns how much the crashes of a request weigh; the lock is held.
+func (q *Quarantine) weight(p Fingerprint) int {
+	n := 0
+	for _, c := range q.of[p] {
+		switch {
+		case c.suspect(p).Cleared:
+		case q.together(c):
+			n += togetherWeight
+		default:
+			n += aloneWeight
+		}
+	}
+	return n
+}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +19,14 @@
 // without the process refuses a connection within milliseconds, and one that is cut off is silent.
 const crashWaitPeriod = 50 * time.Millisecond
 
+// A stream vouches for a request with the same fingerprint where, vouchDelay after that one's
+// upstream crashed, it is at least furtherLeast events further: a poison request would have
+// crashed its own upstream.
+const (
+	furtherLeast = 8
+	vouchDelay   = 500 * time.Millisecond
+)
+
 // reasonQuarantined is the reason of the failure of a quarantined request.
 const reasonQuarantined = "ends_upstreams"
 
@@ -50,15 +60,17 @@
 	}
 }
 
-// noteCrash finds out whether an upstream that broke off has crashed under the request, and
-// records it. A broken connection, a cut, a slow answer or a planned stop is no crash.
-func (e *exchange) noteCrash(u *resource.Upstream) {
-	x := e.relay
-	if r := e.noCrash(u, time.Now()); r != "" {
+// noteCrash finds out whether an upstream that broke off has crashed under the request, whose
+// stream had got so many events, and records it. A broken connection, a cut, a slow answer or a
+// planned stop is no crash.
+func (e *exchange) noteCrash(u *resource.Upstream, events int) {
+	x, now := e.relay, time.Now()
+	if r := e.noCrash(u, now); r != "" {
 		e.ignoreCrash(u, r)
 		return
 	}
-	p := e.fingerprint()
+	s := policy.Suspect{Events: events, Fingerprint: e.fingerprint()}
+	c := policy.Crash{At: now, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}
 	known := make(chan struct{})
 	x.workers.Go(func() {
 		defer close(known)
@@ -68,10 +80,10 @@
 			e.ignoreCrash(u, ignoredNotRefused)
 			return
 		}
-		x.recordCrash([]policy.Fingerprint{p}, u.Name, u.Spec.Born, "")
 		x.metrics.Add(metric.UpstreamCrashes, 1)
-		event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(p, time.Now()), "asked", p.String())
-		x.Crashed(u, p)
+		x.recordCrash(&c, "")
+		event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
+		x.Crashed(&c)
 	})
 	select {
 	case <-known:
@@ -110,12 +122,53 @@
 	return true
 }
 
-// recordCrash records a crash that a box saw, "" for this one.
-func (x *Relay) recordCrash(l []policy.Fingerprint, upstream string, born int64, from string) {
+// recordCrash records a crash that a box announced, "" for this one.
+func (x *Relay) recordCrash(c *policy.Crash, from string) {
 	now := time.Now()
-	for _, p := range x.quarantine.Add(l, upstream, born, now) {
-		event.RequestQuarantined.Log(x.log, "asked", p.String(), "upstream", upstream, "crashes", x.quarantine.Crashes(p, now), "from", from)
+	l, news := x.quarantine.Record([]policy.Crash{*c}, now)
+	for _, p := range l {
+		event.RequestQuarantined.Log(x.log, "asked", p.String(), "upstream", c.Upstream, "crashes", x.quarantine.Crashes(p, now), "from", from)
+	}
+	if news {
+		x.vouch(c)
+	}
+}
+
+// vouch clears, after a moment, the suspects of a crash of which this box has a stream that gets
+// further than the run that crashed: what many ask for is running at every upstream of a rack
+// that loses its power.
+func (x *Relay) vouch(c *policy.Crash) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.closing || len(x.streams) == 0 {
+		return
+	}
+	x.workers.Go(func() {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-time.After(vouchDelay):
+		}
+		for _, s := range c.Suspects {
+			if x.outlives(&s) && x.clear(s.Fingerprint, "") {
+				x.Cleared(s.Fingerprint)
+			}
+		}
+	})
+}
+
+// outlives reports whether this box has a stream of the same request that got further than the
+// suspect's.
+func (x *Relay) outlives(s *policy.Suspect) bool {
+	x.mutex.Lock()
+	l := slices.Collect(maps.Keys(x.streams))
+	x.mutex.Unlock()
+	for _, y := range l {
+		if y.position() > s.Events+furtherLeast && FingerprintOf(y.exchange.request) == s.Fingerprint {
+			return true
+		}
 	}
+	return false
 }
 
 // fingerprint returns the request's fingerprint, whoever sends it and however often.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -176,3 +176,35 @@
 		}
 	})
 }
+
+// TestStreamThatIsBehindDoesNotVouch crashes upstreams under streams of one request at their
+// twentieth event, while others of it are not as far: a stream vouches only for what it has outlived, or a request that crashes its upstreams late would never
+// be quarantined.
+func TestStreamThatIsBehindDoesNotVouch(t *testing.T) {
+	withRig(t, 12, 0, func(t *testing.T, r *rig) {
+		var next atomic.Int32
+		r.relay.Place = func(context.Context, *policy.Work, map[string]bool) (*placement.Place, error) {
+			return &placement.Place{Granted: time.Now(), Upstream: r.view.Upstream(fmt.Sprint("u", next.Add(1)))}, nil
+		}
+		var g sync.WaitGroup
+		send := func(i int) {
+			g.Go(func() {
+				_, _ = r.read(plan(t.Context(), fmt.Sprint("id-", i), 1200), func(events int) {
+					if n := fmt.Sprint("u", i); events == 20 {
+						r.die(n)
+					}
+				})
+			})
+		}
+		for i := 1; i <= 7; i++ { // the last is still running as it could vouch for the first
+			send(i)
+			if i%3 == 0 {
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		g.Wait()
+		if w, _, _ := r.do(plan(t.Context(), "again", 1200)); w.StatusCode != http.StatusBadGateway {
+			t.Errorf("a caller that comes back: got status %d, want 502", w.StatusCode)
+		}
+	})
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		e.relay.health.Answered(e.upstream.Name, true, nil, time.Now())
 		if ctx.Err() == nil {
-			e.noteCrash(e.upstream)
+			e.noteCrash(e.upstream, 0)
 		}
 		return true, fail.Wrap(fail.Unknown, p, "answer_cut", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	// crashed before; a seam.
 	Cleared func(p policy.Fingerprint)
 	// Crashed announces to other boxes that an upstream crashed under a request; a seam.
-	Crashed func(u *resource.Upstream, p policy.Fingerprint)
+	Crashed func(c *policy.Crash)
 	// Fresh makes sure that the box's views are not those of before a pause; a seam.
 	Fresh func(ctx context.Context)
 	// Guess chooses an engine without asking for a place; a seam.
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Relay{
 		Cleared: func(policy.Fingerprint) {},
-		Crashed: func(*resource.Upstream, policy.Fingerprint) {},
+		Crashed: func(*policy.Crash) {},
 		Fresh:   func(context.Context) {},
 		Leaving: func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:  func() bool { return true },
@@ -175,10 +175,9 @@
 	}
 }
 
-// NoteCrash records that an upstream, which was born at a time, crashed under requests of another
-// box.
-func (x *Relay) NoteCrash(l []policy.Fingerprint, upstream string, born int64, from string) {
-	x.recordCrash(l, upstream, born, from)
+// NoteCrash records a crash that another box announced.
+func (x *Relay) NoteCrash(c *policy.Crash, from string) {
+	x.recordCrash(c, from)
 }
 
 // Run watches for upstreams that leave, until the context ends.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -133,7 +133,7 @@
 			x.health.Answered(u.Name, true, nil, now)
 		}
 		if ctx.Err() == nil {
-			e.noteCrash(u)
+			e.noteCrash(u, 0)
 		}
 		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
 		return nil, true, err
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -213,6 +213,13 @@
 	return fail.Place{Peer: "upstream " + s.at().Name, Step: step}
 }
 
+// position returns the number of the last event passed on, counted from the beginning of the
+// generation.
+func (s *stream) position() int {
+	n, _ := eventNumber(s.exchange.request.LastEventID)
+	return int(n) + s.eventsPassed()
+}
+
 // run passes the stream on until its end, from one upstream after another. It reports
 // whether another upstream may be tried from the beginning.
 func (s *stream) run(ctx context.Context, a *Answer) (again bool, err error) {
@@ -231,7 +238,7 @@
 		if ctx.Err() != nil || fail.Reason(err) == reasonCallerGone {
 			return false, fail.Wrap(fail.Interrupted, s.place("read stream"), reasonCallerGone, err)
 		}
-		s.exchange.noteCrash(s.at())
+		s.exchange.noteCrash(s.at(), s.position())
 		if a, err = s.takeOver(ctx, err); err != nil {
 			return false, err
 		}
