A quarantine lasts for as long as the request returns, but for three trials

What callers saw: a caller that returned every 20 s had two more engines crash every two minutes, 52 within an hour. Cause: what is known of a request was forgotten two minutes after the last crash, while refusals of it went on; forgetting was bound to the crash, and not to what made it worth knowing.

Ways weighed: forget after a longer time (a caller outlasts any); renew it with each return and never let go (one that was quarantined by chance and is popular is refused for ever); both. A run that ends well clears it; after the third trial it stays. A suspect that is not quarantined is forgotten after two minutes, as before, and a flood of such pushes out suspects only (TestFloodDoesNotPushOutAQuarantine).

--- a/assemble.go
+++ b/assemble.go
@@ -137,7 +137,7 @@
 	b.relay.Cleared = func(p policy.Fingerprint) {
 		b.tell("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
 	}
-	b.relay.Crashed = b.announceCrash
+	b.relay.Crashed = b.announceCrashes
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
 	b.relay.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its answer") }
--- a/crashes_test.go
+++ b/crashes_test.go
@@ -75,7 +75,7 @@
 			ends := func(upstream string) {
 				p := relay.FingerprintOf(&relay.Request{Body: []byte(body), Host: routedHost, Method: http.MethodPost, Target: "/call/x"})
 				for _, b := range r.boxes {
-					b.relay.NoteCrash(&policy.Crash{At: time.Now(), Suspects: []policy.Suspect{{Fingerprint: p}}, Upstream: fmt.Sprint(upstream, round)}, "")
+					b.relay.NoteCrashes([]policy.Crash{{At: time.Now(), Suspects: []policy.Suspect{{Fingerprint: p}}, Upstream: fmt.Sprint(upstream, round)}}, "")
 				}
 				time.Sleep(time.Second)
 			}
--- a/internal/box/clock.go
+++ b/internal/box/clock.go
@@ -1,6 +1,10 @@
 package box
 
-import "time"
+import (
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+)
 
 // Clocks of boxes may differ by seconds and jump. Times in a message are by the
 // sender's clock; the receiver shifts them by the difference between its own
@@ -23,9 +27,7 @@
 	for i := range q.Loads {
 		shift(&q.Loads[i].AsOf, by)
 	}
-	if q.Crash != nil {
-		shift(&q.Crash.At, by)
-	}
+	shiftCrashes(q.Crashes, by)
 	if q.Update != nil {
 		q.Update.shift(by)
 	}
@@ -58,6 +60,13 @@
 	}
 }
 
+func shiftCrashes(l []policy.Crash, by time.Duration) {
+	for i := range l {
+		shift(&l[i].At, by)
+		shift(&l[i].SeenAt, by)
+	}
+}
+
 func shift(t *time.Time, by time.Duration) {
 	if !t.IsZero() {
 		*t = t.Add(by)
--- a/internal/box/clock_test.go
+++ b/internal/box/clock_test.go
@@ -20,9 +20,9 @@
 	if got, want := here.Sub(q.Ask.Work.Arrived), time.Second; got != want {
 		t.Errorf("age: got %s, want %s", got, want)
 	}
-	q = &Request{SentAt: there, Crash: &policy.Crash{At: there.Add(-time.Minute)}}
+	q = &Request{SentAt: there, Crashes: []policy.Crash{{At: there.Add(-time.Minute)}}}
 	q.Shift(here)
-	if got, want := here.Sub(q.Crash.At), time.Minute; got != want {
+	if got, want := here.Sub(q.Crashes[0].At), time.Minute; got != want || !q.Crashes[0].SeenAt.IsZero() {
 		t.Errorf("age of a crash: got %s, want %s", got, want)
 	}
 	r := &Reply{SentAt: there, Answer: &policy.Answer{}, Load: &policy.Load{AsOf: there}}
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -20,7 +20,7 @@
 	KindAway      Kind = "away"      // whether the platform's list of upstreams cannot be read
 	KindChanges   Kind = "changes"   // configuration after a revision
 	KindCleared   Kind = "cleared"   // that requests were served under which upstreams had crashed
-	KindCrashed   Kind = "crashed"   // that an upstream crashed under requests
+	KindCrashed   Kind = "crashed"   // what the sender learned of crashes of upstreams
 	KindHeartbeat Kind = "heartbeat" // that the sender lives
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
@@ -52,7 +52,7 @@
 	Ask          *Ask                 `cbor:"2,keyasint,omitempty"`
 	Away         bool                 `cbor:"11,keyasint,omitempty"` // away: it cannot be read
 	Born         int64                `cbor:"13,keyasint,omitempty"` // leaving: when the upstream started, in Unix milliseconds; 0 where that is not told
-	Crash        *policy.Crash        `cbor:"16,keyasint,omitempty"` // crashed
+	Crashes      []policy.Crash       `cbor:"16,keyasint,omitempty"` // crashed
 	From         Member               `cbor:"3,keyasint"`
 	Forward      bool                 `cbor:"4,keyasint,omitempty"` // in-force: ask the whole hall
 	Kind         Kind                 `cbor:"5,keyasint"`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,7 @@
 	RequestQuarantined = Event{slog.LevelWarn, "request quarantined", 316}
 	CrashNotCounted    = Event{slog.LevelInfo, "broken request not counted as a crash", 317}
 	RequestCleared     = Event{slog.LevelInfo, "request cleared of crashes", 318}
+	RequestTried       = Event{slog.LevelWarn, "quarantined request tried again", 319}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
@@ -74,7 +75,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
-	RequestQuarantined, CrashNotCounted, RequestCleared,
+	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -10,6 +10,7 @@
 type Crash struct {
 	At       time.Time `cbor:"1,keyasint"`           // when the first box noticed it
 	Born     int64     `cbor:"2,keyasint,omitempty"` // when the upstream had started, in Unix milliseconds; 0 where that is not told
+	SeenAt   time.Time `cbor:"5,keyasint,omitzero"`  // when a quarantined suspect last returned, within some time
 	Suspects []Suspect `cbor:"3,keyasint,omitempty"`
 	Upstream string    `cbor:"4,keyasint"`
 }
@@ -20,12 +21,21 @@
 	Cleared     bool        `cbor:"1,keyasint,omitempty"` // another run of it got further
 	Events      int         `cbor:"2,keyasint,omitempty"` // of its stream that had been passed on
 	Fingerprint Fingerprint `cbor:"3,keyasint"`
+	Trials      int         `cbor:"4,keyasint,omitempty"` // runs that were let through since it is quarantined
 }
 
 // sameStartWithin is how far apart two reports of one crash may be, of an upstream that does not
 // tell when it started.
 const sameStartWithin = 2 * time.Second
 
+// lastAt returns when the crash was last of importance to a quarantined suspect.
+func (c *Crash) lastAt() time.Time {
+	if c.SeenAt.After(c.At) {
+		return c.SeenAt
+	}
+	return c.At
+}
+
 // same reports whether two crashes are of the same start of an upstream.
 func (c *Crash) same(d *Crash) bool {
 	if c.Upstream != d.Upstream || c.Born != d.Born {
@@ -48,5 +58,6 @@
 	before := *s
 	s.Cleared = s.Cleared || t.Cleared
 	s.Events = max(s.Events, t.Events)
+	s.Trials = max(s.Trials, t.Trials)
 	return *s != before
 }
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -21,6 +21,15 @@
 const (
 	// crashLife is how long a request stays a suspect: callers come back within their deadlines.
 	crashLife = 2 * time.Minute
+	// quarantineLife is how long a request stays quarantined after it last returned or crashed
+	// an upstream. Boxes tell each other of returns every renewPeriod.
+	quarantineLife = 24 * time.Hour
+	renewPeriod    = time.Hour
+	// A quarantined request is let through once after trialPeriod, and again after twice as long
+	// each time: what was taken for the cause of crashes by chance is cleared by that run. After
+	// trialsMost it is for as long as it returns.
+	trialPeriod = 10 * time.Minute
+	trialsMost  = 3
 	// maxSuspects bounds what is remembered, of some 100 B each.
 	maxSuspects = 16_384
 	// togetherLeast upstreams that crash within togetherWindow of one another may have lost
@@ -82,7 +91,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.forget(p, now)
-	return q.weight(p) >= quarantineWeight
+	return q.weight(p) >= quarantineWeight && q.trials(p) >= q.trialsDue(p, now)
 }
 
 // Record adds what boxes know of crashes. It returns the requests that are quarantined from now
@@ -110,6 +119,21 @@
 	return quarantined, news
 }
 
+// Renew records that a request returned. It returns its crashes where the other boxes have to know
+// that.
+func (q *Quarantine) Renew(p Fingerprint, now time.Time) []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.forget(p, now)
+	if q.weight(p) < quarantineWeight || now.Sub(q.lastAt(p)) < renewPeriod {
+		return nil
+	}
+	for _, c := range q.of[p] {
+		c.SeenAt = now
+	}
+	return q.copies(p)
+}
+
 // Size returns how many requests are quarantined.
 func (q *Quarantine) Size(now time.Time) int {
 	q.mutex.Lock()
@@ -124,6 +148,33 @@
 	return n
 }
 
+// TakeTrial records that a quarantined request is let through, where that is due. It returns its
+// crashes, which the other boxes have to know, or nil.
+func (q *Quarantine) TakeTrial(p Fingerprint, now time.Time) []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.forget(p, now)
+	n := q.trialsDue(p, now)
+	if q.weight(p) < quarantineWeight || q.trials(p) >= n {
+		return nil
+	}
+	for _, c := range q.of[p] {
+		c.suspect(p).Trials = n
+	}
+	return q.copies(p)
+}
+
+// copies returns the crashes of a request with itself as their only suspect; the lock is held.
+func (q *Quarantine) copies(p Fingerprint) []Crash {
+	var l []Crash
+	for _, c := range q.of[p] {
+		d := *c
+		d.Suspects = []Suspect{*c.suspect(p)}
+		l = append(l, d)
+	}
+	return l
+}
+
 // drop removes a request from a crash; the lock is held.
 func (q *Quarantine) drop(p Fingerprint, c *Crash) {
 	i := slices.IndexFunc(c.Suspects, func(s Suspect) bool { return s.Fingerprint == p })
@@ -140,8 +191,15 @@
 
 // forget drops the crashes of a request that are too old to count; the lock is held.
 func (q *Quarantine) forget(p Fingerprint, now time.Time) {
+	life := crashLife
+	if q.weight(p) >= quarantineWeight {
+		if now.Sub(q.lastAt(p)) < quarantineLife {
+			return
+		}
+		life = 0
+	}
 	for _, c := range slices.Clone(q.of[p]) {
-		if now.Sub(c.At) >= crashLife {
+		if now.Sub(c.At) >= life {
 			q.drop(p, c)
 		}
 	}
@@ -156,7 +214,21 @@
 	for p := range q.of {
 		q.forget(p, now)
 	}
-	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool { return old(c) && len(c.Suspects) == 0 })
+	// Those that crashed with others outlast their suspects.
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
+		return len(c.Suspects) == 0 && now.Sub(c.At) >= crashLife+togetherWindow
+	})
+}
+
+// lastAt returns when a request last returned or crashed an upstream; the lock is held.
+func (q *Quarantine) lastAt(p Fingerprint) time.Time {
+	var t time.Time
+	for _, c := range q.of[p] {
+		if x := c.lastAt(); x.After(t) {
+			t = x
+		}
+	}
+	return t
 }
 
 // makeRoom drops the oldest suspects that are not quarantined until there is room for another
@@ -178,6 +250,18 @@
 	return false
 }
 
+// quarantinedAt returns when the crash was noticed that put a request into quarantine; the lock is
+// held.
+func (q *Quarantine) quarantinedAt(p Fingerprint) time.Time {
+	n := 0
+	for _, c := range q.of[p] {
+		if n += q.weightOf(p, c); n >= quarantineWeight {
+			return c.At
+		}
+	}
+	return time.Time{}
+}
+
 // record adds what is known of one crash, and reports whether that is news; the lock is held.
 func (q *Quarantine) record(d *Crash) (news bool) {
 	i := slices.IndexFunc(q.crashes, d.same)
@@ -190,6 +274,9 @@
 		q.crashes = slices.Insert(q.crashes, i, c)
 	}
 	c := q.crashes[i]
+	if d.SeenAt.After(c.SeenAt) {
+		c.SeenAt = d.SeenAt
+	}
 	for _, s := range d.Suspects {
 		if known := c.suspect(s.Fingerprint); known != nil {
 			news = known.merge(&s) || news
@@ -200,6 +287,7 @@
 		}
 		c.Suspects = append(c.Suspects, s)
 		q.of[s.Fingerprint] = append(q.of[s.Fingerprint], c)
+		slices.SortFunc(q.of[s.Fingerprint], func(a, b *Crash) int { return a.At.Compare(b.At) })
 		q.size++
 		news = true
 	}
@@ -217,17 +305,41 @@
 	return n >= togetherLeast
 }
 
+// trials returns how often a request was let through; the lock is held.
+func (q *Quarantine) trials(p Fingerprint) int {
+	n := 0
+	for _, c := range q.of[p] {
+		n = max(n, c.suspect(p).Trials)
+	}
+	return n
+}
+
+// trialsDue returns how often a quarantined request was to be let through by now; the lock is held.
+func (q *Quarantine) trialsDue(p Fingerprint, now time.Time) int {
+	since := now.Sub(q.quarantinedAt(p))
+	n := 0
+	for n < trialsMost && since >= trialPeriod<<(n+1)-trialPeriod {
+		n++
+	}
+	return n
+}
+
 // weight returns how much the crashes of a request weigh; the lock is held.
 func (q *Quarantine) weight(p Fingerprint) int {
 	n := 0
 	for _, c := range q.of[p] {
-		switch {
-		case c.suspect(p).Cleared:
-		case q.together(c):
-			n += togetherWeight
-		default:
-			n += aloneWeight
-		}
+		n += q.weightOf(p, c)
 	}
 	return n
 }
+
+// weightOf returns how much one crash of a request weighs; the lock is held.
+func (q *Quarantine) weightOf(p Fingerprint, c *Crash) int {
+	switch {
+	case c.suspect(p).Cleared:
+		return 0
+	case q.together(c):
+		return togetherWeight
+	}
+	return aloneWeight
+}
--- a/internal/policy/quarantine_test.go
+++ b/internal/policy/quarantine_test.go
@@ -115,6 +115,16 @@
 			_ = q.Quarantined(fingerprints[0], now)
 		}
 	})
+	b.Run("other", func(b *testing.B) {
+		q := NewQuarantine()
+		for i := range 16 {
+			at := now.Add(time.Duration(i) * time.Second)
+			q.Record([]Crash{crashOf(fmt.Sprint("u-", i), 0, at, fingerprints...)}, at)
+		}
+		for b.Loop() {
+			_ = q.Quarantined(1<<40, now)
+		}
+	})
 	b.Run("crash", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
@@ -122,3 +132,108 @@
 		}
 	})
 }
+
+// TestQuarantineLastsWhileTheRequestReturns has a poison request return every 20 s for three days,
+// at boxes that tell each other what they learn: it is let through three times and no more.
+func TestQuarantineLastsWhileTheRequestReturns(t *testing.T) {
+	const p = Fingerprint(1)
+	start := time.Now()
+	a, b := NewQuarantine(), NewQuarantine()
+	for i := range 2 {
+		l := []Crash{crashOf(fmt.Sprint("u-", i), 1, start, p)}
+		a.Record(l, start)
+		b.Record(l, start)
+	}
+	var trials []time.Duration
+	for now := start; now.Sub(start) < 72*time.Hour; now = now.Add(20 * time.Second) {
+		a, b = b, a // it returns to one after the other
+		if l := a.Renew(p, now); l != nil {
+			b.Record(l, now)
+		}
+		if a.Quarantined(p, now) {
+			continue
+		}
+		trials = append(trials, now.Sub(start))
+		if l := a.TakeTrial(p, now); l == nil {
+			t.Fatalf("after %v: sent on without a trial", now.Sub(start))
+		} else {
+			b.Record(l, now)
+		}
+		if !a.Quarantined(p, now) || !b.Quarantined(p, now) {
+			t.Fatalf("after %v: not quarantined beside a trial", now.Sub(start))
+		}
+		l := []Crash{crashOf(fmt.Sprint("u-", now.Sub(start)), 1, now, p)}
+		a.Record(l, now)
+		b.Record(l, now)
+	}
+	if got, want := fmt.Sprint(trials), "[10m0s 30m0s 1h10m0s]"; got != want {
+		t.Errorf("trials: got %s, want %s", got, want)
+	}
+}
+
+// TestQuarantineEnds checks that a request is forgotten some time after it has last returned, and
+// that a trial which ends well frees one that was quarantined by chance.
+func TestQuarantineEnds(t *testing.T) {
+	const p = Fingerprint(1)
+	now := time.Now()
+	q := NewQuarantine()
+	quarantine := func() {
+		for i := range 2 {
+			q.Record([]Crash{crashOf(fmt.Sprint("u-", i), now.UnixNano(), now, p)}, now)
+		}
+		if !q.Quarantined(p, now) {
+			t.Fatal("not quarantined after two crashes")
+		}
+	}
+	quarantine()
+	now = now.Add(trialPeriod)
+	if q.TakeTrial(p, now) == nil {
+		t.Error("no trial")
+	}
+	q.Clear(p)
+	if q.Quarantined(p, now) {
+		t.Error("quarantined although its trial ended well")
+	}
+	now = now.Add(time.Hour)
+	quarantine()
+	now = now.Add(quarantineLife - time.Second)
+	q.TakeTrial(p, now)
+	if !q.Quarantined(p, now) {
+		t.Errorf("forgotten before %v", quarantineLife)
+	}
+	if now = now.Add(time.Second); q.Quarantined(p, now) || !q.Empty() {
+		t.Errorf("remembered after %v", quarantineLife)
+	}
+}
+
+// TestFloodDoesNotPushOutAQuarantine has more suspects than are remembered after a request was
+// quarantined, and before another one is.
+func TestFloodDoesNotPushOutAQuarantine(t *testing.T) {
+	const first, second = Fingerprint(1), Fingerprint(2)
+	now, q := time.Now(), NewQuarantine()
+	n := Fingerprint(10)
+	crash := func(p Fingerprint, with int) {
+		now = now.Add(time.Second)
+		c := crashOf(fmt.Sprint("u-", now.UnixNano()), 1, now, p)
+		for range with {
+			n++
+			c.Suspects = append(c.Suspects, Suspect{Fingerprint: n})
+		}
+		q.Record([]Crash{c}, now)
+	}
+	crash(first, 10)
+	crash(first, 10)
+	for i := range 8 {
+		crash(Fingerprint(3+i), maxSuspects/4)
+	}
+	crash(second, 10)
+	crash(second, 10)
+	for _, p := range []Fingerprint{first, second} {
+		if !q.Quarantined(p, now) {
+			t.Errorf("%v: not quarantined", p)
+		}
+	}
+	if got := q.Crashes(3, now); got != 0 {
+		t.Errorf("crashes of an old suspect: got %d, want none remembered", got)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -62,12 +62,10 @@
 	case !e.relay.rests.Until(u.Name, now).IsZero():
 		e.avoid[t.upstream.Name] = true
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, string(policy.ReasonResting), "the upstream wants rest"), e.refusedUntil(now))
-	case t.place == nil:
-		return u, nil
-	}
-	if t.place.Stale(now) {
+	case t.place != nil && t.place.Stale(now):
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, place, "stale_place", "the place was given too long ago"), now)
 	}
+	e.tryOut(now)
 	return u, nil
 }
 
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -45,6 +45,9 @@
 	if x.quarantine.Empty() || !x.quarantine.Quarantined(e.fingerprint(), now) {
 		return nil
 	}
+	if l := x.quarantine.Renew(e.fingerprint(), now); l != nil {
+		x.Crashed(l)
+	}
 	return fail.New(fail.Unknown, e.servicePlace(), reasonQuarantined, "%d upstreams ended under %s", x.quarantine.Crashes(e.fingerprint(), now), e.fingerprint())
 }
 
@@ -81,9 +84,10 @@
 			return
 		}
 		x.metrics.Add(metric.UpstreamCrashes, 1)
-		x.recordCrash(&c, "")
+		l := []policy.Crash{c}
+		x.NoteCrashes(l, "")
 		event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
-		x.Crashed(&c)
+		x.Crashed(l)
 	})
 	select {
 	case <-known:
@@ -122,22 +126,24 @@
 	return true
 }
 
-// recordCrash records a crash that a box announced, "" for this one.
-func (x *Relay) recordCrash(c *policy.Crash, from string) {
-	now := time.Now()
-	l, news := x.quarantine.Record([]policy.Crash{*c}, now)
-	for _, p := range l {
-		event.RequestQuarantined.Log(x.log, "asked", p.String(), "upstream", c.Upstream, "crashes", x.quarantine.Crashes(p, now), "from", from)
+// tryOut lets a quarantined request through where that is due, and announces it.
+func (e *exchange) tryOut(now time.Time) {
+	x := e.relay
+	if x.quarantine.Empty() {
+		return
 	}
-	if news {
-		x.vouch(c)
+	l := x.quarantine.TakeTrial(e.fingerprint(), now)
+	if l == nil {
+		return
 	}
+	event.RequestTried.Log(x.log, "request", e.request.ID, "asked", e.fingerprint().String(), "trial", l[0].Suspects[0].Trials)
+	x.Crashed(l)
 }
 
 // vouch clears, after a moment, the suspects of a crash of which this box has a stream that gets
 // further than the run that crashed: what many ask for is running at every upstream of a rack
 // that loses its power.
-func (x *Relay) vouch(c *policy.Crash) {
+func (x *Relay) vouch(l []policy.Crash) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if x.closing || len(x.streams) == 0 {
@@ -149,14 +155,21 @@
 			return
 		case <-time.After(vouchDelay):
 		}
-		for _, s := range c.Suspects {
-			if x.outlives(&s) && x.clear(s.Fingerprint, "") {
-				x.Cleared(s.Fingerprint)
-			}
+		for _, c := range l {
+			x.vouchFor(c.Suspects)
 		}
 	})
 }
 
+// vouchFor clears the suspects that this box has an outliving stream of.
+func (x *Relay) vouchFor(l []policy.Suspect) {
+	for _, s := range l {
+		if x.outlives(&s) && x.clear(s.Fingerprint, "") {
+			x.Cleared(s.Fingerprint)
+		}
+	}
+}
+
 // outlives reports whether this box has a stream of the same request that got further than the
 // suspect's.
 func (x *Relay) outlives(s *policy.Suspect) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,8 +32,8 @@
 	// Cleared announces to other boxes that a request ran to its end under which upstreams had
 	// crashed before; a seam.
 	Cleared func(p policy.Fingerprint)
-	// Crashed announces to other boxes that an upstream crashed under a request; a seam.
-	Crashed func(c *policy.Crash)
+	// Crashed announces to other boxes what this one has learned of crashes; a seam.
+	Crashed func(l []policy.Crash)
 	// Fresh makes sure that the box's views are not those of before a pause; a seam.
 	Fresh func(ctx context.Context)
 	// Guess chooses an engine without asking for a place; a seam.
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Relay{
 		Cleared: func(policy.Fingerprint) {},
-		Crashed: func(*policy.Crash) {},
+		Crashed: func([]policy.Crash) {},
 		Fresh:   func(context.Context) {},
 		Leaving: func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:  func() bool { return true },
@@ -175,9 +175,16 @@
 	}
 }
 
-// NoteCrash records a crash that another box announced.
-func (x *Relay) NoteCrash(c *policy.Crash, from string) {
-	x.recordCrash(c, from)
+// NoteCrashes records what a box announced of crashes, "" for this one.
+func (x *Relay) NoteCrashes(l []policy.Crash, from string) {
+	now := time.Now()
+	quarantined, news := x.quarantine.Record(l, now)
+	for _, p := range quarantined {
+		event.RequestQuarantined.Log(x.log, "asked", p.String(), "crashes", x.quarantine.Crashes(p, now), "from", from)
+	}
+	if news {
+		x.vouch(l)
+	}
 }
 
 // Run watches for upstreams that leave, until the context ends.
