A crash counts although the request's caller has left

What callers saw: none reported it; found by reading who may miss a crash. Cause: a broken request was looked at only while its caller was there. A caller that gives up before its upstream crashes, and returns, crashed one upstream after another: 4 of 8 within 12 s, all that could be reached. Evidence: TestPoisonRequestWhoseCallersLeave failed before. Change: where a caller leaves before its answer has begun, the upstream's machine is asked half a second later whether its process has ended. 2 crashes now. Cost: one connection for each such caller, none for those that leave during their answers (TestCallersThatLeaveCostFewConnections). Work that no request waits for ends as the relay closes, so that a stop is not held up by it.

--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -188,6 +188,7 @@
 	}
 	visit := e.arrive(id)
 	if strings.HasPrefix(string(b), Deadly) && f.Status == 0 {
+		time.Sleep(f.CrashAfter)
 		e.Die()
 		e.Crashed(id)
 		e.CrashedUnder(string(b))
--- a/internal/fake/routed/faults.go
+++ b/internal/fake/routed/faults.go
@@ -6,6 +6,7 @@
 type Faults struct {
 	Body       string        // of answers that are no streams
 	BreakAfter int           // streams break off in the middle of an event after that many
+	CrashAfter time.Duration // from the start of a run that ends the engine until it does
 	FailCopies int           // status of the next copies, 0 for none
 	Gap        bool          // streams leave out their third event
 	LateStops  time.Duration // after which an order to stop a run is looked at
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -19,6 +19,10 @@
 // without the process refuses a connection within milliseconds, and one that is cut off is silent.
 const crashWaitPeriod = 50 * time.Millisecond
 
+// leftDelay is how long after its caller left a request an upstream is looked at: one that had
+// begun to run it has crashed by then.
+const leftDelay = 500 * time.Millisecond
+
 // A stream vouches for a request with the same fingerprint where, vouchDelay after that one's
 // upstream crashed, it is at least furtherLeast events further: a poison request would have
 // crashed its own upstream.
@@ -32,7 +36,6 @@
 
 // Reasons for which a broken request is not counted as a crash of its upstream.
 const (
-	ignoredCallerGone   = "caller_gone"
 	ignoredEntryChanged = "entry_changed" // it is no longer listed, or has started again
 	ignoredLeaving      = "leaving"       // it had announced that it stops
 	ignoredNotRefused   = "not_refused"   // its machine did not refuse a connection
@@ -72,22 +75,10 @@
 		e.ignoreCrash(u, r)
 		return
 	}
-	s := policy.Suspect{Events: events, Fingerprint: e.fingerprint()}
-	c := policy.Crash{At: now, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}
-	known := make(chan struct{})
+	known, p := make(chan struct{}), e.fingerprint()
 	x.workers.Go(func() {
 		defer close(known)
-		ctx, cancel := context.WithTimeout(x.ctx, time.Second)
-		defer cancel()
-		if !x.Upstreams.Gone(ctx, u) {
-			e.ignoreCrash(u, ignoredNotRefused)
-			return
-		}
-		x.metrics.Add(metric.UpstreamCrashes, 1)
-		l := []policy.Crash{c}
-		x.NoteCrashes(l, "")
-		event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
-		x.Crashed(l)
+		e.findCrash(x.ctx, u, now, policy.Suspect{Events: events, Fingerprint: p})
 	})
 	select {
 	case <-known:
@@ -95,12 +86,40 @@
 	}
 }
 
+// noteLeft looks, after a moment, whether an upstream has crashed under the request whose caller
+// left before an answer: it may have begun to run it.
+func (e *exchange) noteLeft(u *resource.Upstream) {
+	if e.client.Err() == nil {
+		return
+	}
+	x, now, s := e.relay, time.Now(), policy.Suspect{Fingerprint: e.fingerprint()}
+	x.later(leftDelay, func() {
+		if e.noCrash(u, time.Now()) == "" {
+			e.findCrash(x.background, u, now, s)
+		}
+	})
+}
+
+// findCrash records that an upstream has crashed under the request, where its machine shows that.
+func (e *exchange) findCrash(ctx context.Context, u *resource.Upstream, at time.Time, s policy.Suspect) {
+	x := e.relay
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !x.Upstreams.Gone(ctx, u) {
+		e.ignoreCrash(u, ignoredNotRefused)
+		return
+	}
+	l := []policy.Crash{{At: at, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
+	x.metrics.Add(metric.UpstreamCrashes, 1)
+	x.NoteCrashes(l, "")
+	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
+	x.Crashed(l)
+}
+
 // noCrash returns why a request that broke off tells nothing of a crash of its upstream, or "".
 func (e *exchange) noCrash(u *resource.Upstream, now time.Time) string {
 	v := e.relay.view.Upstream(u.Name)
 	switch {
-	case e.client.Err() != nil:
-		return ignoredCallerGone
 	case v == nil || v.Spec.Born != u.Spec.Born:
 		return ignoredEntryChanged
 	case !v.Stays(now):
@@ -140,21 +159,30 @@
 	x.Crashed(l)
 }
 
-// vouch clears, after a moment, the suspects of a crash of which this box has a stream that gets
-// further than the run that crashed: what many ask for is running at every upstream of a rack
-// that loses its power.
-func (x *Relay) vouch(l []policy.Crash) {
+// later calls f after a time, unless the relay is closed before.
+func (x *Relay) later(d time.Duration, f func()) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	if x.closing || len(x.streams) == 0 {
+	if x.closing {
 		return
 	}
 	x.workers.Go(func() {
 		select {
-		case <-x.ctx.Done():
-			return
-		case <-time.After(vouchDelay):
+		case <-x.background.Done():
+		case <-time.After(d):
+			f()
 		}
+	})
+}
+
+// vouch clears, after a moment, the suspects of a crash of which this box has a stream that gets
+// further than the run that crashed: what many ask for is running at every upstream of a rack
+// that loses its power.
+func (x *Relay) vouch(l []policy.Crash) {
+	if x.Streams() == 0 {
+		return
+	}
+	x.later(vouchDelay, func() {
 		for _, c := range l {
 			x.vouchFor(c.Suspects)
 		}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 // deadly makes a request one that ends each engine which it reaches.
@@ -39,6 +40,13 @@
 	}
 }
 
+// crashed returns how many upstreams a request has ended.
+func (r *rig) crashed() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.ended
+}
+
 // TestRequestThatCrashesUpstreams sends a request again and again that ends each upstream which it
 // reaches, as callers do that come back: it was seen to end 27 engines of a small fleet in 20 s, one
 // after another, since each try and each resumption was taken for a new request. Two upstreams
@@ -208,3 +216,57 @@
 		}
 	})
 }
+
+// TestPoisonRequestWhoseCallersLeave sends a poison request whose callers are gone each time before
+// the upstream crashes: nobody saw under what it crashed, and the request was sent on for ever.
+func TestPoisonRequestWhoseCallersLeave(t *testing.T) {
+	for _, path := range []string{"/plans/x", "/once/x"} {
+		withRig(t, 8, 8, func(t *testing.T, r *rig) {
+			r.mortal()
+			for _, e := range r.engines {
+				e.SetFaults(routed.Faults{CrashAfter: 200 * time.Millisecond})
+			}
+			for i := range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+				q := generation(ctx, path, fmt.Sprint("id-", i), 40)
+				if path == "/once/x" {
+					q = request(ctx, http.MethodPost, path, fmt.Sprint("id-", i), "")
+				}
+				_, _, _ = r.do(deadly(q))
+				cancel()
+				time.Sleep(2 * time.Second)
+			}
+			if got, want := r.crashed(), 2; got != want {
+				t.Errorf("%s: upstreams that crashed: got %d, want %d", path, got, want)
+			}
+		})
+	}
+}
+
+// TestCallersThatLeaveCostFewConnections has callers leave before and during their answers: one
+// connection is made for each that left before, and none for the others.
+func TestCallersThatLeaveCostFewConnections(t *testing.T) {
+	withRig(t, 1, 0, func(t *testing.T, r *rig) {
+		var made atomic.Int32
+		gone := r.relay.Upstreams.Gone
+		r.relay.Upstreams.Gone = func(ctx context.Context, u *resource.Upstream) bool {
+			made.Add(1)
+			return gone(ctx, u)
+		}
+		leave := func(id string, after time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), after)
+			defer cancel()
+			_, _, _ = r.do(plan(ctx, id, 400))
+			time.Sleep(2 * time.Second)
+		}
+		leave("during", time.Second)
+		if got, want := made.Load(), int32(0); got != want {
+			t.Errorf("after a caller left during its answer: got %d connections, want %d", got, want)
+		}
+		r.engines["u1"].SetFaults(routed.Faults{Silent: true})
+		leave("before", time.Second)
+		if got, want := made.Load(), int32(1); got != want {
+			t.Errorf("after a caller left before its answer: got %d connections, want %d", got, want)
+		}
+	})
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -37,6 +37,7 @@
 		if ctx.Err() == nil {
 			e.noteCrash(e.upstream, 0)
 		}
+		e.noteLeft(e.upstream)
 		return true, fail.Wrap(fail.Unknown, p, "answer_cut", err)
 	}
 	if a.Status < http.StatusMultipleChoices {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,21 +50,23 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
-	budget     *budget.Budget
-	cancel     context.CancelFunc
-	ctx        context.Context // ends with Abort
-	quarantine *policy.Quarantine
-	health     *health.Tracker
-	lengths    *policy.Lengths
-	log        *slog.Logger
-	meter      *meter.Meter
-	metrics    *metric.Set
-	pace       pace
-	placeWait  *metrics.Histogram
-	rests      *health.Rests
-	tracker    *placement.Tracker
-	view       *resource.View
-	workers    sync.WaitGroup
+	background     context.Context // ends with Close; of work that no request waits for
+	budget         *budget.Budget
+	cancel         context.CancelFunc
+	ctx            context.Context // ends with Abort
+	quarantine     *policy.Quarantine
+	health         *health.Tracker
+	lengths        *policy.Lengths
+	log            *slog.Logger
+	meter          *meter.Meter
+	metrics        *metric.Set
+	pace           pace
+	placeWait      *metrics.Histogram
+	rests          *health.Rests
+	stopBackground context.CancelFunc
+	tracker        *placement.Tracker
+	view           *resource.View
+	workers        sync.WaitGroup
 
 	mutex   sync.Mutex // guards the fields below; no other lock is taken under it
 	closing bool
@@ -96,14 +98,16 @@
 // New returns a relay over the routes and upstreams in v, for a box of a hall.
 func New(v *resource.View, t *placement.Tracker, l *policy.Lengths, hall string, m *metric.Set, log *slog.Logger, options ...Option) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
+	background, stopBackground := context.WithCancel(ctx)
 	x := &Relay{
-		Cleared: func(policy.Fingerprint) {},
-		Crashed: func([]policy.Crash) {},
-		Fresh:   func(context.Context) {},
-		Leaving: func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
-		Others:  func() bool { return true },
-		budget:  budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel:  cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		Cleared:    func(policy.Fingerprint) {},
+		Crashed:    func([]policy.Crash) {},
+		Fresh:      func(context.Context) {},
+		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
+		Others:     func() bool { return true },
+		background: background, stopBackground: stopBackground,
+		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
+		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
@@ -142,6 +146,7 @@
 	x.mutex.Lock()
 	x.closing = true
 	x.mutex.Unlock()
+	x.stopBackground()
 	x.workers.Wait()
 	return nil
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -135,6 +135,7 @@
 		if ctx.Err() == nil {
 			e.noteCrash(u, 0)
 		}
+		e.noteLeft(u)
 		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
 		return nil, true, err
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -236,6 +236,9 @@
 			return false, nil
 		}
 		if ctx.Err() != nil || fail.Reason(err) == reasonCallerGone {
+			if s.eventsPassed() == 0 {
+				s.exchange.noteLeft(s.at())
+			}
 			return false, fail.Wrap(fail.Interrupted, s.place("read stream"), reasonCallerGone, err)
 		}
 		s.exchange.noteCrash(s.at(), s.position())
