A request that was served before is not quarantined by chance

What another request had done was held against it, and as it was sent nowhere no run of it could clear it.

Cause: only runs after a crash spoke for a request.

A run that ended well after the crash before speaks for a request at the next one: the box that sees the crash announces it with the suspect cleared, and another box that has served it clears it half a second to a second later, unless it hears that one has. A poison request never runs to its end. One that becomes poison later is quarantined one crash later, as the runs of before speak for it once.

--- a/crashes_test.go
+++ b/crashes_test.go
@@ -110,3 +110,33 @@
 	_ = w.Body.Close()
 	return w.StatusCode
 }
+
+// TestBoxThatServedARequestVouchesForIt has upstreams crash under a call at one box, while another
+// box has served it before: that one vouches for it, within some moments.
+func TestBoxThatServedARequestVouchesForIt(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		for _, n := range []string{"s-a1", "s-a2", "s-b1"} {
+			r.startRouted(n)
+		}
+		time.Sleep(time.Second)
+		const body = "asked by many"
+		if got := r.post("box-b1", "before", body); got != http.StatusOK {
+			t.Fatalf("before: got status %d, want 200", got)
+		}
+		p := relay.FingerprintOf(&relay.Request{Body: []byte(body), Host: routedHost, Method: http.MethodPost, Target: "/call/x"})
+		for _, u := range []string{"one", "two"} {
+			for _, b := range r.boxes {
+				b.relay.NoteCrashes([]policy.Crash{{At: time.Now(), Suspects: []policy.Suspect{{Fingerprint: p}}, Upstream: u}}, "")
+			}
+		}
+		if got := r.post("box-a1", "at once", body); got != http.StatusBadGateway {
+			t.Errorf("at once: got status %d, want 502", got)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for n := range r.boxes {
+			if got := r.post(n, "after-"+n, body); got != http.StatusOK {
+				t.Errorf("%s: got status %d, want 200", n, got)
+			}
+		}
+	})
+}
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -120,6 +120,20 @@
 	return l
 }
 
+// LastBefore returns when an upstream last crashed under a request before a time, the zero time where
+// none is known.
+func (q *Quarantine) LastBefore(p Fingerprint, at time.Time) time.Time {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var last time.Time
+	for _, c := range q.of[p] {
+		if c.At.Before(at) {
+			last = c.At
+		}
+	}
+	return last
+}
+
 // Missing returns the crashes that another box does not know as they are known here: those of
 // quarantined requests and the newest ones, where there are many.
 func (q *Quarantine) Missing(known []uint64, now time.Time) []Crash {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,9 +24,9 @@
 // begun to run it has crashed by then.
 const leftDelay = 500 * time.Millisecond
 
-// A stream vouches for a request with the same fingerprint where, vouchDelay after that one's
-// upstream crashed, it is at least furtherLeast events further: a poison request would have
-// crashed its own upstream.
+// A stream vouches for a request with the same fingerprint where, vouchDelay or a little more after
+// that one's upstream crashed, it is at least furtherLeast events further: a poison request would
+// have crashed its own upstream.
 const (
 	furtherLeast = 8
 	vouchDelay   = 500 * time.Millisecond
@@ -57,11 +58,9 @@
 // cleared records that the request ran to its end, and announces it where upstreams had crashed
 // under its fingerprint: what many ask for is running as any upstream crashes.
 func (e *exchange) cleared() {
-	x := e.relay
-	if x.quarantine.Empty() {
-		return
-	}
-	if p := e.fingerprint(); x.clear(p, "") {
+	x, p := e.relay, e.fingerprint()
+	x.served.Note(p, time.Now())
+	if x.clear(p, "") {
 		x.Cleared(p)
 	}
 }
@@ -109,6 +108,7 @@
 		e.ignoreCrash(u, ignoredNotRefused)
 		return
 	}
+	s.Cleared = x.servedSince(s.Fingerprint, at)
 	l := []policy.Crash{{At: at, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
 	x.metrics.Add(metric.UpstreamCrashes, 1)
 	x.NoteCrashes(l, "")
@@ -175,29 +175,34 @@
 	})
 }
 
-// vouch clears, after a moment, the suspects of a crash of which this box has a stream that gets
-// further than the run that crashed: what many ask for is running at every upstream of a rack
-// that loses its power.
+// vouch clears, after a moment, the suspects of crashes for which this box can speak: it served the
+// request since the crash before, or has a stream of it that gets further than the run that crashed.
+// What many ask for is running at each upstream of a rack that loses its power. The moment differs
+// between boxes, so that most hear of it before they would announce it themselves.
 func (x *Relay) vouch(l []policy.Crash) {
-	if x.Streams() == 0 {
-		return
-	}
-	x.later(vouchDelay, func() {
+	x.later(vouchDelay+rand.N(vouchDelay), func() {
 		for _, c := range l {
-			x.vouchFor(c.Suspects)
+			x.vouchFor(&c)
 		}
 	})
 }
 
-// vouchFor clears the suspects that this box has an outliving stream of.
-func (x *Relay) vouchFor(l []policy.Suspect) {
-	for _, s := range l {
-		if x.outlives(&s) && x.clear(s.Fingerprint, "") {
+// vouchFor clears the suspects of a crash for which this box can speak.
+func (x *Relay) vouchFor(c *policy.Crash) {
+	for _, s := range c.Suspects {
+		if !s.Cleared && (x.servedSince(s.Fingerprint, c.At) || x.outlives(&s)) && x.clear(s.Fingerprint, "") {
 			x.Cleared(s.Fingerprint)
 		}
 	}
 }
 
+// servedSince reports whether this box served a request between the last crash under it, and a crash
+// at a time, or later.
+func (x *Relay) servedSince(p policy.Fingerprint, at time.Time) bool {
+	t := x.served.At(p, time.Now())
+	return !t.IsZero() && t.After(x.quarantine.LastBefore(p, at))
+}
+
 // outlives reports whether this box has a stream of the same request that got further than the
 // suspect's.
 func (x *Relay) outlives(s *policy.Suspect) bool {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -270,3 +272,46 @@
 		}
 	})
 }
+
+// TestServedRequestIsNotQuarantinedByChance has two upstreams crash under a call that ran to its end
+// before, for another reason: it was refused from then on, and no run of it could clear it. One that
+// has not run since is quarantined after one more crash.
+func TestServedRequestIsNotQuarantinedByChance(t *testing.T) {
+	withRig(t, 0, 6, func(t *testing.T, r *rig) {
+		var crashing atomic.Bool
+		send := r.relay.Upstreams.Send
+		r.relay.Upstreams.Send = func(ctx context.Context, u *resource.Upstream, q *relay.Request, o *relay.Offer) (*relay.Answer, error) {
+			if crashing.Load() {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return send(ctx, u, q, o)
+		}
+		r.relay.Upstreams.Gone = func(context.Context, *resource.Upstream) bool { return crashing.Load() }
+		n := 0
+		ask := func() int {
+			n++
+			time.Sleep(time.Second)
+			w, _, err := r.do(request(t.Context(), http.MethodGet, "/often/x", fmt.Sprint("id-", n), ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return w.StatusCode
+		}
+		if got := ask(); got != http.StatusOK {
+			t.Fatalf("before: got status %d, want 200", got)
+		}
+		crashing.Store(true)
+		ask() // at two upstreams
+		crashing.Store(false)
+		if got := ask(); got != http.StatusOK {
+			t.Errorf("after two crashes: got status %d, want 200", got)
+		}
+		crashing.Store(true)
+		ask()
+		ask()
+		crashing.Store(false)
+		if got := ask(); got != http.StatusBadGateway {
+			t.Errorf("after three more: got status %d, want 502", got)
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,7 @@
 	pace           pace
 	placeWait      *metrics.Histogram
 	rests          *health.Rests
+	served         *policy.Served
 	stopBackground context.CancelFunc
 	tracker        *placement.Tracker
 	view           *resource.View
@@ -108,7 +109,7 @@
 		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
 		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
-		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), streams: make(map[*stream]bool), tracker: t, view: v,
+		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), served: policy.NewServed(), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
 		o(x)
