Times of crashes that other boxes tell do not follow steps of the time of day

They are kept by the steady clock of the moment at which they arrive. TestCrashesDoNotFollowTheTimeOfDay failed before.

--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -184,7 +184,7 @@
 		}
 	}
 	for i := range l {
-		news = q.record(&l[i]) || news
+		news = q.record(&l[i], now) || news
 	}
 	q.forgetAll(now)
 	for p, was := range before {
@@ -353,10 +353,10 @@
 }
 
 // record adds what is known of one crash, and reports whether that is news; the lock is held.
-func (q *Quarantine) record(d *Crash) (news bool) {
+func (q *Quarantine) record(d *Crash, now time.Time) (news bool) {
 	i := slices.IndexFunc(q.crashes, d.same)
 	if i < 0 {
-		c := &Crash{At: d.At, Born: d.Born, Upstream: d.Upstream}
+		c := &Crash{At: steady(d.At, now), Born: d.Born, Upstream: d.Upstream}
 		i = len(q.crashes)
 		for i > 0 && q.crashes[i-1].At.After(c.At) {
 			i--
@@ -365,7 +365,7 @@
 	}
 	c := q.crashes[i]
 	if d.SeenAt.After(c.SeenAt) {
-		c.SeenAt = d.SeenAt
+		c.SeenAt = steady(d.SeenAt, now)
 	}
 	for _, s := range d.Suspects {
 		if known := c.suspect(s.Fingerprint); known != nil {
@@ -434,3 +434,9 @@
 	}
 	return aloneWeight
 }
+
+// steady returns a time that another box told by the clock of now, which does not follow steps of the
+// time of day.
+func steady(t, now time.Time) time.Time {
+	return now.Add(t.Sub(now))
+}
--- a/internal/policy/quarantine_test.go
+++ b/internal/policy/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -237,3 +238,13 @@
 		t.Errorf("crashes of an old suspect: got %d, want none remembered", got)
 	}
 }
+
+// TestCrashesDoNotFollowTheTimeOfDay records a crash that another box told, whose time is that of the
+// day: its age must not change where the time of day steps afterwards.
+func TestCrashesDoNotFollowTheTimeOfDay(t *testing.T) {
+	now, q := time.Now(), NewQuarantine()
+	q.Record([]Crash{crashOf("u", 1, now.Add(-time.Second).Round(0), 1)}, now)
+	if got := q.crashes[0].At; !strings.Contains(got.String(), " m=") || now.Sub(got) != time.Second {
+		t.Errorf("got %v, want a second before %v by the steady clock", got, now)
+	}
+}
