A row that names no upstream holds up no other

Anyone who can write one row could stop the fleet.

Cause: one row that could not be decoded failed the whole read, again and again. A row that could be decoded was taken for an upstream whatever it said. Evidence: TestForeignRowBesideUpstreams, 17 values, each failed before (5 as above, 12 were used as upstreams); TestUpstreamIsOverwrittenByAForeignRow, 200 for 503.

Change: each row by itself. One that is no object, has a field of another type, an address that is not IP:port, no service, no zone, an unknown state or a negative or immeasurable time counts as removed: nothing new goes there, and what runs at an upstream whose row it was goes on, as where an entry goes without a notice. 407 and a counter tell of it once for each change. Fractions of a cold time stay allowed.

--- a/assemble.go
+++ b/assemble.go
@@ -111,7 +111,7 @@
 	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
 	if b.hasEntry() {
 		b.follower.Add(resource.SourceConfiguration, platform.ConfigurationReader(s))
-		b.follower.Add(resource.SourceUpstreams, platform.UpstreamReader(s))
+		b.follower.Add(resource.SourceUpstreams, platform.UpstreamReader(s, b.noteIgnoredRow))
 	} else {
 		b.follower.Add(resource.SourceResources, configuration.ResourceReader(s.Changes))
 	}
--- /dev/null
+++ b/foreign_rows_test.go
@@ -0,0 +1,107 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/platform"
+)
+
+// foreignRows are values of rows that name no upstream.
+var foreignRows = map[string]string{
+	"a list":               `[1,2]`,
+	"a word":               `"ready"`,
+	"a number":             `7`,
+	"nothing":              `null`,
+	"an empty object":      `{}`,
+	"a mistyped service":   `{"service":7,"address":"127.0.0.9:1","zone":"a","state":"ready"}`,
+	"mistyped models":      `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","models":{"name":3}}`,
+	"an unknown state":     `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"asleep"}`,
+	"no state":             `{"service":"desk","address":"127.0.0.9:1","zone":"a"}`,
+	"no service":           `{"address":"127.0.0.9:1","zone":"a","state":"ready"}`,
+	"no zone":              `{"service":"desk","address":"127.0.0.9:1","state":"ready"}`,
+	"no address":           `{"service":"desk","zone":"a","state":"ready"}`,
+	"a host name":          `{"service":"desk","address":"host:1","zone":"a","state":"ready"}`,
+	"no port":              `{"service":"desk","address":"127.0.0.9","zone":"a","state":"ready"}`,
+	"a negative start":     `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","born":-1}`,
+	"a negative cold time": `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","cold_left_ms":-5}`,
+	"a start beyond all":   `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","born":1e300}`,
+}
+
+// TestForeignRowBesideUpstreams writes rows beside those of upstreams that name none: boxes heard of no
+// upstream that starts or goes and of no change of the configuration, for as long as such a row stood.
+func TestForeignRowBesideUpstreams(t *testing.T) {
+	for name, value := range foreignRows {
+		for _, table := range []string{"servers", "box"} {
+			t.Run(name+" in "+table, func(t *testing.T) {
+				withRoutes(t, func(t *testing.T, r *routes) {
+					r.startRouted("s-a1")
+					time.Sleep(2 * time.Second)
+					r.platform.Put(table+"/foreign", json.RawMessage(value))
+					time.Sleep(2 * time.Second)
+					r.startRouted("s-b1")
+					r.die("s-a1")
+					r.configure(2, "new-key")
+					time.Sleep(3 * time.Second)
+					if got := r.ignoredRows(); table == "servers" && (got == 0 || got > len(r.boxes)) {
+						t.Errorf("rows counted as ignored: got %d, want one at each box that reads", got)
+					}
+					for n, b := range r.boxes {
+						if b.view.Upstream("foreign") != nil {
+							t.Errorf("%s: uses the row as an upstream", n)
+						}
+						if b.view.Upstream("s-b1") == nil || b.view.Upstream("s-a1") != nil {
+							t.Errorf("%s: has not heard of an upstream that started and one that went", n)
+						}
+						if _, whole, status := r.plan(n, fmt.Sprint("id-", n), "new-key", 8); !whole || status != http.StatusOK {
+							t.Errorf("%s: got status %d for a new key, want a whole stream", n, status)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestUpstreamIsOverwrittenByAForeignRow has the row of an upstream be overwritten by one that names
+// none, and written again: it gets nothing new in between.
+func TestUpstreamIsOverwrittenByAForeignRow(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		r.startRouted("s-a1")
+		time.Sleep(2 * time.Second)
+		if got := r.post("box-a1", "before", "x"); got != http.StatusOK {
+			t.Fatalf("before: got status %d, want 200", got)
+		}
+		r.platform.Put("servers/s-a1", json.RawMessage(`{"state":3}`))
+		time.Sleep(3 * time.Second)
+		for n := range r.boxes {
+			if got := r.post(n, "between-"+n, "x"); got != http.StatusServiceUnavailable {
+				t.Errorf("%s: between: got status %d, want 503", n, got)
+			}
+		}
+		r.listRouted("s-a1", "ready")
+		time.Sleep(3 * time.Second)
+		for n := range r.boxes {
+			if got := r.post(n, "after-"+n, "x"); got != http.StatusOK {
+				t.Errorf("%s: after: got status %d, want 200", n, got)
+			}
+		}
+	})
+}
+
+// ignoredRows returns how many rows all boxes counted as ignored.
+func (r *routes) ignoredRows() int {
+	n := 0
+	for _, b := range r.boxes {
+		for _, x := range []platform.RowReason{platform.RowAddress, platform.RowNumber, platform.RowService, platform.RowState, platform.RowType, platform.RowZone} {
+			n += int(b.metrics.Value(metric.RowsIgnored, "reason", string(x)))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/ignored.go
@@ -0,0 +1,42 @@
+package linetiller
+
+import (
+	"sync"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/platform"
+)
+
+// ignoredRows remembers which rows of the list of upstreams were ignored, so that each is counted
+// and logged once, however often it is read.
+type ignoredRows struct {
+	mutex     sync.Mutex
+	revisions map[string]int64 // by key
+}
+
+// maxIgnoredRows bounds the rows that are remembered; beyond it they are counted anew.
+const maxIgnoredRows = 1024
+
+// noteIgnoredRow counts and logs a row of the list of upstreams that names none.
+func (b *Box) noteIgnoredRow(r platform.IgnoredRow) {
+	if !b.ignored.note(r.Key, r.Revision) {
+		return
+	}
+	b.metrics.Count(metric.RowsIgnored, "reason", string(r.Reason))
+	event.RowIgnored.Log(b.log, "key", r.Key, "revision", r.Revision, "reason", string(r.Reason))
+}
+
+// note records a row and reports whether it was not known at this revision.
+func (i *ignoredRows) note(key string, revision int64) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if last, ok := i.revisions[key]; ok && last == revision {
+		return false
+	}
+	if i.revisions == nil || len(i.revisions) >= maxIgnoredRows {
+		i.revisions = make(map[string]int64)
+	}
+	i.revisions[key] = revision
+	return true
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	StoreRestored      = Event{slog.LevelWarn, "platform's store was restored", 404}
 	AnswerPassedOver   = Event{slog.LevelWarn, "older answer of the platform passed over", 405}
 	ChangesHeld        = Event{slog.LevelInfo, "changes of a restored store wait", 406}
+	RowIgnored         = Event{slog.LevelWarn, "row of the platform names no upstream", 407}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
@@ -76,7 +77,7 @@
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
 	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried,
-	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld,
+	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -42,6 +42,7 @@
 	Retries         Name = "linetiller_retries_total"                // counter, by reason
 	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
 	Shortages       Name = "linetiller_refusals_short_of_total"      // counter, by short_of: what refused work had waited for
+	RowsIgnored     Name = "linetiller_platform_rows_ignored_total"  // counter, by reason: rows of the list of upstreams that name none
 	StallSeconds    Name = "linetiller_stall_seconds"                // histogram: per generation
 	Streams         Name = "linetiller_streams"                      // gauge: requests held
 	TimeBetween     Name = "linetiller_time_between_tokens_seconds"  // histogram
@@ -56,7 +57,7 @@
 var Names = []Name{
 	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
-	Revision, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
+	Revision, RowsIgnored, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords,
 }
 
--- a/linetiller.go
+++ b/linetiller.go
@@ -47,6 +47,7 @@
 	crashes          crashes
 	engines          *upstream.Engines
 	follower         *configuration.Follower
+	ignored          ignoredRows
 	keys             *requestkey.Keys
 	links            *box.Links
 	members          *member.Table
