--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -31,14 +31,6 @@
 // tell when it started.
 const sameStartWithin = 2 * time.Second
 
-// lastAt returns when the crash was last of importance to a quarantined suspect.
-func (c *Crash) lastAt() time.Time {
-	if c.SeenAt.After(c.At) {
-		return c.SeenAt
-	}
-	return c.At
-}
-
 // hash returns what tells the crash and all that is known of its suspects from others; 0 where it
 // has none.
 func (c *Crash) hash() uint64 {
@@ -59,6 +51,14 @@
 	return sum
 }
 
+// lastAt returns when the crash was last of importance to a quarantined suspect.
+func (c *Crash) lastAt() time.Time {
+	if c.SeenAt.After(c.At) {
+		return c.SeenAt
+	}
+	return c.At
+}
+
 // same reports whether two crashes are of the same start of an upstream.
 func (c *Crash) same(d *Crash) bool {
 	if c.Upstream != d.Upstream || c.Born != d.Born {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -42,19 +42,6 @@
 	ignoredNotRefused   = "not_refused"   // its machine did not refuse a connection
 )
 
-// quarantined returns the failure of a request under which so many upstreams crashed that it is sent
-// to no further one, or nil.
-func (e *exchange) quarantined() error {
-	x, now := e.relay, time.Now()
-	if x.quarantine.Empty() || !x.quarantine.Quarantined(e.fingerprint(), now) {
-		return nil
-	}
-	if l := x.quarantine.Renew(e.fingerprint(), now); l != nil {
-		x.Crashed(l)
-	}
-	return fail.New(fail.Unknown, e.servicePlace(), reasonQuarantined, "%d upstreams ended under %s", x.quarantine.Crashes(e.fingerprint(), now), e.fingerprint())
-}
-
 // cleared records that the request ran to its end, and announces it where upstreams had crashed
 // under its fingerprint: what many ask for is running as any upstream crashes.
 func (e *exchange) cleared() {
@@ -65,6 +52,51 @@
 	}
 }
 
+// findCrash records that an upstream has crashed under the request, where its machine shows that.
+func (e *exchange) findCrash(ctx context.Context, u *resource.Upstream, at time.Time, s policy.Suspect) {
+	x := e.relay
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !x.Upstreams.Gone(ctx, u) {
+		e.ignoreCrash(u, ignoredNotRefused)
+		return
+	}
+	s.Cleared = x.servedSince(s.Fingerprint, at)
+	l := []policy.Crash{{At: at, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
+	x.metrics.Add(metric.UpstreamCrashes, 1)
+	x.NoteCrashes(l, "")
+	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
+	x.Crashed(l)
+}
+
+// fingerprint returns the request's fingerprint, whoever sends it and however often.
+func (e *exchange) fingerprint() policy.Fingerprint {
+	if e.asked != 0 {
+		return e.asked
+	}
+	e.asked = FingerprintOf(e.request)
+	return e.asked
+}
+
+// ignoreCrash counts and logs that a broken request is not counted as a crash.
+func (e *exchange) ignoreCrash(u *resource.Upstream, reason string) {
+	x := e.relay
+	x.metrics.Count(metric.CrashesIgnored, "reason", reason)
+	event.CrashNotCounted.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", reason, "asked", e.fingerprint().String())
+}
+
+// noCrash returns why a request that broke off tells nothing of a crash of its upstream, or "".
+func (e *exchange) noCrash(u *resource.Upstream, now time.Time) string {
+	v := e.relay.view.Upstream(u.Name)
+	switch {
+	case v == nil || v.Spec.Born != u.Spec.Born:
+		return ignoredEntryChanged
+	case !v.Stays(now):
+		return ignoredLeaving
+	}
+	return ""
+}
+
 // noteCrash finds out whether an upstream that broke off has crashed under the request, whose
 // stream had got so many events, and records it. A broken connection, a cut, a slow answer or a
 // planned stop is no crash.
@@ -99,50 +131,17 @@
 	})
 }
 
-// findCrash records that an upstream has crashed under the request, where its machine shows that.
-func (e *exchange) findCrash(ctx context.Context, u *resource.Upstream, at time.Time, s policy.Suspect) {
-	x := e.relay
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if !x.Upstreams.Gone(ctx, u) {
-		e.ignoreCrash(u, ignoredNotRefused)
-		return
-	}
-	s.Cleared = x.servedSince(s.Fingerprint, at)
-	l := []policy.Crash{{At: at, Born: u.Spec.Born, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
-	x.metrics.Add(metric.UpstreamCrashes, 1)
-	x.NoteCrashes(l, "")
-	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
-	x.Crashed(l)
-}
-
-// noCrash returns why a request that broke off tells nothing of a crash of its upstream, or "".
-func (e *exchange) noCrash(u *resource.Upstream, now time.Time) string {
-	v := e.relay.view.Upstream(u.Name)
-	switch {
-	case v == nil || v.Spec.Born != u.Spec.Born:
-		return ignoredEntryChanged
-	case !v.Stays(now):
-		return ignoredLeaving
+// quarantined returns the failure of a request under which so many upstreams crashed that it is sent
+// to no further one, or nil.
+func (e *exchange) quarantined() error {
+	x, now := e.relay, time.Now()
+	if x.quarantine.Empty() || !x.quarantine.Quarantined(e.fingerprint(), now) {
+		return nil
 	}
-	return ""
-}
-
-// ignoreCrash counts and logs that a broken request is not counted as a crash.
-func (e *exchange) ignoreCrash(u *resource.Upstream, reason string) {
-	x := e.relay
-	x.metrics.Count(metric.CrashesIgnored, "reason", reason)
-	event.CrashNotCounted.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", reason, "asked", e.fingerprint().String())
-}
-
-// clear clears a request that ran to its end at a box, "" for this one. It reports whether
-// upstreams had crashed under it.
-func (x *Relay) clear(p policy.Fingerprint, from string) bool {
-	if !x.quarantine.Clear(p) {
-		return false
+	if l := x.quarantine.Renew(e.fingerprint(), now); l != nil {
+		x.Crashed(l)
 	}
-	event.RequestCleared.Log(x.log, "asked", p.String(), "from", from)
-	return true
+	return fail.New(fail.Unknown, e.servicePlace(), reasonQuarantined, "%d upstreams ended under %s", x.quarantine.Crashes(e.fingerprint(), now), e.fingerprint())
 }
 
 // tryOut lets a quarantined request through where that is due, and announces it.
@@ -159,6 +158,16 @@
 	x.Crashed(l)
 }
 
+// clear clears a request that ran to its end at a box, "" for this one. It reports whether
+// upstreams had crashed under it.
+func (x *Relay) clear(p policy.Fingerprint, from string) bool {
+	if !x.quarantine.Clear(p) {
+		return false
+	}
+	event.RequestCleared.Log(x.log, "asked", p.String(), "from", from)
+	return true
+}
+
 // later calls f after a time, unless the relay is closed before.
 func (x *Relay) later(d time.Duration, f func()) {
 	x.mutex.Lock()
@@ -175,6 +184,27 @@
 	})
 }
 
+// outlives reports whether this box has a stream of the same request that got further than the
+// suspect's.
+func (x *Relay) outlives(s *policy.Suspect) bool {
+	x.mutex.Lock()
+	l := slices.Collect(maps.Keys(x.streams))
+	x.mutex.Unlock()
+	for _, y := range l {
+		if y.position() > s.Events+furtherLeast && FingerprintOf(y.exchange.request) == s.Fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// servedSince reports whether this box served a request between the last crash under it, and a crash
+// at a time, or later.
+func (x *Relay) servedSince(p policy.Fingerprint, at time.Time) bool {
+	t := x.served.At(p, time.Now())
+	return !t.IsZero() && t.After(x.quarantine.LastBefore(p, at))
+}
+
 // vouch clears, after a moment, the suspects of crashes for which this box can speak: it served the
 // request since the crash before, or has a stream of it that gets further than the run that crashed.
 // What many ask for is running at each upstream of a rack that loses its power. The moment differs
@@ -196,36 +226,6 @@
 	}
 }
 
-// servedSince reports whether this box served a request between the last crash under it, and a crash
-// at a time, or later.
-func (x *Relay) servedSince(p policy.Fingerprint, at time.Time) bool {
-	t := x.served.At(p, time.Now())
-	return !t.IsZero() && t.After(x.quarantine.LastBefore(p, at))
-}
-
-// outlives reports whether this box has a stream of the same request that got further than the
-// suspect's.
-func (x *Relay) outlives(s *policy.Suspect) bool {
-	x.mutex.Lock()
-	l := slices.Collect(maps.Keys(x.streams))
-	x.mutex.Unlock()
-	for _, y := range l {
-		if y.position() > s.Events+furtherLeast && FingerprintOf(y.exchange.request) == s.Fingerprint {
-			return true
-		}
-	}
-	return false
-}
-
-// fingerprint returns the request's fingerprint, whoever sends it and however often.
-func (e *exchange) fingerprint() policy.Fingerprint {
-	if e.asked != 0 {
-		return e.asked
-	}
-	e.asked = FingerprintOf(e.request)
-	return e.asked
-}
-
 // FingerprintOf returns a request's fingerprint.
 func FingerprintOf(q *Request) policy.Fingerprint {
 	h := xxhash.New()
