A box that starts answers other boxes once it serves

Traced: a box listens for other boxes before its parts are made; a message in that moment is answered by a follower, a relay or a running context that is not there, which ends the process. Change: answers wait until Serve has begun, or the connection ends.

--- a/answer.go
+++ b/answer.go
@@ -7,8 +7,12 @@
 	"github.com/linetiller/linetiller/internal/box"
 )
 
-// answer answers one request of another box.
+// answer answers one request of another box, once this one serves: it listens before its parts are
+// there.
 func (b *Box) answer(ctx context.Context, q *box.Request, answer func(*box.Reply) error) {
+	if !b.awaitServing(ctx) {
+		return
+	}
 	b.heard(ctx, q)
 	reply := answer
 	answer = func(r *box.Reply) error {
@@ -60,6 +64,16 @@
 	}
 }
 
+// awaitServing waits until the box serves, and reports whether it does before the context ends.
+func (b *Box) awaitServing(ctx context.Context) bool {
+	select {
+	case <-b.serving:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // request fills in what every request carries.
 func (b *Box) request(q box.Request) *box.Request {
 	q.From = b.members.Self()
--- a/linetiller.go
+++ b/linetiller.go
@@ -81,6 +81,7 @@
 	left     chan struct{} // closed when a stop was asked for
 	ready    atomic.Bool
 	running  context.Context // ends with Serve
+	serving  chan struct{}   // closed as Serve begins
 	started  time.Time
 	stopping atomic.Bool
 	workers  sync.WaitGroup
@@ -101,7 +102,7 @@
 // New returns a box that listens at its addresses, but does not serve yet.
 func New(s *settings.Settings, options ...Option) (*Box, error) {
 	b := &Box{
-		learned: make(chan struct{}, 1), left: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
+		serving: make(chan struct{}), learned: make(chan struct{}, 1), left: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
 		settings: s, started: time.Now(), view: resource.NewView(),
 	}
 	b.connect = b.listen
@@ -140,6 +141,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	b.cancel, b.running = cancel, ctx
 	defer cancel()
+	close(b.serving)
 	b.join(ctx)
 	for _, f := range b.loops() {
 		b.workers.Go(func() { f(ctx) })
