Sight: which limits upstreams name, change and lift, and which cannot be used

On-call engineers could not tell whether a box knows of an upstream's limit: nothing reads it. Nothing acts on a limit yet. A text that is no rate changes nothing that is known, is counted each time and logged once for each start. The stand-in upstream names limits in all its answers and judges the sum by itself.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,9 @@
 	CrashNotCounted    = Event{slog.LevelInfo, "broken request not counted as a crash", 317}
 	RequestCleared     = Event{slog.LevelInfo, "request cleared of crashes", 318}
 	RequestTried       = Event{slog.LevelWarn, "quarantined request tried again", 319}
+	LimitNamed         = Event{slog.LevelInfo, "upstream named a limit", 320}
+	LimitLifted        = Event{slog.LevelInfo, "limit of an upstream lifted", 321}
+	LimitInvalid       = Event{slog.LevelWarn, "limit of an upstream cannot be used", 322}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
@@ -76,7 +79,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
-	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried,
+	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried, LimitNamed, LimitLifted, LimitInvalid,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -33,6 +33,7 @@
 	dead     bool
 	faults   Faults
 	leaving  bool
+	limit    string        // of requests a second, as its answers name it; "" for none
 	link     chan struct{} // holds one while a copy goes over the link; a channel, so that virtual time goes on
 	requests []http.Header
 	runs     map[string]*run
@@ -150,9 +151,7 @@
 
 // say writes what an answer says of the engine itself.
 func (e *Engine) say(h http.Header, visit int, rest time.Duration) {
-	if e.answered(visit, rest) {
-		h.Set("Server-Leaving", "1")
-	}
+	e.answered(h, visit, rest)
 	if rest > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
 	}
@@ -171,6 +170,7 @@
 		state = "draining"
 		w.Header().Set("Server-Leaving", "1")
 	}
+	e.nameLimit(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"kv_total": e.settings.KVTokens, "kv_used": used, "queued": 0, "running": len(e.runs), "state": state})
 }
--- /dev/null
+++ b/internal/fake/routed/limits.go
@@ -0,0 +1,82 @@
+package routed
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// What the pages allow of requests to an engine that names a limit.
+const (
+	limitExtra  = 5                      // requests beyond limitFactor times the limit
+	limitFactor = 1.5                    // of what the limit allows in limitWindow
+	limitTold   = 500 * time.Millisecond // after a box passed on an answer that names it, it keeps to it
+	limitWindow = 4 * time.Second
+	// LimitGrace is how long after an engine first named its limit boxes have to agree on it.
+	LimitGrace = 3 * time.Second
+)
+
+// SetLimit makes the engine name a limit in its answers, as text that need be no number; "" for
+// none.
+func (e *Engine) SetLimit(text string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.limit = text
+}
+
+// OverLimit returns the first time at which the engine got more in limitWindow than the limits
+// allow that it named then, from boxes that it had told, with how many; "" where it never did.
+func (e *Engine) OverLimit(sender Sender) string {
+	l := e.Visits()
+	told := make(map[string]time.Time) // when a box first passed on an answer that names a limit
+	var since time.Time                // the engine has named a limit without a break
+	var counted []Visit
+	for _, v := range l {
+		box, _ := sender(v.Request)
+		if !v.Limited {
+			clear(told)
+			since, counted = time.Time{}, nil
+			continue
+		}
+		if since.IsZero() {
+			since = v.AnsweredAt
+		}
+		if at, ok := told[box]; ok && v.At.Sub(at) >= limitTold && v.At.Sub(since) >= LimitGrace {
+			counted = append(counted, v)
+			if n, allowed := countLimited(counted, v.At); float64(n) > allowed {
+				return fmt.Sprintf("%s got %d requests in %s, where %.1f are allowed", e.id, n, limitWindow, allowed)
+			}
+		}
+		if _, ok := told[box]; !ok {
+			told[box] = v.AnsweredAt
+		}
+	}
+	return ""
+}
+
+// countLimited returns how many of the visits came in the window that ends at a time, and how many
+// are allowed by the highest limit that was named in it.
+func countLimited(l []Visit, at time.Time) (n int, allowed float64) {
+	highest := 0.0
+	for _, v := range l {
+		if at.Sub(v.At) < limitWindow {
+			n++
+			highest = max(highest, v.Limit)
+		}
+	}
+	return n, limitFactor*highest*limitWindow.Seconds() + limitExtra
+}
+
+// nameLimit writes the engine's limit into the head of an answer; the lock is held.
+func (e *Engine) nameLimit(h http.Header) {
+	if e.limit != "" {
+		h.Set("Server-Limit", e.limit)
+	}
+}
+
+// noteLimit notes in a visit which limit its answer names; the lock is held.
+func (e *Engine) noteLimit(v *Visit) {
+	rate, err := strconv.ParseFloat(e.limit, 64)
+	v.Limit, v.Limited = rate, err == nil
+}
--- a/internal/fake/routed/visits.go
+++ b/internal/fake/routed/visits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 	AnsweredAt time.Time // when its answer's head was written; zero where it has none
 	At         time.Time
 	Leaving    bool          // the answer says that the engine leaves
+	Limit      float64       // requests a second that the answer names as the engine's limit
+	Limited    bool          // it names one
 	Request    string        // its id
 	Rest       time.Duration // that the answer asks its sender for, 0 for none
 }
@@ -65,12 +68,16 @@
 	return append([]Visit(nil), e.visits...)
 }
 
-// answered notes that the head of the answer to a visit is written, and returns whether it
-// says that the engine leaves.
-func (e *Engine) answered(visit int, rest time.Duration) (leaving bool) {
+// answered notes that the head of the answer to a visit is written, with what it says of the
+// engine.
+func (e *Engine) answered(h http.Header, visit int, rest time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	v := &e.visits[visit]
 	v.AnsweredAt, v.Leaving, v.Rest = time.Now(), e.leaving, rest
-	return e.leaving
+	if e.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	e.nameLimit(h)
+	e.noteLimit(v)
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -14,48 +14,49 @@
 
 // The metrics.
 const (
-	Boxes           Name = "linetiller_boxes"                        // gauge, by hall: boxes believed alive
-	Generations     Name = "linetiller_generations_total"            // counter, by outcome
-	KeyCommits      Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
-	KeyRewrites     Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
-	KeyWrites       Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
-	CrashesIgnored  Name = "linetiller_crashes_not_counted_total"    // counter, by reason: broken requests that were not counted as crashes of their upstreams
-	LoadAge         Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
-	MoveSeconds     Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
-	Moves           Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
-	Orders          Name = "linetiller_orders_total"                 // counter, by result: orders to upstreams
-	Owned           Name = "linetiller_owned_upstreams"              // gauge
-	PlaceWait       Name = "linetiller_place_wait_seconds"           // histogram: from a request's arrival to its first send
-	PlatformAge     Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
-	PlatformAway    Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
-	PlatformCalls   Name = "linetiller_platform_calls_total"         // counter, by step and outcome
-	PlatformEra     Name = "linetiller_platform_era"                 // gauge: how often the platform's store was restored, as it told this box
-	PlatformOlder   Name = "linetiller_platform_older_answers_total" // counter, by source: older than what is held, and passed over
-	PlatformReader  Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
-	PromptTokens    Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
-	Quarantined     Name = "linetiller_quarantined_requests"         // gauge: requests that are sent to no upstream, since upstreams crashed under them
-	Queued          Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
-	Refusals        Name = "linetiller_refusals_total"               // counter, by reason
-	Requests        Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
-	Reservations    Name = "linetiller_reservations"                 // gauge: at upstreams owned here
-	Resumptions     Name = "linetiller_resumptions_total"            // counter, by reason
-	Retries         Name = "linetiller_retries_total"                // counter, by reason
-	Revision        Name = "linetiller_configuration_revision"       // gauge: in force here
-	Shortages       Name = "linetiller_refusals_short_of_total"      // counter, by short_of: what refused work had waited for
-	RowsIgnored     Name = "linetiller_platform_rows_ignored_total"  // counter, by reason: rows of the list of upstreams that name none
-	StallSeconds    Name = "linetiller_stall_seconds"                // histogram: per generation
-	Streams         Name = "linetiller_streams"                      // gauge: requests held
-	TimeBetween     Name = "linetiller_time_between_tokens_seconds"  // histogram
-	TimeToFirst     Name = "linetiller_time_to_first_token_seconds"  // histogram
-	Tokens          Name = "linetiller_tokens_total"                 // counter: delivered to clients
-	UpstreamCrashes Name = "linetiller_upstream_ends_total"          // counter: requests under which an upstream ended
-	UpstreamReports Name = "linetiller_upstream_report_errors_total" // counter
-	UpstreamWords   Name = "linetiller_upstream_words_total"         // counter, by word: answers in which an upstream said something of itself
+	Boxes            Name = "linetiller_boxes"                        // gauge, by hall: boxes believed alive
+	Generations      Name = "linetiller_generations_total"            // counter, by outcome
+	KeyCommits       Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
+	KeyRewrites      Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
+	KeyWrites        Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	CrashesIgnored   Name = "linetiller_crashes_not_counted_total"    // counter, by reason: broken requests that were not counted as crashes of their upstreams
+	LimitedUpstreams Name = "linetiller_limited_upstreams"            // gauge: that named a rate which they accept from all boxes together
+	LoadAge          Name = "linetiller_load_age_seconds"             // histogram: of the load of an engine when it is chosen
+	MoveSeconds      Name = "linetiller_move_pause_seconds"           // histogram: from the last event before a move to the first after it
+	Moves            Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
+	Orders           Name = "linetiller_orders_total"                 // counter, by result: orders to upstreams
+	Owned            Name = "linetiller_owned_upstreams"              // gauge
+	PlaceWait        Name = "linetiller_place_wait_seconds"           // histogram: from a request's arrival to its first send
+	PlatformAge      Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
+	PlatformAway     Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
+	PlatformCalls    Name = "linetiller_platform_calls_total"         // counter, by step and outcome
+	PlatformEra      Name = "linetiller_platform_era"                 // gauge: how often the platform's store was restored, as it told this box
+	PlatformOlder    Name = "linetiller_platform_older_answers_total" // counter, by source: older than what is held, and passed over
+	PlatformReader   Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
+	PromptTokens     Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
+	Quarantined      Name = "linetiller_quarantined_requests"         // gauge: requests that are sent to no upstream, since upstreams crashed under them
+	Queued           Name = "linetiller_queued_requests"              // gauge: waiting at upstreams owned here
+	Refusals         Name = "linetiller_refusals_total"               // counter, by reason
+	Requests         Name = "linetiller_requests_total"               // counter, by outcome: requests of routes
+	Reservations     Name = "linetiller_reservations"                 // gauge: at upstreams owned here
+	Resumptions      Name = "linetiller_resumptions_total"            // counter, by reason
+	Retries          Name = "linetiller_retries_total"                // counter, by reason
+	Revision         Name = "linetiller_configuration_revision"       // gauge: in force here
+	Shortages        Name = "linetiller_refusals_short_of_total"      // counter, by short_of: what refused work had waited for
+	RowsIgnored      Name = "linetiller_platform_rows_ignored_total"  // counter, by reason: rows of the list of upstreams that name none
+	StallSeconds     Name = "linetiller_stall_seconds"                // histogram: per generation
+	Streams          Name = "linetiller_streams"                      // gauge: requests held
+	TimeBetween      Name = "linetiller_time_between_tokens_seconds"  // histogram
+	TimeToFirst      Name = "linetiller_time_to_first_token_seconds"  // histogram
+	Tokens           Name = "linetiller_tokens_total"                 // counter: delivered to clients
+	UpstreamCrashes  Name = "linetiller_upstream_ends_total"          // counter: requests under which an upstream ended
+	UpstreamReports  Name = "linetiller_upstream_report_errors_total" // counter
+	UpstreamWords    Name = "linetiller_upstream_words_total"         // counter, by word: answers in which an upstream said something of itself
 )
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
+	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords,
--- /dev/null
+++ b/internal/ratelimit/limits.go
@@ -0,0 +1,165 @@
+package ratelimit
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits are the rate limits of upstreams, as far as one box knows. It is safe for concurrent use;
+// its lock is a leaf.
+type Limits struct {
+	count   atomic.Int32     // of limits, so that nothing is locked while there are none
+	invalid map[string]int64 // by upstream: its start that named a limit which cannot be used
+	limits  map[string]Limit
+	mutex   sync.Mutex
+}
+
+// maxInvalid bounds the upstreams of which it is remembered that they named what is no limit.
+const maxInvalid = 1024
+
+// Change is how a box's knowledge of one limit has changed.
+type Change struct {
+	After  Limit
+	Before Limit
+	Known  bool // there is a Before
+}
+
+// NewLimits returns limits of no upstream.
+func NewLimits() *Limits {
+	return &Limits{invalid: make(map[string]int64), limits: make(map[string]Limit)}
+}
+
+// All returns what is known of every limit, in order of the upstreams' names.
+func (s *Limits) All(now time.Time) []Limit {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forget(now)
+	l := make([]Limit, 0, len(s.limits))
+	for _, x := range s.limits {
+		l = append(l, x)
+	}
+	slices.SortFunc(l, func(a, b Limit) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return l
+}
+
+// Digest returns what tells the limited upstreams that are known here from those that another box
+// knows; 0 for none. It does not depend on their rates, which those boxes hear that need them.
+func (s *Limits) Digest(now time.Time) uint64 {
+	if s.count.Load() == 0 {
+		return 0
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forget(now)
+	var sum uint64
+	for _, x := range s.limits {
+		h := xxhash.New()
+		_, _ = h.WriteString(x.Upstream)
+		b := binary.LittleEndian.AppendUint64(nil, uint64(x.Born))
+		if x.Lifted {
+			b = append(b, 1)
+		}
+		_, _ = h.Write(b)
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
+// Invalid records that one start of an upstream named what is no limit, and reports whether it is
+// the first time.
+func (s *Limits) Invalid(upstream string, born int64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if b, ok := s.invalid[upstream]; ok && b == born {
+		return false
+	}
+	if len(s.invalid) >= maxInvalid {
+		clear(s.invalid)
+	}
+	s.invalid[upstream] = born
+	return true
+}
+
+// Lift records that an answer of one start of an upstream named no limit. It returns nil where that
+// changes nothing.
+func (s *Limits) Lift(upstream string, born int64, now time.Time) *Change {
+	if s.count.Load() == 0 {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	x, ok := s.limits[upstream]
+	if !ok || x.Lifted || x.Born != born {
+		return nil
+	}
+	x.At, x.Lifted = now, true
+	return s.record(x, now)
+}
+
+// Of returns the limit in force of one start of an upstream, or nil.
+func (s *Limits) Of(upstream string, born int64, now time.Time) *Limit {
+	if s.count.Load() == 0 {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	x, ok := s.limits[upstream]
+	if !ok || x.Born != born || !x.holds(now) {
+		return nil
+	}
+	return &x
+}
+
+// Record records what a box heard of a limit. It returns nil where that is older than what is known.
+func (s *Limits) Record(l Limit, now time.Time) *Change {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l.At = now.Add(l.At.Sub(now)) // a time of another box does not follow steps of the time of day otherwise
+	return s.record(l, now)
+}
+
+// Size returns how many limits are in force.
+func (s *Limits) Size(now time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	n := 0
+	for _, x := range s.limits {
+		if x.holds(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// forget drops what is old; the lock is held.
+func (s *Limits) forget(now time.Time) {
+	for n, x := range s.limits {
+		if x.old(now) {
+			delete(s.limits, n)
+		}
+	}
+	s.count.Store(int32(len(s.limits)))
+}
+
+// record is Record; the lock is held.
+func (s *Limits) record(l Limit, now time.Time) *Change {
+	known, ok := s.limits[l.Upstream]
+	if l.old(now) || (ok && !l.supersedes(&known)) {
+		return nil
+	}
+	s.limits[l.Upstream] = l
+	s.count.Store(int32(len(s.limits)))
+	return &Change{After: l, Before: known, Known: ok}
+}
+
+// Announced reports whether other boxes have to hear of the change: whether the upstream has a
+// limit at all has changed.
+func (c *Change) Announced() bool {
+	return !c.Known || c.Before.Lifted != c.After.Lifted || c.Before.Born != c.After.Born
+}
--- /dev/null
+++ b/internal/relay/lines_test.go
@@ -0,0 +1,47 @@
+package relay_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+)
+
+// lineCounter is a slog.Handler that counts lines by the number of their event.
+type lineCounter struct {
+	lines map[int64]int
+	mutex sync.Mutex
+}
+
+func newLineCounter() *lineCounter {
+	return &lineCounter{lines: make(map[int64]int)}
+}
+
+// Enabled reports true.
+func (c *lineCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle counts a line.
+func (c *lineCounter) Handle(_ context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key != "event" {
+			return true
+		}
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.lines[a.Value.Int64()]++
+		return false
+	})
+	return nil
+}
+
+// WithAttrs returns the counter itself.
+func (c *lineCounter) WithAttrs([]slog.Attr) slog.Handler { return c }
+
+// WithGroup returns the counter itself.
+func (c *lineCounter) WithGroup(string) slog.Handler { return c }
+
+// count returns how many lines of an event there were.
+func (c *lineCounter) count(event int64) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lines[event]
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/ratelimit"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -57,6 +58,7 @@
 	quarantine     *policy.Quarantine
 	health         *health.Tracker
 	lengths        *policy.Lengths
+	limits         *ratelimit.Limits
 	log            *slog.Logger
 	meter          *meter.Meter
 	metrics        *metric.Set
@@ -108,12 +110,13 @@
 		Others:     func() bool { return true },
 		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, log: log, meter: meter.New(m), metrics: m,
+		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limits: ratelimit.NewLimits(), log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), served: policy.NewServed(), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	for _, o := range options {
 		o(x)
 	}
+	m.Gauge(metric.LimitedUpstreams, func() float64 { return float64(x.limits.Size(time.Now())) })
 	m.Gauge(metric.Quarantined, func() float64 { return float64(x.quarantine.Size(time.Now())) })
 	return x
 }
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -43,6 +43,7 @@
 	ended    int // upstreams that a request has ended
 	engines  map[string]*routed.Engine
 	fresh    func()
+	lines    *lineCounter
 	link     *link.Link
 	metrics  *metric.Set
 	mutex    sync.Mutex // guards ended and revision
@@ -57,11 +58,11 @@
 func withRig(t *testing.T, engines, services int, f func(t *testing.T, r *rig), options ...relay.Option) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{engines: make(map[string]*routed.Engine), fresh: func() {}, link: link.New(), metrics: metric.NewSet(), t: t, view: resource.NewView()}
+		r := &rig{engines: make(map[string]*routed.Engine), fresh: func() {}, lines: newLineCounter(), link: link.New(), metrics: metric.NewSet(), t: t, view: resource.NewView()}
 		tracker := placement.NewTracker(func(*policy.Load) {})
 		tracker.Send = func(context.Context, *box.Update) (*box.Reply, error) { return &box.Reply{}, nil }
 		options = append([]relay.Option{relay.WithBudget(0.2, 50, 10*time.Second, func() int { return 1 })}, options...)
-		r.relay = relay.New(r.view, tracker, policy.NewLengths(), "a", r.metrics, slog.New(slog.DiscardHandler), options...)
+		r.relay = relay.New(r.view, tracker, policy.NewLengths(), "a", r.metrics, slog.New(r.lines), options...)
 		calls := platform.NewEngines(platform.WithEnginesTransport(r.link))
 		r.relay.Upstreams = relay.Upstreams{Gone: calls.Gone, Migrate: calls.Migrate, Release: calls.Release, Send: calls.Send}
 		r.relay.Fresh = func(context.Context) { r.fresh() }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -16,10 +16,15 @@
 
 // What an upstream says of itself with an answer, as metrics name it.
 const (
-	wordLeaving = "leaving" // it is about to end
-	wordRest    = "rest"    // it turned the request away, and wants nothing from this box for a time
+	wordLeaving      = "leaving"       // it is about to end
+	wordLimit        = "limit"         // the rate that it accepts from all boxes together
+	wordLimitInvalid = "limit_invalid" // such a rate that cannot be used
+	wordRest         = "rest"          // it turned the request away, and wants nothing from this box for a time
 )
 
+// fromAnswer names, in logs, the upstream's own answer as where news of it came from.
+const fromAnswer = "its answer"
+
 // hasten returns a context that ends where an upstream is silent for too long, until the
 // result is called. It does so only for streams that may be resumed: of others nothing
 // is gained by giving up.
@@ -40,6 +45,7 @@
 	if a.Leaving {
 		e.noteLeaving(u)
 	}
+	x.observeLimit(u, a)
 	if a.Rest > 0 {
 		x.metrics.Count(metric.UpstreamWords, "word", wordRest)
 		x.rests.Asked(u, now.Add(a.Rest))
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -12,17 +12,19 @@
 
 // Answer is an upstream's answer, as its header tells it.
 type Answer struct {
-	Body      io.ReadCloser
-	Framed    bool          // its body tells its own end, so that one cut off is told from one that is whole
-	Header    http.Header   // to be passed on
-	Leaving   bool          // the upstream says that it is about to end and wants no new work
-	Length    int64         // of the body, -1 where it is not told
-	Load      *health.Load  // nil where it is not told
-	NotRun    bool          // the upstream says that it did not run the request
-	OtherEcho bool          // it names another request than the one that was sent
-	Rest      time.Duration // for which the upstream, which turns the request away, wants nothing from this box; 0 where it does not tell
-	Signed    bool          // it carries the upstream's own mark
-	Status    int
+	Body       io.ReadCloser
+	Framed     bool          // its body tells its own end, so that one cut off is told from one that is whole
+	Header     http.Header   // to be passed on
+	Leaving    bool          // the upstream says that it is about to end and wants no new work
+	Length     int64         // of the body, -1 where it is not told
+	Limit      *float64      // requests a second that the upstream accepts from all boxes together; nil where it names no limit
+	LimitError error         // the limit that it names cannot be used
+	Load       *health.Load  // nil where it is not told
+	NotRun     bool          // the upstream says that it did not run the request
+	OtherEcho  bool          // it names another request than the one that was sent
+	Rest       time.Duration // for which the upstream, which turns the request away, wants nothing from this box; 0 where it does not tell
+	Signed     bool          // it carries the upstream's own mark
+	Status     int
 }
 
 // Copy is a copy of a running generation's memory at another engine.
