Failing tests: upstreams that name a limit

In virtual time, two halls of two boxes, four plain upstreams and four engines, each judged by the stand-in itself.

As in the users' record, the first look is 3 s after an upstream first named a limit and covers the 4 s before, so that what boxes do from half a second after their first answer on counts.

--- a/internal/fake/routed/limits.go
+++ b/internal/fake/routed/limits.go
@@ -11,10 +11,9 @@
 const (
 	limitExtra  = 5                      // requests beyond limitFactor times the limit
 	limitFactor = 1.5                    // of what the limit allows in limitWindow
+	limitGrace  = 3 * time.Second        // after an engine first named a limit, what it got is looked at
 	limitTold   = 500 * time.Millisecond // after a box passed on an answer that names it, it keeps to it
 	limitWindow = 4 * time.Second
-	// LimitGrace is how long after an engine first named its limit boxes have to agree on it.
-	LimitGrace = 3 * time.Second
 )
 
 // SetLimit makes the engine name a limit in its answers, as text that need be no number; "" for
@@ -25,14 +24,15 @@
 	e.limit = text
 }
 
-// OverLimit returns the first time at which the engine got more in limitWindow than the limits
-// allow that it named then, from boxes that it had told, with how many; "" where it never did.
+// OverLimit returns by how much the engine at worst got more in limitWindow than the limits allow
+// that it named then, from boxes that it had told; "" where it never did.
 func (e *Engine) OverLimit(sender Sender) string {
-	l := e.Visits()
+	var broken string
+	worst := 0.0
 	told := make(map[string]time.Time) // when a box first passed on an answer that names a limit
 	var since time.Time                // the engine has named a limit without a break
 	var counted []Visit
-	for _, v := range l {
+	for _, v := range e.Visits() {
 		box, _ := sender(v.Request)
 		if !v.Limited {
 			clear(told)
@@ -42,17 +42,18 @@
 		if since.IsZero() {
 			since = v.AnsweredAt
 		}
-		if at, ok := told[box]; ok && v.At.Sub(at) >= limitTold && v.At.Sub(since) >= LimitGrace {
+		if at, ok := told[box]; ok && v.At.Sub(at) >= limitTold {
 			counted = append(counted, v)
-			if n, allowed := countLimited(counted, v.At); float64(n) > allowed {
-				return fmt.Sprintf("%s got %d requests in %s, where %.1f are allowed", e.id, n, limitWindow, allowed)
-			}
-		}
-		if _, ok := told[box]; !ok {
+		} else if !ok {
 			told[box] = v.AnsweredAt
 		}
+		n, allowed := countLimited(counted, v.At)
+		if over := float64(n) - allowed; v.At.Sub(since) >= limitGrace && over > worst {
+			worst = over
+			broken = fmt.Sprintf("got %d requests in %s, where %.1f are allowed", n, limitWindow, allowed)
+		}
 	}
-	return ""
+	return broken
 }
 
 // countLimited returns how many of the visits came in the window that ends at a time, and how many
--- /dev/null
+++ b/limit_test.go
@@ -0,0 +1,185 @@
+//go:build !race
+
+package linetiller
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/fake/routed"
+)
+
+// limited are the plain upstreams of the tests of limits, two in each data hall.
+var limited = []string{"s-a1", "s-a2", "s-b1", "s-b2"}
+
+// limitedBoxes are the boxes of these tests, in the order in which calls go to them.
+var limitedBoxes = []string{"box-a1", "box-a2", "box-b1", "box-b2"}
+
+// withLimited runs f with four plain upstreams behind four boxes.
+func withLimited(t *testing.T, f func(t *testing.T, r *routes, c *crowd)) {
+	t.Helper()
+	withRoutes(t, func(t *testing.T, r *routes) {
+		for _, n := range limited {
+			r.startRouted(n)
+		}
+		time.Sleep(time.Second)
+		f(t, r, newCrowd(r))
+	})
+}
+
+// setLimit makes upstreams name a limit.
+func (r *routes) setLimit(limit string, upstreams ...string) {
+	for _, n := range upstreams {
+		r.routed[n].SetLimit(limit)
+	}
+}
+
+// paced sends calls, or short streams where plans is set, one after each time every, to the box
+// that to returns for each, for a time, and waits for their ends. A box that is not there gets none.
+func (c *crowd) paced(period, every time.Duration, plans bool, to func(i int) string) {
+	var g sync.WaitGroup
+	for i, began := 0, time.Now(); time.Since(began) < period; i++ {
+		box, id := to(i), fmt.Sprintf("paced-%d-%d", began.UnixMilli(), i)
+		c.routes.region.mutex.Lock()
+		there := c.routes.boxes[box] != nil
+		c.routes.region.mutex.Unlock()
+		if there {
+			c.mutex.Lock()
+			c.sent[id] = journey{box, time.Now()}
+			c.mutex.Unlock()
+			g.Go(func() {
+				ok := false
+				if plans {
+					_, ok, _ = c.routes.plan(box, id, routedKey, 40)
+				} else {
+					ok = c.call(box, id)
+				}
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				if ok {
+					c.served++
+				}
+			})
+		}
+		time.Sleep(every)
+	}
+	g.Wait()
+}
+
+// inTurn sends to all boxes in turn.
+func inTurn(i int) string { return limitedBoxes[i%len(limitedBoxes)] }
+
+// checkLimits checks that no upstream got more than the limits that it named allow.
+func (c *crowd) checkLimits(t *testing.T) {
+	t.Helper()
+	for n, e := range c.routes.routed {
+		for _, from := range []routed.Sender{c.from, c.fromAny} {
+			if broken := e.OverLimit(from); broken != "" {
+				t.Errorf("%s: %s", n, broken)
+			}
+		}
+	}
+}
+
+// TestLimitedUpstreamGetsNoMore guards against a rate limit that each box ignores or keeps by itself,
+// so that the upstream gets a multiple of it from all of them together.
+func TestLimitedUpstreamGetsNoMore(t *testing.T) {
+	const busy = 25 * time.Millisecond // 40 a second
+	atOne := func(int) string { return "box-a1" }
+	for _, x := range []struct {
+		name      string
+		limit     string
+		upstreams []string
+		every     time.Duration
+		plans     bool
+		to        func(i int) string
+		then      string // the limit after 5 s, "" where it stays
+	}{
+		{"one of four", "2.8", limited[:1], busy, false, inTurn, ""},
+		{"all", "2.8", limited, busy, false, inTurn, ""},
+		{"one request in five seconds", "0.2", limited, busy, false, inTurn, ""},
+		{"none at all", "0", limited, busy, false, inTurn, ""},
+		{"many a second", "20", limited[:2], 5 * time.Millisecond, false, inTurn, ""},
+		{"all calls at one box", "8", limited[:1], busy, false, atOne, ""},
+		{"all calls at one box, which moves each second", "2.8", limited, busy, false, func(i int) string { return inTurn(i / 40) }, ""},
+		{"lowered", "20", limited[:2], busy, false, inTurn, "1"},
+		{"raised", "1", limited, busy, false, inTurn, "5"},
+		{"engines", "0.5", []string{"i-a1", "i-a2", "i-b1", "i-b2"}, 100 * time.Millisecond, true, inTurn, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+				time.AfterFunc(time.Second, func() { r.setLimit(x.limit, x.upstreams...) })
+				if x.then != "" {
+					time.AfterFunc(5*time.Second, func() { r.setLimit(x.then, x.upstreams...) })
+				}
+				c.paced(14*time.Second, x.every, x.plans, x.to)
+				c.checkLimits(t)
+			})
+		})
+	}
+}
+
+// TestLimitHoldsWhileBoxesComeAndGo guards against a share of a rate limit that is given out twice
+// while boxes join, restart, stop, are killed, pause or are cut off.
+func TestLimitHoldsWhileBoxesComeAndGo(t *testing.T) {
+	restart := func(r *routes, name string) {
+		r.kill(name)
+		time.Sleep(200 * time.Millisecond)
+		r.link.Down(name, false)
+		r.link.Down(name+"-entry", false)
+		r.startRouter(name)
+	}
+	for _, x := range []struct {
+		name    string
+		trouble func(r *routes)
+	}{
+		{"restarted in turn", func(r *routes) {
+			for _, n := range limitedBoxes {
+				time.Sleep(2 * time.Second)
+				restart(r, n)
+			}
+		}},
+		{"killed in turn", func(r *routes) {
+			for _, n := range limitedBoxes[1:] {
+				time.Sleep(2 * time.Second)
+				r.kill(n)
+			}
+		}},
+		{"stopped", func(r *routes) {
+			time.Sleep(2 * time.Second)
+			r.boxes["box-a1"].Leave()
+		}},
+		{"joined", func(r *routes) {
+			time.Sleep(2 * time.Second)
+			for _, n := range []string{"box-a3", "box-b3"} {
+				r.startRouter(n)
+			}
+		}},
+		{"paused", func(r *routes) {
+			for _, n := range limitedBoxes {
+				r.setFrozen(n, true)
+				time.Sleep(2 * time.Second)
+				r.setFrozen(n, false)
+			}
+		}},
+		{"a hall cut off", func(r *routes) {
+			time.Sleep(2 * time.Second)
+			r.cutHallB(true)
+			time.Sleep(4 * time.Second)
+			r.cutHallB(false)
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+				r.setLimit("2.8", limited...)
+				var g sync.WaitGroup
+				g.Go(func() { x.trouble(r) })
+				c.paced(16*time.Second, 25*time.Millisecond, false, inTurn)
+				g.Wait()
+				c.checkLimits(t)
+			})
+		})
+	}
+}
