Boxes keep to the limits that upstreams name, all together

What callers saw: nothing; an upstream in need that had named a limit of 2.8 requests a second got 36 and 45 in 4 s (allowed 22).

Cause: the head of an answer was read for what concerns its request, the load, back-off and shutdown. A limit was passed on to the caller, and no box heeded it. Class: a bound on the sum over all boxes that no box is in a position to keep by itself.

Change: one box of the upstream's data hall hands out permits from a token bucket; a box asks before it sends to an upstream with a limit, and every way to an upstream passes that check. Boxes tell each other which upstreams have limits, by announcement, by a digest in heartbeats, and as they start.

--- a/answer.go
+++ b/answer.go
@@ -24,20 +24,20 @@
 	switch q.Kind {
 	case box.KindAsk:
 		b.owners.Ask(ctx, q.Ask, answer)
-	case box.KindAway:
-		b.follower.HeardAway(q.From.Name, q.Away)
+	case box.KindAway, box.KindLeaving:
+		b.noteAnnouncement(q)
 		_ = answer(&box.Reply{})
 	case box.KindChanges:
 		_ = answer(&box.Reply{Changes: b.view.Missing(q.Revisions)})
 	case box.KindCleared, box.KindCrashed, box.KindCrashes:
 		_ = answer(b.answerCrashes(q))
 	case box.KindHeartbeat:
-		_ = answer(&box.Reply{Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(time.Now())})
+		now := time.Now()
+		_ = answer(&box.Reply{Limited: b.relay.Limits().Digest(now), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(now)})
 	case box.KindInForce:
 		_ = answer(&box.Reply{Halls: b.inForceHere(ctx, q.Forward)})
-	case box.KindLeaving:
-		b.noteLeaving(q.Leaving, q.Born, q.From.Name)
-		_ = answer(&box.Reply{})
+	case box.KindLimits, box.KindPermit:
+		_ = answer(b.answerLimits(ctx, q))
 	case box.KindMembers:
 		_ = answer(&box.Reply{Members: b.members.Members()})
 	case box.KindNews:
@@ -81,3 +81,12 @@
 	q.SentAt = time.Now()
 	return &q
 }
+
+// noteAnnouncement records what another box announces of the platform's list or of an upstream.
+func (b *Box) noteAnnouncement(q *box.Request) {
+	if q.Kind == box.KindAway {
+		b.follower.HeardAway(q.From.Name, q.Away)
+		return
+	}
+	b.noteLeaving(q.Leaving, q.Born, q.From.Name)
+}
--- a/assemble.go
+++ b/assemble.go
@@ -51,6 +51,8 @@
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
 	b.keys.Era = b.follower.Era
+	b.limits = newLimits()
+	b.limits.limiter.Ask = b.askPermit
 	b.rests = health.NewRests(b.view)
 
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
@@ -133,13 +135,14 @@
 func (b *Box) assembleRelay(l *policy.Lengths) {
 	g := b.settings.Budget
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
-		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdMost(b.coldMost), relay.WithRests(b.rests))
+		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdMost(b.coldMost), relay.WithLimiter(b.limits.limiter), relay.WithRests(b.rests))
 	b.relay.Cleared = func(p policy.Fingerprint) {
 		b.tell("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
 	}
 	b.relay.Crashed = b.announceCrashes
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
+	b.relay.Limited = b.announceLimit
 	b.relay.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its answer") }
 	b.relay.Place = b.reserved.Place
 	b.relay.Others = b.hasOthers
--- a/crashes.go
+++ b/crashes.go
@@ -23,7 +23,7 @@
 const (
 	// anyDigest stands for that of a box which has not told its own.
 	anyDigest = 1
-	// learnPeriod bounds how long a box that starts waits for its neighbours' knowledge of crashes:
+	// learnPeriod bounds how long a box that starts waits for its neighbours' knowledge:
 	// those that are gone do not answer.
 	learnPeriod = 300 * time.Millisecond
 )
@@ -82,14 +82,18 @@
 	}
 }
 
-// learnCrashes asks the neighbours for what they know of crashes, before the first request: a box
-// that starts would send on what they have quarantined.
-func (b *Box) learnCrashes(ctx context.Context) {
+// learnFromNeighbours asks the neighbours for what they know of crashes and of limits, before the
+// first request: a box that starts would send on what they have quarantined, and more than upstreams
+// accept.
+func (b *Box) learnFromNeighbours(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, learnPeriod)
 	defer cancel()
 	var g sync.WaitGroup
 	for _, m := range b.members.Neighbours(time.Now()) {
-		g.Go(func() { b.fetchCrashes(ctx, m, anyDigest) })
+		g.Go(func() {
+			b.fetchCrashes(ctx, m, anyDigest)
+			b.fetchLimits(ctx, m, anyDigest)
+		})
 	}
 	g.Wait()
 }
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -42,6 +42,9 @@
 	b.learnAll(q.Loads)
 	_ = b.follower.CatchUp(ctx, q.From.Address, q.Revisions) // the next message tries again
 	b.fetchCrashes(ctx, q.From, q.Quarantine)
+	if q.Kind == box.KindHeartbeat {
+		b.fetchLimits(ctx, q.From, q.Limited)
+	}
 }
 
 // heartbeat tells one box that this one lives.
@@ -49,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
 	began := time.Now()
-	q := box.Request{Kind: box.KindHeartbeat, Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(began)}
+	q := box.Request{Kind: box.KindHeartbeat, Limited: b.relay.Limits().Digest(began), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(began)}
 	r, err := b.links.Once(ctx, m.Address, b.request(q))
 	if err != nil {
 		if b.members.Failed(m.Name, began, time.Now()) {
@@ -64,6 +67,7 @@
 	}
 	_ = b.follower.CatchUp(ctx, m.Address, r.Revisions) // the next heartbeat tries again
 	b.fetchCrashes(ctx, m, r.Quarantine)
+	b.fetchLimits(ctx, m, r.Limited)
 }
 
 // heartbeats sends a heartbeat to each neighbour and waits for the answers.
--- a/internal/box/clock.go
+++ b/internal/box/clock.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/ratelimit"
 )
 
 // Clocks of boxes may differ by seconds and jump. Times in a message are by the
@@ -28,6 +29,11 @@
 		shift(&q.Loads[i].AsOf, by)
 	}
 	shiftCrashes(q.Crashes, by)
+	shiftLimits(q.Limits, by)
+	if q.Permit != nil {
+		shift(&q.Permit.Limit.At, by)
+		shift(&q.Permit.WaitTill, by)
+	}
 	if q.Update != nil {
 		q.Update.shift(by)
 	}
@@ -43,6 +49,12 @@
 		shift(&r.Answer.RetryAt, by)
 	}
 	shiftCrashes(r.Crashes, by)
+	shiftLimits(r.Limits, by)
+	if g := r.Grant; g != nil {
+		shift(&g.From, by)
+		shift(&g.RetryAt, by)
+		shift(&g.Until, by)
+	}
 	if r.Load != nil {
 		shift(&r.Load.AsOf, by)
 	}
@@ -68,6 +80,12 @@
 	}
 }
 
+func shiftLimits(l []ratelimit.Limit, by time.Duration) {
+	for i := range l {
+		shift(&l[i].At, by)
+	}
+}
+
 func shift(t *time.Time, by time.Duration) {
 	if !t.IsZero() {
 		*t = t.Add(by)
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/ratelimit"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
@@ -25,8 +26,10 @@
 	KindHeartbeat Kind = "heartbeat" // that the sender lives
 	KindInForce   Kind = "in-force"  // the revision in force at the boxes of a hall
 	KindLeaving   Kind = "leaving"   // that an upstream told that it is leaving
+	KindLimits    Kind = "limits"    // rate limits of upstreams: what the sender tells of them, and what the other side knows
 	KindMembers   Kind = "members"   // the boxes that the other side knows
 	KindNews      Kind = "news"      // what the sender does not know yet, once there is some
+	KindPermit    Kind = "permit"    // permits to send to an upstream that has a rate limit
 	KindTurn      Kind = "turn"      // the turn to move a generation away from an upstream, or to one
 	KindUpdate    Kind = "update"    // how far running generations are
 )
@@ -59,7 +62,10 @@
 	Kind         Kind                 `cbor:"5,keyasint"`
 	Known        []uint64             `cbor:"17,keyasint,omitempty"` // crashes: hashes of those that the sender knows
 	Leaving      string               `cbor:"9,keyasint,omitempty"`  // leaving: the upstream
+	Limited      uint64               `cbor:"19,keyasint,omitempty"` // heartbeat: digest of the limits that the sender knows
+	Limits       []ratelimit.Limit    `cbor:"20,keyasint,omitempty"` // limits
 	Loads        []policy.Load        `cbor:"10,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
+	Permit       *ratelimit.Ask       `cbor:"21,keyasint,omitempty"` // permit
 	Fingerprints []policy.Fingerprint `cbor:"15,keyasint,omitempty"` // cleared: of the requests
 	Quarantine   uint64               `cbor:"18,keyasint,omitempty"` // heartbeat: digest of what the sender knows of crashes
 	Revisions    resource.Revisions   `cbor:"6,keyasint"`            // known to the sender
@@ -111,6 +117,9 @@
 	Crashes    []policy.Crash     `cbor:"14,keyasint,omitempty"` // crashes
 	Error      string             `cbor:"3,keyasint,omitempty"`  // the reason of a refusal by the box itself
 	Fed        bool               `cbor:"13,keyasint,omitempty"` // news: the sender's view is kept up to date from the store
+	Grant      *ratelimit.Grant   `cbor:"16,keyasint,omitempty"` // permit
+	Limited    uint64             `cbor:"17,keyasint,omitempty"` // heartbeat: digest of the limits that the sender knows
+	Limits     []ratelimit.Limit  `cbor:"18,keyasint,omitempty"` // limits
 	Halls      []HallRevisions    `cbor:"4,keyasint,omitempty"`  // in-force
 	Load       *policy.Load       `cbor:"5,keyasint,omitempty"`
 	Loads      []policy.Load      `cbor:"12,keyasint,omitempty"` // heartbeat: of the upstreams that the sender owns
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -141,6 +141,9 @@
 	if q.Kind == KindAsk && q.Ask == nil {
 		return nil, errors.New("an ask without its work")
 	}
+	if q.Kind == KindPermit && q.Permit == nil {
+		return nil, errors.New("an ask for a permit without its limit")
+	}
 	if q.Kind == KindTurn && q.Turn == nil {
 		return nil, errors.New("a turn without its run")
 	}
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -16,6 +16,7 @@
 	"last_event_invalid":     "it named a last event that is not a number",
 	"late":                   "it would have come late, and others waited that could still be in time",
 	"leaving":                "the upstream was leaving",
+	"limited":                "the upstreams had named limits of how many requests a second they accept, which were used up",
 	"move_lost":              "it had been copied to another engine, which did not take it up",
 	"no_owner":               "no box answered for the engines",
 	"no_room":                "no engine had room",
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,6 +26,7 @@
 	Moves            Name = "linetiller_moves_total"                  // counter, by result: generations moved to another engine
 	Orders           Name = "linetiller_orders_total"                 // counter, by result: orders to upstreams
 	Owned            Name = "linetiller_owned_upstreams"              // gauge
+	Permits          Name = "linetiller_limit_permits_total"          // counter, by result: asked for to send to upstreams that have rate limits
 	PlaceWait        Name = "linetiller_place_wait_seconds"           // histogram: from a request's arrival to its first send
 	PlatformAge      Name = "linetiller_platform_read_age_seconds"    // gauge, by source: since the last read that went well
 	PlatformAway     Name = "linetiller_platform_away"                // gauge, by source: 1 while the last read of it failed
@@ -56,7 +57,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
+	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, Permits, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords,
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -69,6 +69,7 @@
 	ReasonEvacuated   Reason = "evacuated"    // the upstream's hall is evacuated
 	ReasonLate        Reason = "late"         // its target can no longer be met, and work waits there that can meet its own
 	ReasonLeaving     Reason = "leaving"      // the upstream gets no new work
+	ReasonLimited     Reason = "limited"      // the upstreams accept no more requests a second
 	ReasonMoved       Reason = "moved"        // the upstream has another owner now; ask there
 	ReasonNoUpstream  Reason = "no_upstream"  // no upstream runs the model
 	ReasonQueueFull   Reason = "queue_full"   // too much waits already
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -1,5 +1,6 @@
 // Package ratelimit keeps requests to upstreams within the rates that they accept from all boxes
-// together. It does no I/O and reads no clock.
+// together: Limits are those that a box knows, an Allocator hands out permits for all boxes, and a
+// Limiter takes them for one. It does no I/O.
 package ratelimit
 
 import "time"
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -51,7 +51,7 @@
 // Digest returns what tells the limited upstreams that are known here from those that another box
 // knows; 0 for none. It does not depend on their rates, which those boxes hear that need them.
 func (s *Limits) Digest(now time.Time) uint64 {
-	if s.count.Load() == 0 {
+	if s.Empty() {
 		return 0
 	}
 	s.mutex.Lock()
@@ -71,6 +71,9 @@
 	return sum
 }
 
+// Empty reports whether no limit is known.
+func (s *Limits) Empty() bool { return s.count.Load() == 0 }
+
 // Invalid records that one start of an upstream named what is no limit, and reports whether it is
 // the first time.
 func (s *Limits) Invalid(upstream string, born int64) bool {
@@ -89,7 +92,7 @@
 // Lift records that an answer of one start of an upstream named no limit. It returns nil where that
 // changes nothing.
 func (s *Limits) Lift(upstream string, born int64, now time.Time) *Change {
-	if s.count.Load() == 0 {
+	if s.Empty() {
 		return nil
 	}
 	s.mutex.Lock()
@@ -104,7 +107,7 @@
 
 // Of returns the limit in force of one start of an upstream, or nil.
 func (s *Limits) Of(upstream string, born int64, now time.Time) *Limit {
-	if s.count.Load() == 0 {
+	if s.Empty() {
 		return nil
 	}
 	s.mutex.Lock()
@@ -113,7 +116,8 @@
 	if !ok || x.Born != born || !x.holds(now) {
 		return nil
 	}
-	return &x
+	l := x // so that nothing is allocated where there is no limit
+	return &l
 }
 
 // Record records what a box heard of a limit. It returns nil where that is older than what is known.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -69,17 +69,9 @@
 	return u, nil
 }
 
-// seat finds an upstream for w: an engine that has a place for it, or a plain service.
-func (e *exchange) seat(ctx context.Context, w *policy.Work) (*seat, error) {
-	if err := e.quarantined(); err != nil {
-		return nil, err
-	}
-	x, now := e.relay, time.Now()
-	l := e.upstreams()
-	if err := x.rests.Refusal(l, e.servicePlace(), now); err != nil {
-		return nil, err
-	}
-	avoid := x.rests.Avoid(l, e.avoid, now)
+// choose finds an upstream for w: an engine that has a place for it, or a plain service.
+func (e *exchange) choose(ctx context.Context, w *policy.Work, avoid map[string]bool) (*seat, error) {
+	x := e.relay
 	if e.service.Spec.Engine != nil {
 		p, err := x.Place(ctx, w, avoid)
 		if err != nil {
@@ -87,7 +79,8 @@
 		}
 		return &seat{place: p, running: x.tracker.Start(w, p.Upstream.Name), upstream: p.Upstream}, nil
 	}
-	u, backAt := x.health.Choose(l, avoid, now)
+	now := time.Now()
+	u, backAt := x.health.Choose(e.upstreams(), avoid, now)
 	if u == nil && !backAt.IsZero() {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), reasonOutOfReach, "no upstream of %q can be reached", e.service.Name), backAt)
 	}
@@ -97,6 +90,36 @@
 	return &seat{end: x.health.Begin(u.Name), upstream: u}, nil
 }
 
+// seat finds an upstream for w that the request may be sent to now.
+func (e *exchange) seat(ctx context.Context, w *policy.Work) (*seat, error) {
+	if err := e.quarantined(); err != nil {
+		return nil, err
+	}
+	x := e.relay
+	for asked := 0; ; asked++ {
+		now := time.Now()
+		l := e.upstreams()
+		if err := x.rests.Refusal(l, e.servicePlace(), now); err != nil {
+			return nil, err
+		}
+		avoid, waitTill, err := e.avoidLimited(l, x.rests.Avoid(l, e.avoid, now), asked, now)
+		if err != nil {
+			return nil, err
+		}
+		t, err := e.choose(ctx, w, avoid)
+		if err != nil {
+			return nil, err
+		}
+		if e.permitted(ctx, t.upstream, waitTill) {
+			return t, nil
+		}
+		t.release(x, false)
+		if ctx.Err() != nil {
+			return nil, fail.Wrap(fail.NotRun, e.servicePlace(), string(policy.ReasonLimited), ctx.Err())
+		}
+	}
+}
+
 // release gives back what is held at the upstream; ended tells that the generation
 // reached its own end there.
 func (t *seat) release(x *Relay, ended bool) {
--- a/internal/relay/away.go
+++ b/internal/relay/away.go
@@ -152,7 +152,8 @@
 	w := s.remaining()
 	w.Hall = m.from.Spec.Hall
 	w.Moved = true
-	avoid = x.rests.Avoid(s.exchange.upstreams(), avoid, time.Now())
+	now, l := time.Now(), s.exchange.upstreams()
+	avoid = x.withoutLimited(l, x.rests.Avoid(l, avoid, now), now)
 	place, cancel := context.WithTimeout(ctx, movePlacePeriod)
 	defer cancel()
 	var to *resource.Upstream
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -1,19 +1,31 @@
 package relay
 
 import (
+	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/ratelimit"
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// permitAsks is how many permits one request asks for, at one upstream after another, before it
+// goes past all upstreams that have limits.
+const permitAsks = 2
+
+// Limits returns what this box knows of the rate limits of upstreams.
+func (x *Relay) Limits() *ratelimit.Limits { return x.limiter.Limits() }
+
 // NoteLimit records and logs what was heard of the rate limit of an upstream, from itself or from a
 // box. It returns nil where that is not news.
 func (x *Relay) NoteLimit(l ratelimit.Limit, from string) *ratelimit.Change {
-	return x.logLimit(x.limits.Record(l, time.Now()), from)
+	return x.logLimit(x.limiter.Limits().Record(l, time.Now()), from)
 }
 
 // logLimit logs a change of a limit, and returns it.
@@ -33,17 +45,154 @@
 	if a.OtherEcho {
 		return
 	}
-	now := time.Now()
+	now, limits := time.Now(), x.limiter.Limits()
 	switch {
 	case a.LimitError != nil:
 		x.metrics.Count(metric.UpstreamWords, "word", wordLimitInvalid)
-		if x.limits.Invalid(u.Name, u.Spec.Born) {
+		if limits.Invalid(u.Name, u.Spec.Born) {
 			event.LimitInvalid.Log(x.log, "upstream", u.Name, "error", a.LimitError.Error())
 		}
 	case a.Limit != nil:
 		x.metrics.Count(metric.UpstreamWords, "word", wordLimit)
-		x.NoteLimit(ratelimit.Limit{At: now, Born: u.Spec.Born, PerSecond: *a.Limit, Upstream: u.Name}, fromAnswer)
+		x.announceLimit(x.NoteLimit(ratelimit.Limit{At: now, Born: u.Spec.Born, PerSecond: *a.Limit, Upstream: u.Name}, fromAnswer))
 	case a.Signed || (a.NotRun && a.Status != http.StatusMisdirectedRequest):
-		x.logLimit(x.limits.Lift(u.Name, u.Spec.Born, now), fromAnswer)
+		x.announceLimit(x.logLimit(limits.Lift(u.Name, u.Spec.Born, now), fromAnswer))
+	}
+}
+
+// announceLimit announces a change that an answer brought; nil is none.
+func (x *Relay) announceLimit(c *ratelimit.Change) {
+	if c != nil {
+		x.Limited(c)
+	}
+}
+
+// withoutLimited adds the upstreams that have limits to those to avoid of a list, where that leaves
+// another.
+func (x *Relay) withoutLimited(l []*resource.Upstream, avoid map[string]bool, now time.Time) map[string]bool {
+	all := make(map[string]bool)
+	maps.Copy(all, avoid)
+	free := false
+	for _, u := range l {
+		switch {
+		case avoid[u.Name] || !u.Takes(now):
+		case x.limiter.Limited(u.Name, u.Spec.Born, now):
+			all[u.Name] = true
+		default:
+			free = true
+		}
+	}
+	if free {
+		return all
+	}
+	return avoid
+}
+
+// avoidLimited adds the upstreams to those to avoid of a list for which there is no permit now. Where
+// none is left, it returns the refusal of the request, or, where one has a permit while the request
+// can still be in time, until when it is worth waiting for.
+//
+// Retries, and requests that have asked for permits in vain, go past all upstreams that have limits
+// while there are others.
+func (e *exchange) avoidLimited(l []*resource.Upstream, avoid map[string]bool, asked int, now time.Time) (map[string]bool, time.Time, error) {
+	x := e.relay
+	if x.limiter.Limits().Empty() {
+		return avoid, time.Time{}, nil
+	}
+	if e.tries > 0 || asked >= permitAsks {
+		avoid = x.withoutLimited(l, avoid, now)
+	}
+	refused, free := x.refusedPermits(l, avoid, now)
+	if len(refused) == 0 {
+		return avoid, time.Time{}, nil
+	}
+	if free {
+		return with(avoid, refused, time.Time{}), time.Time{}, nil
+	}
+	first := slices.MinFunc(slices.Collect(maps.Values(refused)), time.Time.Compare)
+	till := e.limitPatience(now)
+	if first.After(till) {
+		return nil, time.Time{}, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonLimited), "the upstreams accept no more requests for now"), first)
+	}
+	return with(avoid, refused, till), till, nil
+}
+
+// limitPatience returns until when the request may wait for a permit: half of what is left until its
+// answer would be late.
+func (e *exchange) limitPatience(now time.Time) time.Time {
+	d := e.route.Spec.Target.Duration()
+	if d <= 0 || e.status != 0 {
+		return now
+	}
+	if left := e.request.Arrived.Add(d).Sub(now); left > 0 {
+		return now.Add(left / 2)
+	}
+	return now
+}
+
+// permitted takes a permit to send the request to an upstream, and reports whether there was one or
+// none is needed. One for a time up to waitTill is of use, too; it is then waited for.
+func (e *exchange) permitted(ctx context.Context, u *resource.Upstream, waitTill time.Time) bool {
+	x := e.relay
+	if !x.limiter.Limited(u.Name, u.Spec.Born, time.Now()) {
+		return true
+	}
+	return x.countPermit(x.limiter.Take(ctx, u.Name, u.Spec.Born, ratelimit.WaitTill(waitTill)))
+}
+
+// permittedToResume does so for a run that was stopped for a move, and is lost without a permit.
+func (e *exchange) permittedToResume(ctx context.Context, u *resource.Upstream) bool {
+	x := e.relay
+	if !x.limiter.Limited(u.Name, u.Spec.Born, time.Now()) {
+		return true
+	}
+	return x.countPermit(x.limiter.Take(ctx, u.Name, u.Spec.Born, ratelimit.Urgent()))
+}
+
+// countPermit counts whether a permit was granted, and returns that.
+func (x *Relay) countPermit(granted bool) bool {
+	result := "refused"
+	if granted {
+		result = "granted"
+	}
+	x.metrics.Count(metric.Permits, "result", result)
+	return granted
+}
+
+// refusedPermits returns, of the upstreams of a list that are not to be avoided, those for which there
+// is no permit, with when to ask again, and reports whether there are others.
+func (x *Relay) refusedPermits(l []*resource.Upstream, avoid map[string]bool, now time.Time) (refused map[string]time.Time, free bool) {
+	refused = make(map[string]time.Time)
+	for _, u := range l {
+		if avoid[u.Name] || !u.Takes(now) {
+			continue
+		}
+		if at := x.limiter.RefusedUntil(u.Name, u.Spec.Born, now); !at.IsZero() {
+			refused[u.Name] = at
+		} else {
+			free = true
+		}
+	}
+	return refused, free
+}
+
+// localPermits returns an Ask of a limiter for a box that sends alone.
+func localPermits() func(context.Context, *ratelimit.Ask) (*ratelimit.Grant, error) {
+	a := ratelimit.NewAllocator()
+	return func(_ context.Context, q *ratelimit.Ask) (*ratelimit.Grant, error) {
+		g := a.Allocate(q, 1, 1, time.Now())
+		return &g, nil
+	}
+}
+
+// with returns the upstreams to avoid and those that are refused until later than a time.
+func with(avoid map[string]bool, refused map[string]time.Time, till time.Time) map[string]bool {
+	all := make(map[string]bool, len(avoid)+len(refused))
+	maps.Copy(all, avoid)
+	for n, at := range refused {
+		if at.After(till) {
+			all[n] = true
+		}
 	}
+	return all
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,8 @@
 	Fresh func(ctx context.Context)
 	// Guess chooses an engine without asking for a place; a seam.
 	Guess func(w *policy.Work, avoid map[string]bool) *resource.Upstream
+	// Limited announces to other boxes what an upstream's answer said of its rate limit; a seam.
+	Limited func(c *ratelimit.Change)
 	// Leaving takes in that an upstream's answer says that it is leaving; a seam. By default
 	// this box alone knows.
 	Leaving func(u *resource.Upstream)
@@ -58,7 +60,7 @@
 	quarantine     *policy.Quarantine
 	health         *health.Tracker
 	lengths        *policy.Lengths
-	limits         *ratelimit.Limits
+	limiter        *ratelimit.Limiter
 	log            *slog.Logger
 	meter          *meter.Meter
 	metrics        *metric.Set
@@ -106,17 +108,19 @@
 		Cleared:    func(policy.Fingerprint) {},
 		Crashed:    func([]policy.Crash) {},
 		Fresh:      func(context.Context) {},
+		Limited:    func(*ratelimit.Change) {},
 		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:     func() bool { return true },
 		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limits: ratelimit.NewLimits(), log: log, meter: meter.New(m), metrics: m,
+		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limiter: ratelimit.NewLimiter(ratelimit.NewLimits()), log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), served: policy.NewServed(), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
+	x.limiter.Ask = localPermits()
 	for _, o := range options {
 		o(x)
 	}
-	m.Gauge(metric.LimitedUpstreams, func() float64 { return float64(x.limits.Size(time.Now())) })
+	m.Gauge(metric.LimitedUpstreams, func() float64 { return float64(x.limiter.Limits().Size(time.Now())) })
 	m.Gauge(metric.Quarantined, func() float64 { return float64(x.quarantine.Size(time.Now())) })
 	return x
 }
@@ -133,6 +137,12 @@
 	return func(x *Relay) { x.budget = budget.New(ratio, extra, window, boxes) }
 }
 
+// WithLimiter sets what gives permits to send to upstreams that have named a rate limit. By default
+// this box alone is taken to send to them.
+func WithLimiter(m *ratelimit.Limiter) Option {
+	return func(x *Relay) { x.limiter = m }
+}
+
 // WithRests shares the times for which upstreams want nothing from this box with others that
 // send to them.
 func WithRests(r *health.Rests) Option {
@@ -214,6 +224,7 @@
 		case <-c:
 		case now := <-t.C:
 			x.health.Forget(now)
+			x.limiter.Forget(now)
 		}
 	}
 }
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -41,6 +41,9 @@
 	if !e.relay.rests.Spend(u.Name, time.Now()) {
 		return nil, fail.New(fail.NotRun, place, string(policy.ReasonResting), "the upstream wants rest")
 	}
+	if !e.permittedToResume(ctx, u) {
+		return nil, fail.New(fail.NotRun, place, string(policy.ReasonLimited), "the upstream accepts no more requests for now")
+	}
 	a, _, err := e.send(ctx, u, r)
 	return a, err
 }
--- a/join.go
+++ b/join.go
@@ -58,7 +58,7 @@
 	}
 	b.listMembers()
 	var g sync.WaitGroup
-	g.Go(func() { b.learnCrashes(ctx) })
+	g.Go(func() { b.learnFromNeighbours(ctx) })
 	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
 	b.workers.Go(func() { b.follower.RunNews(b.running) })
 	if b.follower.Reads() || !b.listenForNews(ctx) {
--- a/limit_test.go
+++ b/limit_test.go
@@ -42,15 +42,15 @@
 	var g sync.WaitGroup
 	for i, began := 0, time.Now(); time.Since(began) < period; i++ {
 		box, id := to(i), fmt.Sprintf("paced-%d-%d", began.UnixMilli(), i)
-		c.routes.region.mutex.Lock()
+		c.routes.mutex.Lock()
 		there := c.routes.boxes[box] != nil
-		c.routes.region.mutex.Unlock()
+		c.routes.mutex.Unlock()
 		if there {
 			c.mutex.Lock()
 			c.sent[id] = journey{box, time.Now()}
 			c.mutex.Unlock()
 			g.Go(func() {
-				ok := false
+				var ok bool
 				if plans {
 					_, ok, _ = c.routes.plan(box, id, routedKey, 40)
 				} else {
@@ -183,3 +183,72 @@
 		})
 	}
 }
+
+// got returns how many requests an upstream got from a time on.
+func (r *routes) got(upstream string, from time.Time) int {
+	n := 0
+	for _, at := range r.routed[upstream].Arrivals() {
+		if !at.Before(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLimitIsUsed guards against a limit of which boxes leave most unused, and against calls that are
+// refused although other upstreams have room.
+func TestLimitIsUsed(t *testing.T) {
+	const busy = 25 * time.Millisecond
+	for _, x := range []struct {
+		name      string
+		limit     float64
+		upstreams []string
+		every     time.Duration
+		to        func(i int) string
+	}{
+		{"one of four", 2.8, limited[:1], busy, inTurn},
+		{"three of four", 2.8, limited[:3], busy, inTurn},
+		{"all", 2.8, limited, busy, inTurn},
+		{"all, many a second", 20, limited, 8 * time.Millisecond, inTurn},
+		{"all calls at one box", 2.8, limited, busy, func(int) string { return "box-a1" }},
+		{"all calls at one box, which moves each second", 2.8, limited, busy, func(i int) string { return inTurn(i / 40) }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+				r.setLimit(fmt.Sprint(x.limit), x.upstreams...)
+				c.paced(3*time.Second, x.every, false, x.to)
+				began := time.Now()
+				const period = 10 * time.Second
+				c.served, c.sent = 0, make(map[string]journey)
+				c.paced(period, x.every, false, x.to)
+				sum := 0
+				for _, n := range x.upstreams {
+					sum += r.got(n, began)
+				}
+				want := 0.8 * x.limit * period.Seconds() * float64(len(x.upstreams))
+				if float64(sum) < want {
+					t.Errorf("got %d requests, want at least %.0f", sum, want)
+				}
+				if got, want := c.served, len(c.sent); len(x.upstreams) < len(limited) && got != want {
+					t.Errorf("served: got %d, want all %d", got, want)
+				}
+				t.Logf("used %.2f, served %d of %d", float64(sum)/want*0.8, c.served, len(c.sent))
+			})
+		})
+	}
+}
+
+// TestLimitIsLifted guards against a limit that holds on once its upstream names none any more.
+func TestLimitIsLifted(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		r.setLimit("2.8", limited...)
+		c.paced(5*time.Second, 25*time.Millisecond, false, inTurn)
+		r.setLimit("", limited...)
+		c.paced(2*time.Second, 25*time.Millisecond, false, inTurn)
+		c.served, c.sent = 0, make(map[string]journey)
+		c.paced(2*time.Second, 25*time.Millisecond, false, inTurn)
+		if got, want := c.served, len(c.sent); got != want {
+			t.Errorf("served from 2 s after the last limit on: got %d, want all %d", got, want)
+		}
+	})
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -49,6 +49,7 @@
 	follower         *configuration.Follower
 	ignored          ignoredRows
 	keys             *requestkey.Keys
+	limits           *limits
 	links            *box.Links
 	members          *member.Table
 	metrics          *metric.Set
