One box hands out what a cold plain upstream bears

What callers saw: a cold upstream that bears 8 requests a second got 9 to 13 while boxes were killed and stopped; one that gets more falls over, and its calls fail.

Cause: the same class as the limits. Each box took a fixed share of the sum by itself: anew as it started, and a larger one while it held other boxes for gone; what it had sent before a pause was not counted after it.

Change: a cold plain upstream needs permits, too, from the same allocator: half of what it bears, none of it saved up beyond one, two fifths of that from a box which is not sure to be alone. A box's own share stays as a second bound. Engines have owners, who do this already. What cannot be sent there is refused with the time of the next permit, where no other upstream is left, and no more until the upstream is warm.

--- a/assemble.go
+++ b/assemble.go
@@ -135,7 +135,7 @@
 func (b *Box) assembleRelay(l *policy.Lengths) {
 	g := b.settings.Budget
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
-		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdMost(b.coldMost), relay.WithLimiter(b.limits.limiter), relay.WithRests(b.rests))
+		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithCold(b.coldBears, b.coldMost), relay.WithLimiter(b.limits.limiter), relay.WithRests(b.rests))
 	b.relay.Cleared = func(p policy.Fingerprint) {
 		b.tell("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
 	}
--- a/cold.go
+++ b/cold.go
@@ -7,13 +7,22 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// coldMost returns how many requests a second this box may send to a plain upstream, which
-// has no owner, while that is cold.
-func (b *Box) coldMost(u *resource.Upstream) int {
+// coldBears returns how many requests a second a plain upstream, which has no owner, bears from all
+// boxes while it is cold; 0 is no bound.
+func (b *Box) coldBears(u *resource.Upstream) float64 {
 	n := u.ColdPerSecond()
 	if n <= 0 {
-		return math.MaxInt
+		return 0
 	}
 	c := b.settings.Cold
-	return policy.ColdShare(u.Name, b.settings.Box, b.members.Alive(""), n*c.Overage+c.Slack)
+	return n*c.Overage + c.Slack
+}
+
+// coldMost returns how many of them this box may send.
+func (b *Box) coldMost(u *resource.Upstream) int {
+	n := b.coldBears(u)
+	if n <= 0 {
+		return math.MaxInt
+	}
+	return policy.ColdShare(u.Name, b.settings.Box, b.members.Alive(""), n)
 }
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -16,8 +16,9 @@
 
 // Ask asks for permits.
 type Ask struct {
+	Cold      float64   `cbor:"6,keyasint,omitempty"` // requests a second that the upstream bears while it is cold; 0 where it is not
 	Forwarded bool      `cbor:"1,keyasint,omitempty"` // by a box that does not allocate them itself
-	Limit     Limit     `cbor:"2,keyasint"`           // as the asking box knows it
+	Limit     Limit     `cbor:"2,keyasint"`           // as the asking box knows it; At is zero where the upstream has none
 	Urgent    bool      `cbor:"3,keyasint,omitempty"` // the request has nowhere else to go, and is lost without
 	WaitTill  time.Time `cbor:"4,keyasint,omitzero"`  // a permit for a time up to then is of use, too; zero where none is
 	Want      int       `cbor:"5,keyasint"`           // permits that the box would use at once
@@ -34,9 +35,9 @@
 // bucket is the token bucket of one start of an upstream. The lock of Allocator guards it.
 type bucket struct {
 	at       time.Time // of tokens
+	born     int64     // the start of the upstream
 	deferred time.Time // the latest time at which a box that got no permit was told to ask again
-	limit    Limit
-	tokens   float64 // below 0 where permits for later were handed out
+	tokens   float64   // below 0 where permits for later were handed out
 }
 
 const (
@@ -46,6 +47,9 @@
 	burstPeriod = 250 * time.Millisecond
 	// bucketLife is how long a bucket is kept in which nobody asks.
 	bucketLife = time.Minute
+	// coldShare is the share of what a cold upstream bears that is handed out: it may fall over under
+	// what boxes hand out beside that do not know of each other.
+	coldShare = 0.5
 	// deferLeast, or deferEach for each box where that is more, is the time over which boxes that
 	// got no permit are spread: with many boxes one of them would be asked by all of them as often
 	// as there is a permit.
@@ -75,8 +79,9 @@
 	defer a.mutex.Unlock()
 	a.forget(now)
 	b := a.bucketOf(&q.Limit, now)
-	rate := share * max(b.limit.PerSecond, trialPerSecond)
-	b.refill(rate, now)
+	rate, burst := q.bound()
+	rate *= share
+	b.refill(rate, burst, now)
 	least := 1.0
 	if q.Urgent {
 		least -= urgentMost
@@ -94,15 +99,23 @@
 	return Grant{RetryAt: b.deferFrom(next, rate, boxes)}
 }
 
-// bucketOf returns the bucket of a limit, brought up to date with it; the lock is held.
+// bound returns the rate, in requests a second, that the upstream accepts, and how many permits may be
+// saved up.
+func (q *Ask) bound() (rate, burst float64) {
+	rate = max(q.Limit.PerSecond, trialPerSecond)
+	burst = burstLeast + rate*burstPeriod.Seconds()
+	if c := coldShare * q.Cold; c > 0 && (q.Limit.At.IsZero() || c < rate) {
+		return c, 1
+	}
+	return rate, burst
+}
+
+// bucketOf returns the bucket of a limit's upstream; the lock is held.
 func (a *Allocator) bucketOf(l *Limit, now time.Time) *bucket {
 	b := a.buckets[l.Upstream]
-	switch {
-	case b == nil || b.limit.Born != l.Born:
-		b = &bucket{at: now, limit: *l}
+	if b == nil || b.born != l.Born {
+		b = &bucket{at: now, born: l.Born}
 		a.buckets[l.Upstream] = b
-	case l.At.After(b.limit.At):
-		b.limit = *l
 	}
 	return b
 }
@@ -130,9 +143,9 @@
 	return at
 }
 
-// refill adds the permits that a rate allows since the last look.
-func (b *bucket) refill(rate float64, now time.Time) {
-	b.tokens = min(burstLeast+rate*burstPeriod.Seconds(), b.tokens+rate*now.Sub(b.at).Seconds())
+// refill adds the permits that a rate allows since the last look, up to a burst.
+func (b *bucket) refill(rate, burst float64, now time.Time) {
+	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
 	b.at = now
 }
 
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -206,7 +206,7 @@
 func TestTakeIsCheapWithoutLimits(t *testing.T) {
 	m := NewLimiter(NewLimits())
 	m.limits.Record(Limit{At: time.Now(), PerSecond: 1, Upstream: "another"}, time.Now())
-	if got := testing.AllocsPerRun(100, func() { m.Take(t.Context(), "u", 0) }); got != 0 {
+	if got := testing.AllocsPerRun(100, func() { m.Take(t.Context(), Upstream{Name: "u"}) }); got != 0 {
 		t.Errorf("allocations: got %v, want 0", got)
 	}
 }
@@ -223,13 +223,13 @@
 		}
 		m.limits.Record(Limit{At: time.Now(), PerSecond: 10, Upstream: "u"}, time.Now())
 		for range 2 {
-			m.Take(t.Context(), "u", 0)
+			m.Take(t.Context(), Upstream{Name: "u"})
 		}
 		if got, want := asks, 1; got != want {
 			t.Errorf("asks for two requests: got %d, want %d", got, want)
 		}
 		time.Sleep(permitLife)
-		m.Take(t.Context(), "u", 0)
+		m.Take(t.Context(), Upstream{Name: "u"})
 		if got, want := asks, 2; got != want {
 			t.Errorf("asks once the permits have lapsed: got %d, want %d", got, want)
 		}
@@ -241,6 +241,38 @@
 	m.limits.Record(Limit{At: time.Now(), PerSecond: 1, Upstream: "another"}, time.Now())
 	b.ReportAllocs()
 	for b.Loop() {
-		m.Take(b.Context(), "u", 0)
+		m.Take(b.Context(), Upstream{Name: "u"})
+	}
+}
+
+// TestColdUpstreamIsSpared checks that a cold upstream gets no more in any second than it bears, also
+// where a second box allocates permits beside the first, and that a limit which it names counts, too.
+func TestColdUpstreamIsSpared(t *testing.T) {
+	const bears = 8
+	first, second, now := NewAllocator(), NewAllocator(), time.Unix(1_000, 0)
+	var used []time.Time
+	for range 600 {
+		now = now.Add(10 * time.Millisecond)
+		q := &Ask{Cold: bears, Limit: Limit{Upstream: "u"}, Want: 3}
+		for range first.Allocate(q, 1, 4, now).Count + second.Allocate(q, DeputyShare, 4, now).Count {
+			used = append(used, now)
+		}
+	}
+	got, began := 0, 0
+	for i := range used {
+		for used[i].Sub(used[began]) >= time.Second {
+			began++
+		}
+		got = max(got, i-began+1)
+	}
+	if got > bears {
+		t.Errorf("permits in a second: got %d, want at most %d", got, bears)
+	}
+	if got, least := len(used), 20; got < least {
+		t.Errorf("permits in 6 s: got %d, want at least %d", got, least)
+	}
+	named := &Ask{Cold: bears, Limit: Limit{At: now, PerSecond: 0.2, Upstream: "v"}, Want: 1}
+	if rate, _ := named.bound(); rate != 0.2 {
+		t.Errorf("rate of a cold upstream that names 0.2 a second: got %v, want that", rate)
 	}
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Limiter decides whether this box may send to an upstream now: to one that has named a limit only
-// with a permit. It is safe for concurrent use; of its own lock and that of its limits neither is
+// Limiter decides whether this box may send to an upstream now: to one that has named a limit, or is
+// cold, only with a permit. It is safe for concurrent use; of its own lock and that of its limits neither is
 // taken under the other.
 type Limiter struct {
 	// Ask asks the box that allocates the permits of an upstream for some; a seam.
@@ -32,6 +32,13 @@
 	until        time.Time // the permits may be used
 }
 
+// Upstream is one start of an upstream.
+type Upstream struct {
+	Born int64   // when it started, in Unix milliseconds; 0 where that is not told
+	Cold float64 // requests a second that it bears while it is cold; 0 where it is not, or that is no bound
+	Name string
+}
+
 const (
 	// failedPeriod is how long no permit is asked for where no box answered an ask.
 	failedPeriod = 100 * time.Millisecond
@@ -57,21 +64,21 @@
 // Limits returns the limits.
 func (m *Limiter) Limits() *Limits { return m.limits }
 
-// Limited reports whether an upstream has a limit.
-func (m *Limiter) Limited(upstream string, born int64, now time.Time) bool {
-	return m.limits.Of(upstream, born, now) != nil
+// Limited reports whether an upstream needs permits.
+func (m *Limiter) Limited(u Upstream, now time.Time) bool {
+	return u.Cold > 0 || m.limits.Of(u.Name, u.Born, now) != nil
 }
 
 // RefusedUntil returns until when there is no permit for an upstream, as far as this box was told;
 // zero where there may be one or none is needed.
-func (m *Limiter) RefusedUntil(upstream string, born int64, now time.Time) time.Time {
-	if m.limits.Of(upstream, born, now) == nil {
+func (m *Limiter) RefusedUntil(u Upstream, now time.Time) time.Time {
+	if !m.Limited(u, now) {
 		return time.Time{}
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	x := m.states[upstream]
-	if x == nil || x.born != born || x.has(now) || !now.Before(x.refusedUntil) {
+	x := m.states[u.Name]
+	if x == nil || x.born != u.Born || x.has(now) || !now.Before(x.refusedUntil) {
 		return time.Time{}
 	}
 	return x.refusedUntil
@@ -79,25 +86,28 @@
 
 // Take takes a permit to send one request to an upstream now, and reports whether there was one or
 // none is needed.
-func (m *Limiter) Take(ctx context.Context, upstream string, born int64, options ...Option) bool {
+func (m *Limiter) Take(ctx context.Context, u Upstream, options ...Option) bool {
 	now := time.Now()
-	l := m.limits.Of(upstream, born, now)
-	if l == nil {
+	l := m.limits.Of(u.Name, u.Born, now)
+	if l == nil && u.Cold <= 0 {
 		return true
 	}
-	q := &Ask{Limit: *l}
+	q := &Ask{Cold: u.Cold, Limit: Limit{Born: u.Born, Upstream: u.Name}}
+	if l != nil {
+		q.Limit = *l
+	}
 	for _, o := range options {
 		o(q)
 	}
 	var taken bool
-	if taken, q.Want = m.takeHeld(upstream, born, now); taken {
+	if taken, q.Want = m.takeHeld(u, now); taken {
 		return true
 	}
 	g, err := m.Ask(ctx, q)
 	if err != nil {
 		g = &Grant{RetryAt: time.Now().Add(failedPeriod)}
 	}
-	m.note(upstream, born, g)
+	m.note(u, g)
 	if g.Count == 0 {
 		return false
 	}
@@ -116,10 +126,10 @@
 }
 
 // note records the answer to an ask, of which the asking request uses one permit.
-func (m *Limiter) note(upstream string, born int64, g *Grant) {
+func (m *Limiter) note(u Upstream, g *Grant) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	x := m.at(upstream, born)
+	x := m.at(u)
 	if g.Count == 0 {
 		x.refusedUntil = g.RetryAt
 		if least := time.Now().Add(refusedLeast); x.refusedUntil.Before(least) {
@@ -135,10 +145,10 @@
 
 // takeHeld takes a permit that this box holds already, and reports whether there is one; if not, it
 // returns how many to ask for.
-func (m *Limiter) takeHeld(upstream string, born int64, now time.Time) (taken bool, want int) {
+func (m *Limiter) takeHeld(u Upstream, now time.Time) (taken bool, want int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	x := m.at(upstream, born)
+	x := m.at(u)
 	if since := now.Sub(x.takesSince); since >= permitLife {
 		x.takesBefore, x.takes, x.takesSince = x.takes, 0, now
 		if since >= 2*permitLife {
@@ -154,11 +164,11 @@
 }
 
 // at returns the state of one start of an upstream; the lock is held.
-func (m *Limiter) at(upstream string, born int64) *state {
-	x := m.states[upstream]
-	if x == nil || x.born != born {
-		x = &state{born: born}
-		m.states[upstream] = x
+func (m *Limiter) at(u Upstream) *state {
+	x := m.states[u.Name]
+	if x == nil || x.born != u.Born {
+		x = &state{born: u.Born}
+		m.states[u.Name] = x
 	}
 	return x
 }
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -76,7 +76,7 @@
 	for _, u := range l {
 		switch {
 		case avoid[u.Name] || !u.Takes(now):
-		case x.limiter.Limited(u.Name, u.Spec.Born, now):
+		case x.limiter.Limited(x.limitedUpstream(u, now), now):
 			all[u.Name] = true
 		default:
 			free = true
@@ -96,7 +96,7 @@
 // while there are others.
 func (e *exchange) avoidLimited(l []*resource.Upstream, avoid map[string]bool, asked int, now time.Time) (map[string]bool, time.Time, error) {
 	x := e.relay
-	if x.limiter.Limits().Empty() {
+	if x.limiter.Limits().Empty() && e.service.Spec.Engine != nil { // cold engines have owners
 		return avoid, time.Time{}, nil
 	}
 	if e.tries > 0 || asked >= permitAsks {
@@ -133,20 +133,22 @@
 // permitted takes a permit to send the request to an upstream, and reports whether there was one or
 // none is needed. One for a time up to waitTill is of use, too; it is then waited for.
 func (e *exchange) permitted(ctx context.Context, u *resource.Upstream, waitTill time.Time) bool {
-	x := e.relay
-	if !x.limiter.Limited(u.Name, u.Spec.Born, time.Now()) {
+	x, now := e.relay, time.Now()
+	v := x.limitedUpstream(u, now)
+	if !x.limiter.Limited(v, now) {
 		return true
 	}
-	return x.countPermit(x.limiter.Take(ctx, u.Name, u.Spec.Born, ratelimit.WaitTill(waitTill)))
+	return x.countPermit(x.limiter.Take(ctx, v, ratelimit.WaitTill(waitTill)))
 }
 
 // permittedToResume does so for a run that was stopped for a move, and is lost without a permit.
 func (e *exchange) permittedToResume(ctx context.Context, u *resource.Upstream) bool {
-	x := e.relay
-	if !x.limiter.Limited(u.Name, u.Spec.Born, time.Now()) {
+	x, now := e.relay, time.Now()
+	v := x.limitedUpstream(u, now)
+	if !x.limiter.Limited(v, now) {
 		return true
 	}
-	return x.countPermit(x.limiter.Take(ctx, u.Name, u.Spec.Born, ratelimit.Urgent()))
+	return x.countPermit(x.limiter.Take(ctx, v, ratelimit.Urgent()))
 }
 
 // countPermit counts whether a permit was granted, and returns that.
@@ -159,6 +161,16 @@
 	return granted
 }
 
+// limitedUpstream returns what the permits for an upstream depend on. What a cold engine gets is up to
+// its owner.
+func (x *Relay) limitedUpstream(u *resource.Upstream, now time.Time) ratelimit.Upstream {
+	v := ratelimit.Upstream{Born: u.Spec.Born, Name: u.Name}
+	if u.Engine() == nil && u.Cold(now) {
+		v.Cold = x.coldBears(u)
+	}
+	return v
+}
+
 // refusedPermits returns, of the upstreams of a list that are not to be avoided, those for which there
 // is no permit, with when to ask again, and reports whether there are others.
 func (x *Relay) refusedPermits(l []*resource.Upstream, avoid map[string]bool, now time.Time) (refused map[string]time.Time, free bool) {
@@ -167,7 +179,7 @@
 		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
-		if at := x.limiter.RefusedUntil(u.Name, u.Spec.Born, now); !at.IsZero() {
+		if at := x.limiter.RefusedUntil(x.limitedUpstream(u, now), now); !at.IsZero() {
 			refused[u.Name] = at
 		} else {
 			free = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,7 @@
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
 
+	coldBears      func(u *resource.Upstream) float64
 	background     context.Context // ends with Close; of work that no request waits for
 	budget         *budget.Budget
 	cancel         context.CancelFunc
@@ -111,6 +112,7 @@
 		Limited:    func(*ratelimit.Change) {},
 		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:     func() bool { return true },
+		coldBears:  func(*resource.Upstream) float64 { return 0 },
 		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
 		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limiter: ratelimit.NewLimiter(ratelimit.NewLimits()), log: log, meter: meter.New(m), metrics: m,
@@ -125,10 +127,10 @@
 	return x
 }
 
-// WithColdMost bounds how many requests a second this box sends to a plain upstream while
-// that is cold.
-func WithColdMost(f func(u *resource.Upstream) int) Option {
-	return func(x *Relay) { x.health.ColdMost = f }
+// WithCold bounds how many requests a second a plain upstream gets while that is cold: bears from all
+// boxes, by permits, and most from this one. Bears returns 0 where there is no bound.
+func WithCold(bears func(u *resource.Upstream) float64, most func(u *resource.Upstream) int) Option {
+	return func(x *Relay) { x.coldBears, x.health.ColdMost = bears, most }
 }
 
 // WithBudget bounds the tries beyond the first of each request: in any window,
--- a/limits.go
+++ b/limits.go
@@ -73,12 +73,18 @@
 // allocate allocates permits for a box.
 func (b *Box) allocate(q *ratelimit.Ask, only bool) *ratelimit.Grant {
 	now := time.Now()
-	b.relay.NoteLimit(q.Limit, "an ask")
+	if !q.Limit.At.IsZero() {
+		b.relay.NoteLimit(q.Limit, "an ask")
+	}
 	l := b.limits.limiter.Limits().Of(q.Limit.Upstream, q.Limit.Born, now)
-	if l == nil { // lifted meanwhile
+	switch {
+	case l != nil:
+		q.Limit = *l
+	case q.Cold <= 0: // lifted meanwhile
 		return &ratelimit.Grant{Count: 1, From: now, Until: now}
+	default:
+		q.Limit.At = time.Time{}
 	}
-	q.Limit = *l
 	share := 1.0
 	if !only {
 		share = ratelimit.DeputyShare
