Limits among many boxes, at boxes that start, of moved runs and of retries; the soak names limits

Sums hold at 8 and 40 boxes, for limits of 0.2 to 40 a second, under a steady press and in a burst after a trickle.

A line of a limit heard with an ask names the box that asked.

--- a/internal/fake/routed/limits.go
+++ b/internal/fake/routed/limits.go
@@ -25,7 +25,8 @@
 }
 
 // OverLimit returns by how much the engine at worst got more in limitWindow than the limits allow
-// that it named then, from boxes that it had told; "" where it never did.
+// that it named then, from boxes that it had told; "" where it never did. Requests of a box without a
+// name do not count.
 func (e *Engine) OverLimit(sender Sender) string {
 	var broken string
 	worst := 0.0
@@ -34,6 +35,9 @@
 	var counted []Visit
 	for _, v := range e.Visits() {
 		box, _ := sender(v.Request)
+		if box == "" {
+			continue
+		}
 		if !v.Limited {
 			clear(told)
 			since, counted = time.Time{}, nil
--- a/internal/fake/soak/halls.go
+++ b/internal/fake/soak/halls.go
@@ -30,18 +30,12 @@
 
 // evacuateInTurn evacuates one hall after another for some seconds until the context ends.
 func (w *world) evacuateInTurn(ctx context.Context, r *rand.Rand) {
-	wait := func(d time.Duration) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(d):
-		}
-	}
 	for ctx.Err() == nil {
 		hall := "ab"[r.IntN(2)]
-		wait(time.Duration(r.Int64N(int64(time.Second))))
+		pause(ctx, time.Duration(r.Int64N(int64(time.Second))))
 		w.setEvacuation(hall, true)
 		e := emptied{interval{from: time.Now()}, hall}
-		wait(evacuationLeast + time.Duration(r.Int64N(int64(3*time.Second))))
+		pause(ctx, evacuationLeast+time.Duration(r.Int64N(int64(3*time.Second))))
 		e.to = time.Now()
 		w.setEvacuation(hall, false)
 		w.mutex.Lock()
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -38,6 +38,7 @@
 	seed := f.Uint64("seed", 0, "`number` by which faults are drawn; 0 draws one")
 	copies := f.Bool("copies", true, "have the store come back from copies, too")
 	halls := f.Bool("halls", true, "evacuate halls and start engines cold, too")
+	limits := f.Bool("limits", true, "have upstreams name limits of how many requests a second they accept")
 	many := f.Bool("many", true, "have poison requests be sent several at once, and for longer")
 	rows := f.Bool("rows", true, "have rows that name no upstream be written beside those of upstreams")
 	words := f.Bool("words", true, "have upstreams say that they leave, or ask for rest, with their answers, and requests end them")
@@ -49,7 +50,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	broken, err := run(*programs, *seed, *span, extras{copies: *copies, halls: *halls, many: *many, rows: *rows, words: *words}, output)
+	broken, err := run(*programs, *seed, *span, extras{copies: *copies, halls: *halls, limits: *limits, many: *many, rows: *rows, words: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitBroken
@@ -68,6 +69,7 @@
 type extras struct {
 	copies bool // the store comes back from copies
 	halls  bool // halls are evacuated, and engines start cold
+	limits bool // upstreams name limits
 	many   bool // poison requests are sent several at once, and for longer
 	rows   bool // rows that name no upstream are written
 	words  bool // upstreams say that they leave, or ask for rest, with their answers, and requests end them
@@ -96,6 +98,9 @@
 	if x.halls {
 		g.Go(func() { w.evacuateInTurn(ctx, rand.New(rand.NewPCG(seed, hallsStream))) })
 	}
+	if x.limits {
+		g.Go(func() { c.limitsInTurn(ctx, rand.New(rand.NewPCG(seed, limitsStream))) })
+	}
 	if x.rows {
 		g.Go(func() { w.foreignRowsInTurn(ctx, rand.New(rand.NewPCG(seed, rowsStream))) })
 	}
@@ -113,6 +118,7 @@
 	c.evacuated()
 	c.spared()
 	c.heeded()
+	c.limited()
 	c.spentFew()
 	if len(w.trouble) > 0 {
 		return c.broken, fmt.Errorf("trouble of its own: %v; logs of the boxes: %s", w.trouble, w.logs.path)
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -1,12 +1,18 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/policy"
 )
 
 // TestLimitIsLoggedOnce checks the lines and the counters by which an upstream's limit can be
@@ -37,3 +43,71 @@
 		}
 	})
 }
+
+// TestMovedRunsTakePermits guards against runs that are moved to an engine past the limit that it has
+// named, where there is no other.
+func TestMovedRunsTakePermits(t *testing.T) {
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		r.relay.Place = func(_ context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+			name := "u1"
+			if w.ID == "first" || avoid[name] {
+				name = "u2"
+			}
+			return &placement.Place{Granted: time.Now(), Upstream: r.view.Upstream(name)}, nil
+		}
+		r.engines["u2"].SetLimit("0.2")
+		if _, err := r.read(plan(t.Context(), "first", 40), nil); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		var g sync.WaitGroup
+		var whole atomic.Int32
+		for i := range 12 {
+			g.Go(func() {
+				if s, err := r.read(plan(t.Context(), fmt.Sprint("long-", i), 600), nil); err == nil && s.whole {
+					whole.Add(1)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		r.list("u1", "llm", true)
+		time.Sleep(1500 * time.Millisecond)
+		r.die("u1")
+		g.Wait()
+		if broken := r.engines["u2"].OverLimit(oneBox); broken != "" {
+			t.Error(broken)
+		}
+		if got, least := whole.Load(), int32(2); got < least {
+			t.Errorf("whole streams: got %d, want at least %d", got, least)
+		}
+	})
+}
+
+// TestRetriesLeavePermitsToFirstAttempts guards against retries that use up a limit while there are
+// other upstreams.
+func TestRetriesLeavePermitsToFirstAttempts(t *testing.T) {
+	withRig(t, 0, 3, func(t *testing.T, r *rig) {
+		r.engines["s1"].SetFaults(routed.Faults{Status: http.StatusInternalServerError})
+		r.engines["s2"].SetLimit("5")
+		for i := range 400 {
+			_, _, _ = r.do(request(t.Context(), http.MethodPost, "/often/x", fmt.Sprint("call-", i), ""))
+			time.Sleep(500 * time.Millisecond)
+		}
+		failed := make(map[string]bool)
+		for _, v := range r.engines["s1"].Visits() {
+			failed[v.Request] = true
+		}
+		first := r.engines["s2"].Visits()
+		if got, least := len(failed), 1; got < least {
+			t.Fatalf("requests that failed at first: got %d, want at least %d", got, least)
+		}
+		if got, least := len(first), 10; got < least {
+			t.Errorf("requests at the limited upstream: got %d, want at least %d", got, least)
+		}
+		for _, v := range first[1:] { // the first one tells of the limit
+			if failed[v.Request] {
+				t.Errorf("%s: got a retry at the limited upstream, want none", v.Request)
+			}
+		}
+	})
+}
--- a/leaving_test.go
+++ b/leaving_test.go
@@ -40,21 +40,30 @@
 
 // call sends one call of the plain service and reports whether it was served.
 func (c *crowd) call(box, id string) bool {
+	status, _ := c.callWhole(box, id)
+	return status == http.StatusOK
+}
+
+// callWhole sends one call of the plain service and returns the status of its answer, 0 where that
+// was not whole, and when its caller may come back.
+func (c *crowd) callWhole(box, id string) (status int, retryAfter string) {
 	q, err := http.NewRequestWithContext(c.routes.t.Context(), http.MethodGet, "http://"+box+"-entry/call/x", http.NoBody)
 	if err != nil {
 		c.routes.t.Error(err)
-		return false
+		return 0, ""
 	}
 	q.Host = routedHost
 	q.Header.Set("Authorization", "Bearer "+routedKey)
 	q.Header.Set("X-Linetiller-Request-Id", id)
 	w, err := c.routes.link.RoundTrip(q)
 	if err != nil {
-		return false
+		return 0, ""
 	}
 	defer func() { _ = w.Body.Close() }()
-	_, err = io.Copy(io.Discard, w.Body)
-	return err == nil && w.StatusCode == http.StatusOK
+	if _, err = io.Copy(io.Discard, w.Body); err != nil {
+		return 0, ""
+	}
+	return w.StatusCode, w.Header.Get("Retry-After")
 }
 
 // Between two requests through one box: calls, and streams, of which engines read few a second.
--- a/limit_test.go
+++ b/limit_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -252,3 +253,104 @@
 		}
 	})
 }
+
+// withManyBoxes runs f with that many boxes in two halls before the four plain upstreams, and tells
+// their names.
+func withManyBoxes(t *testing.T, boxes int, f func(t *testing.T, r *routes, c *crowd, names []string)) {
+	t.Helper()
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		names := append([]string(nil), limitedBoxes...)
+		for i := len(names); i < boxes; i++ {
+			n := fmt.Sprintf("box-%c%d", 'a'+i%2, i)
+			r.startRouter(n)
+			names = append(names, n)
+		}
+		time.Sleep(20 * time.Second) // until all know each other
+		f(t, r, c, names)
+	})
+}
+
+// TestLimitAmongManyBoxes guards against a sum that grows with the number of boxes, as each has a
+// request of its own to send, steadily or in a burst after a pause.
+func TestLimitAmongManyBoxes(t *testing.T) {
+	for _, x := range []struct {
+		boxes int
+		limit string
+	}{{8, "0.2"}, {8, "2.8"}, {40, "0.2"}, {40, "2.8"}, {40, "40"}} {
+		t.Run(fmt.Sprint(x.boxes, " boxes, ", x.limit, " a second"), func(t *testing.T) {
+			withManyBoxes(t, x.boxes, func(t *testing.T, r *routes, c *crowd, names []string) {
+				to := func(i int) string { return names[i%len(names)] }
+				r.setLimit(x.limit, limited...)
+				c.paced(6*time.Second, 10*time.Millisecond, false, to)
+				c.paced(4*time.Second, time.Second, false, to)
+				c.paced(time.Second, time.Millisecond, false, to)
+				c.checkLimits(t)
+			})
+		})
+	}
+}
+
+// TestBoxThatStartsKnowsLimits guards against a box that learns of limits only from its own requests.
+func TestBoxThatStartsKnowsLimits(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		r.setLimit("0.2", limited...)
+		c.paced(2*time.Second, 25*time.Millisecond, false, inTurn)
+		r.startRouter("box-b3")
+		time.Sleep(3 * time.Second)
+		for _, n := range limited {
+			if l := r.boxes["box-b3"].relay.Limits().Of(n, 0, time.Now()); l == nil || l.PerSecond != 0.2 {
+				t.Errorf("%s: got %v, want 0.2 a second", n, l)
+			}
+		}
+	})
+}
+
+// TestRefusedAtOnceWhileAllAreLimited guards against a wait that ends in a refusal, and against a
+// refusal without a time to come back.
+func TestRefusedAtOnceWhileAllAreLimited(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		r.setLimit("0.2", limited...)
+		c.paced(8*time.Second, 25*time.Millisecond, false, inTurn)
+		for i := range 40 {
+			began := time.Now()
+			status, again := c.callWhole(inTurn(i), fmt.Sprint("call-", i))
+			took := time.Since(began)
+			switch {
+			case status == http.StatusOK:
+			case status != http.StatusServiceUnavailable:
+				t.Errorf("call %d: got status %d, want 503", i, status)
+			case took > 50*time.Millisecond:
+				t.Errorf("call %d: refused after %s, want at once", i, took)
+			case again == "" || again == "0":
+				t.Errorf("call %d: got %q as the time to come back, want some", i, again)
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+	})
+}
+
+// TestMovedRunsSpareALimitedEngine guards against runs that are moved to an engine which has named a
+// limit, while others have none.
+func TestMovedRunsSpareALimitedEngine(t *testing.T) {
+	withRoutes(t, func(t *testing.T, r *routes) {
+		c := newCrowd(r)
+		r.setLimit("0.5", "i-a2")
+		c.paced(8*time.Second, 200*time.Millisecond, true, inTurn)
+		var g sync.WaitGroup
+		for i := range 16 {
+			id := fmt.Sprint("long-", i)
+			c.sent[id] = journey{inTurn(i), time.Now()}
+			g.Go(func() {
+				if events, whole, _ := r.plan(inTurn(i), id, routedKey, 1200); events != 300 || !whole {
+					t.Errorf("%s: got %d events, whole %v; want 300, whole", id, events, whole)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		r.listRouted("i-a1", "draining")
+		time.Sleep(1500 * time.Millisecond)
+		r.die("i-a1")
+		g.Wait()
+		c.checkLimits(t)
+	})
+}
--- a/limits.go
+++ b/limits.go
@@ -70,11 +70,11 @@
 	return b.settings.Box, false
 }
 
-// allocate allocates permits for a box.
-func (b *Box) allocate(q *ratelimit.Ask, only bool) *ratelimit.Grant {
+// allocate allocates permits for a box, as the only one that does so or not.
+func (b *Box) allocate(from string, q *ratelimit.Ask, only bool) *ratelimit.Grant {
 	now := time.Now()
 	if !q.Limit.At.IsZero() {
-		b.relay.NoteLimit(q.Limit, "an ask")
+		b.relay.NoteLimit(q.Limit, from)
 	}
 	l := b.limits.limiter.Limits().Of(q.Limit.Upstream, q.Limit.Born, now)
 	switch {
@@ -122,26 +122,26 @@
 // answerLimits answers a box that tells of limits, asks for a permit, or asks which limits there are.
 func (b *Box) answerLimits(ctx context.Context, q *box.Request) *box.Reply {
 	if q.Kind == box.KindPermit {
-		return &box.Reply{Grant: b.answerPermit(ctx, q.Permit)}
+		return &box.Reply{Grant: b.answerPermit(ctx, q.From.Name, q.Permit)}
 	}
 	b.noteLimits(q.Limits, q.From.Name)
 	return &box.Reply{Limits: b.limits.limiter.Limits().All(time.Now())}
 }
 
 // answerPermit allocates permits for another box, or passes its ask on to the box that does.
-func (b *Box) answerPermit(ctx context.Context, q *ratelimit.Ask) *ratelimit.Grant {
+func (b *Box) answerPermit(ctx context.Context, from string, q *ratelimit.Ask) *ratelimit.Grant {
 	o, only := b.allocatorOf(q.Limit.Upstream, time.Now())
 	switch {
 	case o == b.settings.Box:
-		return b.allocate(q, only)
+		return b.allocate(from, q, only)
 	case q.Forwarded:
-		return b.allocate(q, false)
+		return b.allocate(from, q, false)
 	}
 	q.Forwarded = true
 	if g := b.callPermit(ctx, o, q, forwardPeriod); g != nil {
 		return g
 	}
-	return b.allocate(q, false)
+	return b.allocate(from, q, false)
 }
 
 // askPermit asks the box that allocates the permits of an upstream for some, and, where it does not
@@ -150,7 +150,7 @@
 	for range permitBoxes {
 		o, only := b.allocatorOf(q.Limit.Upstream, time.Now())
 		if o == b.settings.Box {
-			return b.allocate(q, only), nil
+			return b.allocate(b.settings.Box, q, only), nil
 		}
 		if g := b.callPermit(ctx, o, q, permitPeriod); g != nil {
 			return g, nil
@@ -159,7 +159,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return b.allocate(q, false), nil
+	return b.allocate(b.settings.Box, q, false), nil
 }
 
 // callPermit asks a box for permits. It returns nil where that does not answer in time, which is then
