No box hands out permits to itself because nobody answers

What callers saw: nothing yet; found by a test of the mend's own trouble.

Change: after two boxes of the hall one of another hall is asked, the same for all; it hands out at once, and a box that is sure of nothing sends nothing. A box that refuses connections is taken for gone; one that is silent is passed over for 1 s, then 2, up to 8, and no longer once it is heard. Where a request has other upstreams it waits 0.1 s for a permit at the most.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -39,6 +39,7 @@
 	if b.members.Heard(q.From, time.Now()) {
 		event.PeerBack.Log(b.log, "box", q.From.Name)
 	}
+	b.limits.heard(q.From.Name)
 	b.learnAll(q.Loads)
 	_ = b.follower.CatchUp(ctx, q.From.Address, q.Revisions) // the next message tries again
 	b.fetchCrashes(ctx, q.From, q.Quarantine)
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -16,12 +16,12 @@
 
 // Ask asks for permits.
 type Ask struct {
-	Cold      float64   `cbor:"6,keyasint,omitempty"` // requests a second that the upstream bears while it is cold; 0 where it is not
-	Forwarded bool      `cbor:"1,keyasint,omitempty"` // by a box that does not allocate them itself
-	Limit     Limit     `cbor:"2,keyasint"`           // as the asking box knows it; At is zero where the upstream has none
-	Urgent    bool      `cbor:"3,keyasint,omitempty"` // the request has nowhere else to go, and is lost without
-	WaitTill  time.Time `cbor:"4,keyasint,omitzero"`  // a permit for a time up to then is of use, too; zero where none is
-	Want      int       `cbor:"5,keyasint"`           // permits that the box would use at once
+	Cold     float64   `cbor:"6,keyasint,omitempty"` // requests a second that the upstream bears while it is cold; 0 where it is not
+	Final    bool      `cbor:"1,keyasint,omitempty"` // not to be passed on to the box that should allocate them: it was, or that box does not answer
+	Limit    Limit     `cbor:"2,keyasint"`           // as the asking box knows it; At is zero where the upstream has none
+	Urgent   bool      `cbor:"3,keyasint,omitempty"` // the request has nowhere else to go, and is lost without
+	WaitTill time.Time `cbor:"4,keyasint,omitzero"`  // a permit for a time up to then is of use, too; zero where none is
+	Want     int       `cbor:"5,keyasint"`           // permits that the box would use at once
 }
 
 // Grant answers an Ask.
@@ -57,7 +57,7 @@
 	deferEach  = 10 * time.Millisecond
 	// DeputyShare is the share of a limit that a box allocates which may not be the only one to do
 	// so: one that is believed to serve has not answered.
-	DeputyShare = 0.4
+	DeputyShare = 0.25
 	// permitLife is how long permits may be used.
 	permitLife = 200 * time.Millisecond
 	// trialPerSecond is the rate at which an upstream gets requests that names a lower limit, so
@@ -80,7 +80,9 @@
 	a.forget(now)
 	b := a.bucketOf(&q.Limit, now)
 	rate, burst := q.bound()
-	rate *= share
+	if share < 1 {
+		rate, burst = share*rate, 1
+	}
 	b.refill(rate, burst, now)
 	least := 1.0
 	if q.Urgent {
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -15,9 +15,15 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// permitAsks is how many permits one request asks for, at one upstream after another, before it
-// goes past all upstreams that have limits.
-const permitAsks = 2
+const (
+	// permitAsks is how many permits one request asks for, at one upstream after another, before it
+	// goes past all upstreams that have limits.
+	permitAsks = 2
+	// permitPatience bounds the wait for the answer to an ask where there may be other upstreams.
+	permitPatience = 100 * time.Millisecond
+	// permitSlack is how much later than waited for a permit may be taken.
+	permitSlack = 10 * time.Millisecond
+)
 
 // Limits returns what this box knows of the rate limits of upstreams.
 func (x *Relay) Limits() *ratelimit.Limits { return x.limiter.Limits() }
@@ -138,6 +144,12 @@
 	if !x.limiter.Limited(v, now) {
 		return true
 	}
+	till := waitTill
+	if till.IsZero() {
+		till = now.Add(permitPatience)
+	}
+	ctx, cancel := context.WithDeadline(ctx, till.Add(permitSlack))
+	defer cancel()
 	return x.countPermit(x.limiter.Take(ctx, v, ratelimit.WaitTill(waitTill)))
 }
 
--- a/limit_test.go
+++ b/limit_test.go
@@ -354,3 +354,42 @@
 		c.checkLimits(t)
 	})
 }
+
+// TestLimitHoldsOnceAHallsBoxesAreGone guards against boxes that each hand out permits by themselves
+// where no box of the upstream's data hall answers.
+func TestLimitHoldsOnceAHallsBoxesAreGone(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		lose func(r *routes, box string)
+	}{
+		{"killed", func(r *routes, box string) { r.kill(box) }},
+		{"paused", func(r *routes, box string) { r.setFrozen(box, true) }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withManyBoxes(t, 16, func(t *testing.T, r *routes, c *crowd, names []string) {
+				r.setLimit("2.8", limited...)
+				var left []string
+				for _, n := range names {
+					if n[4] == 'a' {
+						left = append(left, n)
+					}
+				}
+				to := func(i int) string { return left[i%len(left)] }
+				c.paced(4*time.Second, 10*time.Millisecond, false, to)
+				for _, n := range names {
+					if n[4] == 'b' {
+						x.lose(r, n)
+					}
+				}
+				lost := time.Now()
+				c.paced(8*time.Second, 10*time.Millisecond, false, to)
+				c.checkLimits(t)
+				for _, n := range []string{"s-b1", "s-b2"} {
+					if got, least := r.got(n, lost.Add(4*time.Second)), 2; got < least {
+						t.Errorf("%s: got %d requests from 4 s after its hall's boxes were lost on, want at least %d", n, got, least)
+					}
+				}
+			})
+		})
+	}
+}
--- a/limits.go
+++ b/limits.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/ratelimit"
 )
@@ -20,58 +23,63 @@
 	announces bool // changes are about to be announced
 	announced time.Time
 	pending   map[string]ratelimit.Limit // not announced yet, by upstream
-	silent    map[string]time.Time       // until when boxes are passed over that did not answer an ask
+	silent    map[string]silence         // of boxes that did not answer an ask
+}
+
+// silence is for how long a box is passed over that did not answer an ask.
+type silence struct {
+	period time.Duration // the last one, from which the next is reckoned
+	until  time.Time
 }
 
 const (
 	// announceEvery is the least time between two announcements of limits: an upstream may name one
 	// in every other answer. What boxes have missed they fetch after a heartbeat.
 	announceEvery = 200 * time.Millisecond
-	// forwardPeriod bounds an ask that is passed on to the box which allocates the permits, and
+	// forwardPeriod bounds an ask that is passed on to the box which should allocate the permits, and
 	// permitPeriod any ask, so that the asking box hears of it in time.
-	forwardPeriod = 150 * time.Millisecond
+	forwardPeriod = 40 * time.Millisecond
 	permitPeriod  = 300 * time.Millisecond
+	// hallAllocators is how many boxes of an upstream's hall go before those of other halls.
+	hallAllocators = 2
 	// permitBoxes is how many boxes are asked for a permit, one after another.
-	permitBoxes = 2
+	permitBoxes = 3
 	// rateChange is the share by which a limit has to change for its allocator to hear of it before
 	// the next ask.
 	rateChange = 0.1
-	// silentPeriod is how long a box that did not answer an ask is passed over.
-	silentPeriod = time.Second
+	// silentLeast and silentMost are how long a box that did not answer an ask is passed over; it
+	// doubles with each in a row.
+	silentLeast = time.Second
+	silentMost  = 8 * time.Second
 )
 
 // newLimits returns a box's part in the limits of no upstream.
 func newLimits() *limits {
 	return &limits{
 		allocator: ratelimit.NewAllocator(), limiter: ratelimit.NewLimiter(ratelimit.NewLimits()),
-		pending: make(map[string]ratelimit.Limit), silent: make(map[string]time.Time),
+		pending: make(map[string]ratelimit.Limit), silent: make(map[string]silence),
 	}
 }
 
-// allocatorOf returns the box that allocates the permits of an upstream, and whether it is the only
-// one that may do so: boxes that were silent a moment ago are passed over. It is one of the upstream's
-// data hall, so that a hall which is cut off goes on.
-func (b *Box) allocatorOf(upstream string, now time.Time) (name string, only bool) {
-	l := b.members.Alive(b.hallOfUpstream(upstream))
-	if len(l) == 0 {
-		l = b.members.Alive("")
-	}
-	if len(l) == 0 {
-		return b.settings.Box, false // it is leaving, as are all that it knows
-	}
+// allocatorOf returns the box that allocates the permits of an upstream, and whether it is the one that
+// should: boxes that were silent a moment ago are passed over. It is one of the upstream's data hall, so
+// that a hall which is cut off goes on, and where two of them are silent one of another hall: theirs may
+// be lost as a whole.
+func (b *Box) allocatorOf(upstream string, now time.Time) (name string, first bool) {
+	l := rankAllocators(upstream, b.members.Alive(b.hallOfUpstream(upstream)), b.members.Alive(""))
 	s := b.limits
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for i, n := range policy.Rank(upstream, l) {
-		if !now.Before(s.silent[n]) {
+	for i, n := range l {
+		if !now.Before(s.silent[n].until) {
 			return n, i == 0
 		}
 	}
-	return b.settings.Box, false
+	return b.settings.Box, false // all are silent, or this box and all that it knows are leaving
 }
 
-// allocate allocates permits for a box, as the only one that does so or not.
-func (b *Box) allocate(from string, q *ratelimit.Ask, only bool) *ratelimit.Grant {
+// allocate allocates permits for a box, as the one that should or not.
+func (b *Box) allocate(from string, q *ratelimit.Ask, first bool) *ratelimit.Grant {
 	now := time.Now()
 	if !q.Limit.At.IsZero() {
 		b.relay.NoteLimit(q.Limit, from)
@@ -86,7 +94,7 @@
 		q.Limit.At = time.Time{}
 	}
 	share := 1.0
-	if !only {
+	if !first {
 		share = ratelimit.DeputyShare
 	}
 	g := b.limits.allocator.Allocate(q, share, b.members.Count(), now)
@@ -130,14 +138,14 @@
 
 // answerPermit allocates permits for another box, or passes its ask on to the box that does.
 func (b *Box) answerPermit(ctx context.Context, from string, q *ratelimit.Ask) *ratelimit.Grant {
-	o, only := b.allocatorOf(q.Limit.Upstream, time.Now())
+	o, first := b.allocatorOf(q.Limit.Upstream, time.Now())
 	switch {
 	case o == b.settings.Box:
-		return b.allocate(from, q, only)
-	case q.Forwarded:
+		return b.allocate(from, q, first)
+	case q.Final:
 		return b.allocate(from, q, false)
 	}
-	q.Forwarded = true
+	q.Final = true
 	if g := b.callPermit(ctx, o, q, forwardPeriod); g != nil {
 		return g
 	}
@@ -145,13 +153,14 @@
 }
 
 // askPermit asks the box that allocates the permits of an upstream for some, and, where it does not
-// answer, the next one.
+// answer, the next ones.
 func (b *Box) askPermit(ctx context.Context, q *ratelimit.Ask) (*ratelimit.Grant, error) {
 	for range permitBoxes {
-		o, only := b.allocatorOf(q.Limit.Upstream, time.Now())
+		o, first := b.allocatorOf(q.Limit.Upstream, time.Now())
 		if o == b.settings.Box {
-			return b.allocate(b.settings.Box, q, only), nil
+			return b.allocate(o, q, first), nil
 		}
+		q.Final = !first
 		if g := b.callPermit(ctx, o, q, permitPeriod); g != nil {
 			return g, nil
 		}
@@ -159,7 +168,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	return b.allocate(b.settings.Box, q, false), nil
+	return nil, fail.New(fail.Unavailable, fail.Place{Peer: "boxes", Step: "ask for a permit"}, "no_allocator", "no box answered for %s", q.Limit.Upstream)
 }
 
 // callPermit asks a box for permits. It returns nil where that does not answer in time, which is then
@@ -167,12 +176,18 @@
 func (b *Box) callPermit(ctx context.Context, name string, q *ratelimit.Ask, limit time.Duration) *ratelimit.Grant {
 	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	began := time.Now()
 	r, err := b.links.Once(call, b.members.Address(name), b.request(box.Request{Kind: box.KindPermit, Permit: q}))
+	now := time.Now()
 	if err == nil && r.Grant != nil {
+		b.limits.heard(name)
 		return r.Grant
 	}
-	if ctx.Err() == nil {
-		b.limits.passOver(name, time.Now())
+	if call.Err() == nil && b.members.Failed(name, began, now) { // it refuses connections
+		event.PeerLost.Log(b.log, "box", name, "error", errorText(err))
+	}
+	if ctx.Err() == nil || now.Sub(began) >= forwardPeriod { // or its caller has gone
+		b.limits.passOver(name, now)
 	}
 	return nil
 }
@@ -217,16 +232,30 @@
 	})
 }
 
-// passOver records that a box did not answer an ask.
+// heard records that a box answers.
+func (s *limits) heard(name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.silent, name)
+}
+
+// passOver records that a box did not answer an ask: it is passed over for a while, and for longer
+// where it does not answer then either.
 func (s *limits) passOver(name string, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for n, t := range s.silent {
-		if !now.Before(t) {
+	for n, x := range s.silent {
+		if now.Sub(x.until) > silentMost {
 			delete(s.silent, n)
 		}
 	}
-	s.silent[name] = now.Add(silentPeriod)
+	x := s.silent[name]
+	if now.Before(x.until) {
+		return // another ask has found that out
+	}
+	x.period = min(silentMost, max(silentLeast, 2*x.period))
+	x.until = now.Add(x.period)
+	s.silent[name] = x
 }
 
 // takePending returns what is to be announced now.
@@ -241,3 +270,20 @@
 	s.announces, s.announced = false, time.Now()
 	return l
 }
+
+// rankAllocators returns the boxes that may allocate the permits of an upstream, the one that should
+// first: two of its hall, those of other halls, and the rest of its hall.
+func rankAllocators(upstream string, hall, all []string) []string {
+	l := policy.Rank(upstream, hall)
+	n := min(hallAllocators, len(l))
+	near, rest := l[:n], l[n:]
+	far := slices.DeleteFunc(policy.Rank(upstream, all), func(x string) bool { return slices.Contains(hall, x) })
+	return slices.Concat(near, far, rest)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "it does not know the call"
+	}
+	return err.Error()
+}
