A box of an earlier version that does not know permits is not held for gone

What callers saw: nothing yet; found by reading. A box that answers an ask for a permit with an error, as one of an earlier version does while a fleet is upgraded, was taken for one that refuses connections, and lost the upstreams that it owns. Only a call that did not reach the box counts now. A box that was silent is passed over for as long as it has been, from a time that is kept and not from a length.

Types of the package have a file each; a request to a service without limits makes no map for refusals.

--- a/internal/box/links.go
+++ b/internal/box/links.go
@@ -7,6 +7,9 @@
 	"github.com/linetiller/linetiller/internal/fail"
 )
 
+// ReasonUnreachable is the reason of a call that did not reach the other box, or whose answer was lost.
+const ReasonUnreachable = "box_unreachable"
+
 // Links are the calls that a box makes to others. Its fields are seams: a
 // Transport fills them with QUIC, a Plain with HTTP, tests with links in memory.
 type Links struct {
@@ -58,7 +61,7 @@
 	p := fail.Place{Peer: c.Peer, Step: "read reply"}
 	r := new(Reply)
 	if err := c.Read(r); err != nil {
-		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
 	}
 	if r.Error != "" {
 		return nil, fail.New(fail.Unavailable, p, r.Error, "refused: %s", r.Error)
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -82,12 +82,12 @@
 	p := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
 	c, err := t.connection(ctx, address)
 	if err != nil {
-		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
 	}
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
 		t.forget(address, c)
-		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
 	}
 	if d, ok := ctx.Deadline(); ok {
 		_ = s.SetDeadline(d)
@@ -95,7 +95,7 @@
 	if err := Encoding.NewEncoder(s).Encode(q); err != nil {
 		s.CancelRead(codeHungUp)
 		s.CancelWrite(codeHungUp)
-		return nil, fail.Wrap(fail.Unavailable, p, "box_unreachable", err)
+		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
 	}
 	_ = s.Close()
 	d := decodeMode.NewDecoder(io.LimitReader(s, MaxMessageBytes))
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -14,32 +13,6 @@
 	mutex   sync.Mutex
 }
 
-// Ask asks for permits.
-type Ask struct {
-	Cold     float64   `cbor:"6,keyasint,omitempty"` // requests a second that the upstream bears while it is cold; 0 where it is not
-	Final    bool      `cbor:"1,keyasint,omitempty"` // not to be passed on to the box that should allocate them: it was, or that box does not answer
-	Limit    Limit     `cbor:"2,keyasint"`           // as the asking box knows it; At is zero where the upstream has none
-	Urgent   bool      `cbor:"3,keyasint,omitempty"` // the request has nowhere else to go, and is lost without
-	WaitTill time.Time `cbor:"4,keyasint,omitzero"`  // a permit for a time up to then is of use, too; zero where none is
-	Want     int       `cbor:"5,keyasint"`           // permits that the box would use at once
-}
-
-// Grant answers an Ask.
-type Grant struct {
-	Count   int       `cbor:"1,keyasint,omitempty"` // permits; 0 where there are none
-	From    time.Time `cbor:"2,keyasint,omitzero"`  // before that they are not to be used
-	RetryAt time.Time `cbor:"3,keyasint,omitzero"`  // where there are none: when to ask again
-	Until   time.Time `cbor:"4,keyasint,omitzero"`  // after that they are not to be used
-}
-
-// bucket is the token bucket of one start of an upstream. The lock of Allocator guards it.
-type bucket struct {
-	at       time.Time // of tokens
-	born     int64     // the start of the upstream
-	deferred time.Time // the latest time at which a box that got no permit was told to ask again
-	tokens   float64   // below 0 where permits for later were handed out
-}
-
 const (
 	// burstLeast permits, and what the limit allows in burstPeriod, may be saved up while nobody
 	// asks.
@@ -101,17 +74,6 @@
 	return Grant{RetryAt: b.deferFrom(next, rate, boxes)}
 }
 
-// bound returns the rate, in requests a second, that the upstream accepts, and how many permits may be
-// saved up.
-func (q *Ask) bound() (rate, burst float64) {
-	rate = max(q.Limit.PerSecond, trialPerSecond)
-	burst = burstLeast + rate*burstPeriod.Seconds()
-	if c := coldShare * q.Cold; c > 0 && (q.Limit.At.IsZero() || c < rate) {
-		return c, 1
-	}
-	return rate, burst
-}
-
 // bucketOf returns the bucket of a limit's upstream; the lock is held.
 func (a *Allocator) bucketOf(l *Limit, now time.Time) *bucket {
 	b := a.buckets[l.Upstream]
@@ -131,26 +93,6 @@
 	}
 }
 
-// deferFrom returns when a box is to ask again that gets no permit, where the next one is there at a
-// time: boxes are told times one after another, as there are permits.
-func (b *bucket) deferFrom(next time.Time, rate float64, boxes int) time.Time {
-	at := b.deferred.Add(period(1 / rate))
-	if at.Before(next) {
-		at = next
-	}
-	if spread := max(deferLeast, time.Duration(boxes)*deferEach); at.Sub(next) > spread {
-		return next.Add(rand.N(spread))
-	}
-	b.deferred = at
-	return at
-}
-
-// refill adds the permits that a rate allows since the last look, up to a burst.
-func (b *bucket) refill(rate, burst float64, now time.Time) {
-	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
-	b.at = now
-}
-
 // period returns a time of that many seconds.
 func period(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -13,11 +13,11 @@
 // window is the time over which the tests count permits.
 const window = 4 * time.Second
 
-// most returns how many of some times lie in any window.
-func most(l []time.Time) int {
+// most returns how many of some times lie in any span of that length.
+func most(l []time.Time, span time.Duration) int {
 	n, first := 0, 0
 	for i := range l {
-		for l[i].Sub(l[first]) >= window {
+		for l[i].Sub(l[first]) >= span {
 			first++
 		}
 		n = max(n, i-first+1)
@@ -49,7 +49,7 @@
 			}
 		}
 		want := rate*window.Seconds() + burstLeast + rate*burstPeriod.Seconds() + urgentMost + 1
-		if got := most(used); float64(got) > want {
+		if got := most(used, window); float64(got) > want {
 			t.Fatalf("permits in %s at %.1f a second: got %d, want at most %.1f", window, rate, got, want)
 		}
 		if got, want := float64(len(used)), rate*now.Sub(began).Seconds()+want; got > want {
@@ -258,13 +258,7 @@
 			used = append(used, now)
 		}
 	}
-	got, began := 0, 0
-	for i := range used {
-		for used[i].Sub(used[began]) >= time.Second {
-			began++
-		}
-		got = max(got, i-began+1)
-	}
+	got := most(used, time.Second)
 	if got > bears {
 		t.Errorf("permits in a second: got %d, want at most %d", got, bears)
 	}
--- /dev/null
+++ b/internal/ratelimit/change.go
@@ -0,0 +1,14 @@
+package ratelimit
+
+// Change is how a box's knowledge of one limit has changed.
+type Change struct {
+	After  Limit
+	Before Limit
+	Known  bool // there is a Before
+}
+
+// Announced reports whether other boxes have to hear of the change: whether the upstream has a
+// limit at all has changed.
+func (c *Change) Announced() bool {
+	return !c.Known || c.Before.Lifted != c.After.Lifted || c.Before.Born != c.After.Born
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -32,13 +32,6 @@
 	until        time.Time // the permits may be used
 }
 
-// Upstream is one start of an upstream.
-type Upstream struct {
-	Born int64   // when it started, in Unix milliseconds; 0 where that is not told
-	Cold float64 // requests a second that it bears while it is cold; 0 where it is not, or that is no bound
-	Name string
-}
-
 const (
 	// failedPeriod is how long no permit is asked for where no box answered an ask.
 	failedPeriod = 100 * time.Millisecond
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -23,13 +23,6 @@
 // maxInvalid bounds the upstreams of which it is remembered that they named what is no limit.
 const maxInvalid = 1024
 
-// Change is how a box's knowledge of one limit has changed.
-type Change struct {
-	After  Limit
-	Before Limit
-	Known  bool // there is a Before
-}
-
 // NewLimits returns limits of no upstream.
 func NewLimits() *Limits {
 	return &Limits{invalid: make(map[string]int64), limits: make(map[string]Limit)}
@@ -161,9 +154,3 @@
 	s.count.Store(int32(len(s.limits)))
 	return &Change{After: l, Before: known, Known: ok}
 }
-
-// Announced reports whether other boxes have to hear of the change: whether the upstream has a
-// limit at all has changed.
-func (c *Change) Announced() bool {
-	return !c.Known || c.Before.Lifted != c.After.Lifted || c.Before.Born != c.After.Born
-}
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -113,14 +113,14 @@
 		return avoid, time.Time{}, nil
 	}
 	if free {
-		return with(avoid, refused, time.Time{}), time.Time{}, nil
+		return avoidRefused(avoid, refused, time.Time{}), time.Time{}, nil
 	}
 	first := slices.MinFunc(slices.Collect(maps.Values(refused)), time.Time.Compare)
 	till := e.limitPatience(now)
 	if first.After(till) {
 		return nil, time.Time{}, fail.WithRetryAt(fail.New(fail.NotRun, e.servicePlace(), string(policy.ReasonLimited), "the upstreams accept no more requests for now"), first)
 	}
-	return with(avoid, refused, till), till, nil
+	return avoidRefused(avoid, refused, till), till, nil
 }
 
 // limitPatience returns until when the request may wait for a permit: half of what is left until its
@@ -186,31 +186,25 @@
 // refusedPermits returns, of the upstreams of a list that are not to be avoided, those for which there
 // is no permit, with when to ask again, and reports whether there are others.
 func (x *Relay) refusedPermits(l []*resource.Upstream, avoid map[string]bool, now time.Time) (refused map[string]time.Time, free bool) {
-	refused = make(map[string]time.Time)
 	for _, u := range l {
 		if avoid[u.Name] || !u.Takes(now) {
 			continue
 		}
-		if at := x.limiter.RefusedUntil(x.limitedUpstream(u, now), now); !at.IsZero() {
-			refused[u.Name] = at
-		} else {
+		at := x.limiter.RefusedUntil(x.limitedUpstream(u, now), now)
+		if at.IsZero() {
 			free = true
+			continue
+		}
+		if refused == nil {
+			refused = make(map[string]time.Time)
 		}
+		refused[u.Name] = at
 	}
 	return refused, free
 }
 
-// localPermits returns an Ask of a limiter for a box that sends alone.
-func localPermits() func(context.Context, *ratelimit.Ask) (*ratelimit.Grant, error) {
-	a := ratelimit.NewAllocator()
-	return func(_ context.Context, q *ratelimit.Ask) (*ratelimit.Grant, error) {
-		g := a.Allocate(q, 1, 1, time.Now())
-		return &g, nil
-	}
-}
-
-// with returns the upstreams to avoid and those that are refused until later than a time.
-func with(avoid map[string]bool, refused map[string]time.Time, till time.Time) map[string]bool {
+// avoidRefused returns the upstreams to avoid and those that are refused until later than a time.
+func avoidRefused(avoid map[string]bool, refused map[string]time.Time, till time.Time) map[string]bool {
 	all := make(map[string]bool, len(avoid)+len(refused))
 	maps.Copy(all, avoid)
 	for n, at := range refused {
@@ -220,3 +214,12 @@
 	}
 	return all
 }
+
+// localPermits returns an Ask of a limiter for a box that sends alone.
+func localPermits() func(context.Context, *ratelimit.Ask) (*ratelimit.Grant, error) {
+	a := ratelimit.NewAllocator()
+	return func(_ context.Context, q *ratelimit.Ask) (*ratelimit.Grant, error) {
+		g := a.Allocate(q, 1, 1, time.Now())
+		return &g, nil
+	}
+}
--- a/limits.go
+++ b/limits.go
@@ -26,10 +26,10 @@
 	silent    map[string]silence         // of boxes that did not answer an ask
 }
 
-// silence is for how long a box is passed over that did not answer an ask.
+// silence is of a box that did not answer an ask.
 type silence struct {
-	period time.Duration // the last one, from which the next is reckoned
-	until  time.Time
+	since time.Time // it did not answer any
+	until time.Time // it is passed over
 }
 
 const (
@@ -47,8 +47,8 @@
 	// rateChange is the share by which a limit has to change for its allocator to hear of it before
 	// the next ask.
 	rateChange = 0.1
-	// silentLeast and silentMost are how long a box that did not answer an ask is passed over; it
-	// doubles with each in a row.
+	// silentLeast and silentMost are how long a box that did not answer an ask is passed over: as long
+	// as it has been silent.
 	silentLeast = time.Second
 	silentMost  = 8 * time.Second
 )
@@ -183,8 +183,9 @@
 		b.limits.heard(name)
 		return r.Grant
 	}
-	if call.Err() == nil && b.members.Failed(name, began, now) { // it refuses connections
-		event.PeerLost.Log(b.log, "box", name, "error", errorText(err))
+	refused := call.Err() == nil && fail.Reason(err) == box.ReasonUnreachable
+	if refused && b.members.Failed(name, began, now) {
+		event.PeerLost.Log(b.log, "box", name, "error", err.Error())
 	}
 	if ctx.Err() == nil || now.Sub(began) >= forwardPeriod { // or its caller has gone
 		b.limits.passOver(name, now)
@@ -253,8 +254,10 @@
 	if now.Before(x.until) {
 		return // another ask has found that out
 	}
-	x.period = min(silentMost, max(silentLeast, 2*x.period))
-	x.until = now.Add(x.period)
+	if x.since.IsZero() {
+		x.since = now
+	}
+	x.until = now.Add(min(silentMost, max(silentLeast, now.Sub(x.since))))
 	s.silent[name] = x
 }
 
@@ -280,10 +283,3 @@
 	far := slices.DeleteFunc(policy.Rank(upstream, all), func(x string) bool { return slices.Contains(hall, x) })
 	return slices.Concat(near, far, rest)
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return "it does not know the call"
-	}
-	return err.Error()
-}
