--- a/limit_test.go
+++ b/limit_test.go
@@ -3,12 +3,14 @@
 package linetiller
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/fake/routed"
 )
 
@@ -393,3 +395,29 @@
 		})
 	}
 }
+
+// TestBoxThatDoesNotKnowPermitsStays guards against boxes of an earlier version that are held for gone,
+// and lose the upstreams that they own, as they answer an ask for a permit with an error.
+func TestBoxThatDoesNotKnowPermitsStays(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		for _, b := range r.boxes {
+			call := b.links.Call
+			b.links.Call = func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
+				if q.Kind != box.KindPermit {
+					return call(ctx, to, q)
+				}
+				return &box.Call{HangUp: func() {}, Peer: "box " + to, Read: func(x *box.Reply) error {
+					x.Error = "bad_message"
+					return nil
+				}}, nil
+			}
+		}
+		r.setLimit("2.8", limited...)
+		c.paced(5*time.Second, 25*time.Millisecond, false, inTurn)
+		for n, b := range r.boxes {
+			if got, want := len(b.members.Alive("")), len(r.boxes); got != want {
+				t.Errorf("%s: boxes believed to serve: got %d, want %d", n, got, want)
+			}
+		}
+	})
+}
