--- a/limit_test.go
+++ b/limit_test.go
@@ -278,7 +278,7 @@
 	for _, x := range []struct {
 		boxes int
 		limit string
-	}{{8, "0.2"}, {8, "2.8"}, {40, "0.2"}, {40, "2.8"}, {40, "40"}} {
+	}{{8, "0.2"}, {8, "2.8"}, {40, "0.2"}, {40, "2.8"}, {40, "40"}, {300, "2.8"}} {
 		t.Run(fmt.Sprint(x.boxes, " boxes, ", x.limit, " a second"), func(t *testing.T) {
 			withManyBoxes(t, x.boxes, func(t *testing.T, r *routes, c *crowd, names []string) {
 				to := func(i int) string { return names[i%len(names)] }
