--- a/heartbeat.go
+++ b/heartbeat.go
@@ -34,7 +34,7 @@
 	b.beat.Store(int64(time.Since(b.started)))
 }
 
-// heard takes in that another box lives, and catches up where it is ahead.
+// heard marks a peer as alive and fetches what it is ahead by.
 func (b *Box) heard(ctx context.Context, q *box.Request) {
 	if b.members.Heard(q.From, time.Now()) {
 		event.PeerBack.Log(b.log, "box", q.From.Name)
@@ -48,7 +48,7 @@
 	}
 }
 
-// heartbeat tells one box that this one lives.
+// heartbeat sends a heartbeat to one peer.
 func (b *Box) heartbeat(ctx context.Context, m box.Member) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
--- a/internal/health/rests.go
+++ b/internal/health/rests.go
@@ -10,11 +10,11 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// Rests are the times for which upstreams want nothing from this box, as they told it when
-// they turned requests away. An upstream that turns all away is never busy, so that choices
-// by load would send it more than its neighbours: six times as much was measured.
+// Rests are the back-off periods that upstreams asked this box for as they rejected requests. An
+// upstream that rejects all is never busy, so that choices by load would send it more than its
+// neighbours.
 //
-// A rest is of one start of an upstream, and is kept until its end, whatever is answered
+// A back-off is of one start of an upstream, and is kept until its end, whatever is answered
 // meanwhile. It is safe for concurrent use.
 //
 // After refusals without a time this box stays away by itself, for longer with each in a row,
@@ -41,8 +41,7 @@
 
 const (
 	// awayFirst and awayMost are how long this box stays away after a first refusal, and at
-	// the most; it doubles with each in a row. With a third of the engines turning all away
-	// it is worth 0.16 of the day of a small fleet, as the mean of two.
+	// the most; it doubles with each in a row.
 	awayFirst = 250 * time.Millisecond
 	awayMost  = 4 * time.Second
 	// refusalLife is how long refusals are remembered after that, in which none was added.
@@ -54,7 +53,7 @@
 	return &Rests{refusals: make(map[string]refusals), rests: make(map[string]rest), view: v}
 }
 
-// Asked takes in that an upstream wants nothing from this box until a time.
+// Asked records that an upstream asked for back-off until a time.
 func (r *Rests) Asked(u *resource.Upstream, until time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -121,7 +120,7 @@
 	return fail.WithRetryAt(fail.New(fail.NotRun, p, string(policy.ReasonResting), "every upstream wants rest"), first)
 }
 
-// Refused takes in that an upstream turned a request away, and told no time.
+// Refused records that an upstream rejected a request without asking for back-off.
 func (r *Rests) Refused(name string, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -133,7 +132,7 @@
 	r.refusals[name] = refusals{count: x.count + 1, until: now.Add(away)}
 }
 
-// Served takes in that an upstream ran a request.
+// Served records that an upstream ran a request.
 func (r *Rests) Served(name string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -157,8 +156,7 @@
 	return true
 }
 
-// Until returns until when an upstream wants nothing from this box, or zero where it does not
-// rest.
+// Until returns until when an upstream asked for back-off, or zero where it is not throttled.
 func (r *Rests) Until(name string, now time.Time) time.Time {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -143,7 +143,7 @@
 	return fail.Place{Peer: "service " + e.service.Name, Step: "choose"}
 }
 
-// takeLastID takes in after which event the caller wants its stream. Of a route whose
+// takeLastID records after which event the caller wants its stream. Of a route whose
 // streams may not be resumed, it gets the stream from the beginning.
 func (e *exchange) takeLastID() error {
 	id := e.request.LastEventID
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -33,7 +33,7 @@
 	return firstExpected + time.Duration(tokens)*t
 }
 
-// learn takes in that a stream had so many tokens in a time, from the first one on.
+// learn records that a stream had so many tokens in a time, from the first one on.
 func (p *pace) learn(tokens int, took time.Duration) {
 	if tokens < 2 || took <= 0 {
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,7 +41,7 @@
 	Guess func(w *policy.Work, avoid map[string]bool) *resource.Upstream
 	// Limited announces to other boxes what an upstream's answer said of its rate limit; a seam.
 	Limited func(c *ratelimit.Change)
-	// Leaving takes in that an upstream's answer says that it is leaving; a seam. By default
+	// Leaving records an upstream's shutdown notice that came with its answer; a seam. By default
 	// this box alone knows.
 	Leaving func(u *resource.Upstream)
 	// Others reports whether other boxes of the hall take requests; a seam.
@@ -297,14 +297,14 @@
 	}
 }
 
-// countPrompt takes in the size of the prompt of a request of an engine that has ended.
+// countPrompt counts the size of the prompt of a request of an engine that has ended.
 func (x *Relay) countPrompt(e *exchange, outcome string) {
 	if e.request.Prompt > 0 {
 		x.metrics.HistogramOf(metric.PromptTokens, "outcome", outcome).Update(float64(e.request.Prompt))
 	}
 }
 
-// enter takes in a request, unless the relay is closing.
+// enter counts a request as in progress, unless the relay is closing.
 func (x *Relay) enter() error {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
@@ -316,7 +316,7 @@
 	return nil
 }
 
-// leave takes in that a request has had its final answer.
+// leave counts a request as finished.
 func (x *Relay) leave() {
 	x.mutex.Lock()
 	x.held--
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -31,8 +31,8 @@
 }
 
 // handOver sends a run that was stopped for a move to an engine which has its memory. Where
-// the engine's hall was evacuated meanwhile, it does so only for a moment, and where it wants
-// rest, for one run alone: the run has nowhere else to go on.
+// the engine's hall was evacuated meanwhile, it does so only for a moment, and where the engine
+// asked for back-off, for one run alone: the run has nowhere else to go on.
 func (e *exchange) handOver(ctx context.Context, u *resource.Upstream, r *Resume) (*Answer, error) {
 	v, place := e.relay.view.Upstream(u.Name), fail.Place{Peer: "upstream " + u.Name, Step: "resume"}
 	if v != nil && v.Evacuated() && time.Since(v.EvacuatedAt) > handOverPeriod {
@@ -50,7 +50,7 @@
 
 // holders returns the engines that hold the memory of a run that was moved, the one that is
 // to be asked first. The engine that was stopped has it, too; it goes first where the other
-// one wants rest, and the run is moved again from there.
+// one asked for back-off, and the run is moved again from there.
 func (s *stream) holders(m *move) []*resource.Upstream {
 	x := s.exchange.relay
 	switch {
@@ -62,14 +62,14 @@
 	return []*resource.Upstream{m.to, m.from}
 }
 
-// hopped takes in that a move was made: the next one has an id of its own.
+// hopped records that a move was made: the next one has an id of its own.
 func (s *stream) hopped() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.hops++
 }
 
-// moved takes in that the generation goes on at u, from the copy that m made.
+// moved records that the generation goes on at u, from the copy that m made.
 func (s *stream) moved(m *move, u *resource.Upstream) {
 	x := s.exchange.relay
 	s.mutex.Lock()
@@ -185,7 +185,7 @@
 	return a, nil
 }
 
-// sitAt takes in that the generation is to run at another upstream, under an id of its own
+// sitAt records that the generation is to run at another upstream, under an id of its own
 // there; the one before gets back what was held there.
 func (s *stream) sitAt(t *seat) {
 	s.mutex.Lock()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -19,7 +19,7 @@
 	wordLeaving      = "leaving"       // it is about to end
 	wordLimit        = "limit"         // the rate that it accepts from all boxes together
 	wordLimitInvalid = "limit_invalid" // such a rate that cannot be used
-	wordRest         = "rest"          // it turned the request away, and wants nothing from this box for a time
+	wordRest         = "rest"          // it rejected the request and asked this box for back-off
 )
 
 // fromAnswer names, in logs, the upstream's own answer as where news of it came from.
@@ -37,7 +37,7 @@
 	return c, func() { t.Stop() }
 }
 
-// judge takes in what an answer tells, and returns an error where it is not one
+// judge records what an answer says of its upstream, and returns an error where it is not one
 // to pass on.
 func (e *exchange) judge(u *resource.Upstream, a *Answer) error {
 	x, now := e.relay, time.Now()
@@ -51,9 +51,8 @@
 		x.rests.Asked(u, now.Add(a.Rest))
 	}
 	if a.NotRun {
-		// One that turns all away is never busy: where it tells no time to stay away for, its
-		// refusals count as failures, or it would be sent the most. With one upstream of three
-		// like that it is worth the 18 in 100 requests that are refused otherwise.
+		// One that rejects all is never busy: where it asks for no back-off, its rejections count as
+		// failures, or it would be sent the most.
 		turnsAway := promises(a.Status) && a.Rest == 0 // and doesn't find fault with the request
 		x.health.Answered(u.Name, turnsAway, a.Load, now)
 		if turnsAway && u.Engine() != nil {
@@ -93,7 +92,7 @@
 	event.RequestPlaced.Log(e.relay.log, l...)
 }
 
-// noteLeaving takes in that the answer of an upstream says that it leaves: nothing new may
+// noteLeaving records a shutdown notice in the answer of an upstream: nothing new may
 // go there, and the answer may be the only word of it for as long as the store is away.
 func (e *exchange) noteLeaving(u *resource.Upstream) {
 	x := e.relay
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// passed takes in that an event was passed on.
+// passed records that an event was passed on.
 func (s *stream) passed(id string) {
 	x, now := s.exchange.relay, time.Now()
 	s.exchange.lastID = id
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -22,7 +22,7 @@
 	Load       *health.Load  // nil where it is not told
 	NotRun     bool          // the upstream says that it did not run the request
 	OtherEcho  bool          // it names another request than the one that was sent
-	Rest       time.Duration // for which the upstream, which turns the request away, wants nothing from this box; 0 where it does not tell
+	Rest       time.Duration // of back-off that the upstream, which rejects the request, asks this box for; 0 for none
 	Signed     bool          // it carries the upstream's own mark
 	Status     int
 }
--- a/join.go
+++ b/join.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// join learns of the other boxes and takes in the highest configuration that
+// join learns of the other boxes and applies the highest configuration that
 // they or the table hold, before the first request. Only few boxes read all
 // of the store: at 300 boxes with a list of 3,000 upstreams a read by each box cost
 // 0.03 of the worth served.
@@ -69,7 +69,7 @@
 	b.beat.Store(int64(time.Since(b.started)))
 }
 
-// listMembers takes in the boxes that wrote where they are.
+// listMembers records the boxes that wrote where they are.
 func (b *Box) listMembers() {
 	var l []box.Member
 	for _, x := range b.view.Boxes() {
@@ -136,7 +136,7 @@
 	}
 }
 
-// runMembers takes in every change of the boxes that are known.
+// runMembers records every change of the boxes that are known.
 func (b *Box) runMembers(ctx context.Context) {
 	for {
 		c := b.view.Changed()
--- a/leaving.go
+++ b/leaving.go
@@ -7,7 +7,7 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// learn takes in the load of an upstream, as its owner told it.
+// learn records the load of an upstream, as its owner reported it.
 func (b *Box) learn(l *policy.Load) {
 	b.reserved.Learn(l)
 	if l != nil && l.Leaving {
@@ -15,14 +15,14 @@
 	}
 }
 
-// learnAll takes in the loads of upstreams, as their owner told them.
+// learnAll records the loads of upstreams, as their owner reported them.
 func (b *Box) learnAll(l []policy.Load) {
 	for i := range l {
 		b.learn(&l[i])
 	}
 }
 
-// noteLeaving takes in that an upstream which was born at a time told that it is leaving, and
+// noteLeaving records the shutdown notice of an upstream which was born at a time, and
 // reports whether that is news.
 func (b *Box) noteLeaving(upstream string, born int64, from string) bool {
 	if !b.view.NoteLeaving(upstream, born) {
@@ -32,7 +32,7 @@
 	return true
 }
 
-// tellLeaving takes in that an upstream itself says that it is leaving, and tells all other
+// tellLeaving records an upstream's own shutdown notice, and announces it to all other
 // boxes, unless the platform's list or another box had said so before: the list may be out of
 // reach for long, and each box would go on sending there until an answer told it, too. A word
 // costs a message to each box.
--- a/reload.go
+++ b/reload.go
@@ -7,7 +7,7 @@
 	"github.com/linetiller/linetiller/internal/settings"
 )
 
-// Reload takes in new settings while the box runs, or what was wrong with them.
+// Reload applies new settings while the box runs, or what was wrong with them.
 // The budget of tries is in force at once; a change of anything else takes a
 // restart, and is logged as waiting for one.
 func (b *Box) Reload(s *settings.Settings, err error) {
