A box that stops does not wait to announce a limit

Cause: the pause between two announcements was slept through, whatever else happened. Evidence: once in some 200 runs TestLimitNamedNowAndThen hung in virtual time, as the box waited for that sleep under the lock of its Close (stacks of the run). Change: the pause ends with the box.

--- a/limit_test.go
+++ b/limit_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -421,3 +423,83 @@
 		}
 	})
 }
+
+// TestLimitEndsWithItsUpstream guards against a limit that is held against an upstream which has
+// started again under its name and names none.
+func TestLimitEndsWithItsUpstream(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+		born := func(at int64) {
+			for _, n := range limited {
+				r.platform.Put("servers/"+n, json.RawMessage(fmt.Sprintf(
+					`{"service":"desk","address":%q,"zone":%q,"state":"ready","cold_left_ms":0,"models":[{"name":"m"}],"born":%d}`, routedAddress(n), n[2:3], at)))
+			}
+			time.Sleep(2 * time.Second)
+		}
+		born(1_790_000_000_000)
+		r.setLimit("0.2", limited...)
+		c.paced(4*time.Second, 25*time.Millisecond, false, inTurn)
+		c.checkLimits(t)
+		r.setLimit("", limited...)
+		born(1_790_000_060_000)
+		c.served, c.sent = 0, make(map[string]journey)
+		c.paced(time.Second, 25*time.Millisecond, false, inTurn)
+		if got, want := c.served, len(c.sent); got != want {
+			t.Errorf("served by upstreams born again: got %d, want all %d", got, want)
+		}
+	})
+}
+
+// TestLimitNamedNowAndThen guards against a limit that is dropped, or a flood of announcements, where
+// an upstream names it in every other answer.
+func TestLimitNamedNowAndThen(t *testing.T) {
+	const period = 10 * time.Second
+	for _, x := range []struct {
+		limit    string
+		every    time.Duration // between two calls
+		got      int           // requests at an upstream at the most
+		messages int64         // about limits at the most
+	}{
+		{"2.8", 25 * time.Millisecond, 45, 1000},
+		{"100", 5 * time.Millisecond, 2000, 1000},
+	} {
+		t.Run(x.limit, func(t *testing.T) {
+			withLimited(t, func(t *testing.T, r *routes, c *crowd) {
+				messages := r.countLimits()
+				stop := time.Now().Add(period)
+				var g sync.WaitGroup
+				g.Go(func() {
+					for i := 0; time.Now().Before(stop); i++ {
+						r.setLimit([]string{x.limit, ""}[i%2], limited...)
+						time.Sleep(20 * time.Millisecond)
+					}
+				})
+				began := time.Now()
+				c.paced(period, x.every, false, inTurn)
+				g.Wait()
+				for _, n := range limited {
+					if got := r.got(n, began.Add(2*time.Second)); got > x.got {
+						t.Errorf("%s: got %d requests in 8 s, want at most %d", n, got, x.got)
+					}
+				}
+				if got := messages.Load(); got > x.messages {
+					t.Errorf("messages about limits in %s: got %d, want at most %d", period, got, x.messages)
+				}
+			})
+		})
+	}
+}
+
+// countLimits counts the messages about limits between boxes.
+func (r *routes) countLimits() *atomic.Int64 {
+	n := new(atomic.Int64)
+	for _, b := range r.boxes {
+		call := b.links.Call
+		b.links.Call = func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
+			if q.Kind == box.KindLimits {
+				n.Add(1)
+			}
+			return call(ctx, to, q)
+		}
+	}
+	return n
+}
--- a/limits.go
+++ b/limits.go
@@ -120,8 +120,9 @@
 	s.announces = true
 	wait := time.Until(s.announced.Add(announceEvery))
 	b.workers.Go(func() {
-		if wait > 0 {
-			time.Sleep(wait)
+		select {
+		case <-b.running.Done(): // nobody is told any more
+		case <-time.After(wait):
 		}
 		b.tell("", box.Request{Kind: box.KindLimits, Limits: s.takePending()})
 	})
