Periods are measured by the monotonic clock, not by the time of day

Set back by some seconds, a box that reads in another's place took itself for one that had not read yet: it asked for the list of upstreams again and again without waiting and did not read the configuration until the time of day had caught up. The windows of the budget of tries were cut by the time of day, too: set forward, a box could spend twice in one window.

Nobody has shown that this is what the users saw.

Change: both keep times with their monotonic reading. Why it holds: time.Time compares by the monotonic clock where both have it. TestPeriodsAreNotMeasuredByTheTimeOfDay (.) looks for Unix nanoseconds in all packages that a box runs; before this change it names these four files.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -16,6 +16,7 @@
 	mutex  sync.Mutex       // guards all but boxes
 	ratio  float64          // of tries to requests
 	spans  map[string]*span // by service
+	start  time.Time        // from which slices are counted
 	window time.Duration
 }
 
@@ -43,7 +44,10 @@
 
 // at returns a service's span, slid to now; the lock is held.
 func (b *Budget) at(service string, now time.Time) *span {
-	slice := now.UnixNano() / int64(max(1, b.window/slices))
+	if b.start.IsZero() {
+		b.start = now
+	}
+	slice := int64(max(0, now.Sub(b.start)) / max(1, b.window/slices))
 	s := b.spans[service]
 	if s == nil {
 		s = &span{slice: slice}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -147,10 +147,10 @@
 	for _, s := range f.sources {
 		m.GaugeOf(metric.PlatformAway, "source", string(s.name), func() float64 { return number(s.failures.Load() > 0) })
 		m.GaugeOf(metric.PlatformAge, "source", string(s.name), func() float64 {
-			if s.readAt.Load() == 0 {
+			if s.readAt.get().IsZero() {
 				return math.Inf(1)
 			}
-			return time.Since(time.Unix(0, s.readAt.Load())).Seconds()
+			return time.Since(s.readAt.get()).Seconds()
 		})
 	}
 }
--- a/internal/configuration/lapse.go
+++ b/internal/configuration/lapse.go
@@ -15,7 +15,7 @@
 // away: they may live and be about to come back. The view does so by itself for what the
 // store lacks since it came back from a copy.
 func (f *Follower) lapse(s *source, b *resource.Batch) {
-	if s.name != resource.SourceUpstreams || b.Tentative || time.Since(time.Unix(0, s.backAt.Load())) > returnPeriod {
+	if s.name != resource.SourceUpstreams || b.Tentative || time.Since(s.backAt.get()) > returnPeriod {
 		return
 	}
 	if b.Whole {
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -117,7 +117,7 @@
 func (f *Follower) probedSinceFed(p *source) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return p.readAt.Load() > f.unfedAt.UnixNano()
+	return p.readAt.get().After(f.unfedAt)
 }
 
 // watch returns how long one read of a source waits. The first one of a substitute does
@@ -221,7 +221,7 @@
 
 // readSucceeded takes in that a source could be read, perhaps again after failures.
 func (f *Follower) readSucceeded(s *source) {
-	s.readAt.Store(time.Now().UnixNano())
+	s.readAt.set(time.Now())
 	n := s.failures.Swap(0)
 	if s == f.probe() && (n > 0 || f.rank() == rankSubstitute) {
 		f.tellState() // the other sources may wait for it
@@ -229,7 +229,7 @@
 	if n == 0 {
 		return
 	}
-	s.backAt.Store(time.Now().UnixNano())
+	s.backAt.set(time.Now())
 	f.tellBack()
 	f.tellAway(s, false)
 	event.PlatformBack.Log(f.log, "source", string(s.name), "failures", n)
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -10,11 +10,11 @@
 // source is one source that the follower reads.
 type source struct {
 	after    atomic.Int64 // the store's revision up to which this box has read
-	backAt   atomic.Int64 // Unix nanoseconds of the return of the store after an outage
+	backAt   moment       // of the return of the store after an outage
 	failures atomic.Int64 // reads that failed in a row
 	name     resource.Source
 	read     Reader
-	readAt   atomic.Int64 // Unix nanoseconds of the last read that went well, 0 for none
+	readAt   moment // of the last read that went well
 }
 
 const (
--- a/layers_test.go
+++ b/layers_test.go
@@ -88,3 +88,24 @@
 		t.Errorf("imports checked: got %d, want at least %d", got, want)
 	}
 }
+
+// TestPeriodsAreNotMeasuredByTheTimeOfDay guards against reads of the store that a jump of the time of
+// day made look older or newer than they are: Unix times lose the reading of the monotonic clock.
+func TestPeriodsAreNotMeasuredByTheTimeOfDay(t *testing.T) {
+	allowed := map[string]bool{"internal/policy/admission.go": true} // orders what waits, and measures nothing
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || allowed[path] {
+			return err
+		}
+		if _, listed := layerName(strings.TrimSuffix(filepath.Dir(path), ".")); !listed {
+			return nil
+		}
+		if s := read(t, path); strings.Contains(s, ".UnixNano()") || strings.Contains(s, "time.Unix(0,") {
+			t.Errorf("%s: got a time of day in nanoseconds, want a time.Time", path)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
