A box knows how old its view is, and says by what it refused

What was missing: the incident's record cannot tell whether a box that refused a new route had not read it, had read an older configuration, or had not heard of it; no line said that a read was late, and nothing told how long ago a box that does not read the store itself was last known to be up to date.

Change: a refusal's line (202) names the revisions that decided it and the age of the view. Heartbeats and answers to questions for news carry the age of the sender's view, so that each box has one: a gauge, linetiller_view_age_seconds, and lines 409 and 410 as it passes 6 s and comes back. A read that waits for changes and is not answered 250 ms after its wait is logged (408) and counted. No decision depends on it.

Evidence: TestAgeOfAViewThatNobodyConfirms (internal/configuration), TestRefusalTellsWhatDecidedIt (internal/relay).

--- a/answer.go
+++ b/answer.go
@@ -33,7 +33,7 @@
 		_ = answer(b.answerCrashes(q))
 	case box.KindHeartbeat:
 		now := time.Now()
-		_ = answer(&box.Reply{Limited: b.relay.Limits().Digest(now), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(now)})
+		_ = answer(&box.Reply{Age: b.follower.Age(), Limited: b.relay.Limits().Digest(now), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(now)})
 	case box.KindInForce:
 		_ = answer(&box.Reply{Halls: b.inForceHere(ctx, q.Forward)})
 	case box.KindLimits, box.KindPermit:
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -41,7 +41,9 @@
 	}
 	b.limits.heard(q.From.Name)
 	b.learnAll(q.Loads)
-	_ = b.follower.CatchUp(ctx, q.From.Address, q.Revisions) // the next message tries again
+	if b.follower.CatchUp(ctx, q.From.Address, q.Revisions) == nil { // or the next message tries again
+		b.follower.HeardAge(q.Age)
+	}
 	b.fetchCrashes(ctx, q.From, q.Quarantine)
 	if q.Kind == box.KindHeartbeat {
 		b.fetchLimits(ctx, q.From, q.Limited)
@@ -53,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
 	defer cancel()
 	began := time.Now()
-	q := box.Request{Kind: box.KindHeartbeat, Limited: b.relay.Limits().Digest(began), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(began)}
+	q := box.Request{Age: b.follower.Age(), Kind: box.KindHeartbeat, Limited: b.relay.Limits().Digest(began), Loads: b.owners.Loads(), Quarantine: b.relay.Quarantine().Digest(began)}
 	r, err := b.links.Once(ctx, m.Address, b.request(q))
 	if err != nil {
 		if b.members.Failed(m.Name, began, time.Now()) {
@@ -66,7 +68,9 @@
 	if b.members.Heard(m, time.Now()) {
 		event.PeerBack.Log(b.log, "box", m.Name)
 	}
-	_ = b.follower.CatchUp(ctx, m.Address, r.Revisions) // the next heartbeat tries again
+	if b.follower.CatchUp(ctx, m.Address, r.Revisions) == nil { // or the next heartbeat tries again
+		b.follower.HeardAge(r.Age)
+	}
 	b.fetchCrashes(ctx, m, r.Quarantine)
 	b.fetchLimits(ctx, m, r.Limited)
 }
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -53,6 +53,7 @@
 
 // Request is the first message on a stream.
 type Request struct {
+	Age          time.Duration        `cbor:"22,keyasint,omitempty"` // heartbeat: of the sender's view, 0 where it does not know
 	Ask          *Ask                 `cbor:"2,keyasint,omitempty"`
 	Away         bool                 `cbor:"11,keyasint,omitempty"` // away: it cannot be read
 	Born         int64                `cbor:"13,keyasint,omitempty"` // leaving: when the upstream started, in Unix milliseconds; 0 where that is not told
@@ -112,6 +113,7 @@
 
 // Reply is one answer.
 type Reply struct {
+	Age        time.Duration      `cbor:"19,keyasint,omitempty"` // heartbeat, news: of the sender's view, 0 where it does not know
 	Answer     *policy.Answer     `cbor:"1,keyasint,omitempty"`  // ask
 	Changes    []resource.Batch   `cbor:"2,keyasint,omitempty"`  // changes
 	Crashes    []policy.Crash     `cbor:"14,keyasint,omitempty"` // crashes
--- /dev/null
+++ b/internal/configuration/age.go
@@ -0,0 +1,97 @@
+package configuration
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/periodic"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+const (
+	// readLateAfter is how long after the end of its wait a read counts as late: an answer
+	// takes some milliseconds.
+	readLateAfter = 250 * time.Millisecond
+	// viewCheckEvery is between two looks at the age of the view.
+	viewCheckEvery = time.Second
+	// viewStaleAfter is from which age on a view is not known to be current: a read, the news
+	// of one and the heartbeats of a hall take less together.
+	viewStaleAfter = 6 * time.Second
+)
+
+// Age returns how long ago the view is known to have held all that the platform's store had
+// acknowledged, 0 where it never was.
+func (f *Follower) Age() time.Duration {
+	at := f.currentAt.get()
+	if own := f.readAllAt(); own.After(at) {
+		at = own
+	}
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, time.Since(at))
+}
+
+// HeardAge records the age of the view of a box with whose revisions this one has caught up; 0
+// is none.
+func (f *Follower) HeardAge(age time.Duration) {
+	if at := time.Now().Add(-age); age > 0 && at.After(f.currentAt.get()) {
+		f.currentAt.set(at)
+	}
+}
+
+// RunAge logs when the view is no longer known to be current, and when it is again, until the
+// context ends.
+func (f *Follower) RunAge(ctx context.Context) {
+	stale := false
+	periodic.Run(ctx, viewCheckEvery, func(context.Context) {
+		age := f.Age()
+		if stale == (age > viewStaleAfter) {
+			return
+		}
+		stale = !stale
+		e := event.ViewCurrent
+		if stale {
+			e = event.ViewStale
+		}
+		e.Log(f.log, "age_ms", age.Milliseconds())
+	})
+}
+
+// meterAge has the age of the view told by a gauge of m.
+func (f *Follower) meterAge(m *metric.Set) {
+	m.Gauge(metric.ViewAge, func() float64 {
+		if age := f.Age(); age > 0 {
+			return age.Seconds()
+		}
+		return math.Inf(1)
+	})
+}
+
+// noteLate logs that a read which began at a time has not been answered in time.
+func (f *Follower) noteLate(s *source, began time.Time) {
+	f.metrics.Count(metric.PlatformLate, "source", string(s.name))
+	event.ReadLate.Log(f.log, "source", string(s.name), "waited_ms", time.Since(began).Milliseconds())
+}
+
+// readAllAt returns when this box last had an answer of the store about each source by which
+// requests are decided, zero where one is lacking.
+func (f *Follower) readAllAt() time.Time {
+	var at time.Time
+	for _, s := range f.sources {
+		t := s.readAt.get()
+		if s.name == resource.SourceBoxes {
+			continue
+		}
+		if t.IsZero() {
+			return t
+		}
+		if at.IsZero() || t.Before(at) {
+			at = t
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/configuration/age_test.go
@@ -0,0 +1,55 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/resource"
+)
+
+// TestAgeOfAViewThatNobodyConfirms has the store say nothing for a time: a reader's view ages, the
+// log says so once and says when it is over, and a box that hears from one that is younger goes by that.
+func TestAgeOfAViewThatNobodyConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = 20 * time.Second
+		s := newSilentStore(silence)
+		f := s.follower(resource.SourceBoxes, resource.SourceConfiguration, resource.SourceUpstreams)
+		var b bytes.Buffer
+		f.log = slog.New(slog.NewTextHandler(&b, nil))
+		if got := f.Age(); got != 0 {
+			t.Errorf("before any read: got age %v, want none", got)
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), s.to.Add(5*time.Second))
+		defer cancel()
+		go f.RunAge(ctx)
+		go f.Run(ctx)
+		time.Sleep(9 * time.Second)
+		if got := f.Age(); got == 0 || got > viewStaleAfter {
+			t.Errorf("while the store answers: got age %v, want at most %v", got, viewStaleAfter)
+		}
+		time.Sleep(time.Until(s.to))
+		if got, want := f.Age(), silence-configurationWatchPeriod; got < want { // a read may have been under way
+			t.Errorf("after the silence: got age %v, want at least %v", got, want)
+		}
+		f.HeardAge(time.Second)
+		if got, want := f.Age(), time.Second; got != want {
+			t.Errorf("after another box's word: got age %v, want %v", got, want)
+		}
+		<-ctx.Done()
+		synctest.Wait()
+		for _, e := range []event.Event{event.ViewStale, event.ViewCurrent} {
+			if got, want := strings.Count(b.String(), e.Name), 1; got != want {
+				t.Errorf("lines %q: got %d, want %d", e.Name, got, want)
+			}
+		}
+		if got := strings.Count(b.String(), event.ReadLate.Name); got == 0 {
+			t.Errorf("lines %q: got none", event.ReadLate.Name)
+		}
+	})
+}
--- a/internal/configuration/news.go
+++ b/internal/configuration/news.go
@@ -47,13 +47,13 @@
 		changed, state := f.view.Changed(), f.stateChanged()
 		fed := f.Fed()
 		if l := f.view.Missing(have); len(l) > 0 || !fed {
-			return &box.Reply{Changes: l, Fed: fed}
+			return &box.Reply{Age: f.Age(), Changes: l, Fed: fed}
 		}
 		select {
 		case <-changed:
 		case <-state:
 		case <-t.C:
-			return &box.Reply{Fed: true}
+			return &box.Reply{Age: f.Age(), Fed: true}
 		case <-ctx.Done():
 			return &box.Reply{Fed: fed}
 		}
@@ -118,6 +118,7 @@
 	for i := range r.Changes {
 		f.apply(&r.Changes[i], "reader "+peer)
 	}
+	f.HeardAge(r.Age)
 	return r.Fed, nil
 }
 
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -179,7 +179,10 @@
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
 	after := f.position(s)
 	silentAt := time.Now().Add(wait + silentPeriod)
+	began := time.Now()
+	late := time.AfterFunc(wait+readLateAfter, func() { f.noteLate(s, began) })
 	l, next, err := s.read(ctx, after, wait)
+	late.Stop()
 	if err != nil {
 		if ctx.Err() == nil {
 			f.readFailed(s, after, err, time.Now().After(silentAt))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,9 @@
 	AnswerPassedOver   = Event{slog.LevelWarn, "older answer of the platform passed over", 405}
 	ChangesHeld        = Event{slog.LevelInfo, "changes of a restored store wait", 406}
 	RowIgnored         = Event{slog.LevelWarn, "row of the platform names no upstream", 407}
+	ReadLate           = Event{slog.LevelWarn, "read of the platform late", 408}
+	ViewStale          = Event{slog.LevelWarn, "view not known to be current", 409}
+	ViewCurrent        = Event{slog.LevelInfo, "view known to be current again", 410}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
@@ -80,7 +83,7 @@
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
 	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried, LimitNamed, LimitLifted, LimitInvalid,
-	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored,
+	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored, ReadLate, ViewStale, ViewCurrent,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -33,6 +33,7 @@
 	PlatformCalls    Name = "linetiller_platform_calls_total"         // counter, by step and outcome
 	PlatformEra      Name = "linetiller_platform_era"                 // gauge: how often the platform's store was restored, as it told this box
 	PlatformOlder    Name = "linetiller_platform_older_answers_total" // counter, by source: older than what is held, and passed over
+	PlatformLate     Name = "linetiller_platform_late_reads_total"    // counter, by source: reads that were not answered in time
 	PlatformReader   Name = "linetiller_platform_reader"              // gauge: 1 where this box reads the platform's store for its hall
 	PromptTokens     Name = "linetiller_prompt_tokens"                // histogram, by outcome: of requests of routes to engines
 	Quarantined      Name = "linetiller_quarantined_requests"         // gauge: requests that are sent to no upstream, since upstreams crashed under them
@@ -52,15 +53,16 @@
 	Tokens           Name = "linetiller_tokens_total"                 // counter: delivered to clients
 	UpstreamCrashes  Name = "linetiller_upstream_ends_total"          // counter: requests under which an upstream ended
 	UpstreamReports  Name = "linetiller_upstream_report_errors_total" // counter
+	ViewAge          Name = "linetiller_view_age_seconds"             // gauge: since the view was last known to be current
 	UpstreamWords    Name = "linetiller_upstream_words_total"         // counter, by word: answers in which an upstream said something of itself
 )
 
 // Names lists every metric.
 var Names = []Name{
 	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, Permits, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
-	PlatformEra, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
+	PlatformEra, PlatformLate, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
-	UpstreamWords,
+	UpstreamWords, ViewAge,
 }
 
 // Set holds the metrics of one box. It is safe for concurrent use.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/ratelimit"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/revision"
 )
 
 // Relay carries requests. It is safe for concurrent use; Close waits for those
@@ -52,6 +53,8 @@
 	Turn Turns
 	// Upstreams are the calls to engines and services; seams.
 	Upstreams Upstreams
+	// ViewAge returns how long ago the view was known to be current, 0 where it never was; a seam.
+	ViewAge func() time.Duration
 
 	coldBears      func(u *resource.Upstream) float64
 	background     context.Context // ends with Close; of work that no request waits for
@@ -112,6 +115,7 @@
 		Limited:    func(*ratelimit.Change) {},
 		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
 		Others:     func() bool { return true },
+		ViewAge:    func() time.Duration { return 0 },
 		coldBears:  func(*resource.Upstream) float64 { return 0 },
 		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
@@ -293,7 +297,7 @@
 			x.metrics.Count(metric.Shortages, "short_of", s)
 			l = append(l, "short_of", s)
 		}
-		event.RequestRefused.Log(x.log, append(l, "error", err.Error())...)
+		event.RequestRefused.Log(x.log, append(append(l, x.decidedBy()...), "error", err.Error())...)
 	}
 }
 
@@ -304,6 +308,16 @@
 	}
 }
 
+// decidedBy returns the log attributes that tell by which revisions a request was decided, and how
+// old the view of them was.
+func (x *Relay) decidedBy() []any {
+	r := x.view.Revisions()
+	return []any{
+		"configuration", r[resource.SourceConfiguration], "upstreams", revision.Version(r[resource.SourceUpstreams]),
+		"view_age_ms", x.ViewAge().Milliseconds(),
+	}
+}
+
 // enter counts a request as in progress, unless the relay is closing.
 func (x *Relay) enter() error {
 	x.mutex.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,15 +1,18 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/relay"
@@ -336,3 +339,23 @@
 		}
 	})
 }
+
+// TestRefusalTellsWhatDecidedIt checks that the log line of a refusal names the revisions by which
+// the box went, and how old its view of them was.
+func TestRefusalTellsWhatDecidedIt(t *testing.T) {
+	var b bytes.Buffer
+	v := resource.NewView()
+	c := resource.Change{Revision: 7, Resource: &resource.Resource{Kind: resource.KindPriority, Metadata: resource.Metadata{Name: "first"}, Spec: []byte(`{"value":9}`)}}
+	v.Take(&resource.Batch{Changes: []resource.Change{c}, Revision: 7, Source: resource.SourceConfiguration})
+	x := relay.New(v, placement.NewTracker(func(*policy.Load) {}), policy.NewLengths(), "a", metric.NewSet(), slog.New(slog.NewTextHandler(&b, nil)))
+	defer func() { _ = x.Close() }()
+	x.ViewAge = func() time.Duration { return 1500 * time.Millisecond }
+	w := httptest.NewRecorder()
+	x.Serve(t.Context(), w, &relay.Request{Arrived: time.Now(), Host: "unknown.example", ID: "1", Path: "/x/"})
+	if got, want := w.Code, http.StatusNotFound; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if got, want := b.String(), "configuration=7 upstreams=0 view_age_ms=1500"; !strings.Contains(got, want) {
+		t.Errorf("line: got %q, want %q in it", got, want)
+	}
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -177,7 +177,7 @@
 // loops returns what runs as long as the box does.
 func (b *Box) loops() []func(context.Context) {
 	l := []func(context.Context){
-		b.follower.Run, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
+		b.follower.Run, b.follower.RunAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
 	if !b.hasEntry() {
 		l = append(l, b.orders.Run, b.runRewrite) // the platform's operators and engines write theirs themselves
