--- a/region_test.go
+++ b/region_test.go
@@ -31,18 +31,19 @@
 
 // region is halls of whole boxes, joined in memory, in virtual time.
 type region struct {
-	boxes    map[string]*Box
-	calls    map[string]int  // of the platform's store, by box
-	cut      map[string]bool // halls cut off from all others and the platform
-	done     sync.WaitGroup
-	engines  map[string]*engine.Server
-	frozen   map[string]bool // boxes whose calls hang
-	hallOf   map[string]string
-	link     *link.Link
-	mutex    sync.Mutex // guards the maps
-	platform *fakeplatform.Platform
-	refused  map[string]bool // boxes that the platform's store turns away
-	t        *testing.T
+	boxes      map[string]*Box
+	calls      map[string]int  // of the platform's store, by box
+	cut        map[string]bool // halls cut off from all others and the platform
+	done       sync.WaitGroup
+	engines    map[string]*engine.Server
+	frozen     map[string]bool // boxes whose calls hang
+	hallOf     map[string]string
+	link       *link.Link
+	mutex      sync.Mutex // guards the maps
+	platform   *fakeplatform.Platform
+	platformOf map[string]http.RoundTripper // by box: its way to the store, where that is not the usual one
+	refused    map[string]bool              // boxes that the platform's store turns away
+	t          *testing.T
 }
 
 const virtualKey = "key"
@@ -74,7 +75,8 @@
 	r := &region{
 		boxes: make(map[string]*Box), calls: make(map[string]int), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
 		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
-		refused: make(map[string]bool), t: t,
+		platformOf: make(map[string]http.RoundTripper),
+		refused:    make(map[string]bool), t: t,
 	}
 	r.link.Join("platform", r.platform)
 	return r
@@ -164,7 +166,7 @@
 			return nil
 		}
 		b.engineTransport = &reach{from: name, region: r}
-		b.platformTransport = &reach{from: name, region: r}
+		b.platformTransport = r.wayToStore(name)
 		b.routedTransport = &reach{from: name, region: r}
 	})
 	if err != nil {
@@ -179,6 +181,14 @@
 	synctest.Wait()
 }
 
+// wayToStore returns a box's way to the platform's store.
+func (r *region) wayToStore(name string) http.RoundTripper {
+	if t := r.platformOf[name]; t != nil {
+		return t
+	}
+	return &reach{from: name, region: r}
+}
+
 func (r *region) kill(name string) {
 	r.mutex.Lock()
 	b := r.boxes[name]
