A read of the store whose answer is late is repeated on another connection

What callers saw: for up to 2.8 s after a change was acknowledged, boxes of all halls refused a new key or route and sent to upstreams that had said they leave.

Cause: one box reads the store for all, by reads that wait for changes, and a second one beside it. That a read's connection carries nothing more shows only once the read has run out: 3 s after it was sent for the list of upstreams, 4.5 s for the configuration, more at the second reader. Until then the reader counted as one that is up to date. Class: the absence of a failure was taken for a confirmation.

Change: a read without an answer 250 ms after its wait is repeated on a new connection, without waiting, and the first answer counts; where that is the repeated one, the other reads that wait are repeated, too. An answer that has begun to arrive, or that holds a whole table, may take longer and is not asked for twice. Sources end their waits by turns, so that some read of the first reader ends within a second at any time. The standby leaves the list of upstreams alone, which pays for that. A read that was cut short by the return of the store, and had not failed, goes on at once.

Why it holds: 1 s until some read is due, 0.08 s between reads, 0.25 s until it is late, and the answer: TestSomeReadEndsItsWaitSoon checks the first over random changes. Nothing depends on which fault it was.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -29,6 +29,8 @@
 type Follower struct {
 	// Ask sends a request to another box; a seam for tests.
 	Ask func(ctx context.Context, address string, q *box.Request) (*box.Reply, error)
+	// Reconnect has the next read of the store go over a new connection; a seam.
+	Reconnect func()
 	// Restored is told once this box has learned that the store came back from a copy; a seam.
 	Restored func()
 	// TellAway tells the hall's other boxes that the list of upstreams cannot be read, or
@@ -66,7 +68,7 @@
 
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
-	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, metrics: metric.NewSet(), silentPeers: make(map[string]bool), Spread: func() float64 { return 0.5 }, state: make(chan struct{}), turn: make(chan struct{}, 1), unfedTill: make(map[string]time.Time), view: v}
+	return &Follower{awayTo: make(map[string]time.Time), back: make(chan struct{}), log: l, members: m, metrics: metric.NewSet(), Reconnect: func() {}, silentPeers: make(map[string]bool), Spread: func() float64 { return 0.5 }, state: make(chan struct{}), turn: make(chan struct{}, 1), unfedTill: make(map[string]time.Time), view: v}
 }
 
 // Add adds a source before Run is called.
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -60,6 +60,8 @@
 			pause(ctx, s.gather(n))
 		case f.rank() != n:
 			// what it is to do has changed
+		case s.failures.Load() == 0 && closed(back):
+			// its connection may have been lost
 		default:
 			f.pauseFailed(ctx, s, n, back)
 		}
@@ -85,6 +87,8 @@
 	switch {
 	case r == rankNone:
 		return false
+	case r == rankStandby && s.name == resource.SourceUpstreams:
+		return false // the list changes every second, and engines tell themselves that they leave
 	case s == p:
 		return true
 	case r == rankSubstitute:
@@ -120,13 +124,29 @@
 	return p.readAt.get().After(f.unfedAt)
 }
 
-// watch returns how long one read of a source waits. The first one of a substitute does
-// not: the other sources wait for its answer.
+// watch returns how long one read of a source waits. After a failure it does not wait: the
+// answer tells whether the store is back. The first read of a substitute does not either: the
+// other sources wait for its answer.
 func (f *Follower) watch(s *source, r rank) time.Duration {
-	if r == rankSubstitute && s == f.probe() && !f.probedSinceFed(s) {
+	switch {
+	case s.failures.Load() > 0, r == rankSubstitute && s == f.probe() && !f.probedSinceFed(s):
 		return 0
+	case r != rankStandby && !f.confirmsWithin(s, time.Now(), confirm(r)):
+		return confirm(r)
+	default:
+		return s.watchPeriod(r)
 	}
-	return s.watch(r)
+}
+
+// confirmsWithin reports whether the read of a source other than s ends its wait within a time, so
+// that one of s need not: sources come to end their waits by turns.
+func (f *Follower) confirmsWithin(s *source, now time.Time, d time.Duration) bool {
+	for _, o := range f.sources {
+		if due := o.dueAt.get(); o != s && due.After(now) && !due.After(now.Add(d)) {
+			return true
+		}
+	}
+	return false
 }
 
 // pauseFailed waits after a failure, but not much beyond the moment when another
@@ -179,22 +199,19 @@
 func (f *Follower) readOnce(ctx context.Context, s *source, wait time.Duration) error {
 	after := f.position(s)
 	silentAt := time.Now().Add(wait + silentPeriod)
-	began := time.Now()
-	late := time.AfterFunc(wait+readLateAfter, func() { f.noteLate(s, began) })
-	l, next, err := s.read(ctx, after, wait)
-	late.Stop()
-	if err != nil {
+	a := f.read(ctx, s, after, wait)
+	if a.err != nil {
 		if ctx.Err() == nil {
-			f.readFailed(s, after, err, time.Now().After(silentAt))
+			f.readFailed(s, after, a.err, time.Now().After(silentAt))
 		}
-		return err
+		return a.err
 	}
 	f.readSucceeded(s)
-	s.after.Store(next)
-	for i := range l {
-		f.doubt(&l[i], after)
-		f.lapse(s, &l[i])
-		f.apply(&l[i], "platform")
+	s.after.Store(a.next)
+	for i := range a.batches {
+		f.doubt(&a.batches[i], after)
+		f.lapse(s, &a.batches[i])
+		f.apply(&a.batches[i], "platform")
 	}
 	return nil
 }
@@ -260,6 +277,16 @@
 	f.changeState()
 }
 
+// closed reports whether a channel is closed that nothing is sent to.
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // pause waits for a time, or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
--- /dev/null
+++ b/internal/configuration/repeat.go
@@ -0,0 +1,89 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/event"
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// answer is what one read of a source brought.
+type answer struct {
+	batches  []resource.Batch
+	err      error
+	next     int64
+	repeated bool // it is the answer to the repeated read
+}
+
+// reading is one read of a source, which is repeated where its answer is late. It is used by one
+// goroutine.
+type reading struct {
+	after    int64
+	answers  chan answer
+	began    time.Time
+	begun    chan struct{} // closed once an answer has begun to arrive
+	follower *Follower
+	onBegun  func()
+	source   *source
+	workers  sync.WaitGroup
+}
+
+// read reads a source after a revision, waiting for changes. Nothing tells that a connection
+// carries nothing more: where the answer is late, the read is repeated on another connection, and
+// the first answer counts.
+func (f *Follower) read(ctx context.Context, s *source, after int64, wait time.Duration) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &reading{after: after, answers: make(chan answer, 2), began: time.Now(), begun: make(chan struct{}), follower: f, source: s}
+	r.onBegun = sync.OnceFunc(func() { close(r.begun) })
+	defer r.workers.Wait()
+	defer cancel()
+	s.dueAt.set(r.began.Add(wait))
+	defer s.dueAt.set(time.Time{})
+	r.ask(ctx, wait, false)
+	late := time.NewTimer(wait + readLateAfter)
+	defer late.Stop()
+	begun := r.begun
+	for {
+		select {
+		case a := <-r.answers:
+			return a
+		case <-begun:
+			late.Stop()
+			begun = nil
+		case <-late.C:
+			return r.repeat(ctx)
+		}
+	}
+}
+
+// ask reads the source once.
+func (r *reading) ask(ctx context.Context, wait time.Duration, repeated bool) {
+	r.workers.Go(func() {
+		l, next, err := r.source.read(table.WithBegun(ctx, r.onBegun), r.after, wait)
+		r.answers <- answer{batches: l, err: err, next: next, repeated: repeated}
+	})
+}
+
+// repeat reads the source once more, without waiting for changes, and returns the first answer.
+// What is read as a whole may take long and is not repeated.
+func (r *reading) repeat(ctx context.Context) answer {
+	f := r.follower
+	f.noteLate(r.source, r.began)
+	if r.after == 0 {
+		return <-r.answers
+	}
+	f.Reconnect()
+	r.ask(ctx, 0, true)
+	a := <-r.answers
+	if a.err != nil {
+		a = <-r.answers
+	}
+	if a.err == nil && a.repeated {
+		event.ReadRepeated.Log(f.log, "source", string(r.source.name), "waited_ms", time.Since(r.began).Milliseconds())
+		f.tellBack() // other reads that wait may have lost their connections, too
+	}
+	return a
+}
--- /dev/null
+++ b/internal/configuration/repeat_test.go
@@ -0,0 +1,146 @@
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// TestReadOfALostConnectionIsRepeated has the connection of a waiting read carry nothing more: the read
+// was waited for until it ran out, and those of other sources, too.
+func TestReadOfALostConnectionIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentStore(0)
+		f := s.follower()
+		reconnected := 0
+		f.Reconnect = func() { reconnected++ }
+		var mutex sync.Mutex
+		began := make(map[resource.Source][]time.Time)
+		for _, n := range []resource.Source{resource.SourceConfiguration, resource.SourceUpstreams} {
+			f.Add(n, func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
+				mutex.Lock()
+				began[n] = append(began[n], time.Now())
+				first := len(began[n]) == 1
+				mutex.Unlock()
+				if first {
+					<-ctx.Done() // as a connection that carries nothing more
+					return nil, 0, ctx.Err()
+				}
+				pause(ctx, wait)
+				return nil, after, ctx.Err()
+			})
+			f.sources[len(f.sources)-1].after.Store(1)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), confirmPeriod+readLateAfter+10*time.Millisecond)
+		defer cancel()
+		f.Run(ctx)
+		for n, l := range began {
+			if got, want := len(l), 2; got < want {
+				t.Errorf("%s: got %d reads, want %d or more", n, got, want)
+			}
+		}
+		if got, want := reconnected, 1; got < want {
+			t.Errorf("new connections: got %d, want %d or more", got, want)
+		}
+	})
+}
+
+// TestLongAnswerIsNotAskedForTwice has answers that take long to arrive, as a large configuration does
+// over a narrow link, and reads of a whole table, which may: a second one would slow down the first.
+func TestLongAnswerIsNotAskedForTwice(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		after int64
+		begun bool
+		want  int
+	}{{"has begun to arrive", 1, true, 1}, {"a whole table", 0, false, 1}, {"neither", 1, false, 2}} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSilentStore(0).follower()
+				var mutex sync.Mutex
+				reads := 0
+				f.Add(resource.SourceUpstreams, func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
+					mutex.Lock()
+					reads++
+					mutex.Unlock()
+					pause(ctx, wait)
+					if x.begun {
+						table.Begun(ctx)
+					}
+					pause(ctx, time.Second)
+					return nil, after, ctx.Err()
+				})
+				f.sources[0].after.Store(x.after)
+				if err := f.readOnce(t.Context(), f.sources[0], time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if got := reads; got != x.want {
+					t.Errorf("reads: got %d, want %d", got, x.want)
+				}
+			})
+		})
+	}
+}
+
+// TestSomeReadEndsItsWaitSoon has changes of three sources at random, and checks that at any time some
+// read of the first reader ends its wait within the period by which a loss is to be noticed, and that
+// few reads bring nothing.
+func TestSomeReadEndsItsWaitSoon(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			x := rand.New(rand.NewPCG(seed, 0))
+			f := newSilentStore(0).follower()
+			var mutex sync.Mutex
+			ends := make(map[resource.Source]time.Time) // of the reads in progress
+			expired := 0                                // reads that brought nothing
+			for _, n := range []resource.Source{resource.SourceBoxes, resource.SourceConfiguration, resource.SourceUpstreams} {
+				f.Add(n, func(ctx context.Context, after int64, wait time.Duration) ([]resource.Batch, int64, error) {
+					mutex.Lock()
+					ends[n] = time.Now().Add(wait)
+					change := time.Duration(x.ExpFloat64() * float64(3*time.Second))
+					mutex.Unlock()
+					pause(ctx, min(wait, change))
+					mutex.Lock()
+					defer mutex.Unlock()
+					delete(ends, n)
+					if wait < change {
+						expired++
+					}
+					return nil, after + 1, ctx.Err()
+				})
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			g.Go(func() { f.Run(ctx) })
+			const steps = 6000
+			soon := time.Now()
+			for range steps {
+				time.Sleep(10 * time.Millisecond)
+				mutex.Lock()
+				var l []time.Duration
+				for _, e := range ends {
+					l = append(l, time.Until(e))
+				}
+				mutex.Unlock()
+				if len(l) > 0 && slices.Min(l) <= confirmPeriod {
+					soon = time.Now()
+				}
+				if got, most := time.Since(soon), gatherPeriod+10*time.Millisecond; got > most { // between two reads of one source
+					t.Fatalf("seed %d: for %v no read ended its wait within %v, want for at most %v", seed, got, confirmPeriod, most)
+				}
+			}
+			cancel()
+			g.Wait()
+			if got, most := expired, steps/90; got > most {
+				t.Errorf("seed %d: got %d reads in a minute that brought nothing, want at most %d", seed, got, most)
+			}
+		})
+	}
+}
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -11,6 +11,7 @@
 type source struct {
 	after    atomic.Int64 // the store's revision up to which this box has read
 	backAt   moment       // of the return of the store after an outage
+	dueAt    moment       // when the wait of the read in progress ends, zero where there is none
 	failures atomic.Int64 // reads that failed in a row
 	name     resource.Source
 	read     Reader
@@ -24,9 +25,6 @@
 	// standbyGatherPeriod is the same for the standby, whose word counts only where the
 	// first reader's reads stand still unnoticed; a change is to be in force within 2 s.
 	standbyGatherPeriod = 500 * time.Millisecond
-	// standbyUpstreamsGatherPeriod is the same for the list of upstreams, which changes
-	// every second; engines' own reports tell of their leaving within 1.5 s.
-	standbyUpstreamsGatherPeriod = 2 * time.Second
 	// retryMost bounds the wait after a failure. Other sources' return ends it.
 	retryMost = 2 * time.Second
 	// probeRetryMost is the same for the first reader's probe, the list of upstreams, by
@@ -39,15 +37,17 @@
 	// watchPeriod is how long one read waits for changes. Reads are priced, and one
 	// that is lost in a silence too short to be noticed otherwise ends only after it.
 	watchPeriod = 15 * time.Second
-	// configurationWatchPeriod is the same for the operators' configuration. A read
-	// lost in a short silence ends, one second for its answer included, before a change
-	// made 3 s after that silence has to be in force, 2 s later.
-	configurationWatchPeriod = 3500 * time.Millisecond
-	// upstreamsWatchPeriod is the same for the list of upstreams: it also bounds
-	// how late a silent store is noticed, after which engines are asked themselves.
-	upstreamsWatchPeriod = 2 * time.Second
-	// standbyWatches is how many times as long a read of the standby waits.
-	standbyWatches = 2
+	// shortWatchPeriod is the same for the sources by which requests are decided: it bounds how
+	// late the loss of a single answer is noticed.
+	shortWatchPeriod = 2 * time.Second
+	// standbyWatchPeriod is the same for the standby.
+	standbyWatchPeriod = 7 * time.Second
+	// confirmPeriod is within which time some read of the first reader ends its wait: it bounds
+	// how late it is noticed that its connections carry nothing more.
+	confirmPeriod = time.Second
+	// substituteConfirmPeriod is the same for boxes that read since the first reader cannot: two
+	// or more do at a time.
+	substituteConfirmPeriod = 1200 * time.Millisecond
 )
 
 // away reports whether reads of the source failed lately, and not only one at once.
@@ -57,14 +57,10 @@
 
 // gather returns the time between two reads by a reader of that rank.
 func (s *source) gather(r rank) time.Duration {
-	switch {
-	case r != rankStandby:
-		return gatherPeriod
-	case s.name == resource.SourceUpstreams:
-		return standbyUpstreamsGatherPeriod
-	default:
+	if r == rankStandby {
 		return standbyGatherPeriod
 	}
+	return gatherPeriod
 }
 
 // retryMost returns the longest wait after a failure of a reader of that rank.
@@ -79,28 +75,22 @@
 	}
 }
 
-// watch returns how long one read of the source by a reader of that rank waits. After a
-// failure it does not wait: the answer tells whether the store is back, and silence is
-// known sooner.
-func (s *source) watch(r rank) time.Duration {
-	switch {
-	case s.failures.Load() > 0:
-		return 0
-	case r == rankStandby:
-		return standbyWatches * s.watchFirst()
-	default:
-		return s.watchFirst()
+// confirm returns within which time some read of a reader of that rank ends its wait.
+func confirm(r rank) time.Duration {
+	if r == rankSubstitute {
+		return substituteConfirmPeriod
 	}
+	return confirmPeriod
 }
 
-// watchFirst returns how long one read of the first reader waits.
-func (s *source) watchFirst() time.Duration {
-	switch s.name {
-	case resource.SourceConfiguration:
-		return configurationWatchPeriod
-	case resource.SourceUpstreams:
-		return upstreamsWatchPeriod
-	default:
+// watchPeriod returns how long one read of the source by a reader of that rank waits at most.
+func (s *source) watchPeriod(r rank) time.Duration {
+	switch {
+	case s.name == resource.SourceBoxes:
 		return watchPeriod
+	case r == rankStandby:
+		return standbyWatchPeriod
+	default:
+		return shortWatchPeriod
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,7 @@
 	ReadLate           = Event{slog.LevelWarn, "read of the platform late", 408}
 	ViewStale          = Event{slog.LevelWarn, "view not known to be current", 409}
 	ViewCurrent        = Event{slog.LevelInfo, "view known to be current again", 410}
+	ReadRepeated       = Event{slog.LevelWarn, "read of the platform answered on another connection", 411}
 	PeerLost           = Event{slog.LevelWarn, "box unreachable", 501}
 	PeerRemoved        = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerBack           = Event{slog.LevelInfo, "box reachable again", 502}
@@ -83,7 +84,7 @@
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
 	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried, LimitNamed, LimitLifted, LimitInvalid,
-	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored, ReadLate, ViewStale, ViewCurrent,
+	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored, ReadLate, ViewStale, ViewCurrent, ReadRepeated,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -58,6 +58,22 @@
 	PutObject func(ctx context.Context, name string, b []byte) error
 }
 
+// begunKey is the key of a context's value that is called once an answer begins to arrive.
+type begunKey struct{}
+
+// Begun tells by a call's context that its answer has begun to arrive.
+func Begun(ctx context.Context) {
+	if f, ok := ctx.Value(begunKey{}).(func()); ok {
+		f()
+	}
+}
+
+// WithBegun returns a context by which calls tell f that their answers have begun to arrive, perhaps
+// more than once.
+func WithBegun(ctx context.Context, f func()) context.Context {
+	return context.WithValue(ctx, begunKey{}, f)
+}
+
 // Transaction is applied whole, or not at all.
 type Transaction struct {
 	Conditions []Condition `json:"conditions,omitempty"`
