A reader that cannot know whether it is up to date does not claim to be

What callers saw: as the store fell silent to a few boxes, those that read it first among them, a change was in force at the other boxes up to 3 s after its acknowledgement.

Cause: the box that reads the store for all counted as up to date until a read of it had failed, a second after it was late; only then did the boxes that ask it look further, and met the next one in the same state.

Ruled out: the steps of 80 ms between boxes that read in another's place.

Change: a read that was repeated and has no answer after 250 ms more makes its box say that it may be behind, so that others read at once; its own reads go on.

--- a/internal/configuration/age.go
+++ b/internal/configuration/age.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// readLateAfter is how long after the end of its wait a read counts as late: an answer
-	// takes some milliseconds.
+	// readLateAfter is how long after the end of its wait a read counts as late while the store
+	// answers within some milliseconds.
 	readLateAfter = 250 * time.Millisecond
 	// viewCheckEvery is between two looks at the age of the view.
 	viewCheckEvery = time.Second
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
@@ -39,14 +40,15 @@
 	// Spread draws a number in [0, 1) by which retries are spread out.
 	Spread func() float64
 
-	log       *slog.Logger
-	members   *member.Table
-	metrics   *metric.Set
-	mutex     sync.Mutex           // guards the fields below
-	awayTo    map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
-	back      chan struct{}        // closed when a source can be read again after failures
-	currentAt moment               // when the view was known to be current, by what other boxes said
-	era       era                  // of the store, as this box knows it
+	log        *slog.Logger
+	members    *member.Table
+	metrics    *metric.Set
+	mutex      sync.Mutex           // guards the fields below
+	answerTime atomic.Int64         // nanoseconds that the store took for its last answer
+	awayTo     map[string]time.Time // by box: until when its word counts that it cannot read the list of upstreams
+	back       chan struct{}        // closed when a source can be read again after failures
+	currentAt  moment               // when the view was known to be current, by what other boxes said
+	era        era                  // of the store, as this box knows it
 	// fedUntil is until when the view counts as kept up to date by another reader's word.
 	fedUntil    time.Time
 	silentPeers map[string]bool      // readers that did not answer when they were last asked
--- a/internal/configuration/news.go
+++ b/internal/configuration/news.go
@@ -29,7 +29,7 @@
 		return true
 	}
 	for _, s := range f.sources {
-		if s.away() {
+		if s.away() || s.doubted.Load() {
 			return false
 		}
 	}
--- a/internal/configuration/repeat.go
+++ b/internal/configuration/repeat.go
@@ -31,6 +31,14 @@
 	workers  sync.WaitGroup
 }
 
+const (
+	// doubtAfter is how long the answer to a repeated read may take before other boxes are told
+	// that this one may be behind.
+	doubtAfter = 250 * time.Millisecond
+	// slowAnswers is how many times as long as the last answer the next one may take.
+	slowAnswers = 2
+)
+
 // read reads a source after a revision, waiting for changes. Nothing tells that a connection
 // carries nothing more: where the answer is late, the read is repeated on another connection, and
 // the first answer counts.
@@ -43,7 +51,7 @@
 	s.dueAt.set(r.began.Add(wait))
 	defer s.dueAt.set(time.Time{})
 	r.ask(ctx, wait, false)
-	late := time.NewTimer(wait + readLateAfter)
+	late := time.NewTimer(wait + f.lateAfter())
 	defer late.Stop()
 	begun := r.begun
 	for {
@@ -61,8 +69,13 @@
 
 // ask reads the source once.
 func (r *reading) ask(ctx context.Context, wait time.Duration, repeated bool) {
+	began := time.Now()
+	onBegun := sync.OnceFunc(func() {
+		r.follower.noteAnswerTime(time.Since(began) - wait)
+		r.onBegun()
+	})
 	r.workers.Go(func() {
-		l, next, err := r.source.read(table.WithBegun(ctx, r.onBegun), r.after, wait)
+		l, next, err := r.source.read(table.WithBegun(ctx, onBegun), r.after, wait)
 		r.answers <- answer{batches: l, err: err, next: next, repeated: repeated}
 	})
 }
@@ -77,6 +90,9 @@
 	}
 	f.Reconnect()
 	r.ask(ctx, 0, true)
+	doubt := time.AfterFunc(doubtAfter, func() { f.setDoubted(r.source, true) })
+	defer f.setDoubted(r.source, false)
+	defer doubt.Stop()
 	a := <-r.answers
 	if a.err != nil {
 		a = <-r.answers
@@ -87,3 +103,25 @@
 	}
 	return a
 }
+
+// lateAfter returns how long after the end of its wait a read counts as late: longer while the
+// store is slow to answer, so that each read is not made twice then.
+func (f *Follower) lateAfter() time.Duration {
+	return max(readLateAfter, slowAnswers*time.Duration(f.answerTime.Load()))
+}
+
+// noteAnswerTime records how long the store took for an answer; one that came before the end of the
+// wait brought a change, and does not tell.
+func (f *Follower) noteAnswerTime(d time.Duration) {
+	if d >= 0 {
+		f.answerTime.Store(int64(d))
+	}
+}
+
+// setDoubted records whether a read and its repetition are without an answer: this box cannot
+// know whether what it knows of the source is current.
+func (f *Follower) setDoubted(s *source, doubted bool) {
+	if s.doubted.Swap(doubted) != doubted {
+		f.tellState()
+	}
+}
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -11,6 +11,7 @@
 type source struct {
 	after    atomic.Int64 // the store's revision up to which this box has read
 	backAt   moment       // of the return of the store after an outage
+	doubted  atomic.Bool  // a read and its repetition have no answer yet
 	dueAt    moment       // when the wait of the read in progress ends, zero where there is none
 	failures atomic.Int64 // reads that failed in a row
 	name     resource.Source
--- a/readers_test.go
+++ b/readers_test.go
@@ -136,3 +136,19 @@
 		}
 	})
 }
+
+// TestSlowStoreCostsFewCalls has each answer of the store take longer than a reader waits before it
+// repeats a read, and before others read in its place: that is learned, and costs calls only once.
+func TestSlowStoreCostsFewCalls(t *testing.T) {
+	for _, delay := range []int{200, 400, 600, 900} {
+		withHalls(t, "abc", func(t *testing.T, r *routes) {
+			r.platform.SetFaults(fakeplatform.Faults{DelayMilliseconds: delay})
+			if got, most := r.callsDuring(20*time.Second), 120; got > most {
+				t.Errorf("answers after %d ms: got %d calls in 20 s, want at most %d", delay, got, most)
+			}
+			if got, most := r.callsDuring(20*time.Second), 40; got > most {
+				t.Errorf("answers after %d ms: got %d calls in the next 20 s, want at most %d", delay, got, most)
+			}
+		})
+	}
+}
