Calls between boxes whose answer is late are made again on another connection

What callers would see: where the kept connections between boxes carry nothing more, each message, a heartbeat that passes on a change among them, is lost for a second on one of up to eight of them, and the neighbour counts as gone for 1.5 s each time: boxes that hear of changes from others are late by seconds.

Evidence: TestCallsOverLostConnections, over loopback with four kept connections, failed: two heartbeats, two questions for news, and the second call for a permit had no answer in 5 s each. Nobody has seen it on the users' machines.

Change, on plain links: a call that may be handled twice is sent once more over a new connection where it has no answer 200 ms after its wait, and the first answer counts. Kept connections to a box are closed once a call to it is late or has timed out. Not changed: links over QUIC, which have one connection to each box, notice after 10 s.

--- a/internal/box/plain.go
+++ b/internal/box/plain.go
@@ -19,10 +19,11 @@
 // can reach, where nobody hands out certificates. It is safe for concurrent use.
 type Plain struct {
 	cancel   context.CancelFunc
-	client   *http.Client
+	clients  map[string]*http.Client // by address, each with connections of its own
 	ctx      context.Context
 	handler  Handler
 	listener net.Listener
+	mutex    sync.Mutex // guards clients
 	server   *http.Server
 	workers  sync.WaitGroup
 }
@@ -44,12 +45,7 @@
 		return nil, fail.Wrap(fail.Unavailable, fail.Place{Peer: "boxes", Step: "listen"}, "listen", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Plain{cancel: cancel, ctx: ctx, handler: h, listener: l}
-	p.client = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: plainDialPeriod}).DialContext,
-		IdleConnTimeout:     plainIdlePeriod,
-		MaxIdleConnsPerHost: maxIdlePlain,
-	}}
+	p := &Plain{cancel: cancel, clients: make(map[string]*http.Client), ctx: ctx, handler: h, listener: l}
 	p.server = &http.Server{
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), Handler: http.HandlerFunc(p.serve),
 		IdleTimeout: 2 * plainIdlePeriod, ReadTimeout: plainRequestPeriod,
@@ -66,20 +62,11 @@
 // Call sends q to the box at address. The caller closes the call.
 func (p *Plain) Call(ctx context.Context, address string, q *Request) (*Call, error) {
 	place := fail.Place{Peer: "box " + address, Step: "call " + string(q.Kind)}
-	b, err := Encoding.Marshal(q)
-	if err != nil {
-		return nil, fail.Wrap(fail.BadInput, place, "bad_message", err)
-	}
 	ctx, cancel := context.WithCancel(ctx)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+callPath, bytes.NewReader(b))
-	if err != nil {
-		cancel()
-		return nil, fail.Wrap(fail.BadInput, place, "bad_message", err)
-	}
-	c := &plainCall{cancel: cancel, sent: make(chan struct{})}
+	c := &plainCall{cancel: cancel, lost: func() { p.reconnect(address) }, sent: make(chan struct{})}
 	go func() {
 		defer close(c.sent)
-		c.response, c.err = p.client.Do(r) //nolint:bodyclose // hangUp closes it.
+		c.response, c.err = p.send(ctx, address, q) //nolint:bodyclose // hangUp closes it.
 	}()
 	return &Call{End: c.end, HangUp: c.hangUp, Peer: place.Peer, Read: c.read, ReadTill: c.readTill}, nil
 }
@@ -88,7 +75,11 @@
 func (p *Plain) Close() error {
 	p.cancel()
 	err := p.server.Close()
-	p.client.CloseIdleConnections()
+	p.mutex.Lock()
+	for _, c := range p.clients {
+		c.CloseIdleConnections()
+	}
+	p.mutex.Unlock()
 	p.workers.Wait()
 	return err
 }
--- a/internal/box/plaincall.go
+++ b/internal/box/plaincall.go
@@ -15,6 +15,7 @@
 	cancel   context.CancelFunc
 	decoder  *cbor.Decoder
 	err      error
+	lost     func() // has later calls to the box go over new connections
 	response *http.Response
 	sent     chan struct{} // closed once response or err is set
 	timer    *time.Timer
@@ -70,6 +71,9 @@
 		c.timer = nil
 	}
 	if !t.IsZero() {
-		c.timer = time.AfterFunc(time.Until(t), c.cancel)
+		c.timer = time.AfterFunc(time.Until(t), func() {
+			c.lost()
+			c.cancel()
+		})
 	}
 }
--- /dev/null
+++ b/internal/box/plainsend.go
@@ -0,0 +1,116 @@
+package box
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// plainAnswer is the head of the answer to a request that was sent, or an error.
+type plainAnswer struct {
+	err      error
+	response *http.Response
+	sent     int // which of the sends it answers
+}
+
+// plainLateAfter is how long after the end of its wait a request counts as late: boxes answer
+// within some milliseconds.
+const plainLateAfter = 200 * time.Millisecond
+
+// clientOf returns what makes calls to the box at an address.
+func (p *Plain) clientOf(address string) *http.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: plainDialPeriod}).DialContext,
+			IdleConnTimeout:     plainIdlePeriod,
+			MaxIdleConnsPerHost: maxIdlePlain,
+		}}
+		p.clients[address] = c
+	}
+	return c
+}
+
+// post sends a request once.
+func (p *Plain) post(ctx context.Context, address string, q *Request) (*http.Response, error) {
+	b, err := Encoding.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+callPath, bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	return p.clientOf(address).Do(r)
+}
+
+// reconnect has later calls to the box at an address go over new connections: nothing tells that
+// one which is kept carries nothing more.
+func (p *Plain) reconnect(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if c := p.clients[address]; c != nil {
+		c.CloseIdleConnections()
+	}
+}
+
+// send sends a request and returns the head of its answer. Where that is late, the request is
+// sent once more over a new connection if it may be, and the first answer counts.
+func (p *Plain) send(ctx context.Context, address string, q *Request) (*http.Response, error) {
+	var cancels []context.CancelFunc
+	answers := make(chan plainAnswer, 2)
+	post := func(q *Request) {
+		ctx, cancel := context.WithCancel(ctx)
+		n := len(cancels)
+		cancels = append(cancels, cancel)
+		go func() {
+			w, err := p.post(ctx, address, q) //nolint:bodyclose // The call closes it, or the end of its context.
+			answers <- plainAnswer{err: err, response: w, sent: n}
+		}()
+	}
+	late := time.NewTimer(q.Wait + plainLateAfter)
+	defer late.Stop()
+	post(q)
+	for failed := 0; ; {
+		select {
+		case a := <-answers:
+			if a.err != nil {
+				failed++
+				if failed < len(cancels) {
+					continue
+				}
+			}
+			for n, cancel := range cancels {
+				if n != a.sent || a.err != nil {
+					cancel()
+				}
+			}
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				p.reconnect(address)
+			}
+			return a.response, a.err
+		case <-late.C:
+			if repeatable(q.Kind) {
+				p.reconnect(address)
+				again := *q
+				again.SentAt, again.Wait = time.Now(), 0
+				post(&again)
+			}
+		}
+	}
+}
+
+// repeatable reports whether handling a request of a kind twice does the same as handling it once.
+func repeatable(k Kind) bool {
+	switch k {
+	case KindAsk, KindPermit, KindTurn, KindUpdate:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/box/silent_test.go
@@ -0,0 +1,145 @@
+package box
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/ratelimit"
+)
+
+// silencer passes connections on to a box, until those that are open carry nothing more.
+type silencer struct {
+	listener net.Listener
+	mutex    sync.Mutex // guards the fields below
+	open     []net.Conn
+	silent   map[net.Conn]bool
+	target   string
+	workers  sync.WaitGroup
+}
+
+func newSilencer(t *testing.T, target string) *silencer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silencer{listener: l, silent: make(map[net.Conn]bool), target: target}
+	s.workers.Go(s.accept)
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.mutex.Lock()
+		for _, c := range s.open {
+			_ = c.Close()
+		}
+		s.mutex.Unlock()
+		s.workers.Wait()
+	})
+	return s
+}
+
+func (s *silencer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		d, err := net.Dial("tcp", s.target)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		s.mutex.Lock()
+		s.open = append(s.open, c, d)
+		s.mutex.Unlock()
+		s.workers.Go(func() { s.pass(c, d) })
+		s.workers.Go(func() { s.pass(d, c) })
+	}
+}
+
+// pass copies from one connection to another; what arrives once they are silent is lost.
+func (s *silencer) pass(to, from net.Conn) {
+	defer func() { _ = to.Close() }()
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		s.mutex.Lock()
+		silent := s.silent[from]
+		s.mutex.Unlock()
+		if !silent {
+			_, _ = to.Write(b[:n])
+		}
+	}
+}
+
+// silence makes the open connections carry nothing more, and returns how many there are.
+func (s *silencer) silence() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, c := range s.open {
+		s.silent[c] = true
+	}
+	return len(s.open)
+}
+
+// TestCallsOverLostConnections has kept connections to a box carry nothing more, while new ones work:
+// each call was lost over one of them, until all were used up.
+func TestCallsOverLostConnections(t *testing.T) {
+	const (
+		kept = 4
+		long = time.Minute // never reached where an answer comes
+	)
+	together := &Request{Kind: KindPermit, Permit: &ratelimit.Ask{Want: 1}} // never sent twice
+	for _, x := range []struct {
+		q     *Request
+		first time.Duration // for the first call
+		want  bool          // whether it is to be answered
+	}{
+		{&Request{Kind: KindHeartbeat}, long, true},
+		{&Request{Kind: KindNews, Wait: time.Millisecond}, long, true},
+		{&Request{Kind: KindPermit, Permit: &ratelimit.Ask{}}, 3 * plainLateAfter, false},
+	} {
+		t.Run(string(x.q.Kind), func(t *testing.T) {
+			var all sync.WaitGroup
+			all.Add(kept)
+			a := newPlain(t, func(_ context.Context, q *Request, answer func(*Reply) error) {
+				if q.Permit != nil && q.Permit.Want > 0 { // at once, so that each has a connection of its own
+					all.Done()
+					all.Wait()
+				}
+				_ = answer(&Reply{})
+			})
+			s := newSilencer(t, a.Address())
+			b := newPlain(t, nil).Links()
+			call := func(q *Request, d time.Duration) error {
+				ctx, cancel := context.WithTimeout(t.Context(), d)
+				defer cancel()
+				_, err := b.Once(ctx, s.listener.Addr().String(), q)
+				return err
+			}
+			var g sync.WaitGroup
+			for range kept {
+				g.Go(func() {
+					if err := call(together, long); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			g.Wait()
+			if got, want := s.silence(), 2*kept; got != want {
+				t.Fatalf("ends of open connections: got %d, want %d", got, want)
+			}
+			if err := call(x.q, x.first); (err == nil) != x.want {
+				t.Errorf("first call: got %v, want an answer %v", err, x.want)
+			}
+			if err := call(x.q, long); err != nil {
+				t.Errorf("second call: got %v, want an answer", err)
+			}
+		})
+	}
+}
