The soak judges when changes are in force, and loses connections to the store

Change: open connections to the store are made to carry nothing more, at one box, at some in turn, at all, and mostly at those that read it, at times right before a change. The configuration changes every few seconds and in series; each box is asked every 50 ms by which version it goes. A judge that knows only what was written, asked and answered, and by two functions when a box was in touch, tells what came later than 2 s, what was dropped too late and what went back (TestJudge).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure measure-moves soak soak-cases test tidy format
+.PHONY: all build demo lint measure measure-moves soak soak-cases soak-changes test tidy format
 
 all: build
 
@@ -43,6 +43,10 @@
 soak: build
 	bin/soak -programs bin -seed $(SEED) -for $(FOR)
 
+# Few faults, so that boxes are in touch and judged by when changes are in force.
+soak-changes: build
+	bin/soak -programs bin -copies=false -halls=false -limits=false -many=false -words=false -faults 'box|configuration' -seed $(SEED) -for $(FOR)
+
 # The seeds that ever failed; docs/incidents tells why.
 soak_cases := 9 111 114 314
 soak_cases_words := 306
@@ -50,10 +54,10 @@
 soak_cases_limits := 3125
 
 soak-cases: build
-	@for s in $(soak_cases); do bin/soak -programs bin -copies=false -halls=false -limits=false -many=false -rows=false -words=false -seed $$s -for 12s || exit 1; done
-	@for s in $(soak_cases_words); do bin/soak -programs bin -copies=false -limits=false -many=false -rows=false -seed $$s -for 12s || exit 1; done
-	@for s in $(soak_cases_all); do bin/soak -programs bin -limits=false -seed $$s -for 12s || exit 1; done
-	@for s in $(soak_cases_limits); do bin/soak -programs bin -seed $$s -for 12s || exit 1; done
+	@for s in $(soak_cases); do bin/soak -programs bin -changes=false -copies=false -halls=false -limits=false -many=false -rows=false -words=false -seed $$s -for 12s || exit 1; done
+	@for s in $(soak_cases_words); do bin/soak -programs bin -changes=false -copies=false -limits=false -many=false -rows=false -seed $$s -for 12s || exit 1; done
+	@for s in $(soak_cases_all); do bin/soak -programs bin -changes=false -limits=false -seed $$s -for 12s || exit 1; done
+	@for s in $(soak_cases_limits); do bin/soak -programs bin -changes=false -seed $$s -for 12s || exit 1; done
 
 include tools/versions.mk
 
--- /dev/null
+++ b/internal/fake/soak/judge_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// TestJudge has the judge look at single answers around two changes, ten seconds apart.
+func TestJudge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	changes := []change{{acknowledgedAt: at(0), version: 3, writtenAt: at(0)}, {acknowledgedAt: at(10), version: 5, writtenAt: at(10)}}
+	ask := func(s float64, version int, known bool) probe {
+		return probe{answeredAt: at(s + 0.01), box: "b", known: known, sentAt: at(s), version: version}
+	}
+	for _, x := range []struct {
+		name    string
+		probes  []probe
+		touched float64 // when the box was disturbed, 0 for never
+		want    int     // broken rules
+		judged  int
+	}{
+		{"in time", []probe{ask(1.9, 3, false), ask(2.1, 3, true)}, 0, 0, 1},
+		{"late", []probe{ask(2.1, 3, false)}, 0, 1, 1},
+		{"late, but disturbed a moment ago", []probe{ask(2.1, 3, false)}, 0.5, 0, 0},
+		{"late, disturbed long ago", []probe{ask(6, 3, false)}, 0.5, 1, 1},
+		{"dropped in time", []probe{ask(11.9, 3, true), ask(12.1, 3, false)}, 0, 0, 1},
+		{"dropped late", []probe{ask(12.1, 3, true)}, 0, 1, 1},
+		{"as the next one is written", []probe{ask(9.995, 3, false)}, 0, 0, 0},
+		{"went back", []probe{ask(0.1, 3, true), ask(0.5, 3, false)}, 0, 1, 0},
+		{"went back within the slack", []probe{ask(0.1, 3, true), ask(0.3, 3, false)}, 0, 0, 0},
+		{"started again", []probe{ask(0.1, 3, true), ask(1.5, 3, false)}, 1, 0, 0},
+	} {
+		left := func(_ string, from, to time.Time) bool {
+			return x.touched == 0 || at(x.touched).Before(from) || at(x.touched).After(to)
+		}
+		j := &judge{changes: changes, inTouch: left, oneLife: left, probes: x.probes}
+		got, judged := j.broken()
+		if len(got) != x.want || judged != x.judged {
+			t.Errorf("%s: got %q, %d judged; want %d broken, %d judged", x.name, got, judged, x.want, x.judged)
+		}
+	}
+}
+
+// TestJudgeTellsWhenAChangeWasInForce checks the times that a run reports.
+func TestJudgeTellsWhenAChangeWasInForce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	always := func(string, time.Time, time.Time) bool { return true }
+	j := &judge{changes: []change{{acknowledgedAt: start, version: 1, writtenAt: start}}, inTouch: always, oneLife: always}
+	for i, known := range []bool{false, true, true} {
+		s := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		j.probes = append(j.probes, probe{answeredAt: s, box: "b", known: known, sentAt: s, version: 1})
+	}
+	if got := j.inForceAfter(); len(got) != 1 || got[0] != 50*time.Millisecond {
+		t.Errorf("got %v, want 50ms", got)
+	}
+}
--- a/internal/fake/soak/proxy.go
+++ b/internal/fake/soak/proxy.go
@@ -25,7 +25,9 @@
 	connections map[net.Conn]bool
 	listener    net.Listener
 	mode        proxyMode
-	mutex       sync.Mutex // guards bad, connections, mode and target
+	passedAt    time.Time         // when bytes last came back
+	mutex       sync.Mutex        // guards bad, connections, mode, passedAt, silent and target
+	silent      map[net.Conn]bool // what arrives over them is lost, and nobody is told
 	target      string
 	workers     sync.WaitGroup
 }
@@ -35,13 +37,27 @@
 	proxyLook  = 20 * time.Millisecond  // between looks whether a silent proxy passes again
 )
 
+// noted is a connection whose proxy notes when bytes come back over it.
+type noted struct {
+	net.Conn
+	proxy *proxy
+}
+
+// Write writes bytes, and notes when.
+func (n *noted) Write(b []byte) (int, error) {
+	n.proxy.mutex.Lock()
+	n.proxy.passedAt = time.Now()
+	n.proxy.mutex.Unlock()
+	return n.Conn.Write(b)
+}
+
 // newProxy returns a proxy to target.
 func newProxy(target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{closed: make(chan struct{}), connections: make(map[net.Conn]bool), listener: l, mode: modePass, target: target}
+	p := &proxy{closed: make(chan struct{}), connections: make(map[net.Conn]bool), listener: l, mode: modePass, silent: make(map[net.Conn]bool), target: target}
 	p.workers.Go(p.accept)
 	return p, nil
 }
@@ -93,6 +109,17 @@
 	}
 }
 
+// silence makes the open connections carry nothing more, while new ones work.
+func (p *proxy) silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.connections {
+		p.silent[c] = true
+	}
+	now := time.Now()
+	p.bad = append(p.bad, interval{now, now})
+}
+
 // badWithin reports whether the proxy was bad, or reset its connections, between two moments.
 func (p *proxy) badWithin(from, to time.Time) bool {
 	p.mutex.Lock()
@@ -129,12 +156,14 @@
 	p.mutex.Unlock()
 	var g sync.WaitGroup
 	g.Go(func() { p.pass(d, c, modeSilent) })
-	g.Go(func() { p.pass(c, d, modeSilent, modeOneWay) })
+	g.Go(func() { p.pass(&noted{c, p}, d, modeSilent, modeOneWay) })
 	g.Wait()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	delete(p.connections, c)
-	delete(p.connections, d)
+	for _, x := range []net.Conn{c, d} {
+		delete(p.connections, x)
+		delete(p.silent, x)
+	}
 }
 
 // pass copies from one connection to the other; it holds bytes back while the proxy
@@ -147,7 +176,7 @@
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
-		if n > 0 && p.wait(held) {
+		if n > 0 && !p.isSilent(from) && p.wait(held) {
 			if _, err := to.Write(b[:n]); err != nil {
 				return
 			}
@@ -158,6 +187,20 @@
 	}
 }
 
+// passed returns when bytes last came back.
+func (p *proxy) passed() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.passedAt
+}
+
+// isSilent reports whether what arrives over a connection is lost.
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.silent[c]
+}
+
 // wait waits until bytes may pass, and reports whether the proxy still stands.
 func (p *proxy) wait(held []proxyMode) bool {
 	for {
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -13,6 +13,7 @@
 	"log"
 	"log/slog"
 	"math/rand/v2"
+	"regexp"
 	"sync"
 	"time"
 )
@@ -36,7 +37,9 @@
 	f.SetOutput(output)
 	programs := f.String("programs", "bin", "`folder` of the built programs")
 	seed := f.Uint64("seed", 0, "`number` by which faults are drawn; 0 draws one")
+	changes := f.Bool("changes", true, "change the configuration often, have connections to the store fall silent for good, and check at each box when changes are in force")
 	copies := f.Bool("copies", true, "have the store come back from copies, too")
+	kinds := f.String("faults", "", "`expression` that matches the names of the faults that strike; all by default")
 	halls := f.Bool("halls", true, "evacuate halls and start engines cold, too")
 	limits := f.Bool("limits", true, "have upstreams name limits of how many requests a second they accept")
 	many := f.Bool("many", true, "have poison requests be sent several at once, and for longer")
@@ -46,11 +49,16 @@
 	if f.Parse(arguments[1:]) != nil {
 		return exitUsage
 	}
+	only, err := regexp.Compile(*kinds)
+	if err != nil {
+		_, _ = fmt.Fprintln(output, "soak:", err)
+		return exitUsage
+	}
 	log.SetOutput(io.Discard) // of the standard library's servers
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	broken, err := run(*programs, *seed, *span, extras{copies: *copies, halls: *halls, limits: *limits, many: *many, rows: *rows, words: *words}, output)
+	broken, err := run(*programs, *seed, *span, extras{changes: *changes, copies: *copies, faults: only, halls: *halls, limits: *limits, many: *many, rows: *rows, words: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitBroken
@@ -67,30 +75,21 @@
 
 // extras are what goes on beside the faults that are drawn, each by random numbers of its own.
 type extras struct {
-	copies bool // the store comes back from copies
-	halls  bool // halls are evacuated, and engines start cold
-	limits bool // upstreams name limits
-	many   bool // poison requests are sent several at once, and for longer
-	rows   bool // rows that name no upstream are written
-	words  bool // upstreams say that they leave, or ask for rest, with their answers, and requests end them
+	changes bool           // the configuration changes often, and connections to the store fall silent
+	copies  bool           // the store comes back from copies
+	faults  *regexp.Regexp // names of those that strike
+	halls   bool           // halls are evacuated, and engines start cold
+	limits  bool           // upstreams name limits
+	many    bool           // poison requests are sent several at once, and for longer
+	rows    bool           // rows that name no upstream are written
+	words   bool           // upstreams say that they leave, or ask for rest, with their answers, and requests end them
 }
 
-// run runs one soak and returns the promises that were broken.
-func run(programs string, seed uint64, span time.Duration, x extras, output io.Writer) (broken []string, err error) {
-	w, err := newWorld(programs, x.halls)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { w.close(len(broken) > 0 || err != nil) }()
-	c := newCallers(w)
-	if !c.allServe() {
-		return nil, fmt.Errorf("the boxes did not serve before any fault: %v", c.counts)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), span)
-	defer cancel()
-	var g sync.WaitGroup
-	for i := range callersCount {
-		g.Go(func() { c.run(ctx, i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
+// start starts what goes on beside the faults, until the context ends.
+func (x *extras) start(ctx context.Context, g *sync.WaitGroup, seed uint64, c *callers, p *prober) {
+	w := c.world
+	if x.changes {
+		g.Go(func() { p.runAll(ctx, seed) })
 	}
 	if x.copies {
 		g.Go(func() { w.copiesInTurn(ctx, rand.New(rand.NewPCG(seed, copiesStream))) })
@@ -108,7 +107,28 @@
 		g.Go(func() { w.wordsInTurn(ctx, rand.New(rand.NewPCG(seed, wordsStream))) })
 		g.Go(func() { c.deadlyInTurn(ctx, rand.New(rand.NewPCG(seed, deadlyStream)), x.many) })
 	}
-	struck := w.strikeAll(ctx, rand.New(rand.NewPCG(seed, 0)))
+}
+
+// run runs one soak and returns the promises that were broken.
+func run(programs string, seed uint64, span time.Duration, x extras, output io.Writer) (broken []string, err error) {
+	w, err := newWorld(programs, x.halls)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { w.close(len(broken) > 0 || err != nil) }()
+	c := newCallers(w)
+	if !c.allServe() {
+		return nil, fmt.Errorf("the boxes did not serve before any fault: %v", c.counts)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	var g sync.WaitGroup
+	for i := range callersCount {
+		g.Go(func() { c.run(ctx, i, rand.New(rand.NewPCG(seed, uint64(i+1)))) })
+	}
+	p := newProber(c)
+	x.start(ctx, &g, seed, c, p)
+	struck := w.strikeAll(ctx, rand.New(rand.NewPCG(seed, 0)), x.faults)
 	g.Wait()
 	time.Sleep(quietPeriod)
 	if !c.allServe() {
@@ -120,6 +140,7 @@
 	c.heeded()
 	c.limited()
 	c.spentFew()
+	p.report(output)
 	if len(w.trouble) > 0 {
 		return c.broken, fmt.Errorf("trouble of its own: %v; logs of the boxes: %s", w.trouble, w.logs.path)
 	}
@@ -154,23 +175,18 @@
 }
 
 // strikeAll lets faults strike until the context ends, in series and overlapping, and
-// ends them all. It returns how often each kind struck.
-func (w *world) strikeAll(ctx context.Context, r *rand.Rand) map[string]int {
+// ends them all: those kinds whose names match. It returns how often each struck.
+func (w *world) strikeAll(ctx context.Context, r *rand.Rand, only *regexp.Regexp) map[string]int {
 	struck := make(map[string]int)
 	var g sync.WaitGroup
 	for ctx.Err() == nil {
 		x := faults[r.IntN(len(faults))]
 		long := time.Duration(r.Int64N(int64(faultLong)))
-		struck[x.name]++
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
-		g.Go(func() {
-			end, err := x.strike(w, own)
-			if err != nil || end == nil {
-				return
-			}
-			time.Sleep(long)
-			end()
-		})
+		if only.MatchString(x.name) {
+			struck[x.name]++
+			g.Go(func() { strike(w, x, own, long) })
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(r.Int64N(int64(2 * faultEvery)))):
@@ -179,3 +195,13 @@
 	g.Wait()
 	return struck
 }
+
+// strike lets a fault strike for a time.
+func strike(w *world, x fault, r *rand.Rand, long time.Duration) {
+	end, err := x.strike(w, r)
+	if err != nil || end == nil {
+		return
+	}
+	time.Sleep(long)
+	end()
+}
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -24,6 +24,7 @@
 type world struct {
 	boxes   []*soakBox
 	away    []interval // when the store was bad
+	changes []change   // of the configuration
 	cold    bool       // engines start cold
 	emptied []emptied
 	// evacuating are the halls that are evacuated now.
@@ -31,7 +32,7 @@
 	newest     int // version of the configuration
 	directory  string
 	logs       *logFile
-	mutex      sync.Mutex // guards away, crashes, dead, emptied, evacuating, newest, trouble, upstreams and version
+	mutex      sync.Mutex // guards away, changes, crashes, dead, emptied, evacuating, newest, trouble, upstreams and version
 	crashes    []crash
 	dead       []*soakUpstream
 	platform   *fakeplatform.Platform
@@ -71,6 +72,7 @@
 	enginesCount = 4
 	serviceDesk  = "desk"
 	serviceLLM   = "llm"
+	serviceNone  = "none" // is not declared: a box that knows a route there says so at once
 	soakHost     = "soak.example"
 	soakKey      = "soak-key"
 	servicesEach = 2
@@ -157,6 +159,28 @@
 	return l
 }
 
+// box returns the box of a name.
+func (w *world) box(name string) *soakBox {
+	for _, b := range w.boxes {
+		if b.name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+// inTouch reports whether nothing was done between two moments to a box, its links or the store.
+func (w *world) inTouch(b *soakBox, from, to time.Time) bool {
+	return b.quiet(from, to) && !b.store.badWithin(from, to) && !b.entry.badWithin(from, to) && w.awayWithin(from, to) == 0
+}
+
+// written returns the versions of the configuration that were written, in order.
+func (w *world) written() []change {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]change(nil), w.changes...)
+}
+
 // close ends everything that was started; the logs stay where keep is set.
 func (w *world) close(keep bool) {
 	for _, b := range w.boxes {
@@ -190,7 +214,10 @@
 	defer w.mutex.Unlock() // a later version is written later
 	w.version++
 	w.newest = w.version
+	x := change{version: w.newest, writtenAt: time.Now()}
 	w.putConfiguration(w.newest)
+	x.acknowledgedAt = time.Now()
+	w.changes = append(w.changes, x)
 }
 
 // putConfiguration writes a version of the configuration; the lock is held.
@@ -201,7 +228,8 @@
 		fmt.Sprintf(route, "check", "check", "streaming", 20_000, serviceLLM, 2, true)+","+
 		fmt.Sprintf(route, "once", "once", "unsafe", 2000, serviceDesk, 1, false)+","+
 		fmt.Sprintf(route, "often", "often", "safe", 2000, serviceDesk, 2, false)+","+
-		fmt.Sprintf(route, "extra", fmt.Sprintf("extra%d", v), "safe", 2000, serviceDesk, 2, false)+
+		fmt.Sprintf(route, "extra", fmt.Sprintf("extra%d", v), "safe", 2000, serviceDesk, 2, false)+","+
+		fmt.Sprintf(route, "probe", fmt.Sprintf("probe%d", v), "safe", 2000, serviceNone, 2, false)+
 		`],"services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]},"cold_per_s":%d},{"name":"desk","cold_per_s":%d}],
 "tenants":[{"name":"w","api_keys":[%q]}]}`, v, w.coldBears(), w.coldBears(), soakKey)))
 }
