A box that lost its power does not hold up what others tell

Cause: a box that hears from another one that it knows of a change asks it for that, one such question at a time, so that many messages make one. Where the other box has lost power meanwhile, nothing tells: the question takes up to 3 s, and whatever other boxes told waits behind it, as do the answers to their requests.

Change: a question holds up others for 300 ms, and then goes on beside them.

--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -66,6 +66,9 @@
 	// reader tells it anew with each failure, which are at most 4 s apart.
 	awayLife      = 5 * time.Second
 	catchUpPeriod = 3 * time.Second // for one catch-up: a large configuration takes half a second over 10 Mbit/s
+	// catchUpLate is how long a catch-up keeps others waiting: the box that it asks may have lost
+	// its power since it sent its message.
+	catchUpLate = 300 * time.Millisecond
 )
 
 // NewFollower returns a follower that keeps v up to date.
@@ -91,7 +94,7 @@
 
 // CatchUp brings the view to at least the given revisions by asking the box at
 // address. One catch-up goes at a time, so that many messages from a box that is
-// ahead make one; waiting for its turn ends with the context. Reads of the store
+// ahead make one, but no longer than catchUpLate; waiting for its turn ends with the context. Reads of the store
 // are not held up by it, nor it by them: the view takes changes in any order.
 func (f *Follower) CatchUp(ctx context.Context, address string, r resource.Revisions) error {
 	if !f.view.Revisions().Behind(r) {
@@ -104,7 +107,10 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	defer func() { <-f.turn }()
+	release := sync.OnceFunc(func() { <-f.turn })
+	defer release()
+	late := time.AfterFunc(catchUpLate, release)
+	defer late.Stop()
 	have := f.view.Revisions()
 	if !have.Behind(r) {
 		return nil
--- a/region_test.go
+++ b/region_test.go
@@ -32,9 +32,12 @@
 // region is halls of whole boxes, joined in memory, in virtual time.
 type region struct {
 	boxes      map[string]*Box
-	calls      map[string]int  // of the platform's store, by box
-	cut        map[string]bool // halls cut off from all others and the platform
+	calls      map[string]int                    // of the platform's store, by box
+	cut        map[string]bool                   // halls cut off from all others and the platform
+	dark       map[string]bool                   // boxes without power: calls to them hang, and nobody is told
+	delivered  func(from string, q *box.Request) // is told of each call that arrives at a box; may be nil
 	done       sync.WaitGroup
+	ends       []func() // of the handling of calls
 	engines    map[string]*engine.Server
 	frozen     map[string]bool // boxes whose calls hang
 	hallOf     map[string]string
@@ -73,7 +76,7 @@
 // newRegion returns a region without boxes and engines.
 func newRegion(t *testing.T) *region {
 	r := &region{
-		boxes: make(map[string]*Box), calls: make(map[string]int), cut: make(map[string]bool), engines: make(map[string]*engine.Server),
+		boxes: make(map[string]*Box), calls: make(map[string]int), cut: make(map[string]bool), dark: make(map[string]bool), engines: make(map[string]*engine.Server),
 		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
 		platformOf: make(map[string]http.RoundTripper),
 		refused:    make(map[string]bool), t: t,
@@ -86,6 +89,9 @@
 	for n := range r.boxes {
 		r.kill(n)
 	}
+	for _, end := range r.ends {
+		end()
+	}
 	r.done.Wait()
 	for _, e := range r.engines {
 		_ = e.Close()
@@ -132,6 +138,20 @@
 	r.cut["b"] = on
 }
 
+// darken takes a box's power.
+func (r *region) darken(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.dark[name], r.frozen[name] = true, true
+}
+
+// isDark reports whether one of two boxes has no power.
+func (r *region) isDark(a, b string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dark[a] || r.dark[b]
+}
+
 func (r *region) setFrozen(name string, on bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -274,6 +294,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.isDark(from, to) {
+		<-ctx.Done()
+		return nil, lost
+	}
 	r.mutex.Lock()
 	peer := r.boxes[to]
 	r.mutex.Unlock()
@@ -289,11 +313,23 @@
 		return nil, ctx.Err()
 	case <-time.After(linkDelay):
 	}
+	if r.delivered != nil {
+		r.delivered(from, v)
+	}
 	ctx, cancel := context.WithCancel(ctx)
+	served, end := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		if !r.isDark(from, to) {
+			end()
+		}
+	})
+	r.mutex.Lock()
+	r.ends = append(r.ends, end)
+	r.mutex.Unlock()
 	replies := make(chan []byte, 16)
 	go func() {
 		defer close(replies)
-		peer.answer(ctx, v, func(x *box.Reply) error {
+		peer.answer(served, v, func(x *box.Reply) error {
 			b, err := box.Encoding.Marshal(x)
 			if err != nil {
 				return err
@@ -319,6 +355,10 @@
 			for {
 				select {
 				case b, ok := <-replies:
+					if r.isDark(from, to) {
+						<-ctx.Done()
+						return lost
+					}
 					if !ok {
 						return lost
 					}
@@ -327,6 +367,9 @@
 					r.mutex.Lock()
 					gone := r.boxes[to] != peer
 					r.mutex.Unlock()
+					if r.isDark(from, to) {
+						continue
+					}
 					if gone || r.apart(from, to) || time.Now().After(deadline) {
 						return lost
 					}
--- a/silence_test.go
+++ b/silence_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -199,7 +200,10 @@
 	key, leaving = most, most
 	for time.Since(began) < most {
 		knows, leaves := true, true
-		for _, b := range r.boxes {
+		for n, b := range r.boxes {
+			if r.isDark(n, n) {
+				continue
+			}
 			knows = knows && b.view.Revisions()[resource.SourceConfiguration] >= int64(version)
 			u := b.view.Upstream(engine)
 			leaves = leaves && (u == nil || !u.Takes(time.Now()))
@@ -218,23 +222,21 @@
 	return key, leaving
 }
 
-// applyPeriod and drainPeriod are the users' bounds.
-const (
-	applyPeriod = 2 * time.Second
-	drainPeriod = 2 * time.Second
-)
+// applyPeriod is the users' bound on when a change has to be in force, and on when a shutdown notice has to
+// be known.
+const applyPeriod = 2 * time.Second
 
 // checkInForce changes the configuration and has an engine leave, and checks that both are
 // known everywhere in time.
-func (r *silenced) checkInForce(t *testing.T) {
+func (r *silenced) checkInForce(t *testing.T, most time.Duration) {
 	t.Helper()
 	key, leaving := r.inForce(2, "i-"+firstHall(r)+"1", 6*time.Second)
 	t.Logf("key %v, leaving %v", key, leaving)
-	if key > applyPeriod {
-		t.Errorf("the new key was in force everywhere after %v, want at most %v", key, applyPeriod)
+	if key > most {
+		t.Errorf("the new key was in force everywhere after %v, want at most %v", key, most)
 	}
-	if leaving > drainPeriod {
-		t.Errorf("the shutdown notice was known everywhere after %v, want at most %v", leaving, drainPeriod)
+	if leaving > most {
+		t.Errorf("the shutdown notice was known everywhere after %v, want at most %v", leaving, most)
 	}
 }
 
@@ -259,7 +261,7 @@
 					for _, c := range r.connections {
 						c.silence()
 					}
-					r.checkInForce(t)
+					r.checkInForce(t, applyPeriod)
 				})
 			})
 		}
@@ -281,13 +283,31 @@
 						r.connections[b].silence()
 						r.connections[b].mute(true)
 					}
-					r.checkInForce(t)
+					r.checkInForce(t, applyPeriod)
 				})
 			})
 		}
 	}
 }
 
+// TestChangesWhereTheirTellerLosesPower has a box lose power right after its message has told others that it
+// knows of a change: they asked it in vain, and asked nobody else until they had given up.
+func TestChangesWhereTheirTellerLosesPower(t *testing.T) {
+	for teller := range 9 {
+		t.Run(fmt.Sprint(teller), func(t *testing.T) {
+			withSilence(t, "abc", time.Duration(teller)*130*time.Millisecond, func(t *testing.T, r *silenced) {
+				l := r.someReadersFirst(uint64(teller))
+				r.delivered = func(from string, q *box.Request) {
+					if from == l[teller] && q.Kind == box.KindHeartbeat && q.Revisions[resource.SourceConfiguration] == 2 {
+						r.darken(from)
+					}
+				}
+				r.checkInForce(t, applyPeriod/2)
+			})
+		})
+	}
+}
+
 // TestEveryBoxKnowsThatItsViewIsCurrent checks the age of what the boxes of three halls know, in
 // calm and while no new configuration is written, and that it grows while the store is silent.
 func TestEveryBoxKnowsThatItsViewIsCurrent(t *testing.T) {
