The soak slows boxes down to a tenth of the processor, mostly those that read the store

What was missing: a box that reads the store and is slow, but not gone, is what other boxes may go on to trust.

Change: beside changes, a box is stopped for nine tenths of each 50 ms for 1 to 4 s. It counts as disturbed meanwhile, the others do not.

--- a/internal/fake/soak/changes.go
+++ b/internal/fake/soak/changes.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,8 +22,12 @@
 	probePeriod    = 2 * time.Second        // for one answer
 	readsWithin    = 4 * time.Second        // a box that reads the store has had an answer
 	seriesMost     = 8                      // changes in a series
-	silenceEvery   = 3 * time.Second        // at the mean, between losses of connections
-	silencesStream = 1<<20 + 6              // of the random numbers, as above
+	slowCycle      = 50 * time.Millisecond  // of which a slow box runs a tenth
+	slowEvery      = 4 * time.Second        // at the mean, between two slow boxes
+	slowMost       = 3 * time.Second
+	slowsStream    = 1<<20 + 8       // of the random numbers, as below
+	silenceEvery   = 3 * time.Second // at the mean, between losses of connections
+	silencesStream = 1<<20 + 6       // of the random numbers, as above
 )
 
 // prober asks each box again and again by which configuration it goes.
@@ -96,6 +101,38 @@
 	return l[max(0, n-1):]
 }
 
+// slowInTurn has one box after another get a tenth of the processor for some seconds, mostly one that
+// reads the store, until the context ends.
+func (w *world) slowInTurn(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(r.Int64N(int64(2*slowEvery))))
+		i := r.IntN(len(w.boxes))
+		if l := w.readers(); len(l) > 0 && r.IntN(3) > 0 {
+			i = l[r.IntN(len(l))]
+		}
+		until := time.Now().Add(time.Second + time.Duration(r.Int64N(int64(slowMost))))
+		for ctx.Err() == nil && time.Now().Before(until) {
+			w.boxes[i].slow()
+		}
+	}
+}
+
+// slow keeps a box from running for nine tenths of a short time.
+func (b *soakBox) slow() {
+	b.mutex.Lock()
+	p := b.process
+	if p != nil {
+		_ = p.Signal(syscall.SIGSTOP) // it may have ended
+	}
+	b.disturbed = append(b.disturbed, time.Now())
+	b.mutex.Unlock()
+	time.Sleep(slowCycle * 9 / 10)
+	if p != nil {
+		_ = p.Signal(syscall.SIGCONT) // as above
+	}
+	time.Sleep(slowCycle / 10)
+}
+
 // drainInTurn has one upstream after another be listed as leaving, which it does not say itself, and
 // serve on for some time, until the context ends.
 func (p *prober) drainInTurn(ctx context.Context, r *rand.Rand) {
@@ -164,12 +201,13 @@
 		len(j.changes), judged, after[len(after)/2].Round(time.Millisecond), after[len(after)-1].Round(time.Millisecond))
 }
 
-// runAll changes the configuration, loses connections, has upstreams listed as leaving, and asks every
+// runAll changes the configuration, loses connections, slows boxes down, has upstreams listed as leaving, and asks every
 // box, until the context ends.
 func (p *prober) runAll(ctx context.Context, seed uint64) {
 	var g sync.WaitGroup
 	g.Go(func() { p.callers.world.changesInTurn(ctx, rand.New(rand.NewPCG(seed, changesStream))) })
 	g.Go(func() { p.callers.world.silencesInTurn(ctx, rand.New(rand.NewPCG(seed, silencesStream))) })
+	g.Go(func() { p.callers.world.slowInTurn(ctx, rand.New(rand.NewPCG(seed, slowsStream))) })
 	g.Go(func() { p.drainInTurn(ctx, rand.New(rand.NewPCG(seed, drainsStream))) })
 	g.Go(func() { p.run(ctx) })
 	g.Wait()
