What is served often outlasts a restart of all boxes

Change: one box writes which requests it served three times or more, and when each last was, into one row of the platform's store, every 30 s at most; the box that notices a crash reads the row, and clears what was served since the crash before of that crash alone. What many callers ask for, each box serves, so that one box's memory is enough. Why it holds: the evidence is the one that a box's own memory gives, and a request that turns poison uses it up with its first crash: TestRequestThatTurnsPoisonAfterAllBoxesRestarted, 4 crashes at most, and none in the three minutes after.

--- a/innocent_test.go
+++ b/innocent_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,9 +14,10 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// TestServedRequestAfterAllBoxesRestarted guards against a request that is refused for the crashes of
-// another one, although it was served again and again until all boxes restarted and forgot that.
-func TestServedRequestAfterAllBoxesRestarted(t *testing.T) {
+// withServedBefore runs f once four boxes have served one call again and again, and have all been
+// restarted.
+func withServedBefore(t *testing.T, f func(t *testing.T, r *routes, c *crowd)) {
+	t.Helper()
 	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
 		c.paced(10*time.Second, 100*time.Millisecond, false, inTurn)
 		if got, want := c.served, len(c.sent); got != want {
@@ -30,14 +32,29 @@
 			r.startRouter(n)
 		}
 		time.Sleep(5 * time.Second)
-		x := r.boxes["box-a1"].relay
-		before := x.Upstreams
-		x.Upstreams.Gone = func(context.Context, *resource.Upstream) bool { return true }
-		x.Upstreams.Send = func(context.Context, *resource.Upstream, *relay.Request, *relay.Offer) (*relay.Answer, error) {
-			return nil, io.ErrUnexpectedEOF
-		}
+		f(t, r, c)
+	})
+}
+
+// crashAll has every upstream crash that a box sends to, and returns how many have and what ends that.
+func (r *routes) crashAll(box string) (crashed *atomic.Int64, end func()) {
+	x, crashed := r.boxes[box].relay, new(atomic.Int64)
+	before := x.Upstreams
+	x.Upstreams.Gone = func(context.Context, *resource.Upstream) bool { return true }
+	x.Upstreams.Send = func(context.Context, *resource.Upstream, *relay.Request, *relay.Offer) (*relay.Answer, error) {
+		crashed.Add(1)
+		return nil, io.ErrUnexpectedEOF
+	}
+	return crashed, func() { x.Upstreams = before }
+}
+
+// TestServedRequestAfterAllBoxesRestarted guards against a request that is refused for the crashes of
+// another one, although it was served again and again until all boxes restarted and forgot that.
+func TestServedRequestAfterAllBoxesRestarted(t *testing.T) {
+	withServedBefore(t, func(t *testing.T, r *routes, c *crowd) {
+		_, end := r.crashAll("box-a1")
 		c.call("box-a1", "bystander") // two upstreams crash as it runs there
-		x.Upstreams = before
+		end()
 		time.Sleep(time.Second)
 		for _, n := range limitedBoxes {
 			if got, _ := c.callWhole(n, "next-"+n); got != http.StatusOK {
@@ -46,3 +63,19 @@
 		}
 	})
 }
+
+// TestRequestThatTurnsPoisonAfterAllBoxesRestarted guards against a request that crashes one upstream
+// after another since it was served before: that speaks for it once.
+func TestRequestThatTurnsPoisonAfterAllBoxesRestarted(t *testing.T) {
+	withServedBefore(t, func(t *testing.T, r *routes, c *crowd) {
+		crashed, end := r.crashAll("box-a1")
+		defer end()
+		for range 20 {
+			c.call("box-a1", "poison")
+			time.Sleep(10 * time.Second)
+		}
+		if got, most := crashed.Load(), int64(4); got > most {
+			t.Errorf("crashes: got %d, want at most %d", got, most)
+		}
+	})
+}
--- a/internal/policy/served_test.go
+++ b/internal/policy/served_test.go
@@ -36,6 +36,28 @@
 	}
 }
 
+// TestServedTellsWhatRunsOften checks which requests are told, and how many.
+func TestServedTellsWhatRunsOften(t *testing.T) {
+	now, s := time.Now(), NewServed()
+	for i := range 2 * oftenMost {
+		for n := range oftenLeast {
+			s.Note(Fingerprint(i), now.Add(time.Duration(i+n)*time.Second))
+		}
+	}
+	s.Note(Fingerprint(1000), now) // once
+	later := now.Add(time.Duration(2*oftenMost+oftenLeast) * time.Second)
+	l := s.Often(later)
+	if got, want := len(l), oftenMost; got != want {
+		t.Fatalf("told: got %d, want %d", got, want)
+	}
+	if got, want := l[0].Fingerprint, Fingerprint(2*oftenMost-1); got != want {
+		t.Errorf("first: got %v, want %v, which ran last", got, want)
+	}
+	if got := s.Often(later.Add(servedLife)); len(got) != 0 {
+		t.Errorf("long after: got %d, want none", len(got))
+	}
+}
+
 // BenchmarkServed measures what a request pays that ran to its end.
 func BenchmarkServed(b *testing.B) {
 	s, now, p := NewServed(), time.Now(), Fingerprint(0)
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -67,6 +67,9 @@
 	x.NoteCrashes(l, "")
 	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
 	x.Crashed(l)
+	if !s.Cleared {
+		x.later(0, func() { x.clearServedBefore(l[0], s) })
+	}
 }
 
 // fingerprint returns the request's fingerprint, whoever sends it and however often.
@@ -168,6 +171,21 @@
 	return true
 }
 
+// clearServedBefore clears a request of one crash where it is known that it ran to its end since the
+// crash before: boxes that have all been restarted remember nothing of what they served.
+func (x *Relay) clearServedBefore(c policy.Crash, s policy.Suspect) {
+	t := x.ServedBefore(x.background, s.Fingerprint)
+	if t.IsZero() || t.After(c.At) || !t.After(x.quarantine.LastBefore(s.Fingerprint, c.At)) {
+		return
+	}
+	s.Cleared = true
+	c.Suspects = []policy.Suspect{s}
+	l := []policy.Crash{c}
+	x.NoteCrashes(l, "")
+	event.RequestCleared.Log(x.log, "asked", s.Fingerprint.String(), "from", "store")
+	x.Crashed(l)
+}
+
 // later calls f after a time, unless the relay is closed before.
 func (x *Relay) later(d time.Duration, f func()) {
 	x.mutex.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,9 @@
 	Others func() bool
 	// Place finds an engine for a generation; a seam, set to a placement's method.
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
+	// ServedBefore returns when a request is known to have last run to its end, at any box and before
+	// this one started, the zero time where it is not; a seam.
+	ServedBefore func(ctx context.Context, p policy.Fingerprint) time.Time
 	// Turn asks for the turn to move a run; a seam.
 	Turn Turns
 	// Upstreams are the calls to engines and services; seams.
@@ -109,15 +112,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	background, stopBackground := context.WithCancel(ctx)
 	x := &Relay{
-		Cleared:    func(policy.Fingerprint) {},
-		Crashed:    func([]policy.Crash) {},
-		Fresh:      func(context.Context) {},
-		Limited:    func(*ratelimit.Change) {},
-		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
-		Others:     func() bool { return true },
-		ViewAge:    func() time.Duration { return 0 },
-		coldBears:  func(*resource.Upstream) float64 { return 0 },
-		background: background, stopBackground: stopBackground,
+		Cleared:      func(policy.Fingerprint) {},
+		Crashed:      func([]policy.Crash) {},
+		Fresh:        func(context.Context) {},
+		Limited:      func(*ratelimit.Change) {},
+		Leaving:      func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
+		Others:       func() bool { return true },
+		ServedBefore: func(context.Context, policy.Fingerprint) time.Time { return time.Time{} },
+		ViewAge:      func() time.Duration { return 0 },
+		coldBears:    func(*resource.Upstream) float64 { return 0 },
+		background:   background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
 		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limiter: ratelimit.NewLimiter(ratelimit.NewLimits()), log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), served: policy.NewServed(), streams: make(map[*stream]bool), tracker: t, view: v,
@@ -255,6 +259,9 @@
 	x.budget.Set(ratio, extra, window)
 }
 
+// Served returns what this box remembers of requests that ran to their ends.
+func (x *Relay) Served() *policy.Served { return x.served }
+
 // Streams returns how many streams of engines are in progress.
 func (x *Relay) Streams() int {
 	x.mutex.Lock()
--- a/linetiller.go
+++ b/linetiller.go
@@ -62,6 +62,7 @@
 	reserved         *placement.Reserved
 	rests            *health.Rests
 	routed           *platform.Engines // the upstreams of declared routes
+	served           servedRow
 	store            *table.Store
 	tracker          *placement.Tracker
 	turns            ownership.Turns
@@ -179,7 +180,9 @@
 	l := []func(context.Context){
 		b.follower.Run, b.follower.RunAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
-	if !b.hasEntry() {
+	if b.hasEntry() {
+		l = append(l, b.runServed)
+	} else {
 		l = append(l, b.orders.Run, b.runRewrite) // the platform's operators and engines write theirs themselves
 	}
 	if b.naive != nil {
