A box that has not heard of the store for long refuses no key and no route for good

What callers saw: 401 and 404 for keys and routes that exist, from boxes that went by an old configuration.

Change: where the view is not known to have been current for 6 s, an unknown route or key is answered with 503 and a time to come back (view_stale), as by a box that knows no configuration yet. What it knows is served as before.

Evidence: TestUnknownIsNoRefusalForGoodWhileTheViewIsOld (internal/relay) and TestNewKeyWhileTheStoreIsSilent (.) failed with 404 and 401.

--- a/internal/configuration/age.go
+++ b/internal/configuration/age.go
@@ -11,15 +11,16 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
+// ViewStaleAfter is from which age on a view is not known to be current: a read, the news of one
+// and the heartbeats of a hall take less together.
+const ViewStaleAfter = 6 * time.Second
+
 const (
 	// readLateAfter is how long after the end of its wait a read counts as late while the store
 	// answers within some milliseconds.
 	readLateAfter = 250 * time.Millisecond
 	// viewCheckEvery is between two looks at the age of the view.
 	viewCheckEvery = time.Second
-	// viewStaleAfter is from which age on a view is not known to be current: a read, the news
-	// of one and the heartbeats of a hall take less together.
-	viewStaleAfter = 6 * time.Second
 )
 
 // Age returns how long ago the view is known to have held all that the platform's store had
@@ -49,7 +50,7 @@
 	stale := false
 	periodic.Run(ctx, viewCheckEvery, func(context.Context) {
 		age := f.Age()
-		if stale == (age > viewStaleAfter) {
+		if stale == (age > ViewStaleAfter) {
 			return
 		}
 		stale = !stale
--- a/internal/configuration/age_test.go
+++ b/internal/configuration/age_test.go
@@ -30,8 +30,8 @@
 		go f.RunAge(ctx)
 		go f.Run(ctx)
 		time.Sleep(9 * time.Second)
-		if got := f.Age(); got == 0 || got > viewStaleAfter {
-			t.Errorf("while the store answers: got age %v, want at most %v", got, viewStaleAfter)
+		if got := f.Age(); got == 0 || got > ViewStaleAfter {
+			t.Errorf("while the store answers: got age %v, want at most %v", got, ViewStaleAfter)
 		}
 		time.Sleep(time.Until(s.to))
 		if got, want := f.Age(), silence-shortWatchPeriod; got < want { // a read may have been under way
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/metric"
@@ -51,7 +52,7 @@
 	}
 	e.route = x.view.Route(resource.HostOf(q.Host), q.Path)
 	if e.route == nil {
-		return fail.New(fail.NotFound, clientPlace("route"), "route_unknown", "no route leads from %s%s", q.Host, q.Path)
+		return e.unknown(fail.New(fail.NotFound, clientPlace("route"), "route_unknown", "no route leads from %s%s", q.Host, q.Path))
 	}
 	if e.route.Spec.Stream {
 		if err := x.refusesStream(tokensOf(q), q.Arrived); err != nil {
@@ -61,7 +62,7 @@
 	if !e.route.Spec.Public && x.view.HasWorkspaces() {
 		e.workspace = x.view.WorkspaceByKey(q.Key)
 		if e.workspace == nil {
-			return fail.New(fail.Unauthorized, clientPlace("authorize"), "key_unknown", "the bearer key opens no workspace")
+			return e.unknown(fail.New(fail.Unauthorized, clientPlace("authorize"), "key_unknown", "the bearer key opens no workspace"))
 		}
 	}
 	e.deadline = q.Arrived.Add(e.route.Spec.Timeout.Duration())
@@ -115,6 +116,17 @@
 	return e.route.Priority
 }
 
+// unknown returns the refusal of a request whose route or key is not known: for good only while what
+// this box knows is known to be current.
+func (e *exchange) unknown(err error) error {
+	age := e.relay.ViewAge()
+	if age < configuration.ViewStaleAfter {
+		return err
+	}
+	p := fail.Place{Peer: fail.Peer(err), Step: fail.Step(err)}
+	return fail.WithRetryAt(fail.New(fail.NotRun, p, "view_stale", "%s, by what was known %s ago", fail.Reason(err), age.Round(time.Second)), time.Now().Add(stalePeriod))
+}
+
 func (e *exchange) routeName() string {
 	if e.route == nil {
 		return ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,6 +105,8 @@
 	// startPeriod is when a caller may come back to a box that does not know the
 	// configuration yet.
 	startPeriod = time.Second
+	// stalePeriod is the same for a box that does not know whether its configuration is current.
+	stalePeriod = 2 * time.Second
 )
 
 // New returns a relay over the routes and upstreams in v, for a box of a hall.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/placement"
@@ -340,6 +341,34 @@
 	})
 }
 
+// TestUnknownIsNoRefusalForGoodWhileTheViewIsOld guards against a new key or route that is refused for good by a
+// box which has not heard of the platform's store for long: it does not know.
+func TestUnknownIsNoRefusalForGoodWhileTheViewIsOld(t *testing.T) {
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		for _, x := range []struct {
+			age        time.Duration
+			path, key  string
+			want       int
+			comesAgain bool
+		}{
+			{time.Second, "/unknown/x", rigKey, http.StatusNotFound, false},
+			{time.Second, "/once/x", "unknown", http.StatusUnauthorized, false},
+			{0, "/unknown/x", rigKey, http.StatusNotFound, false},
+			{configuration.ViewStaleAfter, "/unknown/x", rigKey, http.StatusServiceUnavailable, true},
+			{configuration.ViewStaleAfter, "/once/x", "unknown", http.StatusServiceUnavailable, true},
+			{configuration.ViewStaleAfter, "/once/x", rigKey, http.StatusOK, false},
+		} {
+			r.relay.ViewAge = func() time.Duration { return x.age }
+			q := request(t.Context(), http.MethodPost, x.path, "id", "")
+			q.Header.Set("Authorization", "Bearer "+x.key)
+			w, _, err := r.do(q)
+			if err != nil || w.StatusCode != x.want || (w.Header.Get("Retry-After") != "") != x.comesAgain {
+				t.Errorf("%s with the key %s, age %v: got %v %v, want status %d", x.path, x.key, x.age, w, err, x.want)
+			}
+		}
+	})
+}
+
 // TestRefusalTellsWhatDecidedIt checks that the log line of a refusal names the revisions by which
 // the box went, and how old its view of them was.
 func TestRefusalTellsWhatDecidedIt(t *testing.T) {
--- a/silence_test.go
+++ b/silence_test.go
@@ -333,3 +333,37 @@
 		}
 	})
 }
+
+// TestNewKeyWhileTheStoreIsSilent gives a key, and takes one away, while the store is silent to all boxes:
+// none refuses the new key for good, and all serve it once the store is back.
+func TestNewKeyWhileTheStoreIsSilent(t *testing.T) {
+	withSilence(t, "ab", 0, func(t *testing.T, r *silenced) {
+		for _, c := range r.connections {
+			c.silence()
+			c.mute(true)
+		}
+		time.Sleep(10 * time.Second)
+		r.configure(2, "new-key")
+		time.Sleep(5 * time.Second)
+		for n := range r.boxes {
+			if _, _, got := r.plan(n, "early-"+n, "new-key", 8); got != http.StatusServiceUnavailable {
+				t.Errorf("%s: the new key in the silence: got status %d, want 503", n, got)
+			}
+			if _, whole, got := r.plan(n, "old-"+n, routedKey, 8); !whole {
+				t.Errorf("%s: the old key in the silence: got status %d, want a whole stream", n, got)
+			}
+		}
+		for _, c := range r.connections {
+			c.mute(false)
+		}
+		time.Sleep(5 * time.Second)
+		for n := range r.boxes {
+			if _, whole, got := r.plan(n, "late-"+n, "new-key", 8); !whole {
+				t.Errorf("%s: the new key afterwards: got status %d, want a whole stream", n, got)
+			}
+			if _, _, got := r.plan(n, "gone-"+n, routedKey, 8); got != http.StatusUnauthorized {
+				t.Errorf("%s: the key that was taken away: got status %d, want 401", n, got)
+			}
+		}
+	})
+}
