A reader's doubt ends with the read that raised it

Change: the goroutine that waits for the answer raises the doubt itself, so that the two cannot cross. The tests of repeated reads and of failover pass as before, twice, those of the package under the race detector.

--- a/internal/configuration/repeat.go
+++ b/internal/configuration/repeat.go
@@ -80,6 +80,19 @@
 	})
 }
 
+// await returns the next answer to a repeated read; where none comes soon, this box may be behind.
+func (r *reading) await() answer {
+	doubt := time.NewTimer(doubtAfter)
+	defer doubt.Stop()
+	select {
+	case a := <-r.answers:
+		return a
+	case <-doubt.C:
+		r.follower.setDoubted(r.source, true)
+		return <-r.answers
+	}
+}
+
 // repeat reads the source once more, without waiting for changes, and returns the first answer.
 // What is read as a whole may take long and is not repeated.
 func (r *reading) repeat(ctx context.Context) answer {
@@ -90,12 +103,10 @@
 	}
 	f.Reconnect()
 	r.ask(ctx, 0, true)
-	doubt := time.AfterFunc(doubtAfter, func() { f.setDoubted(r.source, true) })
 	defer f.setDoubted(r.source, false)
-	defer doubt.Stop()
-	a := <-r.answers
+	a := r.await()
 	if a.err != nil {
-		a = <-r.answers
+		a = r.await()
 	}
 	if a.err == nil && a.repeated {
 		event.ReadRepeated.Log(f.log, "source", string(r.source.name), "waited_ms", time.Since(r.began).Milliseconds())
