A box does not hold a lock while it reads what is served often

A box held the lock of its copy of the row while it read that from the store; in virtual time those that waited for the lock kept the clock from going on. On processes they would have waited for up to a second.

Change: one read at a time, and those that need its result wait for a channel.

--- a/served.go
+++ b/served.go
@@ -16,8 +16,9 @@
 type servedRow struct {
 	mutex     sync.Mutex // guards the fields below
 	at        map[policy.Fingerprint]time.Time
-	readAt    time.Time // when it was read
-	writtenAt time.Time // when this box wrote it
+	readAt    time.Time     // when it was read
+	reading   chan struct{} // closed as the read in progress ends, nil where there is none
+	writtenAt time.Time     // when this box wrote it
 }
 
 const (
@@ -47,12 +48,35 @@
 // that is not known.
 func (b *Box) servedBefore(ctx context.Context, p policy.Fingerprint) time.Time {
 	s := &b.served
+	for ctx.Err() == nil {
+		s.mutex.Lock()
+		if !s.readAt.IsZero() && time.Since(s.readAt) < servedKeep {
+			defer s.mutex.Unlock()
+			return s.at[p]
+		}
+		c := s.reading
+		if c == nil {
+			s.reading = make(chan struct{})
+			s.mutex.Unlock()
+			s.take(b.readServed(ctx))
+			continue
+		}
+		s.mutex.Unlock()
+		select {
+		case <-c:
+		case <-ctx.Done():
+		}
+	}
+	return time.Time{}
+}
+
+// take records what was read, and ends the wait of those that need it.
+func (s *servedRow) take(at map[policy.Fingerprint]time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.readAt.IsZero() || time.Since(s.readAt) >= servedKeep {
-		s.at, s.readAt = b.readServed(ctx), time.Now()
-	}
-	return s.at[p]
+	s.at, s.readAt = at, time.Now()
+	close(s.reading)
+	s.reading = nil
 }
 
 // readServed reads the row; where it cannot be had, nothing is known.
