--- a/internal/box/plainsend.go
+++ b/internal/box/plainsend.go
@@ -49,8 +49,8 @@
 	return p.clientOf(address).Do(r)
 }
 
-// reconnect has later calls to the box at an address go over new connections: nothing tells that
-// one which is kept carries nothing more.
+// reconnect has later calls to the box at an address go over new connections: the kept ones may have
+// gone silent without being closed.
 func (p *Plain) reconnect(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/configuration/repeat.go
+++ b/internal/configuration/hedge.go
@@ -12,15 +12,15 @@
 
 // answer is what one read of a source brought.
 type answer struct {
-	batches  []resource.Batch
-	err      error
-	next     int64
-	repeated bool // it is the answer to the repeated read
+	batches []resource.Batch
+	err     error
+	next    int64
+	hedged  bool // it is the answer to the second read
 }
 
-// reading is one read of a source, which is repeated where its answer is late. It is used by one
+// hedgedRead is one read of a source, which a second one hedges where its answer is late. It is used by one
 // goroutine.
-type reading struct {
+type hedgedRead struct {
 	after    int64
 	answers  chan answer
 	began    time.Time
@@ -32,19 +32,18 @@
 }
 
 const (
-	// doubtAfter is how long the answer to a repeated read may take before other boxes are told
-	// that this one may be behind.
-	doubtAfter = 250 * time.Millisecond
+	// unconfirmedAfter is how long the second read may take before the view counts as unconfirmed.
+	unconfirmedAfter = 250 * time.Millisecond
 	// slowAnswers is how many times as long as the last answer the next one may take.
 	slowAnswers = 2
 )
 
-// read reads a source after a revision, waiting for changes. Nothing tells that a connection
-// carries nothing more: where the answer is late, the read is repeated on another connection, and
-// the first answer counts.
+// read reads a source after a revision, waiting for changes. A connection can go silent without
+// being closed: where the answer is late, the read is hedged by a second one on another connection,
+// and the first answer counts.
 func (f *Follower) read(ctx context.Context, s *source, after int64, wait time.Duration) answer {
 	ctx, cancel := context.WithCancel(ctx)
-	r := &reading{after: after, answers: make(chan answer, 2), began: time.Now(), begun: make(chan struct{}), follower: f, source: s}
+	r := &hedgedRead{after: after, answers: make(chan answer, 2), began: time.Now(), begun: make(chan struct{}), follower: f, source: s}
 	r.onBegun = sync.OnceFunc(func() { close(r.begun) })
 	defer r.workers.Wait()
 	defer cancel()
@@ -62,13 +61,13 @@
 			late.Stop()
 			begun = nil
 		case <-late.C:
-			return r.repeat(ctx)
+			return r.hedge(ctx)
 		}
 	}
 }
 
 // ask reads the source once.
-func (r *reading) ask(ctx context.Context, wait time.Duration, repeated bool) {
+func (r *hedgedRead) ask(ctx context.Context, wait time.Duration, hedged bool) {
 	began := time.Now()
 	onBegun := sync.OnceFunc(func() {
 		r.follower.noteAnswerTime(time.Since(began) - wait)
@@ -76,26 +75,26 @@
 	})
 	r.workers.Go(func() {
 		l, next, err := r.source.read(table.WithBegun(ctx, onBegun), r.after, wait)
-		r.answers <- answer{batches: l, err: err, next: next, repeated: repeated}
+		r.answers <- answer{batches: l, err: err, next: next, hedged: hedged}
 	})
 }
 
-// await returns the next answer to a repeated read; where none comes soon, this box may be behind.
-func (r *reading) await() answer {
-	doubt := time.NewTimer(doubtAfter)
+// await returns the next answer; where none comes soon, the view counts as unconfirmed.
+func (r *hedgedRead) await() answer {
+	doubt := time.NewTimer(unconfirmedAfter)
 	defer doubt.Stop()
 	select {
 	case a := <-r.answers:
 		return a
 	case <-doubt.C:
-		r.follower.setDoubted(r.source, true)
+		r.follower.setUnconfirmed(r.source, true)
 		return <-r.answers
 	}
 }
 
-// repeat reads the source once more, without waiting for changes, and returns the first answer.
-// What is read as a whole may take long and is not repeated.
-func (r *reading) repeat(ctx context.Context) answer {
+// hedge reads the source once more, without waiting for changes, and returns the first answer.
+// What is read as a whole may take long and is not hedged.
+func (r *hedgedRead) hedge(ctx context.Context) answer {
 	f := r.follower
 	f.noteLate(r.source, r.began)
 	if r.after == 0 {
@@ -103,12 +102,12 @@
 	}
 	f.Reconnect()
 	r.ask(ctx, 0, true)
-	defer f.setDoubted(r.source, false)
+	defer f.setUnconfirmed(r.source, false)
 	a := r.await()
 	if a.err != nil {
 		a = r.await()
 	}
-	if a.err == nil && a.repeated {
+	if a.err == nil && a.hedged {
 		event.ReadRepeated.Log(f.log, "source", string(r.source.name), "waited_ms", time.Since(r.began).Milliseconds())
 		f.tellBack() // other reads that wait may have lost their connections, too
 	}
@@ -116,23 +115,23 @@
 }
 
 // lateAfter returns how long after the end of its wait a read counts as late: longer while the
-// store is slow to answer, so that each read is not made twice then.
+// store is slow to answer, so that not every read is hedged then.
 func (f *Follower) lateAfter() time.Duration {
 	return max(readLateAfter, slowAnswers*time.Duration(f.answerTime.Load()))
 }
 
 // noteAnswerTime records how long the store took for an answer; one that came before the end of the
-// wait brought a change, and does not tell.
+// wait brought a change, and is no measure.
 func (f *Follower) noteAnswerTime(d time.Duration) {
 	if d >= 0 {
 		f.answerTime.Store(int64(d))
 	}
 }
 
-// setDoubted records whether a read and its repetition are without an answer: this box cannot
-// know whether what it knows of the source is current.
-func (f *Follower) setDoubted(s *source, doubted bool) {
-	if s.doubted.Swap(doubted) != doubted {
+// setUnconfirmed records whether both reads of a source lack an answer: this box cannot know
+// whether its view of the source is current.
+func (f *Follower) setUnconfirmed(s *source, unconfirmed bool) {
+	if s.unconfirmed.Swap(unconfirmed) != unconfirmed {
 		f.tellState()
 	}
 }
--- a/internal/configuration/news.go
+++ b/internal/configuration/news.go
@@ -29,7 +29,7 @@
 		return true
 	}
 	for _, s := range f.sources {
-		if s.away() || s.doubted.Load() {
+		if s.away() || s.unconfirmed.Load() {
 			return false
 		}
 	}
--- a/internal/configuration/source.go
+++ b/internal/configuration/source.go
@@ -9,14 +9,14 @@
 
 // source is one source that the follower reads.
 type source struct {
-	after    atomic.Int64 // the store's revision up to which this box has read
-	backAt   moment       // of the return of the store after an outage
-	doubted  atomic.Bool  // a read and its repetition have no answer yet
-	dueAt    moment       // when the wait of the read in progress ends, zero where there is none
-	failures atomic.Int64 // reads that failed in a row
-	name     resource.Source
-	read     Reader
-	readAt   moment // of the last read that went well
+	after       atomic.Int64 // the store's revision up to which this box has read
+	backAt      moment       // of the return of the store after an outage
+	unconfirmed atomic.Bool  // a read and the one that hedges it have no answer yet
+	dueAt       moment       // when the wait of the read in progress ends, zero where there is none
+	failures    atomic.Int64 // reads that failed in a row
+	name        resource.Source
+	read        Reader
+	readAt      moment // of the last read that went well
 }
 
 const (
--- a/internal/fake/soak/changes.go
+++ b/internal/fake/soak/changes.go
@@ -164,9 +164,9 @@
 	}
 }
 
-// leftAlone checks that no upstream got requests later than the bound after the list said that it
+// drained checks that no upstream got requests later than the bound after the list said that it
 // leaves, from boxes in touch that could reach it.
-func (p *prober) leftAlone() {
+func (p *prober) drained() {
 	c := p.callers
 	for _, l := range p.listed {
 		for _, v := range l.upstream.engine.Visits() {
@@ -191,7 +191,7 @@
 	for _, x := range broken {
 		p.callers.fail("%s", x)
 	}
-	p.leftAlone()
+	p.drained()
 	after := j.inForceAfter()
 	if len(after) == 0 {
 		_, _ = fmt.Fprintf(output, "soak: %d changes, none could be judged\n", len(j.changes))
--- a/silence_test.go
+++ b/silence_test.go
@@ -290,9 +290,9 @@
 	}
 }
 
-// TestChangesWhereTheirTellerLosesPower has a box lose power right after its message has told others that it
+// TestChangesWhoseSenderLosesPower has a box lose power right after its message has told others that it
 // knows of a change: they asked it in vain, and asked nobody else until they had given up.
-func TestChangesWhereTheirTellerLosesPower(t *testing.T) {
+func TestChangesWhoseSenderLosesPower(t *testing.T) {
 	for teller := range 9 {
 		t.Run(fmt.Sprint(teller), func(t *testing.T) {
 			withSilence(t, "abc", time.Duration(teller)*130*time.Millisecond, func(t *testing.T, r *silenced) {
