--- a/Makefile
+++ b/Makefile
@@ -39,13 +39,14 @@
 
 SEED ?= 0
 FOR ?= 20s
+SOAK ?=
 
 soak: build
-	bin/soak -programs bin -seed $(SEED) -for $(FOR)
+	bin/soak -programs bin $(SOAK) -seed $(SEED) -for $(FOR)
 
 # Few faults, so that boxes are in touch and judged by when changes are in force.
 soak-changes: build
-	bin/soak -programs bin -copies=false -halls=false -limits=false -many=false -words=false -faults 'box|configuration' -seed $(SEED) -for $(FOR)
+	bin/soak -programs bin -copies=false -halls=false -limits=false -many=false -words=false -faults 'box|configuration' $(SOAK) -seed $(SEED) -for $(FOR)
 
 # The seeds that ever failed; docs/incidents tells why.
 soak_cases := 9 111 114 314
--- a/internal/fake/soak/copies.go
+++ b/internal/fake/soak/copies.go
@@ -59,7 +59,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock() // what changes later is written later
 	w.putConfiguration(w.newest)
-	for _, h := range []byte{'a', 'b'} {
+	for _, h := range []byte(w.halls) {
 		w.putEvacuation(h)
 	}
 	for _, u := range w.upstreams {
--- a/internal/fake/soak/faults.go
+++ b/internal/fake/soak/faults.go
@@ -110,10 +110,10 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var names []string
-	for _, h := range []string{"a", "b"} {
+	for _, h := range w.halls {
 		for n := range 1000 {
 			for _, kind := range []string{"i", "s"} {
-				name := fmt.Sprintf("%s-%s%d", kind, h, n)
+				name := fmt.Sprintf("%s-%c%d", kind, h, n)
 				if u := w.upstreams[name]; u != nil && (service == "" || u.service == service) {
 					names = append(names, name)
 				}
--- a/internal/fake/soak/halls.go
+++ b/internal/fake/soak/halls.go
@@ -31,7 +31,7 @@
 // evacuateInTurn evacuates one hall after another for some seconds until the context ends.
 func (w *world) evacuateInTurn(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
-		hall := "ab"[r.IntN(2)]
+		hall := w.halls[r.IntN(len(w.halls))]
 		pause(ctx, time.Duration(r.Int64N(int64(time.Second))))
 		w.setEvacuation(hall, true)
 		e := emptied{interval{from: time.Now()}, hall}
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -45,6 +45,7 @@
 	many := f.Bool("many", true, "have poison requests be sent several at once, and for longer")
 	rows := f.Bool("rows", true, "have rows that name no upstream be written beside those of upstreams")
 	words := f.Bool("words", true, "have upstreams say that they leave, or ask for rest, with their answers, and requests end them")
+	wide := f.Bool("wide", false, "run nine boxes in three halls in place of four in two")
 	span := f.Duration("for", 20*time.Second, "how long faults strike")
 	if f.Parse(arguments[1:]) != nil {
 		return exitUsage
@@ -58,7 +59,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	broken, err := run(*programs, *seed, *span, extras{changes: *changes, copies: *copies, faults: only, halls: *halls, limits: *limits, many: *many, rows: *rows, words: *words}, output)
+	broken, err := run(*programs, *seed, *span, extras{changes: *changes, copies: *copies, faults: only, halls: *halls, limits: *limits, many: *many, rows: *rows, wide: *wide, words: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitBroken
@@ -82,6 +83,7 @@
 	limits  bool           // upstreams name limits
 	many    bool           // poison requests are sent several at once, and for longer
 	rows    bool           // rows that name no upstream are written
+	wide    bool           // nine boxes in three halls
 	words   bool           // upstreams say that they leave, or ask for rest, with their answers, and requests end them
 }
 
@@ -111,7 +113,7 @@
 
 // run runs one soak and returns the promises that were broken.
 func run(programs string, seed uint64, span time.Duration, x extras, output io.Writer) (broken []string, err error) {
-	w, err := newWorld(programs, x.halls)
+	w, err := newWorld(programs, x.halls, x.wide)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fake/soak/world.go
+++ b/internal/fake/soak/world.go
@@ -31,6 +31,7 @@
 	evacuating map[byte]bool
 	newest     int // version of the configuration
 	directory  string
+	halls      string // a letter each
 	logs       *logFile
 	mutex      sync.Mutex // guards away, changes, crashes, dead, emptied, evacuating, newest, trouble, upstreams and version
 	crashes    []crash
@@ -68,7 +69,8 @@
 }
 
 const (
-	boxesCount   = 4
+	boxesCount   = 4 // in two halls
+	wideBoxes    = 9 // in three
 	enginesCount = 4
 	serviceDesk  = "desk"
 	serviceLLM   = "llm"
@@ -78,26 +80,33 @@
 	servicesEach = 2
 )
 
-// newWorld starts everything, in two data halls.
-func newWorld(programs string, cold bool) (*world, error) {
+// newWorld starts everything, in two data halls or, where it is wide, in three.
+func newWorld(programs string, cold, wide bool) (*world, error) {
 	d, err := os.MkdirTemp("", "linetiller-soak-")
 	if err != nil {
 		return nil, err
 	}
-	w := &world{cold: cold, directory: d, logs: newLogFile(filepath.Join(d, "boxes.log")), evacuating: make(map[byte]bool), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
+	w := &world{cold: cold, directory: d, halls: "ab", logs: newLogFile(filepath.Join(d, "boxes.log")), evacuating: make(map[byte]bool), platform: fakeplatform.New(), programs: programs, upstreams: make(map[string]*soakUpstream)}
+	if wide {
+		w.halls = "abc"
+	}
 	w.store = httptest.NewServer(w.platform)
 	w.configure()
 	for i := range enginesCount {
-		if err := w.startUpstream(fmt.Sprintf("i-%c%d", 'a'+i%2, i), serviceLLM); err != nil {
+		if err := w.startUpstream(fmt.Sprintf("i-%c%d", w.halls[i%len(w.halls)], i), serviceLLM); err != nil {
 			return nil, err
 		}
 	}
 	for i := range servicesEach {
-		if err := w.startUpstream(fmt.Sprintf("s-%c%d", 'a'+i%2, i), serviceDesk); err != nil {
+		if err := w.startUpstream(fmt.Sprintf("s-%c%d", w.halls[i%len(w.halls)], i), serviceDesk); err != nil {
 			return nil, err
 		}
 	}
-	for i := range boxesCount {
+	boxes := boxesCount
+	if wide {
+		boxes = wideBoxes
+	}
+	for i := range boxes {
 		if err := w.addBox(i); err != nil {
 			w.close(false)
 			return nil, err
@@ -108,7 +117,7 @@
 
 // addBox makes a box with its proxies and starts it.
 func (w *world) addBox(i int) error {
-	b := &soakBox{name: fmt.Sprintf("box-%c%d", 'a'+i%2, i)}
+	b := &soakBox{name: fmt.Sprintf("box-%c%d", w.halls[i%len(w.halls)], i)}
 	w.boxes = append(w.boxes, b)
 	addresses, err := freeAddresses(6)
 	if err != nil {
@@ -138,7 +147,7 @@
 platform = "1s"
 drain = "500ms"
 leave = "3s"
-`, b.name, 'a'+i%2, addresses[0], addresses[1], addresses[2], b.store.address(), addresses[3], addresses[4], addresses[5], coldSlack)
+`, b.name, w.halls[i%len(w.halls)], addresses[0], addresses[1], addresses[2], b.store.address(), addresses[3], addresses[4], addresses[5], coldSlack)
 	if err := os.WriteFile(b.settings, []byte(s), 0o600); err != nil {
 		return err
 	}
