--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -10,6 +10,7 @@
 	"box_leaving":            "the box was being stopped",
 	"caller_gone":            "the caller had gone",
 	"configuration_unknown":  "the box did not know the configuration yet",
+	"view_stale":             "the box did not know the route or key, and had not heard of the platform's store for some seconds",
 	"copy_under_way":         "another copy of it was under way",
 	"deadline":               "its time ran out",
 	"key_unknown":            "its key opens no workspace",
