What was served is known to a hall's keepers and to the store, whoever served it

Callers saw: a call that had been served all the time was refused with 502 at all boxes for ten minutes, once two upstreams had crashed under it for another reason.

Cause: the row held what one box had served, the one that writes it. What only other boxes served was in no row; the writer put its own knowledge in place of what the row held, so that all was lost once it had restarted and served something else; 64 requests found room, those that ran last; a request counted from three runs at one box on; and the row was read as a crash was noticed, once, and what the store did not tell then was taken for an answer.

Change: each box reports its runs to three keepers of its hall, chosen by rendezvous. They add them up and prefer what runs most often. The first keeper reads the rows before it writes, and writes its hall's row only if that has not changed since; the others have the runs at hand where it is lost or the store is away. A box that notices a crash reads the rows of all halls, again and again until it has them, and then looks at every crash that it knows, not at the one that made it read. Times in a row are by the store's steady clock. A run clears a request of the first crash after it and of no other, also where that crash was forgotten since: a request that turns poison and returns every few minutes would have been cleared each time (TestRunClearsOfOneCrash).

TestServedTellsWhatRunsOften is replaced by TestServedReportsWhatRanSince and TestFrequentPrefersWhatRunsOften: what is told is no longer what ran last at one box, but what ran most often at all.

A call that was first served less than two seconds before all boxes are killed is still forgotten.

--- a/answer.go
+++ b/answer.go
@@ -24,7 +24,7 @@
 	switch q.Kind {
 	case box.KindAsk:
 		b.owners.Ask(ctx, q.Ask, answer)
-	case box.KindAway, box.KindLeaving:
+	case box.KindAway, box.KindLeaving, box.KindServed:
 		b.noteAnnouncement(q)
 		_ = answer(&box.Reply{})
 	case box.KindChanges:
@@ -82,11 +82,15 @@
 	return &q
 }
 
-// noteAnnouncement records what another box announces of the platform's list or of an upstream.
+// noteAnnouncement records what another box announces of the platform's list, of an upstream or of what
+// it served.
 func (b *Box) noteAnnouncement(q *box.Request) {
-	if q.Kind == box.KindAway {
+	switch q.Kind { //nolint:exhaustive // The others are answered elsewhere.
+	case box.KindAway:
 		b.follower.HeardAway(q.From.Name, q.Away)
-		return
+	case box.KindLeaving:
+		b.noteLeaving(q.Leaving, q.Born, q.From.Name)
+	case box.KindServed:
+		b.noteServed(q.Served)
 	}
-	b.noteLeaving(q.Leaving, q.Born, q.From.Name)
 }
--- a/assemble.go
+++ b/assemble.go
@@ -147,7 +147,6 @@
 	b.relay.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its answer") }
 	b.relay.Place = b.reserved.Place
 	b.relay.Others = b.hasOthers
-	b.relay.ServedBefore = b.servedBefore
 	b.relay.Turn = b.takeTurn
 	b.relay.ViewAge = b.follower.Age
 	b.relay.Upstreams = relay.Upstreams{Gone: b.routed.Gone, Migrate: b.routed.Migrate, Release: b.routed.Release, Send: b.routed.Send}
--- a/crashes.go
+++ b/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 // announceCrashes announces to all other boxes what this one has learned of crashes: the callers of
 // requests may come back to any of them.
 func (b *Box) announceCrashes(l []policy.Crash) {
+	if slices.ContainsFunc(l, func(c policy.Crash) bool { return c.HasSuspect() }) {
+		b.fetchServed()
+	}
 	c := &b.crashes
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/box/clock.go
+++ b/internal/box/clock.go
@@ -30,6 +30,9 @@
 	}
 	shiftCrashes(q.Crashes, by)
 	shiftLimits(q.Limits, by)
+	for i := range q.Served {
+		shift(&q.Served[i].At, by)
+	}
 	if q.Permit != nil {
 		shift(&q.Permit.Limit.At, by)
 		shift(&q.Permit.WaitTill, by)
--- a/internal/box/clock_test.go
+++ b/internal/box/clock_test.go
@@ -25,6 +25,11 @@
 	if got, want := here.Sub(q.Crashes[0].At), time.Minute; got != want || !q.Crashes[0].SeenAt.IsZero() {
 		t.Errorf("age of a crash: got %s, want %s", got, want)
 	}
+	q = &Request{SentAt: there, Served: []policy.ServedRun{{At: there.Add(-time.Minute)}}}
+	q.Shift(here)
+	if got, want := here.Sub(q.Served[0].At), time.Minute; got != want {
+		t.Errorf("age of a run: got %s, want %s", got, want)
+	}
 	r := &Reply{SentAt: there, Answer: &policy.Answer{}, Crashes: []policy.Crash{{At: there, SeenAt: there}}, Load: &policy.Load{AsOf: there}}
 	r.Shift(here)
 	if got := r.Crashes[0]; !got.At.Equal(here) || !got.SeenAt.Equal(here) {
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -30,6 +30,7 @@
 	KindMembers   Kind = "members"   // the boxes that the other side knows
 	KindNews      Kind = "news"      // what the sender does not know yet, once there is some
 	KindPermit    Kind = "permit"    // permits to send to an upstream that has a rate limit
+	KindServed    Kind = "served"    // which requests ran to their ends at the sender
 	KindTurn      Kind = "turn"      // the turn to move a generation away from an upstream, or to one
 	KindUpdate    Kind = "update"    // how far running generations are
 )
@@ -71,6 +72,7 @@
 	Quarantine   uint64               `cbor:"18,keyasint,omitempty"` // heartbeat: digest of what the sender knows of crashes
 	Revisions    resource.Revisions   `cbor:"6,keyasint"`            // known to the sender
 	SentAt       time.Time            `cbor:"1,keyasint"`            // by the sender's clock, which times in the message are by
+	Served       []policy.ServedRun   `cbor:"23,keyasint,omitempty"` // served: since the sender's last report
 	Turn         *Turn                `cbor:"8,keyasint,omitempty"`
 	Update       *Update              `cbor:"7,keyasint,omitempty"`
 	Wait         time.Duration        `cbor:"12,keyasint,omitempty"` // news: for some, from the arrival of the request
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -42,7 +42,8 @@
 	objects  map[string][]byte
 	revision int64
 	rows     map[string]table.Row // by table and key; removed ones stay as marks
-	wholes   map[string]int       // reads from the beginning, by table
+	started  time.Time
+	wholes   map[string]int // reads from the beginning, by table
 }
 
 // maxBodyBytes bounds the body of a call that is read.
@@ -55,6 +56,7 @@
 		mux:     http.NewServeMux(),
 		objects: make(map[string][]byte),
 		rows:    make(map[string]table.Row),
+		started: time.Now(),
 		wholes:  make(map[string]int),
 	}
 	p.mux.HandleFunc("GET /blob-get/{name}", p.getObject)
@@ -226,6 +228,9 @@
 	p.SetFaults(f)
 }
 
+// now returns the platform's steady clock in milliseconds, which does not tell the time of day.
+func (p *Platform) now() int64 { return 1 + time.Since(p.started).Milliseconds() }
+
 // signal wakes the feeds; the lock is held.
 func (p *Platform) signal() {
 	close(p.changed)
--- a/internal/fake/platform/rows.go
+++ b/internal/fake/platform/rows.go
@@ -68,7 +68,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if l := p.since(r.FormValue("table"), after); len(l) > 0 || wait == 0 {
-			answer(w, wireRows{Rows: l, Ver: p.revision})
+			answer(w, wireRows{NowMS: p.now(), Rows: l, Ver: p.revision})
 			return
 		}
 		c := p.changed
@@ -101,7 +101,7 @@
 	l := p.since(name, 0)
 	l = slices.DeleteFunc(l, func(x wireRow) bool { return x.Gone || x.Key < r.FormValue("from") })
 	slices.SortFunc(l, func(a, b wireRow) int { return strings.Compare(a.Key, b.Key) })
-	answer(w, wireRows{More: len(l) > limit, Rows: l[:min(limit, len(l))], Ver: p.revision})
+	answer(w, wireRows{More: len(l) > limit, NowMS: p.now(), Rows: l[:min(limit, len(l))], Ver: p.revision})
 }
 
 // postTransaction applies a transaction, or answers the rows that its conditions name.
--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -31,6 +31,11 @@
 // tell when it started.
 const sameStartWithin = 2 * time.Second
 
+// HasSuspect reports whether a request may be the crash's cause.
+func (c *Crash) HasSuspect() bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return !s.Cleared })
+}
+
 // hash returns what tells the crash and all that is known of its suspects from others; 0 where it
 // has none.
 func (c *Crash) hash() uint64 {
--- /dev/null
+++ b/internal/policy/frequent_test.go
@@ -0,0 +1,86 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFrequentPrefersWhatRunsOften checks that requests which run often outlast any number of those that
+// run once, and that old ones go.
+func TestFrequentPrefersWhatRunsOften(t *testing.T) {
+	now, f := time.Now(), NewFrequent()
+	for i := range 100 {
+		f.Add([]ServedRun{{now, Fingerprint(i), 1}, {now, Fingerprint(i), 2}}, now)
+	}
+	for i := range 4 * frequentMost {
+		f.Add([]ServedRun{{now, Fingerprint(1000 + i), 1}}, now)
+	}
+	if got := len(f.runs); got > frequentMost {
+		t.Errorf("remembered: got %d, want at most %d", got, frequentMost)
+	}
+	l := f.Most(100, now)
+	if got, want := len(l), 100; got != want {
+		t.Fatalf("most frequent: got %d, want %d", got, want)
+	}
+	for _, x := range l {
+		if x.Fingerprint >= 100 || x.Times != 3 {
+			t.Errorf("most frequent: got %v, want those that ran 3 times", x)
+		}
+	}
+	if got := f.At(1, now); !got.Equal(now) {
+		t.Errorf("when it ran: got %v, want %v", got, now)
+	}
+	later := now.Add(servedLife)
+	if got := f.At(1, later); !got.IsZero() {
+		t.Errorf("when it ran, long after: got %v, want the zero time", got)
+	}
+	if got := f.Most(100, later); len(got) != 0 {
+		t.Errorf("most frequent, long after: got %d, want none", len(got))
+	}
+}
+
+// TestFrequentLearnsAgain checks that what is learned twice counts once.
+func TestFrequentLearnsAgain(t *testing.T) {
+	now, f := time.Now(), NewFrequent()
+	f.Add([]ServedRun{{now, 1, 3}}, now)
+	for range 3 {
+		f.Learn([]ServedRun{{now.Add(-time.Minute), 1, 5}}, now)
+	}
+	if got, want := f.Most(1, now)[0], (ServedRun{now, 1, 5}); got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// TestRunClearsOfOneCrash guards against a request that turns poison and crashes an upstream every few
+// minutes: a run before the first crash cleared it of each, since the crashes before were forgotten.
+func TestRunClearsOfOneCrash(t *testing.T) {
+	const p, other = Fingerprint(1), Fingerprint(2)
+	now, f, q := time.Now(), NewFrequent(), NewQuarantine()
+	f.Add([]ServedRun{{now, p, 5}}, now)
+	clearServed := func(now time.Time) int {
+		l := q.ClearServed(func(p Fingerprint) time.Time { return f.At(p, now) })
+		for _, c := range l {
+			for _, s := range c.Suspects {
+				f.Spend(s.Fingerprint, c.At, now)
+			}
+		}
+		return len(l)
+	}
+	for i, want := range []int{1, 0, 0} {
+		at := now.Add(time.Second + time.Duration(i)*(crashLife+time.Second))
+		q.Record([]Crash{crashOf("u", int64(i+1), at, p, other)}, at)
+		if got := clearServed(at); got != want {
+			t.Errorf("crash %d: got %d cleared, want %d", i, got, want)
+		}
+	}
+	if got := f.Most(1, now); len(got) != 0 {
+		t.Errorf("most frequent: got %v, want none", got)
+	}
+	again := now.Add(8 * time.Minute)
+	f.Add([]ServedRun{{again, p, 1}}, again)
+	at := again.Add(time.Second)
+	q.Record([]Crash{crashOf("u", 9, at, p, other)}, at)
+	if got, want := clearServed(at), 1; got != want {
+		t.Errorf("after another run: got %d cleared, want %d", got, want)
+	}
+}
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -71,6 +71,31 @@
 	return news
 }
 
+// ClearServed clears requests that are known to have run to their ends, each of the first crash after
+// that and of no other: one that turns poison crashes one upstream more. Served returns when a request
+// last ran to its end, the zero time where that is not known. ClearServed returns what it cleared.
+func (q *Quarantine) ClearServed(served func(p Fingerprint) time.Time) []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var l []Crash
+	for p := range q.of {
+		t := served(p)
+		if t.IsZero() {
+			continue
+		}
+		c := q.firstSince(p, t)
+		if c == nil || c.suspect(p).Cleared {
+			continue
+		}
+		c.suspect(p).Cleared = true
+		q.changed = true
+		d := *c
+		d.Suspects = []Suspect{*c.suspect(p)}
+		l = append(l, d)
+	}
+	return l
+}
+
 // Crashes returns how many upstreams crashed under a request that it is a suspect of.
 func (q *Quarantine) Crashes(p Fingerprint, now time.Time) int {
 	q.mutex.Lock()
@@ -268,6 +293,16 @@
 	q.of[p] = l
 }
 
+// firstSince returns the first crash of a request at a time or later, or nil; the lock is held.
+func (q *Quarantine) firstSince(p Fingerprint, t time.Time) *Crash {
+	for _, c := range q.of[p] {
+		if !c.At.Before(t) {
+			return c
+		}
+	}
+	return nil
+}
+
 // forget drops the crashes of a request that are too old to count; the lock is held.
 func (q *Quarantine) forget(p Fingerprint, now time.Time) {
 	life := crashLife
--- a/internal/policy/served.go
+++ b/internal/policy/served.go
@@ -1,19 +1,19 @@
 package policy
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Served remembers which requests lately ran to their ends: one that did is hardly the cause of a
-// crash. It is safe for concurrent use.
+// Served remembers which requests lately ran to their ends at this box: one that did is hardly the
+// cause of a crash. It is safe for concurrent use.
 type Served struct {
 	mutex sync.Mutex
 	// A full generation replaces the one before, so that memory stays bounded without an order of
 	// all entries.
 	before, now map[Fingerprint]ran
+	unreported  map[Fingerprint]ran // since the last report
 }
 
 // ran is how often a request ran to its end, and when it last did.
@@ -22,10 +22,11 @@
 	times int
 }
 
-// ServedRun is a request that often ran to its end, and when it last did.
+// ServedRun is a request that ran to its end: how often it did, and when it last did.
 type ServedRun struct {
-	At          time.Time   `json:"at"`
-	Fingerprint Fingerprint `json:"fingerprint"`
+	At          time.Time   `cbor:"1,keyasint"`
+	Fingerprint Fingerprint `cbor:"2,keyasint"`
+	Times       int         `cbor:"3,keyasint"`
 }
 
 const (
@@ -34,14 +35,13 @@
 	// servedLife is how long a run that ended well speaks for a request: what crashes an upstream
 	// may have come with a new version of it.
 	servedLife = 10 * time.Minute
-	// A request counts as one that runs often from oftenLeast runs on; oftenMost of them are told.
-	oftenLeast = 3
-	oftenMost  = 64
+	// unreportedMost bounds the requests of which some go into the next report.
+	unreportedMost = 1024
 )
 
 // NewServed returns a memory of no request.
 func NewServed() *Served {
-	return &Served{now: make(map[Fingerprint]ran)}
+	return &Served{now: make(map[Fingerprint]ran), unreported: make(map[Fingerprint]ran)}
 }
 
 // At returns when a request last ran to its end, the zero time where that is not known or long ago.
@@ -64,22 +64,42 @@
 		s.before, s.now = s.now, make(map[Fingerprint]ran)
 	}
 	s.now[p] = ran{now, times}
+	s.addUnreported(p, ran{now, 1})
 }
 
-// Often returns requests that often ran to their ends, those first that did so last.
-func (s *Served) Often(now time.Time) []ServedRun {
+// Report returns up to so many requests that ran to their ends since the last report, the most
+// frequent ones first. The others are left out: what runs often is in one of the next reports.
+func (s *Served) Report(count int) []ServedRun {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var l []ServedRun
-	for p, x := range s.now {
-		if x.times >= oftenLeast && now.Sub(x.at) < servedLife {
-			l = append(l, ServedRun{x.at, p})
-		}
+	l := make([]ServedRun, 0, len(s.unreported))
+	for p, x := range s.unreported {
+		l = append(l, ServedRun{x.at, p, x.times})
 	}
-	slices.SortFunc(l, func(a, b ServedRun) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
-	return l[:min(oftenMost, len(l))]
+	clear(s.unreported)
+	slices.SortFunc(l, compareRuns)
+	return l[:min(count, len(l))]
+}
+
+// Unreport puts back a report that did not arrive.
+func (s *Served) Unreport(l []ServedRun) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, x := range l {
+		s.addUnreported(x.Fingerprint, ran{x.At, x.Times})
+	}
+}
+
+// addUnreported records runs that are not reported yet; the lock is held.
+func (s *Served) addUnreported(p Fingerprint, x ran) {
+	old, known := s.unreported[p]
+	if !known && len(s.unreported) >= unreportedMost {
+		return
+	}
+	if old.at.After(x.at) {
+		x.at = old.at
+	}
+	s.unreported[p] = ran{x.at, old.times + x.times}
 }
 
 // of returns what is remembered of a request; the lock is held.
--- a/internal/policy/served_test.go
+++ b/internal/policy/served_test.go
@@ -36,25 +36,34 @@
 	}
 }
 
-// TestServedTellsWhatRunsOften checks which requests are told, and how many.
-func TestServedTellsWhatRunsOften(t *testing.T) {
+// TestServedReportsWhatRanSince checks which runs are reported, how many, and that none is twice.
+func TestServedReportsWhatRanSince(t *testing.T) {
 	now, s := time.Now(), NewServed()
-	for i := range 2 * oftenMost {
-		for n := range oftenLeast {
-			s.Note(Fingerprint(i), now.Add(time.Duration(i+n)*time.Second))
+	for i := range 10 {
+		for n := range i + 1 {
+			s.Note(Fingerprint(i), now.Add(time.Duration(n)*time.Second))
 		}
 	}
-	s.Note(Fingerprint(1000), now) // once
-	later := now.Add(time.Duration(2*oftenMost+oftenLeast) * time.Second)
-	l := s.Often(later)
-	if got, want := len(l), oftenMost; got != want {
-		t.Fatalf("told: got %d, want %d", got, want)
+	l := s.Report(4)
+	if got, want := len(l), 4; got != want {
+		t.Fatalf("reported: got %d, want %d", got, want)
 	}
-	if got, want := l[0].Fingerprint, Fingerprint(2*oftenMost-1); got != want {
-		t.Errorf("first: got %v, want %v, which ran last", got, want)
+	if got, want := l[0], (ServedRun{now.Add(9 * time.Second), 9, 10}); got != want {
+		t.Errorf("first: got %v, want %v, which ran most", got, want)
 	}
-	if got := s.Often(later.Add(servedLife)); len(got) != 0 {
-		t.Errorf("long after: got %d, want none", len(got))
+	if got := s.Report(4); len(got) != 0 {
+		t.Errorf("once more: got %v, want none", got)
+	}
+	s.Note(9, now.Add(time.Minute))
+	s.Unreport(l[:1])
+	if got, want := s.Report(4), (ServedRun{now.Add(time.Minute), 9, 11}); len(got) != 1 || got[0] != want {
+		t.Errorf("after a report that was lost: got %v, want %v", got, want)
+	}
+	for i := range 2 * unreportedMost {
+		s.Note(Fingerprint(i), now)
+	}
+	if got, want := len(s.Report(10*unreportedMost)), unreportedMost; got != want {
+		t.Errorf("of many: got %d, want %d", got, want)
 	}
 }
 
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -67,9 +67,7 @@
 	x.NoteCrashes(l, "")
 	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.Crashes(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
 	x.Crashed(l)
-	if !s.Cleared {
-		x.later(0, func() { x.clearServedBefore(l[0], s) })
-	}
+	x.ClearServed()
 }
 
 // fingerprint returns the request's fingerprint, whoever sends it and however often.
@@ -171,21 +169,6 @@
 	return true
 }
 
-// clearServedBefore clears a request of one crash where it is known that it ran to its end since the
-// crash before: boxes that have all been restarted remember nothing of what they served.
-func (x *Relay) clearServedBefore(c policy.Crash, s policy.Suspect) {
-	t := x.ServedBefore(x.background, s.Fingerprint)
-	if t.IsZero() || t.After(c.At) || !t.After(x.quarantine.LastBefore(s.Fingerprint, c.At)) {
-		return
-	}
-	s.Cleared = true
-	c.Suspects = []policy.Suspect{s}
-	l := []policy.Crash{c}
-	x.NoteCrashes(l, "")
-	event.RequestCleared.Log(x.log, "asked", s.Fingerprint.String(), "from", "store")
-	x.Crashed(l)
-}
-
 // later calls f after a time, unless the relay is closed before.
 func (x *Relay) later(d time.Duration, f func()) {
 	x.mutex.Lock()
@@ -223,6 +206,18 @@
 	return !t.IsZero() && t.After(x.quarantine.LastBefore(p, at))
 }
 
+// spend records that runs before crashes have cleared requests of those: they clear them of no others.
+func (x *Relay) spend(l []policy.Crash) {
+	now := time.Now()
+	for _, c := range l {
+		for _, s := range c.Suspects {
+			if s.Cleared {
+				x.frequent.Spend(s.Fingerprint, c.At, now)
+			}
+		}
+	}
+}
+
 // vouch clears, after a moment, the suspects of crashes for which this box can speak: it served the
 // request since the crash before, or has a stream of it that gets further than the run that crashed.
 // What many ask for is running at each upstream of a rack that loses its power. The moment differs
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,9 +49,6 @@
 	Others func() bool
 	// Place finds an engine for a generation; a seam, set to a placement's method.
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
-	// ServedBefore returns when a request is known to have last run to its end, at any box and before
-	// this one started, the zero time where it is not; a seam.
-	ServedBefore func(ctx context.Context, p policy.Fingerprint) time.Time
 	// Turn asks for the turn to move a run; a seam.
 	Turn Turns
 	// Upstreams are the calls to engines and services; seams.
@@ -64,6 +61,7 @@
 	budget         *budget.Budget
 	cancel         context.CancelFunc
 	ctx            context.Context // ends with Abort
+	frequent       *policy.Frequent
 	quarantine     *policy.Quarantine
 	health         *health.Tracker
 	lengths        *policy.Lengths
@@ -114,18 +112,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	background, stopBackground := context.WithCancel(ctx)
 	x := &Relay{
-		Cleared:      func(policy.Fingerprint) {},
-		Crashed:      func([]policy.Crash) {},
-		Fresh:        func(context.Context) {},
-		Limited:      func(*ratelimit.Change) {},
-		Leaving:      func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
-		Others:       func() bool { return true },
-		ServedBefore: func(context.Context, policy.Fingerprint) time.Time { return time.Time{} },
-		ViewAge:      func() time.Duration { return 0 },
-		coldBears:    func(*resource.Upstream) float64 { return 0 },
-		background:   background, stopBackground: stopBackground,
+		Cleared:    func(policy.Fingerprint) {},
+		Crashed:    func([]policy.Crash) {},
+		Fresh:      func(context.Context) {},
+		Limited:    func(*ratelimit.Change) {},
+		Leaving:    func(u *resource.Upstream) { v.NoteLeaving(u.Name, u.Spec.Born) },
+		Others:     func() bool { return true },
+		ViewAge:    func() time.Duration { return 0 },
+		coldBears:  func(*resource.Upstream) float64 { return 0 },
+		background: background, stopBackground: stopBackground,
 		budget: budget.New(0.2, 0, 10*time.Second, func() int { return 1 }),
-		cancel: cancel, ctx: ctx, quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limiter: ratelimit.NewLimiter(ratelimit.NewLimits()), log: log, meter: meter.New(m), metrics: m,
+		cancel: cancel, ctx: ctx, frequent: policy.NewFrequent(), quarantine: policy.NewQuarantine(), health: health.New(hall), lengths: l, limiter: ratelimit.NewLimiter(ratelimit.NewLimits()), log: log, meter: meter.New(m), metrics: m,
 		placeWait: m.Histogram(metric.PlaceWait), rests: health.NewRests(v), served: policy.NewServed(), streams: make(map[*stream]bool), tracker: t, view: v,
 	}
 	x.limiter.Ask = localPermits()
@@ -167,6 +164,21 @@
 	return x.Close()
 }
 
+// ClearServed clears suspects of crashes that ran to their ends at other boxes, or before those
+// restarted, and announces that.
+func (x *Relay) ClearServed() {
+	now := time.Now()
+	l := x.quarantine.ClearServed(func(p policy.Fingerprint) time.Time { return x.frequent.At(p, now) })
+	if len(l) == 0 {
+		return
+	}
+	for _, c := range l {
+		event.RequestCleared.Log(x.log, "asked", c.Suspects[0].Fingerprint.String(), "from", "served before")
+	}
+	x.spend(l)
+	x.Crashed(l)
+}
+
 // Close refuses new requests and waits for those in progress.
 func (x *Relay) Close() error {
 	x.mutex.Lock()
@@ -187,6 +199,9 @@
 	x.endBy, x.leftBy = end, left
 }
 
+// Frequent returns what this box knows of requests that ran to their ends at other boxes.
+func (x *Relay) Frequent() *policy.Frequent { return x.frequent }
+
 // Held returns how many requests are in progress.
 func (x *Relay) Held() int {
 	x.mutex.Lock()
@@ -215,7 +230,9 @@
 		event.RequestQuarantined.Log(x.log, "asked", p.String(), "crashes", x.quarantine.Crashes(p, now), "from", from)
 	}
 	if news {
+		x.spend(l)
 		x.vouch(l)
+		x.later(rand.N(vouchDelay), x.ClearServed)
 	}
 	return news
 }
--- a/linetiller.go
+++ b/linetiller.go
@@ -62,7 +62,7 @@
 	reserved         *placement.Reserved
 	rests            *health.Rests
 	routed           *platform.Engines // the upstreams of declared routes
-	served           servedRow
+	served           *servedRuns
 	store            *table.Store
 	tracker          *placement.Tracker
 	turns            ownership.Turns
@@ -105,7 +105,7 @@
 func New(s *settings.Settings, options ...Option) (*Box, error) {
 	b := &Box{
 		serving: make(chan struct{}), learned: make(chan struct{}, 1), left: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
-		settings: s, started: time.Now(), view: resource.NewView(),
+		served: newServedRuns(), settings: s, started: time.Now(), view: resource.NewView(),
 	}
 	b.connect = b.listen
 	for _, o := range options {
