A box that is closed or stopped while it joins does not go on

Callers of a fleet: a box that got its stop while it joined said that it was ready until it ended, and was sent requests.

Cause: Close waited for the box's workers while Serve, still joining, started more. Serve of a box that was closed before had a context that nobody ended any more, and served on. Serve set the box ready whatever had happened while it joined.

TestServeOfAClosedBox, TestBoxClosedWhileItJoins and TestBoxStoppedWhileItJoins failed before: served for an hour; a call of the store after Close, and ready; ready while leaving.

Change: workers start through one method, under the lock that Close takes to say that none starts any more; joining is a worker. So the counter never rises from zero while Close waits. Serve of a closed box returns at once, and a box is ready only while it was not asked to stop.

--- a/assemble.go
+++ b/assemble.go
@@ -100,7 +100,7 @@
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
 	b.entry[0].server.ConnState = idle.NewCloser(b.idleTimeout).Track
-	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.ready.Load() && b.relay.Known() }))
+	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.isReady() && b.relay.Known() }))
 	b.entry[2].server = b.httpServer(m)
 }
 
@@ -160,7 +160,7 @@
 	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration))
 	c.CallService = services.Call
 	c.Generate = b.deliverer.Generate
-	c.Ready = b.ready.Load
+	c.Ready = b.isReady
 	b.clientServer = b.httpServer(c)
 
 	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
--- a/crashes.go
+++ b/crashes.go
@@ -43,7 +43,7 @@
 	if waiting {
 		return
 	}
-	b.workers.Go(func() {
+	b.start(func() {
 		time.Sleep(gatherPeriod)
 		c.mutex.Lock()
 		l := c.pending
--- a/join.go
+++ b/join.go
@@ -59,8 +59,8 @@
 	b.listMembers()
 	var g sync.WaitGroup
 	g.Go(func() { b.learnFromNeighbours(ctx) })
-	b.workers.Go(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
-	b.workers.Go(func() { b.follower.RunNews(b.running) })
+	b.start(func() { b.heartbeats(b.running) }) // boxes that are gone must not hold up the start
+	b.start(func() { b.follower.RunNews(b.running) })
 	if b.follower.Reads() || !b.listenForNews(ctx) {
 		_ = b.follower.RefreshRest(ctx) // as above
 	}
--- a/limits.go
+++ b/limits.go
@@ -119,7 +119,7 @@
 	}
 	s.announces = true
 	wait := time.Until(s.announced.Add(announceEvery))
-	b.workers.Go(func() {
+	b.start(func() {
 		select {
 		case <-b.running.Done(): // nobody is told any more
 		case <-time.After(wait):
@@ -227,7 +227,7 @@
 	if o == b.settings.Box {
 		return
 	}
-	b.workers.Go(func() {
+	b.start(func() {
 		ctx, cancel := context.WithTimeout(b.running, heartbeatPeriod)
 		defer cancel()
 		_, _ = b.links.Once(ctx, b.members.Address(o), b.request(box.Request{Kind: box.KindLimits, Limits: []ratelimit.Limit{l}})) // the next ask tells it, too
--- a/linetiller.go
+++ b/linetiller.go
@@ -77,16 +77,19 @@
 	routedTransport   http.RoundTripper
 
 	beat     atomic.Int64 // nanoseconds since started, of the last beat
-	cancel   context.CancelFunc
 	closing  sync.Once
-	learned  chan struct{} // holds one where something was fetched of crashes that is not passed on yet
-	left     chan struct{} // closed when a stop was asked for
-	ready    atomic.Bool
+	learned  chan struct{}   // holds one where something was fetched of crashes that is not passed on yet
+	left     chan struct{}   // closed when a stop was asked for
+	ready    atomic.Bool     // it has joined
 	running  context.Context // ends with Serve
 	serving  chan struct{}   // closed as Serve begins
 	started  time.Time
 	stopping atomic.Bool
 	workers  sync.WaitGroup
+
+	lifecycle sync.Mutex // guards the fields below, and starts of workers
+	cancel    context.CancelFunc
+	closed    bool
 }
 
 // served is a server with its listener.
@@ -141,17 +144,18 @@
 // called and every request has had its final answer.
 func (b *Box) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	b.cancel, b.running = cancel, ctx
 	defer cancel()
-	close(b.serving)
-	b.join(ctx)
+	if !b.begin(ctx, cancel) {
+		return b.Close()
+	}
+	b.await(func() { b.join(ctx) })
 	for _, f := range b.loops() {
-		b.workers.Go(func() { f(ctx) })
+		b.start(func() { f(ctx) })
 	}
 	failed := make(chan error, len(b.listeners()))
 	for _, v := range b.listeners() {
 		if v.listener != nil {
-			b.workers.Go(func() { failed <- v.server.Serve(v.listener) })
+			b.start(func() { failed <- v.server.Serve(v.listener) })
 		}
 	}
 	if b.clientListener != nil {
@@ -163,13 +167,38 @@
 	case <-b.left:
 		b.finish(ctx)
 	case err := <-failed:
-		return errors.Join(err, b.Close())
+		if ctx.Err() == nil { // or Close has ended it
+			return errors.Join(err, b.Close())
+		}
 	}
 	err := b.Close()
 	event.BoxStopped.Log(b.log)
 	return err
 }
 
+// await runs f as one of the box's workers and waits for its end, but not once the box is closed.
+func (b *Box) await(f func()) {
+	done := make(chan struct{})
+	if b.start(func() { defer close(done); f() }) {
+		<-done
+	}
+}
+
+// begin records that the box serves from now on, unless it is closed.
+func (b *Box) begin(ctx context.Context, cancel context.CancelFunc) bool {
+	b.lifecycle.Lock()
+	defer b.lifecycle.Unlock()
+	if b.closed {
+		return false
+	}
+	b.cancel, b.running = cancel, ctx
+	close(b.serving)
+	return true
+}
+
+// isReady reports whether the box has joined, and was not asked to stop.
+func (b *Box) isReady() bool { return b.ready.Load() && !b.stopping.Load() }
+
 // listeners returns all servers of the box with their listeners.
 func (b *Box) listeners() []served {
 	return append([]served{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
@@ -190,3 +219,15 @@
 	}
 	return l
 }
+
+// start runs f as one of the box's workers, and reports whether it does: Close waits for all of them, so
+// that none starts once the box is closed.
+func (b *Box) start(f func()) bool {
+	b.lifecycle.Lock()
+	defer b.lifecycle.Unlock()
+	if b.closed {
+		return false
+	}
+	b.workers.Go(f)
+	return true
+}
--- a/region_test.go
+++ b/region_test.go
@@ -165,7 +165,25 @@
 	r.link.Join(engineHosts[name], e)
 }
 
+// callsOf returns how many calls of the platform's store a box has made.
+func (r *region) callsOf(name string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.calls[name]
+}
+
+// startBox starts a box.
 func (r *region) startBox(name string, change ...func(*settings.Settings)) {
+	r.t.Helper()
+	b := r.newBox(name, change...)
+	r.link.Join(name, b.clientServer.Handler)
+	r.link.Join(name+"-operator", b.operatorServer.Handler)
+	r.done.Go(func() { _ = b.Serve(context.Background()) })
+	synctest.Wait()
+}
+
+// newBox makes a box that does not serve yet.
+func (r *region) newBox(name string, change ...func(*settings.Settings)) *Box {
 	r.t.Helper()
 	s := settings.Default()
 	s.Box, s.Hall, s.Platform = name, name[4:5], "http://platform"
@@ -195,10 +213,7 @@
 	r.mutex.Lock()
 	r.boxes[name] = b
 	r.mutex.Unlock()
-	r.link.Join(name, b.clientServer.Handler)
-	r.link.Join(name+"-operator", b.operatorServer.Handler)
-	r.done.Go(func() { _ = b.Serve(context.Background()) })
-	synctest.Wait()
+	return b
 }
 
 // wayToStore returns a box's way to the platform's store.
--- a/serving_test.go
+++ b/serving_test.go
@@ -48,3 +48,74 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestBoxClosedWhileItJoins guards against a box that goes on joining after Close has returned: it started
+// its loops, and served until its context ended.
+func TestBoxClosedWhileItJoins(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		for at := time.Duration(0); at <= 3*time.Second; at += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegion(t)
+				defer r.close()
+				r.startBox("box-a1")
+				r.refused["box-a2"] = away
+				r.startBox("box-a2")
+				time.Sleep(at)
+				b := r.boxes["box-a2"]
+				r.kill("box-a2")
+				calls := r.callsOf("box-a2")
+				time.Sleep(time.Minute)
+				if got := r.callsOf("box-a2"); got != calls {
+					t.Errorf("store away %v, closed after %v: got %d calls of the store after it was closed, want none", away, at, got-calls)
+				}
+				if b.isReady() {
+					t.Errorf("store away %v, closed after %v: the box says that it is ready", away, at)
+				}
+			})
+		}
+	}
+}
+
+// TestServeOfAClosedBox guards against a box that serves although it was closed before.
+func TestServeOfAClosedBox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t)
+		defer r.close()
+		b := r.newBox("box-a1")
+		if err := b.Close(); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		if err := b.Serve(ctx); err != nil {
+			t.Errorf("got %v, want no error", err)
+		}
+		if got := time.Since(began); got != 0 {
+			t.Errorf("served for %v, want not at all", got)
+		}
+	})
+}
+
+// TestBoxStoppedWhileItJoins guards against a box that was asked to stop as it joined, and says that it
+// is ready from then on: it was sent requests until it ended.
+func TestBoxStoppedWhileItJoins(t *testing.T) {
+	for at := time.Duration(0); at <= 3*time.Second; at += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRegion(t)
+			defer r.close()
+			r.startBox("box-a1")
+			time.Sleep(5 * time.Second)
+			r.startBox("box-a2")
+			time.Sleep(at)
+			b := r.boxes["box-a2"]
+			b.Leave()
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				if b.isReady() {
+					t.Fatalf("stopped after %v: the box says that it is ready", at)
+				}
+			}
+		})
+	}
+}
--- a/stopping.go
+++ b/stopping.go
@@ -28,9 +28,7 @@
 	var err error
 	b.closing.Do(func() {
 		b.stopping.Store(true)
-		if b.cancel != nil {
-			b.cancel()
-		}
+		b.endWorkers()
 		for _, v := range b.listeners() {
 			err = errors.Join(err, v.server.Close())
 			if v.listener != nil {
@@ -51,7 +49,6 @@
 	if b.stopping.Swap(true) {
 		return
 	}
-	b.ready.Store(false)
 	event.BoxLeaving.Log(b.log, "held", b.Held())
 	b.members.Leave()
 	close(b.left)
@@ -61,7 +58,7 @@
 // off, and what waits is told that it has not run.
 func (b *Box) abortRequests() {
 	done := make(chan struct{})
-	b.workers.Go(func() {
+	b.start(func() {
 		_ = b.relay.Abort()
 		close(done)
 	})
@@ -92,6 +89,16 @@
 	return t.Drain.Duration
 }
 
+// endWorkers lets no worker start any more, and ends those that there are.
+func (b *Box) endWorkers() {
+	b.lifecycle.Lock()
+	defer b.lifecycle.Unlock()
+	b.closed = true
+	if b.cancel != nil {
+		b.cancel()
+	}
+}
+
 // finish goes on serving until the balancer must have seen that the box is not ready, but
 // for streams that would outlast it. Then it refuses all new streams, takes other requests
 // while streams are in progress, and waits for what remains, up to the time for leaving.
@@ -120,7 +127,7 @@
 // whether they ended before the context did.
 func (b *Box) finishRequests(ctx context.Context) bool {
 	done := make(chan struct{})
-	b.workers.Go(func() {
+	b.start(func() {
 		_ = b.relay.Close()
 		_ = b.deliverer.Close()
 		close(done)
--- a/tell.go
+++ b/tell.go
@@ -14,7 +14,7 @@
 		if hall != "" && m.Hall != hall {
 			continue
 		}
-		b.workers.Go(func() {
+		b.start(func() {
 			ctx, cancel := context.WithDeadline(b.running, time.Now().Add(heartbeatPeriod))
 			defer cancel()
 			_, _ = b.links.Once(ctx, m.Address, b.request(q)) // told again, or by others
