What is quarantined outlasts a restart of all boxes

Callers saw: after each restart of all boxes, a request that crashes its upstreams crashed two more, and what else ran there broke off.

Cause: the same as of requests that were served: what boxes know of crashes was in their memories alone.

Change: the first keeper of each hall writes the crashes of quarantined requests to a second row, whenever that holds something else, and boxes that become keepers or notice a crash read it with the first. What they learn spreads as any news of crashes. The keeper's rows are one table, read whole with one call; the file that held all of it is split by what it holds. A cleared request must not be quarantined again by an older row: the row is written when one is cleared, and a run that is known to have ended after a crash clears it of that, too. The rows are read again in a new era of the store, and written where a copy lacks them.

TestClearedRequestAfterAllBoxesRestarted has a request be quarantined, refused after a restart, let through and cleared, and served after the next restart.

--- a/forgotten_test.go
+++ b/forgotten_test.go
@@ -3,12 +3,15 @@
 package linetiller
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/fake/routed"
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
@@ -28,7 +31,7 @@
 
 // RoundTrip makes one call.
 func (w *withholding) RoundTrip(q *http.Request) (*http.Response, error) {
-	if w.on.Load() && q.URL.Query().Get("table") == "served" {
+	if w.on.Load() && q.URL.Query().Get("table") == keptTable {
 		return nil, errRefused
 	}
 	return w.next.RoundTrip(q)
@@ -212,6 +215,14 @@
 			f.withholdServed(false)
 			time.Sleep(10 * time.Second)
 		}},
+		{"the store comes back from a copy that lacks it", func(f *fame) {
+			f.platform.Copy()
+			f.serve(10*time.Second, all, popular)
+			f.platform.Restore()
+			time.Sleep(20 * time.Second)
+			f.restart(all...)
+			f.crash("box-a1")
+		}},
 		{"two boxes see crashes at once", func(f *fame) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
@@ -251,39 +262,106 @@
 	}
 }
 
-// TestServedRowIsBounded checks the size of the largest row against the 64 KB that the platform takes.
-func TestServedRowIsBounded(t *testing.T) {
-	var l []policy.ServedRun
-	for i := range servedRowMost {
-		l = append(l, policy.ServedRun{At: time.UnixMilli(1 << 41), Fingerprint: ^policy.Fingerprint(i), Times: 1 << 31})
+// TestQuarantineAfterAllBoxesRestarted guards against a poison request that crashes two more upstreams each
+// time that all boxes restart, since the boxes alone knew of it.
+func TestQuarantineAfterAllBoxesRestarted(t *testing.T) {
+	withPoison(t, func(t *testing.T, p *poison) {
+		restart := func() {
+			for _, n := range allBoxes {
+				p.kill(n)
+			}
+			for _, n := range allBoxes {
+				p.startRouter(n)
+			}
+			time.Sleep(5 * time.Second)
+		}
+		for range 3 {
+			for _, n := range allBoxes {
+				p.send(n, routed.Deadly)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(10 * time.Second)
+			restart()
+		}
+		if got, want := p.crashed(routed.Deadly), 2; got != want {
+			t.Errorf("crashes: got %d, want %d", got, want)
+		}
+	})
+}
+
+// TestClearedRequestAfterAllBoxesRestarted guards against a request that is quarantined again by a row
+// that was written before it was cleared.
+func TestClearedRequestAfterAllBoxesRestarted(t *testing.T) {
+	withLimited(t, func(t *testing.T, r *routes, _ *crowd) {
+		f := &fame{routes: r, t: t}
+		f.crash("box-a1")
+		time.Sleep(10 * time.Second)
+		f.restart(limitedBoxes...)
+		if got, want := f.post("box-b1", "refused", popular), http.StatusBadGateway; got != want {
+			t.Errorf("after the restart: got status %d, want %d", got, want)
+		}
+		time.Sleep(10 * time.Minute)
+		if got, want := f.post("box-b1", "trial", popular), http.StatusOK; got != want {
+			t.Errorf("ten minutes later: got status %d, want %d", got, want)
+		}
+		time.Sleep(10 * time.Second)
+		f.restart(limitedBoxes...)
+		for _, n := range limitedBoxes {
+			if got, want := f.post(n, "cleared-"+n, popular), http.StatusOK; got != want {
+				t.Errorf("%s, after the next restart: got status %d, want %d", n, got, want)
+			}
+		}
+	})
+}
+
+// TestKeptRowsAreBounded checks the size of the largest rows against the 64 KB that the platform takes,
+// and that they are read as they were written.
+func TestKeptRowsAreBounded(t *testing.T) {
+	at := time.UnixMilli(1 << 41)
+	k := newKeeper()
+	k.setRead(at, at)
+	var runs []policy.ServedRun
+	for i := range runsMost {
+		runs = append(runs, policy.ServedRun{At: at, Fingerprint: ^policy.Fingerprint(i), Times: 1 << 31})
 	}
-	v := encodeServed(l, func(t time.Time) time.Time { return t })
-	if got, most := len(v), 65536; got > most {
-		t.Errorf("size: got %d bytes, want at most %d", got, most)
+	var crashes []policy.Crash
+	for i := range quarantinedMost {
+		s := policy.Suspect{Cleared: true, Events: 1 << 31, Fingerprint: ^policy.Fingerprint(i), Trials: 3}
+		crashes = append(crashes, policy.Crash{At: at, Born: 1 << 41, SeenAt: at, Suspects: []policy.Suspect{s}, Upstream: fmt.Sprintf("%200d", i)})
 	}
-	for i, x := range decodeServed(v) {
-		if got, want := (policy.ServedRun{At: time.UnixMilli(x.AtMS), Fingerprint: x.Fingerprint, Times: x.Times}), l[i]; got != want {
-			t.Fatalf("got %v, want %v", got, want)
+	for _, x := range []struct {
+		name        string
+		again, once json.RawMessage
+	}{
+		{"runs", encodeRow(decodeRow[runEntry](encodeRow(k.runEntries(runs)))), encodeRow(k.runEntries(runs))},
+		{"crashes", encodeRow(decodeRow[crashEntry](encodeRow(k.crashEntries(crashes)))), encodeRow(k.crashEntries(crashes))},
+	} {
+		if got, most := len(x.once), 65536; got > most {
+			t.Errorf("%s: got %d bytes, want at most %d", x.name, got, most)
+		}
+		if !bytes.Equal(x.again, x.once) {
+			t.Errorf("%s: read back differently", x.name)
 		}
 	}
 	for _, foreign := range []string{"", "null", "7", `"AAEC"`, `[{"at":"2026-01-01T00:00:00Z","fingerprint":7}]`} {
-		if got := decodeServed([]byte(foreign)); len(got) != 0 {
+		if got := decodeRow[runEntry]([]byte(foreign)); len(got) != 0 {
 			t.Errorf("%s: got %v, want none", foreign, got)
 		}
 	}
 }
 
-// TestClockOfTheBoxThatWritesRuns guards against a row whose times are by the clock of the box that
-// wrote it: where that is ahead or behind, the runs of the row clear no request.
-func TestClockOfTheBoxThatWritesRuns(t *testing.T) {
+// TestClockOfTheBoxThatWritesRows guards against rows whose times are by the clock of the box that
+// wrote them: where that is ahead or behind, its runs clear no request.
+func TestClockOfTheBoxThatWritesRows(t *testing.T) {
+	now, storeAt := time.Now(), time.UnixMilli(5000)
 	for _, ahead := range []time.Duration{-time.Hour, time.Hour} {
-		readAt := time.Now()
-		storeAt := time.UnixMilli(5000)
-		s := newServedRuns()
-		s.setRead(readAt.Add(ahead), storeAt)
-		x := decodeServed(encodeServed([]policy.ServedRun{{At: readAt.Add(ahead).Add(time.Second), Fingerprint: 1, Times: 1}}, s.storeTime))[0]
-		if got, want := time.UnixMilli(x.AtMS), storeAt.Add(time.Second); !got.Equal(want) {
-			t.Errorf("%v ahead: got %v, want %v", ahead, got, want)
+		writer, reader := newKeeper(), newKeeper()
+		writer.setRead(now.Add(ahead), storeAt)
+		reader.setRead(now, storeAt)
+		ranAt := now.Add(time.Second)
+		got := reader.local(writer.storeMS(ranAt.Add(ahead)))
+		if d := got.Sub(ranAt).Abs(); d > time.Millisecond {
+			t.Errorf("%v ahead: got %v, want %v", ahead, got, ranAt)
 		}
 	}
 }
--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -31,6 +31,17 @@
 // tell when it started.
 const sameStartWithin = 2 * time.Second
 
+// DigestOf returns what tells crashes, all that is known of their suspects, and when those last returned
+// from others; 0 for none.
+func DigestOf(l []Crash) uint64 {
+	var sum uint64
+	for i := range l {
+		c := &l[i]
+		sum ^= c.hash() * uint64(max(1, c.LastAt().Unix()))
+	}
+	return sum
+}
+
 // HasSuspect reports whether a request may be the crash's cause.
 func (c *Crash) HasSuspect() bool {
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return !s.Cleared })
@@ -56,8 +67,8 @@
 	return sum
 }
 
-// lastAt returns when the crash was last of importance to a quarantined suspect.
-func (c *Crash) lastAt() time.Time {
+// LastAt returns when the crash was last of importance to a quarantined suspect.
+func (c *Crash) LastAt() time.Time {
 	if c.SeenAt.After(c.At) {
 		return c.SeenAt
 	}
--- a/internal/policy/frequent.go
+++ b/internal/policy/frequent.go
@@ -98,6 +98,9 @@
 
 // set records a request's runs, the last of which may be known to be later; the lock is held.
 func (f *Frequent) set(p Fingerprint, x ran, now time.Time) {
+	if x.at.After(now) {
+		x.at = now // by another clock
+	}
 	old, known := f.runs[p]
 	if old.at.After(x.at) {
 		x.at = old.at
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -71,9 +71,10 @@
 	return news
 }
 
-// ClearServed clears requests that are known to have run to their ends, each of the first crash after
-// that and of no other: one that turns poison crashes one upstream more. Served returns when a request
-// last ran to its end, the zero time where that is not known. ClearServed returns what it cleared.
+// ClearServed clears requests that are known to have run to their ends: of the crashes before that, and of
+// the first one after it and of no other, as one that turns poison crashes one upstream more. Served
+// returns when a request last ran to its end, the zero time where that is not known. ClearServed returns
+// what it cleared.
 func (q *Quarantine) ClearServed(served func(p Fingerprint) time.Time) []Crash {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -83,15 +84,18 @@
 		if t.IsZero() {
 			continue
 		}
-		c := q.firstSince(p, t)
-		if c == nil || c.suspect(p).Cleared {
-			continue
+		for _, c := range q.of[p] {
+			if s := c.suspect(p); !s.Cleared {
+				s.Cleared = true
+				q.changed = true
+				d := *c
+				d.Suspects = []Suspect{*s}
+				l = append(l, d)
+			}
+			if !c.At.Before(t) {
+				break
+			}
 		}
-		c.suspect(p).Cleared = true
-		q.changed = true
-		d := *c
-		d.Suspects = []Suspect{*c.suspect(p)}
-		l = append(l, d)
 	}
 	return l
 }
@@ -131,6 +135,33 @@
 	return len(q.of) == 0
 }
 
+// Held returns the crashes of up to so many quarantined requests, those that returned last, with no other
+// suspects; at most as many crashes, too.
+func (q *Quarantine) Held(count int, now time.Time) []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.forgetAll(now)
+	var held []Fingerprint
+	for p := range q.of {
+		if q.weight(p) >= quarantineWeight {
+			held = append(held, p)
+		}
+	}
+	slices.SortFunc(held, func(a, b Fingerprint) int {
+		return cmp.Or(q.lastAt(b).Compare(q.lastAt(a)), cmp.Compare(a, b))
+	})
+	held = held[:min(count, len(held))]
+	var l []Crash
+	for _, c := range q.crashes {
+		d := *c
+		d.Suspects = slices.DeleteFunc(slices.Clone(c.Suspects), func(s Suspect) bool { return !slices.Contains(held, s.Fingerprint) })
+		if len(d.Suspects) > 0 {
+			l = append(l, d)
+		}
+	}
+	return l[max(0, len(l)-count):]
+}
+
 // Known returns the hashes of the crashes that are remembered, for Missing at another box.
 func (q *Quarantine) Known(now time.Time) []uint64 {
 	q.mutex.Lock()
@@ -293,16 +324,6 @@
 	q.of[p] = l
 }
 
-// firstSince returns the first crash of a request at a time or later, or nil; the lock is held.
-func (q *Quarantine) firstSince(p Fingerprint, t time.Time) *Crash {
-	for _, c := range q.of[p] {
-		if !c.At.Before(t) {
-			return c
-		}
-	}
-	return nil
-}
-
 // forget drops the crashes of a request that are too old to count; the lock is held.
 func (q *Quarantine) forget(p Fingerprint, now time.Time) {
 	life := crashLife
@@ -349,7 +370,7 @@
 func (q *Quarantine) lastAt(p Fingerprint) time.Time {
 	var t time.Time
 	for _, c := range q.of[p] {
-		if x := c.lastAt(); x.After(t) {
+		if x := c.LastAt(); x.After(t) {
 			t = x
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -173,7 +173,7 @@
 		return
 	}
 	for _, c := range l {
-		event.RequestCleared.Log(x.log, "asked", c.Suspects[0].Fingerprint.String(), "from", "served before")
+		event.RequestCleared.Log(x.log, "asked", c.Suspects[0].Fingerprint.String(), "from", "kept")
 	}
 	x.spend(l)
 	x.Crashed(l)
--- /dev/null
+++ b/keeper.go
@@ -0,0 +1,262 @@
+package linetiller
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// keeper is this box's part in keeping what outlasts a restart of all boxes: which requests ran to their
+// ends, so that crashes that others cause are not held against them, and which are quarantined. Each
+// box reports its runs to the keepers of its data hall. The first keeper writes the hall's rows in the
+// platform's store; the others have all at hand where it is lost, or the store is away.
+type keeper struct {
+	mutex       sync.Mutex // guards the fields below
+	era         int64      // of the store, as the box knows it
+	keeps       bool       // this box is a keeper
+	quarantined quarantinedRow
+	readAt      time.Time // of the rows, zero where they were never read
+	reportedAt  time.Time // to the keepers
+	runs        runsRow
+	storeAt     time.Time // readAt by the store's clock
+	triedAt     time.Time // to read the rows
+	wanted      bool      // the rows are to be read
+
+	wake chan struct{} // holds one where the rows are to be read at once
+}
+
+const (
+	keptTable = "kept"
+	// keepersMost is how many boxes of each data hall are its keepers.
+	keepersMost = 3
+	// keepEvery is between two looks whether there is something to read, report or write.
+	keepEvery = 2 * time.Second
+	// keptReadEvery is between two reads of the rows at the least: many requests may break off as an
+	// upstream crashes.
+	keptReadEvery = 5 * time.Second
+	// reportBox is between two reports of a box, for each box of its hall: that bounds what keepers get.
+	reportBox = 200 * time.Millisecond
+	// reportMost bounds the requests of a report, of some 20 B each.
+	reportMost = 32
+)
+
+// newKeeper returns a box's part in keeping, which knows nothing yet.
+func newKeeper() *keeper { return &keeper{wake: make(chan struct{}, 1)} }
+
+// commitRow writes a row of this box's hall, unless that has changed since it was read or written. It
+// returns the row's revision, and reports whether the row was written.
+func (b *Box) commitRow(ctx context.Context, key string, revision int64, value json.RawMessage) (int64, bool) {
+	r, err := b.store.Commit(ctx, &table.Transaction{
+		Conditions: []table.Condition{{Key: key, Revision: revision}},
+		Writes:     []table.Write{{Key: key, Value: value}},
+	})
+	if err != nil || !r.Committed {
+		b.keeper.want() // it may have been written
+		return 0, false
+	}
+	return r.Revision, true
+}
+
+// fetchKept has the rows read as soon as the store answers, for a request to be cleared of a crash that
+// ran to its end before.
+func (b *Box) fetchKept() {
+	k := b.keeper
+	k.want()
+	select {
+	case k.wake <- struct{}{}:
+	default: // it is about to look anyway
+	}
+}
+
+// keep does what is due: reads the rows, reports this box's runs, and writes its hall's rows.
+func (b *Box) keep(ctx context.Context) {
+	hall := b.members.Alive(b.settings.Hall)
+	keepers := policy.Rank(keptTable, hall)
+	keepers = keepers[:min(keepersMost, len(keepers))]
+	if len(keepers) == 0 { // all are leaving
+		keepers = []string{b.settings.Box}
+	}
+	k, now := b.keeper, time.Now()
+	era, _ := b.follower.Era()
+	k.setKeeps(slices.Contains(keepers, b.settings.Box), era)
+	if k.readDue(now) {
+		b.readKept(ctx)
+	}
+	if k.reportDue(len(hall), now) {
+		b.reportRuns(ctx, keepers)
+	}
+	if keepers[0] == b.settings.Box && k.mayWrite() {
+		b.writeRuns(ctx)
+		b.writeQuarantined(ctx)
+	}
+}
+
+// noteRuns records a report of runs.
+func (b *Box) noteRuns(l []policy.ServedRun) {
+	b.relay.Frequent().Add(l, time.Now())
+	b.keeper.setChanged()
+}
+
+// readKept reads the rows of all halls, and clears requests by them.
+func (b *Box) readKept(ctx context.Context) {
+	c, err := b.store.Changes(ctx, keptTable, 0, 0)
+	if err != nil {
+		return // it is tried again
+	}
+	k, now := b.keeper, time.Now()
+	k.setRead(now, c.Now)
+	for i := range c.Rows {
+		r := &c.Rows[i]
+		kind, hall, _ := strings.Cut(r.Key, "/")
+		switch kind {
+		case runsKind:
+			b.learnRuns(r, hall)
+		case quarantinedKind:
+			b.learnQuarantined(r, hall)
+		}
+	}
+	b.relay.ClearServed()
+}
+
+// reportRuns reports this box's runs to the keepers of its hall.
+func (b *Box) reportRuns(ctx context.Context, keepers []string) {
+	l := b.relay.Served().Report(reportMost)
+	if len(l) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatPeriod)
+	defer cancel()
+	var g errgroup.Group
+	for _, n := range keepers {
+		g.Go(func() error {
+			if n == b.settings.Box {
+				b.noteRuns(l)
+				return nil
+			}
+			_, err := b.links.Once(ctx, b.members.Address(n), b.request(box.Request{Kind: box.KindServed, Served: l}))
+			return err
+		})
+	}
+	if g.Wait() != nil && !slices.Contains(keepers, b.settings.Box) {
+		b.relay.Served().Unreport(l)
+	}
+}
+
+// runKeeper keeps what is to be kept while the box runs.
+func (b *Box) runKeeper(ctx context.Context) {
+	t := time.NewTicker(keepEvery)
+	defer t.Stop()
+	for {
+		b.keep(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-b.keeper.wake:
+		}
+	}
+}
+
+// local returns a time by this box's clock that the store's clock tells as so many milliseconds.
+func (k *keeper) local(storeMS int64) time.Time {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.readAt.Add(time.UnixMilli(storeMS).Sub(k.storeAt))
+}
+
+// mayWrite reports whether it is known what the rows hold.
+func (k *keeper) mayWrite() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return !k.readAt.IsZero() && !k.wanted
+}
+
+// readDue reports whether the rows are to be read now.
+func (k *keeper) readDue(now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.wanted || now.Sub(k.triedAt) < keptReadEvery {
+		return false
+	}
+	k.triedAt = now
+	return true
+}
+
+// reportDue reports whether this box is to report its runs now, in a hall of so many boxes.
+func (k *keeper) reportDue(boxes int, now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if now.Sub(k.reportedAt) < time.Duration(boxes)*reportBox {
+		return false
+	}
+	k.reportedAt = now
+	return true
+}
+
+// setKeeps records whether this box is a keeper, and the store's era. A box that becomes a keeper reads
+// what others have kept; in a new era the rows are those of a copy.
+func (k *keeper) setKeeps(keeps bool, era int64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.wanted = k.wanted || (keeps && (!k.keeps || era != k.era))
+	k.keeps, k.era = keeps, era
+}
+
+// setRead records that the rows were read, and when by the store's clock.
+func (k *keeper) setRead(now, store time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.readAt, k.storeAt, k.wanted = now, store, false
+	k.runs.forget()
+	k.quarantined.forget()
+}
+
+// storeMS returns a time by the store's clock, in milliseconds.
+func (k *keeper) storeMS(t time.Time) int64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.storeAt.Add(t.Sub(k.readAt)).UnixMilli()
+}
+
+// want has the rows read before they are written.
+func (k *keeper) want() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.wanted = true
+}
+
+// decodeRow returns the entries of a row, none where it cannot be read.
+func decodeRow[E any](value json.RawMessage) []E {
+	var b []byte
+	if json.Unmarshal(value, &b) != nil {
+		return nil
+	}
+	var l []E
+	if cbor.Unmarshal(b, &l) != nil {
+		return nil
+	}
+	return l
+}
+
+// encodeRow returns a row's value: its entries in CBOR, in a JSON string.
+func encodeRow[E any](l []E) json.RawMessage {
+	b, err := cbor.Marshal(l)
+	if err != nil {
+		panic("linetiller: a row can always be encoded: " + err.Error())
+	}
+	v, err := json.Marshal(b)
+	if err != nil {
+		panic("linetiller: bytes can always be encoded: " + err.Error())
+	}
+	return v
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -62,7 +62,7 @@
 	reserved         *placement.Reserved
 	rests            *health.Rests
 	routed           *platform.Engines // the upstreams of declared routes
-	served           *servedRuns
+	keeper           *keeper
 	store            *table.Store
 	tracker          *placement.Tracker
 	turns            ownership.Turns
@@ -108,7 +108,7 @@
 func New(s *settings.Settings, options ...Option) (*Box, error) {
 	b := &Box{
 		serving: make(chan struct{}), learned: make(chan struct{}, 1), left: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
-		served: newServedRuns(), settings: s, started: time.Now(), view: resource.NewView(),
+		keeper: newKeeper(), settings: s, started: time.Now(), view: resource.NewView(),
 	}
 	b.connect = b.listen
 	for _, o := range options {
@@ -210,7 +210,7 @@
 		b.follower.Run, b.follower.RunAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runBeat, b.runPush, b.runRegister,
 	}
 	if b.hasEntry() {
-		l = append(l, b.runServed)
+		l = append(l, b.runKeeper)
 	} else {
 		l = append(l, b.orders.Run, b.runRewrite) // the platform's operators and engines write theirs themselves
 	}
--- /dev/null
+++ b/quarantinedrow.go
@@ -0,0 +1,102 @@
+package linetiller
+
+import (
+	"context"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// quarantinedRow is what a keeper knows of its hall's row of quarantined requests.
+type quarantinedRow struct {
+	digest   uint64 // of what the row holds, 0 for nothing
+	revision int64  // of the row, 0 where there is none
+	triedAt  time.Time
+}
+
+// crashEntry is a crash in the row.
+type crashEntry struct {
+	_        struct{} `cbor:",toarray"`
+	AtMS     int64    // when it was noticed, by the store's clock
+	Born     int64    // when the upstream had started, in Unix milliseconds
+	SeenAtMS int64    // when a suspect last returned, by the store's clock
+	Suspects []policy.Suspect
+	Upstream string
+}
+
+const (
+	quarantinedKind = "quarantined"
+	// quarantinedMost bounds the suspects of the row, of some 20 B each, and its crashes, of some 230 B
+	// with the longest names: a row may have 64 KB.
+	quarantinedMost = 128
+	// quarantinedWriteEvery is between two writes at the least.
+	quarantinedWriteEvery = 5 * time.Second
+)
+
+// learnQuarantined records what the row of a hall holds.
+func (b *Box) learnQuarantined(r *table.Row, hall string) {
+	k := b.keeper
+	var l []policy.Crash
+	for _, x := range decodeRow[crashEntry](r.Value) {
+		l = append(l, policy.Crash{At: k.local(x.AtMS), Born: x.Born, SeenAt: k.local(x.SeenAtMS), Suspects: x.Suspects, Upstream: x.Upstream})
+	}
+	if hall == b.settings.Hall {
+		k.setQuarantinedWritten(r.Revision, policy.DigestOf(l))
+	}
+	if b.relay.NoteCrashes(l, "store") {
+		b.passOnCrashes()
+	}
+}
+
+// writeQuarantined writes the row, where it holds something else than what is known.
+func (b *Box) writeQuarantined(ctx context.Context) {
+	k, now := b.keeper, time.Now()
+	l := b.relay.Quarantine().Held(quarantinedMost, now)
+	digest := policy.DigestOf(l)
+	revision, due := k.quarantinedDue(digest, now)
+	if !due {
+		return
+	}
+	if revision, ok := b.commitRow(ctx, quarantinedKey(b.settings.Hall), revision, encodeRow(k.crashEntries(l))); ok {
+		k.setQuarantinedWritten(revision, digest)
+	}
+}
+
+// crashEntries returns crashes as the row has them.
+func (k *keeper) crashEntries(crashes []policy.Crash) []crashEntry {
+	l := []crashEntry{}
+	for i := range crashes {
+		c := &crashes[i]
+		l = append(l, crashEntry{AtMS: k.storeMS(c.At), Born: c.Born, SeenAtMS: k.storeMS(c.LastAt()), Suspects: c.Suspects, Upstream: c.Upstream})
+	}
+	return l
+}
+
+// quarantinedDue reports whether the row is to be written, with what has a digest, and returns its
+// revision.
+func (k *keeper) quarantinedDue(digest uint64, now time.Time) (revision int64, due bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	r := &k.quarantined
+	if digest == r.digest || now.Sub(r.triedAt) < quarantinedWriteEvery {
+		return 0, false
+	}
+	r.triedAt = now
+	return r.revision, true
+}
+
+// setQuarantinedWritten records what the row holds.
+func (k *keeper) setQuarantinedWritten(revision int64, digest uint64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.quarantined.digest, k.quarantined.revision = digest, revision
+}
+
+// forget records that it is not known what the row holds.
+func (r *quarantinedRow) forget() {
+	r.digest, r.revision = 0, 0
+}
+
+// quarantinedKey returns the key of a hall's row.
+func quarantinedKey(hall string) string { return keptTable + "/" + quarantinedKind + "/" + hall }
--- /dev/null
+++ b/runsrow.go
@@ -0,0 +1,123 @@
+package linetiller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/table"
+)
+
+// runsRow is what a keeper knows of its hall's row of requests that ran to their ends.
+type runsRow struct {
+	changed  bool  // runs were reported that are not written yet
+	revision int64 // of the row, 0 where there is none
+	triedAt  time.Time
+	written  map[policy.Fingerprint]bool
+}
+
+// runEntry is a request in the row.
+type runEntry struct {
+	_           struct{} `cbor:",toarray"`
+	AtMS        int64    // when it last ran to its end, by the store's clock
+	Fingerprint policy.Fingerprint
+	Times       int
+}
+
+const (
+	runsKind = "served"
+	// runsMost bounds the requests of a row, of some 30 B each: a row may have 64 KB.
+	runsMost = 1024
+	// runsWriteEvery is between two writes at the least, runsFrequentEvery where a request has run
+	// runsFrequent times that is not in the row.
+	runsWriteEvery    = 30 * time.Second
+	runsFrequentEvery = 5 * time.Second
+	runsFrequent      = 3
+)
+
+// learnRuns records what the row of a hall holds.
+func (b *Box) learnRuns(r *table.Row, hall string) {
+	k := b.keeper
+	var l []policy.ServedRun
+	for _, x := range decodeRow[runEntry](r.Value) {
+		l = append(l, policy.ServedRun{At: k.local(x.AtMS), Fingerprint: x.Fingerprint, Times: x.Times})
+	}
+	b.relay.Frequent().Learn(l, time.Now())
+	if hall == b.settings.Hall {
+		k.setRunsWritten(r.Revision, l)
+	}
+}
+
+// writeRuns writes the row, where that is due.
+func (b *Box) writeRuns(ctx context.Context) {
+	k := b.keeper
+	l, revision := k.runsDue(b.relay.Frequent(), b.stopping.Load(), time.Now())
+	if len(l) == 0 {
+		return
+	}
+	revision, ok := b.commitRow(ctx, runsKey(b.settings.Hall), revision, encodeRow(k.runEntries(l)))
+	if !ok {
+		k.setChanged()
+		return
+	}
+	k.setRunsWritten(revision, l)
+}
+
+// runEntries returns runs as the row has them.
+func (k *keeper) runEntries(runs []policy.ServedRun) []runEntry {
+	var l []runEntry
+	for _, x := range runs {
+		l = append(l, runEntry{AtMS: k.storeMS(x.At), Fingerprint: x.Fingerprint, Times: x.Times})
+	}
+	return l
+}
+
+// runsDue returns what is to be written of the runs that are known, none where it is not time to, and
+// the row's revision.
+func (k *keeper) runsDue(f *policy.Frequent, leaving bool, now time.Time) ([]policy.ServedRun, int64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	r := &k.runs
+	since := now.Sub(r.triedAt)
+	if (!r.changed && r.written != nil) || (since < runsFrequentEvery && !leaving) {
+		return nil, 0
+	}
+	l := f.Most(runsMost, now)
+	if len(l) == 0 {
+		return nil, 0
+	}
+	unwritten := func(x policy.ServedRun) bool { return x.Times >= runsFrequent && !r.written[x.Fingerprint] }
+	if since < runsWriteEvery && !leaving && !slices.ContainsFunc(l, unwritten) {
+		return nil, 0
+	}
+	r.changed, r.triedAt = false, now
+	return l, r.revision
+}
+
+// setChanged records that runs are known that are not written yet.
+func (k *keeper) setChanged() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.runs.changed = true
+}
+
+// setRunsWritten records what the row holds.
+func (k *keeper) setRunsWritten(revision int64, l []policy.ServedRun) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	r := &k.runs
+	r.revision = revision
+	r.written = make(map[policy.Fingerprint]bool, len(l))
+	for _, x := range l {
+		r.written[x.Fingerprint] = true
+	}
+}
+
+// forget records that it is not known what the row holds.
+func (r *runsRow) forget() {
+	r.revision, r.written = 0, nil
+}
+
+// runsKey returns the key of a hall's row.
+func runsKey(hall string) string { return keptTable + "/" + runsKind + "/" + hall }
