Whole boxes run under the race detector, each test in a process of its own

What was seen: sixteen files of tests of whole boxes are left out under the race detector, since its runtime crashed in some runs. So no race of theirs would ever be seen. With their build tag taken out on a scratch copy (a trial) all of them in one process gave 26 reports, until the detector ended.

Cause of the reports: the tests' own rig. The map of halls and of engines was written without its lock as upstreams started, calls between boxes and to upstreams were replaced while boxes ran. None is of the product. Cause of the crashes: inside the detector and the Go runtime ("ThreadSanitizer: CHECK failed", and a segmentation fault in runtime.(*timer).maybeRunChan); not of ours, and not in every run of the same test.

Change: the rig locks its maps, and boxes are made with calls that a test can have fail or answered.

TestBoxAnswersOnceItServes looked up the host "platform" over the machine's network from inside virtual time, so that it ended with "send on synctest channel from outside bubble" when it ran twice in one process, and waited for real on a slow resolver. Its store is in memory now, as in all other tests of whole boxes, and its variable is atomic; what it checks is the same: without the wait for the box's parts it still ends with a nil pointer.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure measure-moves soak soak-cases soak-changes test tidy format
+.PHONY: all build demo lint measure measure-moves race-whole soak soak-cases soak-changes test tidy format
 
 all: build
 
@@ -23,6 +23,9 @@
 	go test -race $(skip) ./...
 	go test $(skip) .
 
+race-whole:
+	tools/race-whole
+
 lint: $(tools)/gofumpt $(tools)/golangci-lint
 	@unformatted=$$($(tools)/gofumpt -l .); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet ./...
--- a/foreign_rows_test.go
+++ b/foreign_rows_test.go
@@ -1,4 +1,4 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
--- a/innocent_test.go
+++ b/innocent_test.go
@@ -1,4 +1,4 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
@@ -37,15 +37,35 @@
 }
 
 // crashAll has every upstream crash that a box sends to, and returns how many have and what ends that.
-func (r *routes) crashAll(box string) (crashed *atomic.Int64, end func()) {
-	x, crashed := r.boxes[box].relay, new(atomic.Int64)
-	before := x.Upstreams
-	x.Upstreams.Gone = func(context.Context, *resource.Upstream) bool { return true }
-	x.Upstreams.Send = func(context.Context, *resource.Upstream, *relay.Request, *relay.Offer) (*relay.Answer, error) {
-		crashed.Add(1)
-		return nil, io.ErrUnexpectedEOF
+func (r *region) crashAll(box string) (crashed *atomic.Int64, end func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	crashed = new(atomic.Int64)
+	r.crashing[box] = crashed
+	return crashed, func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		delete(r.crashing, box)
 	}
-	return crashed, func() { x.Upstreams = before }
+}
+
+// crashable returns a box's calls to upstreams, which crash while crashAll says so.
+func (r *region) crashable(name string, u relay.Upstreams) relay.Upstreams {
+	crashed := func() *atomic.Int64 {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		return r.crashing[name]
+	}
+	v := u
+	v.Gone = func(ctx context.Context, x *resource.Upstream) bool { return crashed() != nil || u.Gone(ctx, x) }
+	v.Send = func(ctx context.Context, x *resource.Upstream, q *relay.Request, o *relay.Offer) (*relay.Answer, error) {
+		if n := crashed(); n != nil {
+			n.Add(1)
+			return nil, io.ErrUnexpectedEOF
+		}
+		return u.Send(ctx, x, q, o)
+	}
+	return v
 }
 
 // TestServedRequestAfterAllBoxesRestarted guards against a request that is refused for the crashes of
--- a/limit_test.go
+++ b/limit_test.go
@@ -1,9 +1,8 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -402,18 +401,15 @@
 // and lose the upstreams that they own, as they answer an ask for a permit with an error.
 func TestBoxThatDoesNotKnowPermitsStays(t *testing.T) {
 	withLimited(t, func(t *testing.T, r *routes, c *crowd) {
-		for _, b := range r.boxes {
-			call := b.links.Call
-			b.links.Call = func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
-				if q.Kind != box.KindPermit {
-					return call(ctx, to, q)
-				}
-				return &box.Call{HangUp: func() {}, Peer: "box " + to, Read: func(x *box.Reply) error {
-					x.Error = "bad_message"
-					return nil
-				}}, nil
+		r.answerCalls(func(to string, q *box.Request) *box.Call {
+			if q.Kind != box.KindPermit {
+				return nil
 			}
-		}
+			return &box.Call{HangUp: func() {}, Peer: "box " + to, Read: func(x *box.Reply) error {
+				x.Error = "bad_message"
+				return nil
+			}}
+		})
 		r.setLimit("2.8", limited...)
 		c.paced(5*time.Second, 25*time.Millisecond, false, inTurn)
 		for n, b := range r.boxes {
@@ -492,14 +488,11 @@
 // countLimits counts the messages about limits between boxes.
 func (r *routes) countLimits() *atomic.Int64 {
 	n := new(atomic.Int64)
-	for _, b := range r.boxes {
-		call := b.links.Call
-		b.links.Call = func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
-			if q.Kind == box.KindLimits {
-				n.Add(1)
-			}
-			return call(ctx, to, q)
+	r.answerCalls(func(_ string, q *box.Request) *box.Call {
+		if q.Kind == box.KindLimits {
+			n.Add(1)
 		}
-	}
+		return nil
+	})
 	return n
 }
--- a/poison_test.go
+++ b/poison_test.go
@@ -1,4 +1,4 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
@@ -47,11 +47,13 @@
 // startUpstream starts an upstream that starts again, under another name, some time after each
 // crash.
 func (p *poison) startUpstream(place string) {
+	p.mutex.Lock()
 	p.starts++
 	name := fmt.Sprintf("%s.%d", place, p.starts)
+	p.mutex.Unlock()
 	p.startRouted(name)
 	p.link.Down(routedAddress(name), false)
-	e := p.routed[name]
+	e := p.engineAt(routedAddress(name))
 	e.CrashedUnder = func(body string) {
 		p.link.Down(routedAddress(name), true)
 		p.mutex.Lock()
@@ -60,8 +62,8 @@
 		time.AfterFunc(replacedAfter, func() {
 			p.platform.Remove("servers/" + name)
 			p.mutex.Lock()
-			defer p.mutex.Unlock()
 			delete(p.routed, name)
+			p.mutex.Unlock()
 			p.startUpstream(place)
 		})
 	}
--- a/region_test.go
+++ b/region_test.go
@@ -1,4 +1,4 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +33,12 @@
 // region is halls of whole boxes, joined in memory, in virtual time.
 type region struct {
 	boxes      map[string]*Box
-	calls      map[string]int                    // of the platform's store, by box
-	cut        map[string]bool                   // halls cut off from all others and the platform
-	dark       map[string]bool                   // boxes without power: calls to them hang, and nobody is told
-	delivered  func(from string, q *box.Request) // is told of each call that arrives at a box; may be nil
+	answers    func(to string, q *box.Request) *box.Call // answers calls between boxes in their place; may be nil
+	calls      map[string]int                            // of the platform's store, by box
+	crashing   map[string]*atomic.Int64                  // by box: crashes of upstreams, where all crash that it sends to
+	cut        map[string]bool                           // halls cut off from all others and the platform
+	dark       map[string]bool                           // boxes without power: calls to them hang, and nobody is told
+	delivered  func(from string, q *box.Request)         // is told of each call that arrives at a box; may be nil
 	done       sync.WaitGroup
 	ends       []func() // of the handling of calls
 	engines    map[string]*engine.Server
@@ -76,7 +79,7 @@
 // newRegion returns a region without boxes and engines.
 func newRegion(t *testing.T) *region {
 	r := &region{
-		boxes: make(map[string]*Box), calls: make(map[string]int), cut: make(map[string]bool), dark: make(map[string]bool), engines: make(map[string]*engine.Server),
+		boxes: make(map[string]*Box), calls: make(map[string]int), crashing: make(map[string]*atomic.Int64), cut: make(map[string]bool), dark: make(map[string]bool), engines: make(map[string]*engine.Server),
 		frozen: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
 		platformOf: make(map[string]http.RoundTripper),
 		refused:    make(map[string]bool), t: t,
@@ -158,10 +161,17 @@
 	r.frozen[name] = on
 }
 
+// setHall says in which hall an address is.
+func (r *region) setHall(address, hall string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.hallOf[address] = hall
+}
+
 func (r *region) startEngine(name string) {
 	e := engine.NewServer(engine.DefaultSettings(), 0)
 	r.engines[name] = e
-	r.hallOf[engineHosts[name]] = name[len(name)-1:]
+	r.setHall(engineHosts[name], name[len(name)-1:])
 	r.link.Join(engineHosts[name], e)
 }
 
@@ -191,9 +201,7 @@
 	for _, c := range change {
 		c(&s)
 	}
-	r.mutex.Lock()
-	r.hallOf[name] = s.Hall
-	r.mutex.Unlock()
+	r.setHall(name, s.Hall)
 	b, err := New(&s, func(b *Box) {
 		b.connect = func() error {
 			b.links = r.links(name)
@@ -210,6 +218,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	b.relay.Upstreams = r.crashable(name, b.relay.Upstreams)
 	r.mutex.Lock()
 	r.boxes[name] = b
 	r.mutex.Unlock()
@@ -285,11 +294,32 @@
 	return h.region.link.RoundTrip(q)
 }
 
+// answerCalls has f answer calls between boxes from now on, but for those for which it returns nil.
+func (r *region) answerCalls(f func(to string, q *box.Request) *box.Call) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.answers = f
+}
+
+// answered returns the answer to a call that does not go to its box, or nil.
+func (r *region) answered(to string, q *box.Request) *box.Call {
+	r.mutex.Lock()
+	f := r.answers
+	r.mutex.Unlock()
+	if f == nil {
+		return nil
+	}
+	return f(to, q)
+}
+
 // links are a box's calls to other boxes in memory, through the codec.
 func (r *region) links(from string) *box.Links {
 	return &box.Links{
 		Address: func() string { return from },
 		Call: func(ctx context.Context, to string, q *box.Request) (*box.Call, error) {
+			if c := r.answered(to, q); c != nil {
+				return c, nil
+			}
 			return r.call(ctx, from, to, q)
 		},
 		Close: func() error { return nil },
--- a/routed_test.go
+++ b/routed_test.go
@@ -1,4 +1,4 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
@@ -65,18 +65,25 @@
 	return fmt.Sprintf("127.0.%d.%d:1", name[0], int(name[2]-'a')*10+int(name[3]-'0'))
 }
 
-func (r *routes) startRouted(name string) {
-	e := routed.New(name, routed.DefaultSettings())
-	e.Peer = func(address string) *routed.Engine {
-		for n, x := range r.routed {
-			if routedAddress(n) == address {
-				return x
-			}
+// engineAt returns the engine at an address, or nil.
+func (r *routes) engineAt(address string) *routed.Engine {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for n, x := range r.routed {
+		if routedAddress(n) == address {
+			return x
 		}
-		return nil
 	}
+	return nil
+}
+
+func (r *routes) startRouted(name string) {
+	e := routed.New(name, routed.DefaultSettings())
+	e.Peer = r.engineAt
+	r.mutex.Lock()
 	r.routed[name] = e
-	r.hallOf[routedAddress(name)] = name[2:3]
+	r.mutex.Unlock()
+	r.setHall(routedAddress(name), name[2:3])
 	r.link.Join(routedAddress(name), e)
 	r.listRouted(name, "ready")
 }
--- a/serving_test.go
+++ b/serving_test.go
@@ -1,9 +1,10 @@
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,14 +22,16 @@
 		s.Box, s.Hall, s.Platform = "box-a1", "a", "http://platform"
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		answered := false
+		var answered atomic.Bool
+		r := newRegion(t)
 		b, err := New(&s, func(b *Box) {
+			b.platformTransport = r.wayToStore("box-a1")
 			b.connect = func() error {
-				b.links = newRegion(t).links("box-a1")
+				b.links = r.links("box-a1")
 				go func() {
 					q := &box.Request{From: box.Member{Address: "box-a2", Hall: "a", Name: "box-a2"}, Kind: box.KindHeartbeat, SentAt: time.Now()}
 					b.answer(ctx, q, func(*box.Reply) error {
-						answered = true
+						answered.Store(true)
 						return nil
 					})
 				}()
@@ -41,7 +44,7 @@
 		}
 		go func() { _ = b.Serve(ctx) }()
 		synctest.Wait()
-		if !answered {
+		if !answered.Load() {
 			t.Error("the heartbeat was not answered")
 		}
 		_ = b.Close()
--- a/virtual_test.go
+++ b/virtual_test.go
@@ -3,7 +3,7 @@
 // make test runs these tests without it. The same parts run under it over
 // loopback in streams_test.go, outage_test.go and callers_test.go.
 
-//go:build !race
+//go:build !race || whole
 
 package linetiller
 
