Rows that tell of times ahead are read as of now

What the kept rows tell has happened, but a row may hold anything: it was written by a box, and read as a foreign one by any other. A run or a crash that lies ahead would have been believed until its time came: a crash would be remembered until then, a request that had run "later" cleared of all. Found by reading; runs were already bounded where they are recorded, crashes were not.

Times of a row are at most that of the read.

--- a/forgotten_test.go
+++ b/forgotten_test.go
@@ -365,3 +365,43 @@
 		}
 	}
 }
+
+// FuzzKeptRow has boxes read rows that hold anything: no time that they learn lies ahead, and what they
+// write of it they read back.
+func FuzzKeptRow(f *testing.F) {
+	now := time.UnixMilli(1 << 41)
+	k := newKeeper()
+	k.setRead(now, time.UnixMilli(5000))
+	f.Add([]byte(encodeRow(k.runEntries([]policy.ServedRun{{At: now, Fingerprint: 1, Times: 2}}))))
+	f.Add([]byte(encodeRow(k.crashEntries([]policy.Crash{{At: now, Suspects: []policy.Suspect{{Fingerprint: 1}}, Upstream: "u"}}))))
+	f.Add([]byte(`"gYMb//////////8bAAAAAAAAAAEB"`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var runs []policy.ServedRun
+		for _, x := range decodeRow[runEntry](value) {
+			runs = append(runs, policy.ServedRun{At: k.local(x.AtMS), Fingerprint: x.Fingerprint, Times: x.Times})
+		}
+		var crashes []policy.Crash
+		for _, x := range decodeRow[crashEntry](value) {
+			crashes = append(crashes, policy.Crash{At: k.local(x.AtMS), Born: x.Born, SeenAt: k.local(x.SeenAtMS), Suspects: x.Suspects, Upstream: x.Upstream})
+		}
+		m, q := policy.NewFrequent(), policy.NewQuarantine()
+		m.Learn(runs, now)
+		q.Record(crashes, now)
+		for _, x := range runs {
+			if m.At(x.Fingerprint, now).After(now) {
+				t.Errorf("a run is ahead: got %v, want at most %v", x.At, now)
+			}
+		}
+		for _, c := range crashes {
+			if c.At.After(now) || c.SeenAt.After(now) {
+				t.Errorf("a crash is ahead: got %v, %v, want at most %v", c.At, c.SeenAt, now)
+			}
+		}
+		if l := q.Held(quarantinedMost, now); len(decodeRow[crashEntry](encodeRow(k.crashEntries(l)))) != len(l) {
+			t.Errorf("read back: want %d crashes", len(l))
+		}
+		if l := m.Most(runsMost, now); len(decodeRow[runEntry](encodeRow(k.runEntries(l)))) != len(l) {
+			t.Errorf("read back: want %d runs", len(l))
+		}
+	})
+}
--- a/keeper.go
+++ b/keeper.go
@@ -167,11 +167,12 @@
 	}
 }
 
-// local returns a time by this box's clock that the store's clock tells as so many milliseconds.
+// local returns a time by this box's clock that the store's clock tells as so many milliseconds, at most
+// the time of the last read: what a row tells has happened.
 func (k *keeper) local(storeMS int64) time.Time {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.readAt.Add(time.UnixMilli(storeMS).Sub(k.storeAt))
+	return k.readAt.Add(min(0, time.UnixMilli(storeMS).Sub(k.storeAt)))
 }
 
 // mayWrite reports whether it is known what the rows hold.
