--- a/linetiller.go
+++ b/linetiller.go
@@ -68,7 +68,7 @@
 	turns            ownership.Turns
 	view             *resource.View
 
-	entry []served // the listeners of the entry from the platform's balancer
+	entry []endpoint // the listeners of the entry from the platform's balancer
 
 	// Seams: how the box is joined to its peers.
 	connect           func() error
@@ -92,8 +92,8 @@
 	closed    bool
 }
 
-// served is a server with its listener.
-type served struct {
+// endpoint is a server with its listener.
+type endpoint struct {
 	listener net.Listener
 	server   *http.Server
 }
@@ -200,8 +200,8 @@
 func (b *Box) isReady() bool { return b.ready.Load() && !b.stopping.Load() }
 
 // listeners returns all servers of the box with their listeners.
-func (b *Box) listeners() []served {
-	return append([]served{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
+func (b *Box) listeners() []endpoint {
+	return append([]endpoint{{b.clientListener, b.clientServer}, {b.operatorListener, b.operatorServer}}, b.entry...)
 }
 
 // loops returns what runs as long as the box does.
--- a/listen.go
+++ b/listen.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return fail.Wrap(fail.Unavailable, fail.Place{Peer: "balancer", Step: "listen"}, "listen", err)
 		}
-		b.entry = append(b.entry, served{listener: l})
+		b.entry = append(b.entry, endpoint{listener: l})
 	}
 	return nil
 }
--- a/region_test.go
+++ b/region_test.go
@@ -207,7 +207,7 @@
 			b.links = r.links(name)
 			b.members.SetAddress(name)
 			if b.settings.Entry != (settings.Entry{}) {
-				b.entry = make([]served, 3)
+				b.entry = make([]endpoint, 3)
 			}
 			return nil
 		}
