Sight: what a keeper knows, and when it read the rows

Whether a request was quarantined since nothing was known of its runs, or since the store could not be read, could not be told apart: 318 told only of requests that were cleared. 323 names the rows that were read and how many requests are known from then on, linetiller_kept_requests how many are.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	LimitNamed         = Event{slog.LevelInfo, "upstream named a limit", 320}
 	LimitLifted        = Event{slog.LevelInfo, "limit of an upstream lifted", 321}
 	LimitInvalid       = Event{slog.LevelWarn, "limit of an upstream cannot be used", 322}
+	KeptRead           = Event{slog.LevelInfo, "kept requests read", 323}
 	PlatformDown       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformBack       = Event{slog.LevelInfo, "platform reachable again", 402}
 	OutcomeNotRecorded = Event{slog.LevelWarn, "outcome not recorded yet", 403}
@@ -83,7 +84,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerGone, RequestPlaced,
 	UpstreamFailed, UpstreamMismatch, ReportMissing, OrderGiven, OrderFailed,
 	UpstreamLapsed, UpstreamLeaving, MoveStarted, MoveDone, MoveFailed, UpstreamRefused, MoveCopied, LeavingHeard, LeavingAnswered, UpstreamCrashed,
-	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried, LimitNamed, LimitLifted, LimitInvalid,
+	RequestQuarantined, CrashNotCounted, RequestCleared, RequestTried, LimitNamed, LimitLifted, LimitInvalid, KeptRead,
 	PlatformDown, PlatformBack, OutcomeNotRecorded, StoreRestored, AnswerPassedOver, ChangesHeld, RowIgnored, ReadLate, ViewStale, ViewCurrent, ReadRepeated,
 	PeerLost, PeerBack, PeerRemoved, ReaderSilent,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -16,6 +16,7 @@
 const (
 	Boxes            Name = "linetiller_boxes"                        // gauge, by hall: boxes believed alive
 	Generations      Name = "linetiller_generations_total"            // counter, by outcome
+	KeptRequests     Name = "linetiller_kept_requests"                // gauge: requests that ran to their ends at any box of the hall, as a keeper knows
 	KeyCommits       Name = "linetiller_request_key_commits_total"    // counter: transactions for request keys
 	KeyRewrites      Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	KeyWrites        Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
@@ -59,7 +60,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, CrashesIgnored, Generations, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, Permits, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
+	Boxes, CrashesIgnored, Generations, KeptRequests, KeyCommits, KeyRewrites, KeyWrites, LimitedUpstreams, LoadAge, Moves, MoveSeconds, Orders, Owned, Permits, PlaceWait, PlatformAge, PlatformAway, PlatformCalls,
 	PlatformEra, PlatformLate, PlatformOlder, PlatformReader, PromptTokens, Quarantined, Queued, Refusals, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, Shortages, StallSeconds, Streams, TimeBetween, TimeToFirst, Tokens, UpstreamCrashes, UpstreamReports,
 	UpstreamWords, ViewAge,
--- a/internal/policy/frequent.go
+++ b/internal/policy/frequent.go
@@ -63,6 +63,13 @@
 	return l[:min(count, len(l))]
 }
 
+// Size returns how many requests are remembered.
+func (f *Frequent) Size() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.runs)
+}
+
 // Spend records that a request was cleared of a crash at a time, by a run before it.
 func (f *Frequent) Spend(p Fingerprint, crashedAt, now time.Time) {
 	f.mutex.Lock()
--- a/internal/policy/frequent_test.go
+++ b/internal/policy/frequent_test.go
@@ -15,7 +15,7 @@
 	for i := range 4 * frequentMost {
 		f.Add([]ServedRun{{now, Fingerprint(1000 + i), 1}}, now)
 	}
-	if got := len(f.runs); got > frequentMost {
+	if got := f.Size(); got > frequentMost {
 		t.Errorf("remembered: got %d, want at most %d", got, frequentMost)
 	}
 	l := f.Most(100, now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,6 +129,7 @@
 	for _, o := range options {
 		o(x)
 	}
+	m.Gauge(metric.KeptRequests, func() float64 { return float64(x.frequent.Size()) })
 	m.Gauge(metric.LimitedUpstreams, func() float64 { return float64(x.limiter.Limits().Size(time.Now())) })
 	m.Gauge(metric.Quarantined, func() float64 { return float64(x.quarantine.Size(time.Now())) })
 	return x
--- a/keeper.go
+++ b/keeper.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/linetiller/linetiller/internal/box"
+	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/table"
 )
@@ -125,6 +126,7 @@
 			b.learnQuarantined(r, hall)
 		}
 	}
+	event.KeptRead.Log(b.log, "rows", len(c.Rows), "requests", b.relay.Frequent().Size())
 	b.relay.ClearServed()
 }
 
