A row by a clock that started anew clears nothing

Found by reading the new code again: the times of a row are by the store's steady clock, and one that lies ahead was taken for now. If that clock ever starts anew, every run of the row would count as of this moment and clear poison requests of the crashes before; a store that does not tell its clock would have all times be now. TestClockOfTheStoreThatStartsAnew fails where such a run is taken for now.

A run that lies more than a second ahead is passed over. A keeper reads the rows and the clock again every hour, so that the two clocks do not drift apart by more than that.

--- a/forgotten_test.go
+++ b/forgotten_test.go
@@ -358,14 +358,30 @@
 		writer, reader := newKeeper(), newKeeper()
 		writer.setRead(now.Add(ahead), storeAt)
 		reader.setRead(now, storeAt)
-		ranAt := now.Add(time.Second)
-		got := reader.local(writer.storeMS(ranAt.Add(ahead)))
-		if d := got.Sub(ranAt).Abs(); d > time.Millisecond {
-			t.Errorf("%v ahead: got %v, want %v", ahead, got, ranAt)
+		ranAt := now.Add(-time.Second)
+		got, past := reader.local(writer.storeMS(ranAt.Add(ahead)))
+		if d := got.Sub(ranAt).Abs(); d > time.Millisecond || !past {
+			t.Errorf("%v ahead: got %v, past %v, want %v, past true", ahead, got, past, ranAt)
 		}
 	}
 }
 
+// TestClockOfTheStoreThatStartsAnew guards against a row that was written by a clock which has started
+// anew since: its runs would count as of now, and clear a poison request of the crashes before.
+func TestClockOfTheStoreThatStartsAnew(t *testing.T) {
+	now := time.Now()
+	k := newKeeper()
+	k.setRead(now, time.UnixMilli(1_000_000))
+	v := encodeRow(k.runEntries([]policy.ServedRun{{At: now.Add(-time.Minute), Fingerprint: 1, Times: 5}}))
+	if got, want := len(k.decodeRuns(v)), 1; got != want {
+		t.Errorf("by the same clock: got %d runs, want %d", got, want)
+	}
+	k.setRead(now, time.UnixMilli(1000))
+	if got := k.decodeRuns(v); len(got) != 0 {
+		t.Errorf("by a new clock: got %v, want none", got)
+	}
+}
+
 // FuzzKeptRow has boxes read rows that hold anything: no time that they learn lies ahead, and what they
 // write of it they read back.
 func FuzzKeptRow(f *testing.F) {
@@ -376,14 +392,7 @@
 	f.Add([]byte(encodeRow(k.crashEntries([]policy.Crash{{At: now, Suspects: []policy.Suspect{{Fingerprint: 1}}, Upstream: "u"}}))))
 	f.Add([]byte(`"gYMb//////////8bAAAAAAAAAAEB"`))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		var runs []policy.ServedRun
-		for _, x := range decodeRow[runEntry](value) {
-			runs = append(runs, policy.ServedRun{At: k.local(x.AtMS), Fingerprint: x.Fingerprint, Times: x.Times})
-		}
-		var crashes []policy.Crash
-		for _, x := range decodeRow[crashEntry](value) {
-			crashes = append(crashes, policy.Crash{At: k.local(x.AtMS), Born: x.Born, SeenAt: k.local(x.SeenAtMS), Suspects: x.Suspects, Upstream: x.Upstream})
-		}
+		runs, crashes := k.decodeRuns(value), k.decodeCrashes(value)
 		m, q := policy.NewFrequent(), policy.NewQuarantine()
 		m.Learn(runs, now)
 		q.Record(crashes, now)
--- a/keeper.go
+++ b/keeper.go
@@ -45,6 +45,10 @@
 	// keptReadEvery is between two reads of the rows at the least: many requests may break off as an
 	// upstream crashes.
 	keptReadEvery = 5 * time.Second
+	// keptReadAgain is after how long a keeper reads the rows again, with the store's clock: the two clocks
+	// differ by less than clockSlack until then.
+	keptReadAgain = time.Hour
+	clockSlack    = time.Second
 	// reportBox is between two reports of a box, for each box of its hall: that bounds what keepers get.
 	reportBox = 200 * time.Millisecond
 	// reportMost bounds the requests of a report, of some 20 B each.
@@ -89,7 +93,7 @@
 	}
 	k, now := b.keeper, time.Now()
 	era, _ := b.follower.Era()
-	k.setKeeps(slices.Contains(keepers, b.settings.Box), era)
+	k.setKeeps(slices.Contains(keepers, b.settings.Box), era, now)
 	if k.readDue(now) {
 		b.readKept(ctx)
 	}
@@ -169,12 +173,13 @@
 	}
 }
 
-// local returns a time by this box's clock that the store's clock tells as so many milliseconds, at most
-// the time of the last read: what a row tells has happened.
-func (k *keeper) local(storeMS int64) time.Time {
+// local returns a time by this box's clock that the store's clock tells as so many milliseconds, and
+// whether it lies before the last read, as all that a row tells should. Otherwise it is that of the read.
+func (k *keeper) local(storeMS int64) (t time.Time, past bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.readAt.Add(min(0, time.UnixMilli(storeMS).Sub(k.storeAt)))
+	d := time.UnixMilli(storeMS).Sub(k.storeAt)
+	return k.readAt.Add(min(0, d)), d <= clockSlack
 }
 
 // mayWrite reports whether it is known what the rows hold.
@@ -208,17 +213,23 @@
 
 // setKeeps records whether this box is a keeper, and the store's era. A box that becomes a keeper reads
 // what others have kept; in a new era the rows are those of a copy.
-func (k *keeper) setKeeps(keeps bool, era int64) {
+func (k *keeper) setKeeps(keeps bool, era int64, now time.Time) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.wanted = k.wanted || (keeps && (!k.keeps || era != k.era))
+	if keeps && (!k.keeps || era != k.era || now.Sub(k.readAt) >= keptReadAgain) {
+		k.wanted = true
+	}
 	k.keeps, k.era = keeps, era
 }
 
-// setRead records that the rows were read, and when by the store's clock.
+// setRead records that the rows were read, and when by the store's clock, the zero time where that does
+// not tell.
 func (k *keeper) setRead(now, store time.Time) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if store.IsZero() {
+		store = now
+	}
 	k.readAt, k.storeAt, k.wanted = now, store, false
 	k.runs.forget()
 	k.quarantined.forget()
--- a/quarantinedrow.go
+++ b/quarantinedrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/policy"
@@ -37,10 +38,7 @@
 // learnQuarantined records what the row of a hall holds.
 func (b *Box) learnQuarantined(r *table.Row, hall string) {
 	k := b.keeper
-	var l []policy.Crash
-	for _, x := range decodeRow[crashEntry](r.Value) {
-		l = append(l, policy.Crash{At: k.local(x.AtMS), Born: x.Born, SeenAt: k.local(x.SeenAtMS), Suspects: x.Suspects, Upstream: x.Upstream})
-	}
+	l := k.decodeCrashes(r.Value)
 	if hall == b.settings.Hall {
 		k.setQuarantinedWritten(r.Revision, policy.DigestOf(l))
 	}
@@ -73,6 +71,17 @@
 	return l
 }
 
+// decodeCrashes returns the crashes of a row.
+func (k *keeper) decodeCrashes(value json.RawMessage) []policy.Crash {
+	var l []policy.Crash
+	for _, x := range decodeRow[crashEntry](value) {
+		at, _ := k.local(x.AtMS)
+		seenAt, _ := k.local(x.SeenAtMS)
+		l = append(l, policy.Crash{At: at, Born: x.Born, SeenAt: seenAt, Suspects: x.Suspects, Upstream: x.Upstream})
+	}
+	return l
+}
+
 // quarantinedDue reports whether the row is to be written, with what has a digest, and returns its
 // revision.
 func (k *keeper) quarantinedDue(digest uint64, now time.Time) (revision int64, due bool) {
--- a/runsrow.go
+++ b/runsrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -40,10 +41,7 @@
 // learnRuns records what the row of a hall holds.
 func (b *Box) learnRuns(r *table.Row, hall string) {
 	k := b.keeper
-	var l []policy.ServedRun
-	for _, x := range decodeRow[runEntry](r.Value) {
-		l = append(l, policy.ServedRun{At: k.local(x.AtMS), Fingerprint: x.Fingerprint, Times: x.Times})
-	}
+	l := k.decodeRuns(r.Value)
 	b.relay.Frequent().Learn(l, time.Now())
 	if hall == b.settings.Hall {
 		k.setRunsWritten(r.Revision, l)
@@ -65,6 +63,18 @@
 	k.setRunsWritten(revision, l)
 }
 
+// decodeRuns returns the runs of a row, but for those that it says are yet to come: the store's clock is
+// not the one that they were written by, and they may be of any time.
+func (k *keeper) decodeRuns(value json.RawMessage) []policy.ServedRun {
+	var l []policy.ServedRun
+	for _, x := range decodeRow[runEntry](value) {
+		if at, past := k.local(x.AtMS); past {
+			l = append(l, policy.ServedRun{At: at, Fingerprint: x.Fingerprint, Times: x.Times})
+		}
+	}
+	return l
+}
+
 // runEntries returns runs as the row has them.
 func (k *keeper) runEntries(runs []policy.ServedRun) []runEntry {
 	var l []runEntry
