--- a/answer.go
+++ b/answer.go
@@ -91,6 +91,6 @@
 	case box.KindLeaving:
 		b.noteLeaving(q.Leaving, q.Born, q.From.Name)
 	case box.KindServed:
-		b.noteRuns(q.Served)
+		b.addRuns(q.Served)
 	}
 }
--- a/crashes.go
+++ b/crashes.go
@@ -33,7 +33,7 @@
 // requests may come back to any of them.
 func (b *Box) announceCrashes(l []policy.Crash) {
 	if slices.ContainsFunc(l, func(c policy.Crash) bool { return c.HasSuspect() }) {
-		b.fetchKept()
+		b.requestKept()
 	}
 	c := &b.crashes
 	c.mutex.Lock()
@@ -79,7 +79,7 @@
 		return // the next heartbeat tries again
 	}
 	if b.relay.NoteCrashes(r.Crashes, m.Name) {
-		b.passOnCrashes()
+		b.pushCrashes()
 	}
 }
 
@@ -99,10 +99,10 @@
 	g.Wait()
 }
 
-// passOnCrashes has the neighbours hear at once of crashes that this box has fetched.
-func (b *Box) passOnCrashes() {
+// pushCrashes sends heartbeats at once, so that the neighbours fetch what this box has learned of crashes.
+func (b *Box) pushCrashes() {
 	select {
 	case b.learned <- struct{}{}:
-	default: // they are passed on anyway
+	default: // a push is due already
 	}
 }
--- a/forgotten_test.go
+++ b/forgotten_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// withholdServed has the store not tell boxes that start from now on what they served, or tell it again.
-func (f *fame) withholdServed(on bool) {
+// withholdKept has reads of the kept rows fail, or succeed again, for boxes that start from now on.
+func (f *fame) withholdKept(on bool) {
 	f.withheld.Store(on)
 	for _, n := range limitedBoxes {
 		f.platformOf[n] = &withholding{next: &reach{from: n, region: f.region}, on: &f.withheld}
@@ -208,11 +208,11 @@
 		}},
 		{"the store tells nothing of it until some time after they crashed", func(f *fame) {
 			f.serve(10*time.Second, all, popular)
-			f.withholdServed(true)
+			f.withholdKept(true)
 			f.restart(all...)
 			f.crash("box-a1")
 			time.Sleep(time.Minute)
-			f.withholdServed(false)
+			f.withholdKept(false)
 			time.Sleep(10 * time.Second)
 		}},
 		{"the store comes back from a copy that lacks it", func(f *fame) {
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -228,7 +228,7 @@
 	p.SetFaults(f)
 }
 
-// now returns the platform's steady clock in milliseconds, which does not tell the time of day.
+// now returns the platform's steady clock in milliseconds. It is not the time of day.
 func (p *Platform) now() int64 { return 1 + time.Since(p.started).Milliseconds() }
 
 // signal wakes the feeds; the lock is held.
--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -31,8 +31,7 @@
 // tell when it started.
 const sameStartWithin = 2 * time.Second
 
-// DigestOf returns what tells crashes, all that is known of their suspects, and when those last returned
-// from others; 0 for none.
+// DigestOf returns a hash of crashes, their suspects and when those last returned; 0 for no crashes.
 func DigestOf(l []Crash) uint64 {
 	var sum uint64
 	for i := range l {
@@ -42,7 +41,7 @@
 	return sum
 }
 
-// HasSuspect reports whether a request may be the crash's cause.
+// HasSuspect reports whether the crash has a suspect that is not cleared.
 func (c *Crash) HasSuspect() bool {
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return !s.Cleared })
 }
--- a/internal/policy/frequent.go
+++ b/internal/policy/frequent.go
@@ -13,8 +13,8 @@
 type Frequent struct {
 	mutex sync.Mutex
 	runs  map[Fingerprint]ran
-	// spent holds when a run of a request was last held against a crash: one speaks for a single crash.
-	spent map[Fingerprint]time.Time
+	// usedAt is the time of the last crash that a run cleared its request of. A run clears of one crash only.
+	usedAt map[Fingerprint]time.Time
 }
 
 // frequentMost bounds the requests that are remembered, of some 60 B each.
@@ -22,7 +22,7 @@
 
 // NewFrequent returns a memory of no request.
 func NewFrequent() *Frequent {
-	return &Frequent{runs: make(map[Fingerprint]ran), spent: make(map[Fingerprint]time.Time)}
+	return &Frequent{runs: make(map[Fingerprint]ran), usedAt: make(map[Fingerprint]time.Time)}
 }
 
 // Add records runs since the last report of the same box.
@@ -35,12 +35,12 @@
 }
 
 // At returns when a request last ran to its end, the zero time where that is not known, long ago, or
-// spent.
+// was used already.
 func (f *Frequent) At(p Fingerprint, now time.Time) time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	x := f.runs[p]
-	if !f.speaks(p, x, now) {
+	if !f.usable(p, x, now) {
 		return time.Time{}
 	}
 	return x.at
@@ -70,15 +70,15 @@
 	return len(f.runs)
 }
 
-// Spend records that a request was cleared of a crash at a time, by a run before it.
-func (f *Frequent) Spend(p Fingerprint, crashedAt, now time.Time) {
+// MarkUsed records that a request was cleared of a crash at a time, by a run before it.
+func (f *Frequent) MarkUsed(p Fingerprint, crashedAt, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if len(f.spent) >= frequentMost {
-		maps.DeleteFunc(f.spent, func(_ Fingerprint, t time.Time) bool { return now.Sub(t) >= servedLife })
+	if len(f.usedAt) >= frequentMost {
+		maps.DeleteFunc(f.usedAt, func(_ Fingerprint, t time.Time) bool { return now.Sub(t) >= servedLife })
 	}
-	if len(f.spent) < frequentMost && crashedAt.After(f.spent[p]) {
-		f.spent[p] = crashedAt
+	if len(f.usedAt) < frequentMost && crashedAt.After(f.usedAt[p]) {
+		f.usedAt[p] = crashedAt
 	}
 }
 
@@ -95,7 +95,7 @@
 func (f *Frequent) ranked(now time.Time) []ServedRun {
 	l := make([]ServedRun, 0, len(f.runs))
 	for p, x := range f.runs {
-		if f.speaks(p, x, now) {
+		if f.usable(p, x, now) {
 			l = append(l, ServedRun{x.at, p, x.times})
 		}
 	}
@@ -118,9 +118,9 @@
 	f.runs[p] = x
 }
 
-// speaks reports whether the last run of a request may clear it of a crash; the lock is held.
-func (f *Frequent) speaks(p Fingerprint, x ran, now time.Time) bool {
-	return now.Sub(x.at) < servedLife && x.at.After(f.spent[p])
+// usable reports whether the last run of a request may clear it of a crash; the lock is held.
+func (f *Frequent) usable(p Fingerprint, x ran, now time.Time) bool {
+	return now.Sub(x.at) < servedLife && x.at.After(f.usedAt[p])
 }
 
 // compareRuns orders requests by how often and then by how lately they ran.
--- a/internal/policy/frequent_test.go
+++ b/internal/policy/frequent_test.go
@@ -61,7 +61,7 @@
 		l := q.ClearServed(func(p Fingerprint) time.Time { return f.At(p, now) })
 		for _, c := range l {
 			for _, s := range c.Suspects {
-				f.Spend(s.Fingerprint, c.At, now)
+				f.MarkUsed(s.Fingerprint, c.At, now)
 			}
 		}
 		return len(l)
@@ -85,8 +85,8 @@
 	}
 }
 
-// BenchmarkFrequent measures what a keeper pays for a report of 32 requests, and for a look at what runs
-// most often among as many requests as it remembers.
+// BenchmarkFrequent measures the cost of adding a report of 32 requests, and of ranking as many requests
+// as are remembered.
 func BenchmarkFrequent(b *testing.B) {
 	now, f, p := time.Now(), NewFrequent(), Fingerprint(0)
 	report := func() []ServedRun {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -206,13 +206,13 @@
 	return !t.IsZero() && t.After(x.quarantine.LastBefore(p, at))
 }
 
-// spend records that runs before crashes have cleared requests of those: they clear them of no others.
-func (x *Relay) spend(l []policy.Crash) {
+// markUsed records which runs have cleared their requests of crashes: they clear them of no others.
+func (x *Relay) markUsed(l []policy.Crash) {
 	now := time.Now()
 	for _, c := range l {
 		for _, s := range c.Suspects {
 			if s.Cleared {
-				x.frequent.Spend(s.Fingerprint, c.At, now)
+				x.frequent.MarkUsed(s.Fingerprint, c.At, now)
 			}
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,7 +176,7 @@
 	for _, c := range l {
 		event.RequestCleared.Log(x.log, "asked", c.Suspects[0].Fingerprint.String(), "from", "kept")
 	}
-	x.spend(l)
+	x.markUsed(l)
 	x.Crashed(l)
 }
 
@@ -231,7 +231,7 @@
 		event.RequestQuarantined.Log(x.log, "asked", p.String(), "crashes", x.quarantine.Crashes(p, now), "from", from)
 	}
 	if news {
-		x.spend(l)
+		x.markUsed(l)
 		x.vouch(l)
 		x.later(rand.N(vouchDelay), x.ClearServed)
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -14,7 +14,7 @@
 
 // Changes is what changed in one table after a revision, or all that it holds.
 type Changes struct {
-	Now      time.Time // by the service's clock, as it answered; zero where it does not tell
+	Now      time.Time // by the service's clock; zero where that is not known
 	Revision int64     // up to which Rows is complete
 	Rows     []Row
 	Whole    bool // Rows is all that the table holds; what it does not name is gone
--- a/keeper.go
+++ b/keeper.go
@@ -17,10 +17,11 @@
 	"github.com/linetiller/linetiller/internal/table"
 )
 
-// keeper is this box's part in keeping what outlasts a restart of all boxes: which requests ran to their
-// ends, so that crashes that others cause are not held against them, and which are quarantined. Each
-// box reports its runs to the keepers of its data hall. The first keeper writes the hall's rows in the
-// platform's store; the others have all at hand where it is lost, or the store is away.
+// keeper is this box's part in what has to outlast a restart of all boxes: which requests ran to their
+// ends, so that crashes caused by others are not held against them, and which are quarantined. Each box
+// reports its runs to the keepers of its data hall, a few boxes chosen by rendezvous hashing. The first
+// keeper writes the hall's rows in the platform's store; the others can replace it, and clear requests
+// while the store is unavailable.
 type keeper struct {
 	mutex       sync.Mutex // guards the fields below
 	era         int64      // of the store, as the box knows it
@@ -31,7 +32,7 @@
 	runs        runsRow
 	storeAt     time.Time // readAt by the store's clock
 	triedAt     time.Time // to read the rows
-	wanted      bool      // the rows are to be read
+	readPending bool      // the rows are read before they are written
 
 	wake chan struct{} // holds one where the rows are to be read at once
 }
@@ -40,22 +41,23 @@
 	keptTable = "kept"
 	// keepersMost is how many boxes of each data hall are its keepers.
 	keepersMost = 3
-	// keepEvery is between two looks whether there is something to read, report or write.
-	keepEvery = 2 * time.Second
-	// keptReadEvery is between two reads of the rows at the least: many requests may break off as an
+	// keptSyncEvery is the time between two checks for something to read, report or write.
+	keptSyncEvery = 2 * time.Second
+	// keptReadEvery is the minimum time between two reads of the rows: many requests may break off as an
 	// upstream crashes.
 	keptReadEvery = 5 * time.Second
-	// keptReadAgain is after how long a keeper reads the rows again, with the store's clock: the two clocks
-	// differ by less than clockSlack until then.
+	// keptReadAgain is the age of a read after which a keeper reads the rows and the store's clock again,
+	// so that the drift between the two clocks stays below clockSlack.
 	keptReadAgain = time.Hour
 	clockSlack    = time.Second
-	// reportBox is between two reports of a box, for each box of its hall: that bounds what keepers get.
+	// reportBox is the time between two reports of a box, for each box of its hall: it bounds the load of
+	// keepers.
 	reportBox = 200 * time.Millisecond
 	// reportMost bounds the requests of a report, of some 20 B each.
 	reportMost = 32
 )
 
-// newKeeper returns a box's part in keeping, which knows nothing yet.
+// newKeeper returns a keeper that knows nothing yet.
 func newKeeper() *keeper { return &keeper{wake: make(chan struct{}, 1)} }
 
 // commitRow writes a row of this box's hall, unless that has changed since it was read or written. It
@@ -66,25 +68,25 @@
 		Writes:     []table.Write{{Key: key, Value: value}},
 	})
 	if err != nil || !r.Committed {
-		b.keeper.want() // it may have been written
+		b.keeper.requestRead() // it may have been written
 		return 0, false
 	}
 	return r.Revision, true
 }
 
-// fetchKept has the rows read as soon as the store answers, for a request to be cleared of a crash that
-// ran to its end before.
-func (b *Box) fetchKept() {
+// requestKept has the rows read as soon as the store answers, to clear requests of a crash that ran to
+// their ends before it.
+func (b *Box) requestKept() {
 	k := b.keeper
-	k.want()
+	k.requestRead()
 	select {
 	case k.wake <- struct{}{}:
-	default: // it is about to look anyway
+	default: // a read is due already
 	}
 }
 
-// keep does what is due: reads the rows, reports this box's runs, and writes its hall's rows.
-func (b *Box) keep(ctx context.Context) {
+// syncKept reads the rows, reports this box's runs and writes its hall's rows, each where it is due.
+func (b *Box) syncKept(ctx context.Context) {
 	hall := b.members.Alive(b.settings.Hall)
 	keepers := policy.Rank(keptTable, hall)
 	keepers = keepers[:min(keepersMost, len(keepers))]
@@ -106,8 +108,8 @@
 	}
 }
 
-// noteRuns records a report of runs.
-func (b *Box) noteRuns(l []policy.ServedRun) {
+// addRuns records a report of runs.
+func (b *Box) addRuns(l []policy.ServedRun) {
 	b.relay.Frequent().Add(l, time.Now())
 	b.keeper.setChanged()
 }
@@ -146,7 +148,7 @@
 	for _, n := range keepers {
 		g.Go(func() error {
 			if n == b.settings.Box {
-				b.noteRuns(l)
+				b.addRuns(l)
 				return nil
 			}
 			_, err := b.links.Once(ctx, b.members.Address(n), b.request(box.Request{Kind: box.KindServed, Served: l}))
@@ -158,12 +160,12 @@
 	}
 }
 
-// runKeeper keeps what is to be kept while the box runs.
+// runKeeper synchronizes the rows and reports until the context ends.
 func (b *Box) runKeeper(ctx context.Context) {
-	t := time.NewTicker(keepEvery)
+	t := time.NewTicker(keptSyncEvery)
 	defer t.Stop()
 	for {
-		b.keep(ctx)
+		b.syncKept(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -173,8 +175,8 @@
 	}
 }
 
-// local returns a time by this box's clock that the store's clock tells as so many milliseconds, and
-// whether it lies before the last read, as all that a row tells should. Otherwise it is that of the read.
+// local converts a time of the store's clock, in milliseconds, to one of this box's clock. It reports
+// whether that is not after the last read, within clockSlack; a later one is replaced by the time of the read.
 func (k *keeper) local(storeMS int64) (t time.Time, past bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -186,14 +188,14 @@
 func (k *keeper) mayWrite() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return !k.readAt.IsZero() && !k.wanted
+	return !k.readAt.IsZero() && !k.readPending
 }
 
 // readDue reports whether the rows are to be read now.
 func (k *keeper) readDue(now time.Time) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if !k.wanted || now.Sub(k.triedAt) < keptReadEvery {
+	if !k.readPending || now.Sub(k.triedAt) < keptReadEvery {
 		return false
 	}
 	k.triedAt = now
@@ -217,36 +219,36 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if keeps && (!k.keeps || era != k.era || now.Sub(k.readAt) >= keptReadAgain) {
-		k.wanted = true
+		k.readPending = true
 	}
 	k.keeps, k.era = keeps, era
 }
 
-// setRead records that the rows were read, and when by the store's clock, the zero time where that does
-// not tell.
+// setRead records that the rows were read, and the time of it by the store's clock, zero where that is
+// not known.
 func (k *keeper) setRead(now, store time.Time) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if store.IsZero() {
 		store = now
 	}
-	k.readAt, k.storeAt, k.wanted = now, store, false
+	k.readAt, k.storeAt, k.readPending = now, store, false
 	k.runs.forget()
 	k.quarantined.forget()
 }
 
-// storeMS returns a time by the store's clock, in milliseconds.
+// storeMS converts a time to one of the store's clock, in milliseconds.
 func (k *keeper) storeMS(t time.Time) int64 {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.storeAt.Add(t.Sub(k.readAt)).UnixMilli()
 }
 
-// want has the rows read before they are written.
-func (k *keeper) want() {
+// requestRead has the rows read before they are written again.
+func (k *keeper) requestRead() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.wanted = true
+	k.readPending = true
 }
 
 // decodeRow returns the entries of a row, none where it cannot be read.
--- a/quarantinedrow.go
+++ b/quarantinedrow.go
@@ -9,7 +9,7 @@
 	"github.com/linetiller/linetiller/internal/table"
 )
 
-// quarantinedRow is what a keeper knows of its hall's row of quarantined requests.
+// quarantinedRow is the state of a hall's row of quarantined requests, as its writer needs it.
 type quarantinedRow struct {
 	digest   uint64 // of what the row holds, 0 for nothing
 	revision int64  // of the row, 0 where there is none
@@ -31,7 +31,7 @@
 	// quarantinedMost bounds the suspects of the row, of some 20 B each, and its crashes, of some 230 B
 	// with the longest names: a row may have 64 KB.
 	quarantinedMost = 128
-	// quarantinedWriteEvery is between two writes at the least.
+	// quarantinedWriteEvery is the minimum time between two writes.
 	quarantinedWriteEvery = 5 * time.Second
 )
 
@@ -43,11 +43,11 @@
 		k.setQuarantinedWritten(r.Revision, policy.DigestOf(l))
 	}
 	if b.relay.NoteCrashes(l, "store") {
-		b.passOnCrashes()
+		b.pushCrashes()
 	}
 }
 
-// writeQuarantined writes the row, where it holds something else than what is known.
+// writeQuarantined writes the row if the quarantine has changed.
 func (b *Box) writeQuarantined(ctx context.Context) {
 	k, now := b.keeper, time.Now()
 	l := b.relay.Quarantine().Held(quarantinedMost, now)
--- a/runsrow.go
+++ b/runsrow.go
@@ -10,13 +10,13 @@
 	"github.com/linetiller/linetiller/internal/table"
 )
 
-// runsRow is what a keeper knows of its hall's row of requests that ran to their ends.
+// runsRow is the state of a hall's row of requests that ran to their ends, as its writer needs it.
 type runsRow struct {
-	changed  bool      // runs were reported that are not written yet
-	lookedAt time.Time // whether it is to be written: that takes some milliseconds
-	revision int64     // of the row, 0 where there is none
-	triedAt  time.Time
-	written  map[policy.Fingerprint]bool
+	changed   bool      // runs were reported that are not written yet
+	checkedAt time.Time // for something to write: a check takes some milliseconds
+	revision  int64     // of the row, 0 where there is none
+	triedAt   time.Time
+	written   map[policy.Fingerprint]bool
 }
 
 // runEntry is a request in the row.
@@ -31,8 +31,8 @@
 	runsKind = "served"
 	// runsMost bounds the requests of a row, of some 30 B each: a row may have 64 KB.
 	runsMost = 1024
-	// runsWriteEvery is between two writes at the least, runsFrequentEvery where a request has run
-	// runsFrequent times that is not in the row.
+	// runsWriteEvery is the minimum time between two writes, runsFrequentEvery that for a request which has
+	// run runsFrequent times and is not in the row.
 	runsWriteEvery    = 30 * time.Second
 	runsFrequentEvery = 5 * time.Second
 	runsFrequent      = 3
@@ -63,8 +63,8 @@
 	k.setRunsWritten(revision, l)
 }
 
-// decodeRuns returns the runs of a row, but for those that it says are yet to come: the store's clock is
-// not the one that they were written by, and they may be of any time.
+// decodeRuns returns the runs of a row. It leaves out those of a time to come: the store's clock was reset
+// since they were written, so that their age is unknown.
 func (k *keeper) decodeRuns(value json.RawMessage) []policy.ServedRun {
 	var l []policy.ServedRun
 	for _, x := range decodeRow[runEntry](value) {
@@ -84,16 +84,15 @@
 	return l
 }
 
-// runsDue returns what is to be written of the runs that are known, none where it is not time to, and
-// the row's revision.
+// runsDue returns the runs to write now, if any, and the row's revision.
 func (k *keeper) runsDue(f *policy.Frequent, leaving bool, now time.Time) ([]policy.ServedRun, int64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	r := &k.runs
-	if (!r.changed && r.written != nil) || (now.Sub(r.lookedAt) < runsFrequentEvery && !leaving) {
+	if (!r.changed && r.written != nil) || (now.Sub(r.checkedAt) < runsFrequentEvery && !leaving) {
 		return nil, 0
 	}
-	r.lookedAt = now
+	r.checkedAt = now
 	l := f.Most(runsMost, now)
 	unwritten := func(x policy.ServedRun) bool { return x.Times >= runsFrequent && !r.written[x.Fingerprint] }
 	due := leaving || now.Sub(r.triedAt) >= runsWriteEvery || slices.ContainsFunc(l, unwritten)
