--- a/assemble.go
+++ b/assemble.go
@@ -58,7 +58,7 @@
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
 		ownership.WithCold(ownership.Cold(s.Cold)), ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportEvery(s.Timeouts.Report.Duration))
 	b.owners.Away = b.follower.Away
-	b.owners.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its report") }
+	b.owners.Leaving = func(u *resource.Upstream) { b.announceLeaving(u, "its report") }
 	b.owners.Rests = func(n string) bool { return !b.rests.Until(n, time.Now()).IsZero() }
 	b.owners.ReadLoad = b.readLoad
 
@@ -109,7 +109,7 @@
 	b.follower.Ask = b.links.Once
 	b.follower.Reconnect = func() { _ = s.Close() }
 	b.follower.Restored = b.keys.Restored
-	b.follower.TellAway = b.tellAway
+	b.follower.TellAway = b.announceAway
 	b.follower.Spread = rand.Float64
 	b.follower.Add(resource.SourceBoxes, configuration.BoxReader(s.Changes))
 	if b.hasEntry() {
@@ -138,13 +138,13 @@
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
 		relay.WithBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithCold(b.coldBears, b.coldMost), relay.WithLimiter(b.limits.limiter), relay.WithRests(b.rests))
 	b.relay.Cleared = func(p policy.Fingerprint) {
-		b.tell("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
+		b.broadcast("", box.Request{Kind: box.KindCleared, Fingerprints: []policy.Fingerprint{p}})
 	}
 	b.relay.Crashed = b.announceCrashes
 	b.relay.Fresh = b.fresh
 	b.relay.Guess = b.reserved.Guess
 	b.relay.Limited = b.announceLimit
-	b.relay.Leaving = func(u *resource.Upstream) { b.tellLeaving(u, "its answer") }
+	b.relay.Leaving = func(u *resource.Upstream) { b.announceLeaving(u, "its answer") }
 	b.relay.Place = b.reserved.Place
 	b.relay.Others = b.hasOthers
 	b.relay.Turn = b.takeTurn
--- a/tell.go
+++ b/broadcast.go
@@ -7,9 +7,9 @@
 	"github.com/linetiller/linetiller/internal/box"
 )
 
-// tell sends a request to all other boxes of a hall, "" for all halls, without waiting
+// broadcast sends a request to all other boxes of a hall, "" for all halls, without waiting
 // for their answers. It goes on when what led to it has ended.
-func (b *Box) tell(hall string, q box.Request) {
+func (b *Box) broadcast(hall string, q box.Request) {
 	for _, m := range b.members.Members()[1:] {
 		if hall != "" && m.Hall != hall {
 			continue
@@ -17,13 +17,13 @@
 		b.start(func() {
 			ctx, cancel := context.WithDeadline(b.running, time.Now().Add(heartbeatPeriod))
 			defer cancel()
-			_, _ = b.links.Once(ctx, m.Address, b.request(q)) // told again, or by others
+			_, _ = b.links.Once(ctx, m.Address, b.request(q)) // repeated later, or by others
 		})
 	}
 }
 
-// tellAway tells the boxes of the hall that the platform's list of upstreams cannot be
+// announceAway announces to the boxes of the hall that the platform's list of upstreams cannot be
 // read, or can be again: those that do not read it themselves own upstreams, too.
-func (b *Box) tellAway(away bool) {
-	b.tell(b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
+func (b *Box) announceAway(away bool) {
+	b.broadcast(b.settings.Hall, box.Request{Away: away, Kind: box.KindAway})
 }
--- a/crashes.go
+++ b/crashes.go
@@ -22,10 +22,10 @@
 const gatherPeriod = 5 * time.Millisecond
 
 const (
-	// anyDigest stands for that of a box which has not told its own.
+	// anyDigest is taken for the digest of a box that has not announced one, so that it is asked.
 	anyDigest = 1
-	// learnPeriod bounds how long a box that starts waits for its neighbours' knowledge:
-	// those that are gone do not answer.
+	// learnPeriod bounds the wait of a box that starts for its neighbours' crashes and limits: those that
+	// are gone do not answer.
 	learnPeriod = 300 * time.Millisecond
 )
 
@@ -49,7 +49,7 @@
 		l := c.pending
 		c.pending = nil
 		c.mutex.Unlock()
-		b.tell("", box.Request{Crashes: l, Kind: box.KindCrashed})
+		b.broadcast("", box.Request{Crashes: l, Kind: box.KindCrashed})
 	})
 }
 
--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -46,8 +46,7 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return !s.Cleared })
 }
 
-// hash returns what tells the crash and all that is known of its suspects from others; 0 where it
-// has none.
+// hash returns a hash of the crash and its suspects; 0 where it has none.
 func (c *Crash) hash() uint64 {
 	var sum uint64
 	for i := range c.Suspects {
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -114,7 +114,7 @@
 	return n
 }
 
-// Digest returns what tells all that is remembered from what another box remembers; 0 for nothing.
+// Digest returns a hash of all that is remembered; 0 for nothing.
 func (q *Quarantine) Digest(now time.Time) uint64 {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/leaving.go
+++ b/leaving.go
@@ -32,13 +32,13 @@
 	return true
 }
 
-// tellLeaving records an upstream's own shutdown notice, and announces it to all other
+// announceLeaving records an upstream's own shutdown notice, and announces it to all other
 // boxes, unless the platform's list or another box had said so before: the list may be out of
-// reach for long, and each box would go on sending there until an answer told it, too. A word
-// costs a message to each box.
-func (b *Box) tellLeaving(u *resource.Upstream, from string) {
+// reach for long, and each box would go on sending there until an answer said so, too. An
+// announcement costs a message to each box.
+func (b *Box) announceLeaving(u *resource.Upstream, from string) {
 	if !b.noteLeaving(u.Name, u.Spec.Born, from) {
 		return
 	}
-	b.tell("", box.Request{Born: u.Spec.Born, Kind: box.KindLeaving, Leaving: u.Name}) // owners' loads tell it again
+	b.broadcast("", box.Request{Born: u.Spec.Born, Kind: box.KindLeaving, Leaving: u.Name}) // owners' loads repeat it
 }
--- a/limits.go
+++ b/limits.go
@@ -106,7 +106,7 @@
 func (b *Box) announceLimit(c *ratelimit.Change) {
 	if !c.Announced() {
 		if d := c.After.PerSecond - c.Before.PerSecond; d > rateChange*c.Before.PerSecond || -d > rateChange*c.Before.PerSecond {
-			b.tellAllocator(c.After)
+			b.notifyAllocator(c.After)
 		}
 		return
 	}
@@ -124,7 +124,7 @@
 		case <-b.running.Done(): // nobody is told any more
 		case <-time.After(wait):
 		}
-		b.tell("", box.Request{Kind: box.KindLimits, Limits: s.takePending()})
+		b.broadcast("", box.Request{Kind: box.KindLimits, Limits: s.takePending()})
 	})
 }
 
@@ -221,8 +221,8 @@
 	}
 }
 
-// tellAllocator tells the box that allocates the permits of an upstream of its new limit.
-func (b *Box) tellAllocator(l ratelimit.Limit) {
+// notifyAllocator sends an upstream's new limit to the box that allocates its permits.
+func (b *Box) notifyAllocator(l ratelimit.Limit) {
 	o, _ := b.allocatorOf(l.Upstream, time.Now())
 	if o == b.settings.Box {
 		return
