--- a/forgotten_test.go
+++ b/kept_test.go
@@ -15,8 +15,8 @@
 	"github.com/linetiller/linetiller/internal/policy"
 )
 
-// fame is a fleet that serves calls again and again, and loses boxes.
-type fame struct {
+// servingFleet is a fleet of four boxes that serves calls again and again, and loses boxes.
+type servingFleet struct {
 	*routes
 	sent     int
 	t        *testing.T
@@ -40,11 +40,11 @@
 // popular is the call that is served all the time before upstreams crash under it.
 const popular = "popular"
 
-// fameEvery is between two calls of a fleet.
-const fameEvery = 100 * time.Millisecond
+// servedEvery is the time between two calls.
+const servedEvery = 100 * time.Millisecond
 
 // crash has the two upstreams that a call runs at crash, at each of some boxes at once.
-func (f *fame) crash(boxes ...string) {
+func (f *servingFleet) crash(boxes ...string) {
 	for _, n := range boxes {
 		crashed, end := f.crashAll(n)
 		defer func() {
@@ -67,7 +67,7 @@
 }
 
 // refuseStore has the platform's store turn all boxes away, or take their calls again.
-func (f *fame) refuseStore(on bool) {
+func (f *servingFleet) refuseStore(on bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, n := range limitedBoxes {
@@ -76,7 +76,7 @@
 }
 
 // withholdKept has reads of the kept rows fail, or succeed again, for boxes that start from now on.
-func (f *fame) withholdKept(on bool) {
+func (f *servingFleet) withholdKept(on bool) {
 	f.withheld.Store(on)
 	for _, n := range limitedBoxes {
 		f.platformOf[n] = &withholding{next: &reach{from: n, region: f.region}, on: &f.withheld}
@@ -84,7 +84,7 @@
 }
 
 // restart kills boxes at once and starts them again.
-func (f *fame) restart(boxes ...string) {
+func (f *servingFleet) restart(boxes ...string) {
 	for _, n := range boxes {
 		f.kill(n)
 	}
@@ -97,14 +97,14 @@
 }
 
 // restartInTurn restarts one box after another.
-func (f *fame) restartInTurn() {
+func (f *servingFleet) restartInTurn() {
 	for _, n := range limitedBoxes {
 		f.restart(n)
 	}
 }
 
 // serve serves calls in turn for a time, each of a body at one of some boxes.
-func (f *fame) serve(period time.Duration, boxes []string, bodies ...string) {
+func (f *servingFleet) serve(period time.Duration, boxes []string, bodies ...string) {
 	f.t.Helper()
 	for i, began := 0, time.Now(); time.Since(began) < period; i++ {
 		f.sent++
@@ -112,7 +112,7 @@
 		if got := f.post(box, fmt.Sprint("call-", f.sent), body); got != http.StatusOK {
 			f.t.Fatalf("%s of %s: got status %d, want 200", body, box, got)
 		}
-		time.Sleep(fameEvery)
+		time.Sleep(servedEvery)
 	}
 }
 
@@ -131,62 +131,62 @@
 	all := limitedBoxes
 	type scenario struct {
 		name string
-		play func(f *fame)
+		play func(f *servingFleet)
 	}
 	l := []scenario{
-		{"all restart", func(f *fame) {
+		{"all restart", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"other requests are served after the restart", func(f *fame) {
+		{"other requests are served after the restart", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.serve(time.Minute, all, others("after", 5)...)
 			f.crash("box-a1")
 		}},
-		{"a hundred are frequent", func(f *fame) {
+		{"a hundred are frequent", func(f *servingFleet) {
 			f.serve(100*time.Second, all, append(others("before", 99), popular)...)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"a hundred others are frequent later", func(f *fame) {
+		{"a hundred others are frequent later", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.serve(100*time.Second, all, others("later", 100)...)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"frequent once others have been", func(f *fame) {
+		{"frequent once others have been", func(f *servingFleet) {
 			f.serve(10*time.Second, all, others("first", 5)...)
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"served once at each of three boxes", func(f *fame) {
+		{"served once at each of three boxes", func(f *servingFleet) {
 			f.serve(300*time.Millisecond, all, popular)
 			time.Sleep(10 * time.Second)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"all restart twice", func(f *fame) {
+		{"all restart twice", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"all restart twice, others are served between", func(f *fame) {
+		{"all restart twice, others are served between", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.serve(time.Minute, all, others("between", 5)...)
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"all restart in turn", func(f *fame) {
+		{"all restart in turn", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restartInTurn()
 			f.crash("box-a1")
 		}},
-		{"all restart in turn, others are served between", func(f *fame) {
+		{"all restart in turn, others are served between", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			for _, n := range all {
 				f.restart(n)
@@ -194,19 +194,19 @@
 			}
 			f.crash("box-a1")
 		}},
-		{"four minutes later", func(f *fame) {
+		{"four minutes later", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			time.Sleep(4 * time.Minute)
 			f.crash("box-a1")
 		}},
-		{"the store is away as they crash", func(f *fame) {
+		{"the store is away as they crash", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.refuseStore(true)
 			f.crash("box-a1")
 		}},
-		{"the store tells nothing of it until some time after they crashed", func(f *fame) {
+		{"the store tells nothing of it until some time after they crashed", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.withholdKept(true)
 			f.restart(all...)
@@ -215,7 +215,7 @@
 			f.withholdKept(false)
 			time.Sleep(10 * time.Second)
 		}},
-		{"the store comes back from a copy that lacks it", func(f *fame) {
+		{"the store comes back from a copy that lacks it", func(f *servingFleet) {
 			f.platform.Copy()
 			f.serve(10*time.Second, all, popular)
 			f.platform.Restore()
@@ -223,12 +223,12 @@
 			f.restart(all...)
 			f.crash("box-a1")
 		}},
-		{"two boxes see crashes at once", func(f *fame) {
+		{"two boxes see crashes at once", func(f *servingFleet) {
 			f.serve(10*time.Second, all, popular)
 			f.restart(all...)
 			f.crash("box-a1", "box-b2")
 		}},
-		{"a hall's boxes that served it are lost", func(f *fame) {
+		{"a hall's boxes that served it are lost", func(f *servingFleet) {
 			f.serve(10*time.Second, all[:2], popular)
 			f.kill("box-a1")
 			f.kill("box-a2")
@@ -237,11 +237,11 @@
 		}},
 	}
 	for _, n := range all {
-		l = append(l, scenario{"served by " + n + " alone, all restart", func(f *fame) {
+		l = append(l, scenario{"served by " + n + " alone, all restart", func(f *servingFleet) {
 			f.serve(10*time.Second, []string{n}, popular)
 			f.restart(all...)
 			f.crash("box-a1")
-		}}, scenario{"served by " + n + " alone, which restarts", func(f *fame) {
+		}}, scenario{"served by " + n + " alone, which restarts", func(f *servingFleet) {
 			f.serve(10*time.Second, []string{n}, popular)
 			f.restart(n)
 			f.crash("box-a1")
@@ -250,7 +250,7 @@
 	for _, x := range l {
 		t.Run(x.name, func(t *testing.T) {
 			withLimited(t, func(t *testing.T, r *routes, _ *crowd) {
-				x.play(&fame{routes: r, t: t})
+				x.play(&servingFleet{routes: r, t: t})
 				time.Sleep(time.Second)
 				for n := range r.boxes {
 					if got := r.post(n, "next-"+n, popular); got != http.StatusOK {
@@ -293,7 +293,7 @@
 // that was written before it was cleared.
 func TestClearedRequestAfterAllBoxesRestarted(t *testing.T) {
 	withLimited(t, func(t *testing.T, r *routes, _ *crowd) {
-		f := &fame{routes: r, t: t}
+		f := &servingFleet{routes: r, t: t}
 		f.crash("box-a1")
 		time.Sleep(10 * time.Second)
 		f.restart(limitedBoxes...)
