Changes of upstreams are found without a look at all of them

Cause: while some upstream changes, which in a large fleet one does all the time, each box went through all of its list several times a second: ten times a second to see which upstreams it owns (all of the hall, each ranked among all boxes of the hall), once for each box that fetched changes from it, and with a sort for each list of a service that was asked for. All grow with the list, and the first with the boxes too.

Change: the view keeps the latest changes of a source by revision and those of upstreams by version, and replaces an upstream in the lists of its service and models. Ownership looks only at what changed as long as the boxes are the same. What reaches further back than the logs is found by a scan as before.

--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -34,8 +34,9 @@
 
 	// The last assignment, used only by the goroutine of Run.
 	assignedAt      time.Time
-	assignedMembers uint64 // version of members
-	assignedView    uint64 // version of view
+	assignedMembers uint64             // version of members
+	assignedView    uint64             // version of view
+	hallBoxes       *policy.Rendezvous // the boxes alive in this box's hall; nil before the first assignment
 
 	coldStart      ColdStartLimits
 	startedAt      time.Time
@@ -248,6 +249,13 @@
 	}
 }
 
+// get returns the owner of an upstream that runs on this box, or nil.
+func (o *Owners) get(name string) *ownedUpstream {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.owners[name]
+}
+
 // getOrCreate returns the owner of an upstream, or nil if the upstream is not known.
 func (o *Owners) getOrCreate(name string) *ownedUpstream {
 	u := o.view.Upstream(name)
--- a/internal/resource/index.go
+++ b/internal/resource/index.go
@@ -11,22 +11,23 @@
 // index holds decoded resources, so that handling a request decodes none. It is guarded by the
 // lock of View.
 type index struct {
-	boxes       map[string]*Box
-	evacuations evacuations
-	leaving     leavingNotices
-	limits      map[string]LimitsSpec
-	priorities  map[string]int
-	routeSpecs  map[string]RouteSpec
-	services    map[string]*Service
-	upstreams   map[string]*Upstream
-	workspaces  map[string]*Workspace
+	boxes        map[string]*Box
+	boxesVersion uint64 // increases with each change of boxes
+	evacuations  evacuations
+	leaving      leavingNotices
+	limits       map[string]LimitsSpec
+	priorities   map[string]int
+	routeSpecs   map[string]RouteSpec
+	services     map[string]*Service
+	upstreams    map[string]*Upstream
+	workspaces   map[string]*Workspace
 
 	// Derived from the above by rebuild.
-	byKey     map[string]*Workspace  // by key hash
-	byModel   map[string][]*Upstream // by model, sorted by name; filled on demand
-	byHost    map[string][]*Route    // by host, longest prefix first
-	byService map[string][]*Upstream // by service, sorted by name; filled on demand
-	joined    map[string]*Upstream   // by name: upstreams completed with their services
+	byKey     map[string]*Workspace // by key hash
+	byModel   upstreamLists         // by model; filled on demand
+	byHost    map[string][]*Route   // by host, longest prefix first
+	byService upstreamLists         // by service; filled on demand
+	joined    map[string]*Upstream  // by name: upstreams completed with their services
 
 	// What rebuild has to recompute.
 	changedUpstreams []string // by name
@@ -40,7 +41,7 @@
 	return index{
 		boxes: make(map[string]*Box), evacuations: newEvacuations(), leaving: newLeavingNotices(), limits: make(map[string]LimitsSpec), priorities: make(map[string]int), routeSpecs: make(map[string]RouteSpec),
 		services: make(map[string]*Service), upstreams: make(map[string]*Upstream), workspaces: make(map[string]*Workspace),
-		byModel: make(map[string][]*Upstream), byService: make(map[string][]*Upstream), joined: make(map[string]*Upstream),
+		byModel: newUpstreamLists(func(u *Upstream) []string { return u.Spec.Models }), byService: newUpstreamLists(func(u *Upstream) []string { return []string{u.Spec.Service} }), joined: make(map[string]*Upstream),
 	}
 }
 
@@ -87,6 +88,7 @@
 	n := c.Resource.Metadata.Name
 	switch c.Resource.Kind {
 	case KindBox:
+		x.boxesVersion++
 		putSpec(x.boxes, c, func(s *BoxSpec) *Box { return &Box{Name: n, Spec: *s} })
 	case KindEvacuation:
 		x.hallsOutdated = true
@@ -127,9 +129,10 @@
 }
 
 // rebuild recomputes what is derived from several resources, but only the parts that changed:
-// upstreams come and go every second, and there may be thousands.
-func (x *index) rebuild() {
-	x.rebuildUpstreams()
+// upstreams come and go every second, and there may be thousands. It returns the names of the
+// changed upstreams, and whether all may have changed.
+func (x *index) rebuild() (changed []string, all bool) {
+	changed, all = x.rebuildUpstreams()
 	if x.keysOutdated {
 		x.keysOutdated = false
 		x.rebuildKeys()
@@ -138,6 +141,7 @@
 		x.routesOutdated = false
 		x.rebuildRoutes()
 	}
+	return changed, all
 }
 
 // rebuildKeys recomputes the workspaces by key hash. If several workspaces declare one key, the
@@ -170,30 +174,34 @@
 }
 
 // rebuildUpstreams joins the changed upstreams with their services, or all upstreams if a service
-// changed or the evacuation of a hall began or ended.
-func (x *index) rebuildUpstreams() {
+// changed or the evacuation of a hall began or ended. It returns the names of the changed ones, and
+// whether all may have changed.
+func (x *index) rebuildUpstreams() (changed []string, all bool) {
 	if x.hallsOutdated {
 		x.hallsOutdated = false
 		x.servicesChanged = x.evacuations.rebuild() || x.servicesChanged
 	}
-	if !x.servicesChanged && len(x.changedUpstreams) == 0 {
-		return
-	}
-	clear(x.byModel)
-	clear(x.byService)
-	if x.servicesChanged {
+	changed, all = x.changedUpstreams, x.servicesChanged
+	x.changedUpstreams, x.servicesChanged = nil, false
+	if all {
+		x.byModel.clear()
+		x.byService.clear()
 		clear(x.joined)
 		for n, u := range x.upstreams {
 			x.joined[n] = x.join(u)
 		}
+		return nil, true
 	}
-	for _, n := range x.changedUpstreams {
+	for _, n := range changed {
+		before := x.joined[n]
 		delete(x.joined, n)
 		if u := x.upstreams[n]; u != nil {
 			x.joined[n] = x.join(u)
 		}
+		x.byModel.replace(before, x.joined[n])
+		x.byService.replace(before, x.joined[n])
 	}
-	x.changedUpstreams, x.servicesChanged = nil, false
+	return changed, false
 }
 
 // putSpec updates a map of decoded specs with one change.
--- a/internal/resource/lookup.go
+++ b/internal/resource/lookup.go
@@ -6,10 +6,6 @@
 	"strings"
 )
 
-// maxNamesCached bounds the cached lists of upstreams. Clients choose the model names, so unknown
-// names must not fill the memory.
-const maxNamesCached = 1024
-
 // Boxes returns the boxes that have published their address, sorted by name.
 func (v *View) Boxes() []*Box {
 	v.mutex.RLock()
@@ -22,6 +18,13 @@
 	return l
 }
 
+// BoxesVersion returns a number that increases whenever the result of Boxes may have changed.
+func (v *View) BoxesVersion() uint64 {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.index.boxesVersion
+}
+
 // HasWorkspaces reports whether any workspace is declared.
 func (v *View) HasWorkspaces() bool {
 	v.mutex.RLock()
@@ -62,6 +65,16 @@
 	return v.index.joined[name]
 }
 
+// ChangedUpstreams returns the names of the upstreams that changed after a version of the view, and
+// false if they are not known individually, so that all may have changed. current is the version
+// up to which they are returned.
+func (v *View) ChangedUpstreams(after uint64) (names []string, current uint64, ok bool) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	names, ok = v.upstreamChanges.after(after)
+	return names, v.version, ok
+}
+
 // Upstreams returns the upstreams for which keep returns true, sorted by name.
 func (v *View) Upstreams(keep func(*Upstream) bool) []*Upstream {
 	v.mutex.RLock()
@@ -72,13 +85,13 @@
 // UpstreamsOfModel returns the engines that serve a model, sorted by name. Callers must not modify
 // the slice.
 func (v *View) UpstreamsOfModel(model string) []*Upstream {
-	return v.cached(model, func(x *index) map[string][]*Upstream { return x.byModel }, func(u *Upstream) bool { return slices.Contains(u.Spec.Models, model) })
+	return v.cached(model, func(x *index) *upstreamLists { return &x.byModel })
 }
 
 // UpstreamsOfService returns the upstreams of a service, sorted by name. Callers must not modify
 // the slice.
 func (v *View) UpstreamsOfService(name string) []*Upstream {
-	return v.cached(name, func(x *index) map[string][]*Upstream { return x.byService }, func(u *Upstream) bool { return u.Spec.Service == name })
+	return v.cached(name, func(x *index) *upstreamLists { return &x.byService })
 }
 
 // WorkspaceByKey returns the workspace of a bearer key, or nil.
@@ -101,21 +114,20 @@
 	return nil
 }
 
-// cached returns the upstreams for which keep returns true, from a cache that is cleared when
-// upstreams change.
-func (v *View) cached(key string, lists func(*index) map[string][]*Upstream, keep func(*Upstream) bool) []*Upstream {
+// cached returns the upstreams under a key, from lists that are kept up to date from their first
+// use on.
+func (v *View) cached(key string, lists func(*index) *upstreamLists) []*Upstream {
 	v.mutex.RLock()
-	l, ok := lists(&v.index)[key]
+	l, ok := lists(&v.index).get(key)
 	v.mutex.RUnlock()
 	if ok {
 		return l
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	l = v.index.list(keep)
-	if m := lists(&v.index); len(m) < maxNamesCached {
-		m[key] = l
-	}
+	x := lists(&v.index)
+	l = v.index.list(func(u *Upstream) bool { return slices.Contains(x.keys(u), key) })
+	x.put(key, l)
 	return l
 }
 
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -30,6 +30,7 @@
 	floors      Revisions             // by source: changes up to this revision were part of a complete batch that was merged
 	heldChanges map[string]heldChange // by kind and name: changes delayed because they may come from a backup of the store
 	index       index
+	logs        map[Source]*changeLog
 	gaps        map[Source][]revisionGap
 	tombstones  []string // keys of removed resources, oldest first
 	now         func() time.Time
@@ -37,8 +38,9 @@
 	revisions   Revisions
 	// tentativeUntil is, by source, the time until which the absence of resources is reported to
 	// other boxes as tentative.
-	tentativeUntil map[Source]time.Time
-	version        uint64
+	tentativeUntil  map[Source]time.Time
+	upstreamChanges upstreamChanges
+	version         uint64
 }
 
 // maxTombstones bounds the removals that are remembered. A late change of a resource whose
@@ -50,7 +52,7 @@
 func NewView() *View {
 	return &View{
 		changed: make(chan struct{}), floors: make(Revisions), heldChanges: make(map[string]heldChange), index: newIndex(),
-		gaps: make(map[Source][]revisionGap), now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
+		gaps: make(map[Source][]revisionGap), logs: make(map[Source]*changeLog), now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
 		tentativeUntil: make(map[Source]time.Time),
 	}
 }
@@ -240,6 +242,16 @@
 	return l
 }
 
+// logChange adds a stored change to the log of its source.
+func (v *View) logChange(k string, e *entry) {
+	l := v.logs[e.source]
+	if l == nil {
+		l = new(changeLog)
+		v.logs[e.source] = l
+	}
+	l.add(k, e.Revision)
+}
+
 // matches reports whether the view holds the resource with the source and spec of e, not deleted.
 func (v *View) matches(k string, e *entry) bool {
 	old, ok := v.resources[k]
@@ -249,8 +261,13 @@
 // notifyChanged rebuilds the derived indices and wakes the waiters of Changed. The caller holds
 // the lock.
 func (v *View) notifyChanged() {
-	v.index.rebuild()
+	names, all := v.index.rebuild()
 	v.version++
+	if all {
+		v.upstreamChanges.addAll(v.version)
+	} else {
+		v.upstreamChanges.add(names, v.version)
+	}
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
@@ -314,6 +331,7 @@
 		e.tentativeUntil = v.now().Add(tentativePeriod)
 	}
 	v.resources[k] = e
+	v.logChange(k, &e)
 	v.index.put(e.Change, e.source, v.now())
 	if e.Deleted && !old.Deleted {
 		v.tombstones = append(v.tombstones, k)
@@ -345,7 +363,7 @@
 // by revision. The function change returns the change to report for an entry.
 func (v *View) since(s Source, r int64, change func(k string, e *entry) Change) []Change {
 	var l []Change
-	for k, e := range v.resources {
+	for k, e := range v.candidatesSince(s, r) {
 		if e.source != s {
 			continue
 		}
@@ -359,6 +377,31 @@
 	return l
 }
 
+// candidatesSince returns all resources of a source that were changed after revision r, and maybe
+// others.
+func (v *View) candidatesSince(s Source, r int64) map[string]entry {
+	g := v.logs[s]
+	if g == nil {
+		return nil // the source has had no change
+	}
+	keys, ok := g.after(r)
+	if !ok {
+		return v.resources
+	}
+	m := make(map[string]entry, len(keys))
+	for _, k := range keys {
+		if e, ok := v.resources[k]; ok {
+			m[k] = e
+		}
+	}
+	for k, h := range v.heldChanges {
+		if h.source == s {
+			m[k] = v.resources[k]
+		}
+	}
+	return m
+}
+
 func key(k Kind, name string) string {
 	return string(k) + "/" + name
 }
