Boxes that skip revisions no longer get the whole list from each other

Cause: a box that fetched changes from another recorded the range between its revision and the new one as a gap, and sent the whole source to every peer whose revision lay in it. Where changes come faster than they are passed on, as in a large fleet, every box skips revisions that its peers have.

Change: changes between views name the gaps that their sender has in that range, which the receiver takes over; a range that was read as changes is none. Answers of an older build, which name none, count as a gap as before. A box that is behind a dropped tombstone now gets the whole source: until now an upstream that was removed meanwhile stayed in its view.

Tests: random exchanges between five views, feeds and whole readings, some answers without gaps, end in the state of the store; fails without the take-over of tombstones or of unnamed gaps.

--- a/internal/resource/gap.go
+++ b/internal/resource/gap.go
@@ -1,32 +1,62 @@
 package resource
 
-// revisionGap is a range of revisions of a source that the view skipped. Resources may have been
+// RevisionGap is a range of revisions of a source that a view skipped. Resources may have been
 // added and removed in it without the view seeing them.
-type revisionGap struct{ from, to int64 }
+type RevisionGap struct {
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
+}
 
 // maxGaps bounds the gaps that are remembered; beyond it, the two oldest are merged.
 const maxGaps = 32
 
-// inGap reports whether a revision of a source lies inside a gap of the view.
-func (v *View) inGap(s Source, r int64) bool {
-	for _, l := range v.gaps[s] {
-		if l.from < r && r < l.to {
+// addGap records a gap, unless it is empty.
+func (v *View) addGap(s Source, g RevisionGap) {
+	if g.To <= g.From {
+		return
+	}
+	v.gaps[s] = append(v.gaps[s], g)
+	if l := v.gaps[s]; len(l) > maxGaps {
+		l[1].From = l[0].From
+		v.gaps[s] = l[1:]
+	}
+}
+
+// gapsAfter returns the gaps of a source that end after a revision.
+func (v *View) gapsAfter(s Source, r int64) []RevisionGap {
+	var l []RevisionGap
+	for _, g := range v.gaps[s] {
+		if g.To > r {
+			l = append(l, g)
+		}
+	}
+	return l
+}
+
+// lacksRemovals reports whether changes after a revision may lack removals of resources that a view
+// at that revision holds: the revision lies inside a gap, or tombstones were dropped since.
+func (v *View) lacksRemovals(s Source, r int64) bool {
+	if r < v.tombstoneFloors[s] {
+		return true
+	}
+	for _, g := range v.gaps[s] {
+		if g.From < r && r < g.To {
 			return true
 		}
 	}
 	return false
 }
 
-// recordGap records that the view advances to revision r of a source in one step.
-func (v *View) recordGap(s Source, r int64) {
-	v.floors[s] = max(v.floors[s], r)
-	from := v.revisions[s]
-	if r <= from {
+// recordGaps records the gaps that the view takes over with a complete batch, as it advances to the
+// revision of the batch. A snapshot is a gap as a whole.
+func (v *View) recordGaps(b *Batch) {
+	v.floors[b.Source] = max(v.floors[b.Source], b.Revision)
+	from := v.revisions[b.Source]
+	if b.Snapshot || !b.GapsListed {
+		v.addGap(b.Source, RevisionGap{from, b.Revision})
 		return
 	}
-	v.gaps[s] = append(v.gaps[s], revisionGap{from, r})
-	if l := v.gaps[s]; len(l) > maxGaps {
-		l[1].from = l[0].from
-		v.gaps[s] = l[1:]
+	for _, g := range b.Gaps {
+		v.addGap(b.Source, RevisionGap{max(from, g.From), min(b.Revision, g.To)})
 	}
 }
--- /dev/null
+++ b/internal/resource/gossip_test.go
@@ -0,0 +1,166 @@
+package resource
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// rowStore is a table of a store with its history, as far as it is kept.
+type rowStore struct {
+	rows     map[string]Change // the newest change of each row
+	revision int64
+}
+
+func (s *rowStore) write(r *rand.Rand, names int) {
+	s.revision++
+	n := fmt.Sprint("u", r.IntN(names))
+	s.rows[n] = Change{Deleted: r.IntN(2) == 0, Revision: s.revision, Resource: &Resource{
+		Kind: KindUpstream, Metadata: Metadata{Name: n}, Spec: []byte(fmt.Sprintf(`{"address":"http://10.0.0.1:%d","hall":"a","models":["m"],"type":"engine"}`, s.revision)),
+	}}
+}
+
+// read returns what a feed or, from revision 0, a reading of the whole table returns.
+func (s *rowStore) read(after int64) *Batch {
+	b := &Batch{Revision: s.revision, Snapshot: after == 0, Source: SourceUpstreams}
+	for _, c := range s.rows {
+		if c.Revision > after && (!c.Deleted || !b.Snapshot) {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	return b
+}
+
+func (s *rowStore) live() []string {
+	var l []string
+	for n, c := range s.rows {
+		if !c.Deleted {
+			l = append(l, n+string(c.Resource.Spec))
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+func liveOf(v *View) []string {
+	var l []string
+	for _, x := range v.List(KindUpstream) {
+		l = append(l, x.Metadata.Name+string(x.Spec))
+	}
+	slices.Sort(l)
+	return l
+}
+
+// fetchChanges makes a view fetch what it lacks from another, which may be an older build that does not
+// list its gaps.
+func fetchChanges(to, from *View, older bool) (snapshots int) {
+	for _, b := range from.Missing(to.Revisions()) {
+		if older {
+			b.Gaps, b.GapsListed = nil, false
+		}
+		if b.Snapshot {
+			snapshots++
+		}
+		to.Merge(&b)
+	}
+	return snapshots
+}
+
+// TestViewsConverge guards against an upstream that stays in a view for good, because changes which
+// boxes fetched from each other, from feeds and from whole readings lacked its removal.
+func TestViewsConverge(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		s := &rowStore{rows: make(map[string]Change)}
+		views := make([]*View, 5)
+		for i := range views {
+			views[i] = NewView()
+		}
+		absent := r.IntN(len(views)) // reads and fetches nothing for the middle of the run
+		steps := 400
+		if seed == 0 {
+			steps = 12 * maxTombstones // so that tombstones are dropped
+		}
+		for i := range steps {
+			s.write(r, 30)
+			n := r.IntN(len(views))
+			if n == absent && i > steps/10 && i < steps*9/10 {
+				continue
+			}
+			v := views[n]
+			switch r.IntN(8) {
+			case 0:
+				v.Merge(s.read(0)) // the history was gone
+			case 1, 2:
+				v.Merge(s.read(v.Revisions()[SourceUpstreams]))
+			default:
+				if from := r.IntN(len(views)); from != absent {
+					fetchChanges(v, views[from], r.IntN(4) == 0)
+				}
+			}
+		}
+		reader := r.IntN(len(views))
+		views[reader].Merge(s.read(views[reader].Revisions()[SourceUpstreams]))
+		for range 3 {
+			for i := range views {
+				fetchChanges(views[(reader+i+1)%len(views)], views[(reader+i)%len(views)], false)
+			}
+		}
+		for i, v := range views {
+			if got, want := liveOf(v), s.live(); !slices.Equal(got, want) {
+				t.Errorf("seed %d, view %d, absent %d: got %d upstreams, want %d", seed, i, absent, len(got), len(want))
+			}
+		}
+	}
+}
+
+// TestChangesThatSkipRevisionsAreNoSnapshots guards against boxes that get the whole list from each
+// other all the time: where changes come faster than they are passed on, every box skips revisions
+// that its peers have.
+func TestChangesThatSkipRevisionsAreNoSnapshots(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 5))
+	s := &rowStore{rows: make(map[string]Change)}
+	reader, views := NewView(), make([]*View, 8)
+	for i := range views {
+		views[i] = NewView()
+	}
+	for range 50 {
+		s.write(r, 200)
+	}
+	reader.Merge(s.read(0))
+	for i := range views {
+		fetchChanges(views[i], reader, false)
+	}
+	snapshots := 0
+	for range 500 {
+		s.write(r, 200)
+		reader.Merge(s.read(reader.Revisions()[SourceUpstreams]))
+		snapshots += fetchChanges(views[r.IntN(2)], reader, false)
+		snapshots += fetchChanges(views[r.IntN(len(views))], views[r.IntN(len(views))], false)
+	}
+	if snapshots > 0 {
+		t.Errorf("whole lists among 1000 exchanges of changes: got %d, want none", snapshots)
+	}
+}
+
+// TestGapOfASenderIsTakenOver guards against a removal that nobody passes on: a box that fetched the
+// changes of one which skipped the removal must know that it lacks it, too.
+func TestGapOfASenderIsTakenOver(t *testing.T) {
+	upstream := func(revision int64, deleted bool) Change {
+		c := upstreamAt(1, revision)
+		c.Deleted = deleted
+		return c
+	}
+	reader, between, ahead := NewView(), NewView(), NewView()
+	for _, v := range []*View{reader, between, ahead} {
+		v.Merge(&Batch{Revision: 10, Source: SourceUpstreams, Changes: []Change{upstreamAt(2, 10)}})
+	}
+	ahead.Merge(&Batch{Revision: 12, Source: SourceUpstreams, Changes: []Change{upstream(12, false)}})
+	reader.Merge(&Batch{Revision: 20, Source: SourceUpstreams, Snapshot: true, Changes: []Change{upstreamAt(2, 20)}}) // the upstream was removed at 18
+	fetchChanges(between, reader, false)
+	fetchChanges(ahead, between, false)
+	if ahead.Upstream("u1") != nil {
+		t.Error("the upstream is still listed after its removal")
+	}
+}
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -24,8 +24,12 @@
 	Revision int64 `json:"revision"`
 	// FromView is set if Revision is the revision of a view, rather than the revision at which the
 	// store was read.
-	FromView bool   `json:"settled,omitempty"`
-	Source   Source `json:"source"`
+	FromView bool `json:"settled,omitempty"`
+	// Gaps are the ranges of revisions in which the sender's view may lack removals, and so may the
+	// changes. They are known only if GapsListed is set; otherwise the whole batch is such a range.
+	Gaps       []RevisionGap `json:"gaps,omitempty"`
+	GapsListed bool          `json:"gapsListed,omitempty"`
+	Source     Source        `json:"source"`
 	// Tentative is set if resources that a snapshot lacks may be missing only from the backup that
 	// the store was restored from; see Change.
 	Tentative bool `json:"tentative,omitempty"`
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -31,11 +31,13 @@
 	heldChanges map[string]heldChange // by kind and name: changes delayed because they may come from a backup of the store
 	index       index
 	logs        map[Source]*changeLog
-	gaps        map[Source][]revisionGap
+	gaps        map[Source][]RevisionGap
 	tombstones  []string // keys of removed resources, oldest first
-	now         func() time.Time
-	resources   map[string]entry // by kind and name; a removed resource stays as a tombstone
-	revisions   Revisions
+	// tombstoneFloors is, by source, the newest revision of a tombstone that was dropped.
+	tombstoneFloors map[Source]int64
+	now             func() time.Time
+	resources       map[string]entry // by kind and name; a removed resource stays as a tombstone
+	revisions       Revisions
 	// tentativeUntil is, by source, the time until which the absence of resources is reported to
 	// other boxes as tentative.
 	tentativeUntil  map[Source]time.Time
@@ -45,15 +47,15 @@
 
 // maxTombstones bounds the removals that are remembered. A late change of a resource whose
 // tombstone was dropped could bring the resource back, but only if it is older than the last
-// maxTombstones removals.
+// maxTombstones removals. A box that is behind a dropped one gets the whole source.
 const maxTombstones = 4096
 
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
 		changed: make(chan struct{}), floors: make(Revisions), heldChanges: make(map[string]heldChange), index: newIndex(),
-		gaps: make(map[Source][]revisionGap), logs: make(map[Source]*changeLog), now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
-		tentativeUntil: make(map[Source]time.Time),
+		gaps: make(map[Source][]RevisionGap), logs: make(map[Source]*changeLog), now: time.Now, resources: make(map[string]entry), revisions: make(Revisions),
+		tentativeUntil: make(map[Source]time.Time), tombstoneFloors: make(map[Source]int64),
 	}
 }
 
@@ -108,7 +110,7 @@
 	defer v.mutex.Unlock()
 	complete := b.Snapshot || b.FromView
 	if complete && b.Revision < max(v.revisions[b.Source], v.floors[b.Source]) {
-		v.recordGap(b.Source, b.Revision)
+		v.recordGaps(b)
 		v.revisions[b.Source] = max(v.revisions[b.Source], b.Revision)
 		return false // the view already holds a newer change or snapshot
 	}
@@ -124,7 +126,7 @@
 	}
 	changed = changed || r > v.revisions[b.Source]
 	if complete {
-		v.recordGap(b.Source, b.Revision)
+		v.recordGaps(b)
 	}
 	v.revisions[b.Source] = max(v.revisions[b.Source], r)
 	if changed {
@@ -144,11 +146,11 @@
 		if v.revisions[s] <= have[s] {
 			continue
 		}
-		b := Batch{Revision: v.revisions[s], FromView: true, Source: s, Tentative: v.now().Before(v.tentativeUntil[s]), Snapshot: v.inGap(s, have[s])}
+		b := Batch{Revision: v.revisions[s], FromView: true, Source: s, Tentative: v.now().Before(v.tentativeUntil[s]), Snapshot: v.lacksRemovals(s, have[s])}
 		if b.Snapshot {
 			b.Changes = v.liveChanges(s)
 		} else {
-			b.Changes = v.since(s, have[s], v.outgoing)
+			b.Changes, b.Gaps, b.GapsListed = v.since(s, have[s], v.outgoing), v.gapsAfter(s, have[s]), true
 		}
 		l = append(l, b)
 	}
@@ -221,6 +223,7 @@
 func (v *View) dropTombstones() {
 	for len(v.tombstones) > maxTombstones {
 		if e, ok := v.resources[v.tombstones[0]]; ok && e.Deleted {
+			v.tombstoneFloors[e.source] = max(v.tombstoneFloors[e.source], e.Revision)
 			delete(v.resources, v.tombstones[0])
 		}
 		v.tombstones = v.tombstones[1:]
