Neighbours are ranked once for each set of boxes

Cause: each round of heartbeats ranked all known boxes, and each change of the view, also of an upstream, sorted the list of boxes and merged it into the member table. Both grow with the boxes, and the second also with how often an upstream changes.

Change: the order of preference is kept until the set of boxes changes, failures aside, and the member table follows changes of the list of boxes only.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
-	"github.com/linetiller/linetiller/internal/policy"
 )
 
 // Table holds the known boxes. It is safe for concurrent use and takes no other lock while it holds
@@ -19,6 +18,7 @@
 	alive             map[string][]string // cached results of Alive, by hall; cleared by notifyChange
 	boxes             map[string]*entry   // the other boxes, by name
 	failuresClearedAt time.Time           // last call of ClearFailures
+	ranks             *ranks              // cached order of all boxes for Neighbours; nil if it is outdated
 	self              box.Member
 	version           uint64        // see Version
 	changed           chan struct{} // see Changed
@@ -139,6 +139,7 @@
 	for n, e := range t.boxes {
 		if !e.listed && now.Sub(e.lastContactAt) > unlistedTTL {
 			delete(t.boxes, n)
+			t.ranks = nil
 			t.notifyChange()
 			continue
 		}
@@ -201,21 +202,21 @@
 func (t *Table) Neighbours(now time.Time) []box.Member {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	halls := make(map[string][]string)
-	for n, e := range t.boxes {
-		if now.Sub(e.failedAt) >= retryFailedAfter {
-			halls[e.member.Hall] = append(halls[e.member.Hall], n)
-		}
+	if t.ranks == nil {
+		t.ranks = newRanks(t.self, t.boxes)
+	}
+	usable := func(n string) bool { return n == t.self.Name || now.Sub(t.boxes[n].failedAt) >= retryFailedAfter }
+	perOtherHall := 0
+	if slices.Contains(firstUsable(t.ranks.links, crossHallSenders, usable), t.self.Name) {
+		perOtherHall = 1
 	}
 	var l []box.Member
-	perOtherHall := t.neighboursPerOtherHall(halls[t.self.Hall])
-	for _, h := range slices.Sorted(maps.Keys(halls)) {
+	for _, h := range t.ranks.halls {
 		n := heartbeatNeighbours
 		if h != t.self.Hall {
 			n = perOtherHall
 		}
-		r := policy.Rank(t.self.Name, halls[h])
-		for _, x := range r[:min(n, len(r))] {
+		for _, x := range firstUsable(t.ranks.byHall[h], n, usable) {
 			l = append(l, t.boxes[x].member)
 		}
 	}
@@ -234,6 +235,7 @@
 	if e == nil {
 		e = new(entry)
 		t.boxes[m.Name] = e
+		t.ranks = nil
 		t.notifyChange()
 	}
 	recovered := !e.failedAt.IsZero()
@@ -242,7 +244,7 @@
 	}
 	e.failedAt, e.unreachableSince = time.Time{}, time.Time{}
 	e.lastContactAt = now
-	e.member = m
+	t.setMember(e, m)
 	return recovered
 }
 
@@ -301,6 +303,7 @@
 	e := t.boxes[m.Name]
 	if e == nil {
 		t.boxes[m.Name] = &entry{listed: true, member: m}
+		t.ranks = nil
 		t.notifyChange()
 		return
 	}
@@ -310,7 +313,7 @@
 		t.notifyChange()
 	}
 	if !recent && e.member != m {
-		e.member = m
+		t.setMember(e, m)
 		t.notifyChange()
 	}
 }
@@ -330,16 +333,6 @@
 	return l
 }
 
-// neighboursPerOtherHall returns the number of boxes in each other hall to which this box sends
-// heartbeats, 0 or 1. The parameter hallBoxes lists the other boxes of its own hall.
-func (t *Table) neighboursPerOtherHall(hallBoxes []string) int {
-	l := policy.Rank("link", append(slices.Clone(hallBoxes), t.self.Name))
-	if slices.Contains(l[:min(crossHallSenders, len(l))], t.self.Name) {
-		return 1
-	}
-	return 0
-}
-
 // notifyChange invalidates the cached results of Alive, increases the version and closes the channel
 // that Changed returned. The caller holds the lock.
 func (t *Table) notifyChange() {
@@ -349,6 +342,14 @@
 	t.changed = make(chan struct{})
 }
 
+// setMember sets what is known of a box. The caller holds the lock.
+func (t *Table) setMember(e *entry, m box.Member) {
+	if e.member.Hall != m.Hall {
+		t.ranks = nil
+	}
+	e.member = m
+}
+
 // serving reports whether the box is believed to be serving: it neither failed nor is leaving.
 func (e *entry) serving() bool {
 	return e.failedAt.IsZero() && e.member.State != box.StateLeaving
--- a/join.go
+++ b/join.go
@@ -59,7 +59,7 @@
 	b.updateMembers()
 	var g sync.WaitGroup
 	g.Go(func() { b.fetchFromNeighbours(ctx) })
-	b.startWorker(func() { b.sendHeartbeats(b.serveContext) }) // not awaited: unreachable boxes must not delay the start
+	b.startWorker(func() { b.sendHeartbeats(b.serveContext, b.members.Neighbours(time.Now()), false) }) // not awaited: unreachable boxes must not delay the start
 	b.startWorker(func() { b.follower.WatchPeers(b.serveContext) })
 	if b.follower.ReadsStore() || !b.awaitNeighbours(ctx) {
 		_ = b.follower.RefreshExceptBoxes(ctx) // the follower logs a failure and retries
@@ -137,11 +137,14 @@
 	}
 }
 
-// runMembers updates the member table whenever the view changes.
+// runMembers updates the member table whenever the list of boxes changes.
 func (b *Box) runMembers(ctx context.Context) {
-	for {
-		c := b.view.Changed()
-		b.updateMembers()
+	for updated := uint64(0); ; {
+		c, version := b.view.Changed(), b.view.BoxesVersion()
+		if version != updated {
+			b.updateMembers()
+			updated = version
+		}
 		select {
 		case <-ctx.Done():
 			return
