Pushes of changes are grouped, go where they are needed and carry no idle loads

Cause: each change of the view sent a heartbeat to four neighbours with the load of every upstream that the box owns, 125 bytes each, and waited for the replies, up to a second where a neighbour had lost power; a change that came during that wait was passed on with the next regular heartbeat. With four choices of each of many boxes, one box in fifty is chosen by nobody, and learned of every change with its own next heartbeat, up to a second late: this is the configuration that was in force after 350 to 950 ms at 300 boxes "once in a while" (docs/CAPACITY.md).

Older builds read all of it, and send full loads.

--- a/handle.go
+++ b/handle.go
@@ -56,7 +56,7 @@
 		_ = send(b.handleCrashes(q))
 	case box.KindHeartbeat:
 		now := time.Now()
-		_ = send(&box.Reply{ViewAge: b.follower.ViewAge(), LimitsDigest: b.relay.Limits().Digest(now), Loads: b.owners.Loads(), CrashesDigest: b.relay.Quarantine().Digest(now)})
+		_ = send(&box.Reply{ViewAge: b.follower.ViewAge(), LimitsDigest: b.relay.Limits().Digest(now), Loads: b.owners.Loads(q.BusyLoadsOnly), CrashesDigest: b.relay.Quarantine().Digest(now)})
 	case box.KindInForce:
 		_ = send(&box.Reply{Halls: b.inForceLocal(ctx, q.WholeHall)})
 	case box.KindLimits, box.KindPermit:
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -25,10 +25,14 @@
 	}
 	b.limits.markResponsive(q.From.Name)
 	b.recordLoads(q.Loads)
+	b.pushes.recordKnown(q.From.Name, q.Revisions)
 	if b.follower.CatchUp(ctx, q.From.Address, q.Revisions) == nil { // on failure, the next message retries
 		b.follower.RecordPeerViewAge(q.ViewAge)
 	}
 	b.fetchCrashes(ctx, q.From, q.CrashesDigest)
+	if q.Kind == box.KindHeartbeat && !q.BusyLoadsOnly {
+		b.pushes.recordCaller(q.From, time.Now())
+	}
 	if q.Kind == box.KindHeartbeat {
 		b.fetchLimits(ctx, q.From, q.LimitsDigest)
 	}
@@ -46,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if b.follower.RefreshFromPeerOrStore(ctx) != nil {
-		b.sendHeartbeats(ctx)
+		b.sendHeartbeats(ctx, b.members.Neighbours(time.Now()), false)
 	}
 	b.lastTick.Store(int64(time.Since(b.started)))
 }
@@ -54,32 +58,11 @@
 // runHeartbeats sends heartbeats at the configured interval and expires unreachable boxes.
 func (b *Box) runHeartbeats(ctx context.Context) {
 	periodic.Run(ctx, b.settings.Timeouts.Heartbeat.Duration, func(ctx context.Context) {
-		b.sendHeartbeats(ctx)
+		b.sendHeartbeats(ctx, b.members.Neighbours(time.Now()), false)
 		b.members.Expire(time.Now())
 	})
 }
 
-// runPush sends heartbeats to the neighbours as soon as the view changes, a crash becomes known or
-// this box begins to leave, instead of waiting for the next interval. The neighbours then fetch what
-// is new. The first heartbeats are sent at once, because neighbours that started at the same time
-// lack what this box learned while it joined.
-func (b *Box) runPush(ctx context.Context) {
-	leaveRequested := b.leaveRequested
-	b.sendHeartbeats(ctx)
-	for {
-		c := b.view.Changed()
-		select {
-		case <-ctx.Done():
-			return
-		case <-b.pushRequested:
-		case <-c:
-		case <-leaveRequested:
-			leaveRequested = nil
-		}
-		b.sendHeartbeats(ctx)
-	}
-}
-
 // runTicks records the time of each tick. A late tick means that the process was paused.
 func (b *Box) runTicks(ctx context.Context) {
 	periodic.Run(ctx, tickInterval, func(ctx context.Context) {
@@ -89,12 +72,12 @@
 }
 
 // sendHeartbeat sends a heartbeat to one box, records whether it replied, and fetches the changes,
-// crashes and limits that this box lacks.
-func (b *Box) sendHeartbeat(ctx context.Context, m box.Member) {
+// crashes and limits that this box lacks. With busyLoadsOnly, loads of idle upstreams are left out.
+func (b *Box) sendHeartbeat(ctx context.Context, m box.Member, busyLoadsOnly bool) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	began := time.Now()
-	q := box.Request{ViewAge: b.follower.ViewAge(), Kind: box.KindHeartbeat, LimitsDigest: b.relay.Limits().Digest(began), Loads: b.owners.Loads(), CrashesDigest: b.relay.Quarantine().Digest(began)}
+	q := box.Request{ViewAge: b.follower.ViewAge(), Kind: box.KindHeartbeat, LimitsDigest: b.relay.Limits().Digest(began), Loads: b.owners.Loads(busyLoadsOnly), BusyLoadsOnly: busyLoadsOnly, CrashesDigest: b.relay.Quarantine().Digest(began)}
 	r, err := b.links.CallOnce(ctx, m.Address, b.newRequest(q))
 	if err != nil {
 		if b.members.RecordFailure(m.Name, began, time.Now()) {
@@ -103,6 +86,7 @@
 		return
 	}
 	m.State = r.State
+	b.pushes.recordKnown(m.Name, r.Revisions)
 	b.recordLoads(r.Loads)
 	if b.members.RecordContact(m, time.Now()) {
 		event.PeerReachable.Log(b.log, "box", m.Name)
@@ -114,11 +98,11 @@
 	b.fetchLimits(ctx, m, r.LimitsDigest)
 }
 
-// sendHeartbeats sends a heartbeat to each neighbour and waits for the replies.
-func (b *Box) sendHeartbeats(ctx context.Context) {
+// sendHeartbeats sends a heartbeat to each of the boxes and waits for the replies.
+func (b *Box) sendHeartbeats(ctx context.Context, l []box.Member, busyLoadsOnly bool) {
 	var g sync.WaitGroup
-	for _, m := range b.members.Neighbours(time.Now()) {
-		g.Go(func() { b.sendHeartbeat(ctx, m) })
+	for _, m := range l {
+		g.Go(func() { b.sendHeartbeat(ctx, m, busyLoadsOnly) })
 	}
 	g.Wait()
 }
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -68,7 +68,8 @@
 	LeavingUpstream     string                   `cbor:"9,keyasint,omitempty"`  // leaving: name of the upstream
 	LimitsDigest        uint64                   `cbor:"19,keyasint,omitempty"` // heartbeat: digest of the rate limits that the sender knows
 	Limits              []ratelimit.Limit        `cbor:"20,keyasint,omitempty"` // limits
-	Loads               []policy.Load            `cbor:"10,keyasint,omitempty"` // heartbeat: loads of the upstreams that the sender owns
+	Loads               []policy.Load            `cbor:"10,keyasint,omitempty"` // heartbeat: loads of the upstreams that the sender owns, with BusyLoadsOnly those that are not idle
+	BusyLoadsOnly       bool                     `cbor:"24,keyasint,omitempty"` // heartbeat: the reply may leave out the loads of idle upstreams
 	Permit              *ratelimit.PermitRequest `cbor:"21,keyasint,omitempty"` // permit
 	ClearedFingerprints []policy.Fingerprint     `cbor:"15,keyasint,omitempty"` // cleared: fingerprints of the requests
 	CrashesDigest       uint64                   `cbor:"18,keyasint,omitempty"` // heartbeat: digest of the crashes that the sender knows
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,8 +114,8 @@
 	return func(o *Owners) { o.reportInterval = d }
 }
 
-// Loads returns the loads of the upstreams that this box owns.
-func (o *Owners) Loads() []policy.Load {
+// Loads returns the loads of the upstreams that this box owns, or only of those that are not idle.
+func (o *Owners) Loads(busyOnly bool) []policy.Load {
 	now := time.Now()
 	var l []policy.Load
 	for _, x := range o.list() {
@@ -124,6 +125,9 @@
 		}
 		x.mutex.Unlock()
 	}
+	if busyOnly {
+		l = slices.DeleteFunc(l, func(l policy.Load) bool { return l.Idle() })
+	}
 	return l
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -104,16 +104,21 @@
 // Load is an owner's description of its upstream, sent along with every answer.
 type Load struct {
 	// Backlog is the work queued ahead of new work of each cost class, in seconds of engine time.
-	Backlog       [Classes]float64 `cbor:"2,keyasint"`
+	Backlog       [Classes]float64 `cbor:"2,keyasint,omitzero"` // in a message left out where nothing is queued
 	AsOf          time.Time        `cbor:"1,keyasint"`
 	StartedAtMS   int64            `cbor:"8,keyasint,omitempty"` // when the upstream started, in Unix milliseconds; 0 if unknown
-	UsedTokens    int              `cbor:"6,keyasint"`           // KV memory of known generations
+	UsedTokens    int              `cbor:"6,keyasint,omitempty"` // KV memory of known generations
 	Leaving       bool             `cbor:"5,keyasint,omitempty"` // the upstream reported that it is leaving
-	PeakShare     float64          `cbor:"3,keyasint"`           // predicted peak of KV memory, as a share of the capacity
+	PeakShare     float64          `cbor:"3,keyasint,omitempty"` // predicted peak of KV memory, as a share of the capacity
 	PrefillTokens int              `cbor:"7,keyasint,omitempty"` // prompt tokens being prefilled
 	Upstream      string           `cbor:"4,keyasint"`
 }
 
+// Idle reports whether nothing is known to run or wait at the upstream.
+func (l *Load) Idle() bool {
+	return l.UsedTokens == 0 && l.PrefillTokens == 0 && l.PeakShare == 0 && l.Backlog == [Classes]float64{}
+}
+
 // Classes is the number of cost classes of work.
 const Classes = 10
 
--- a/linetiller.go
+++ b/linetiller.go
@@ -66,6 +66,7 @@
 	store            *table.Store
 	tracker          *placement.Tracker
 	moveSlots        ownership.MoveSlots
+	pushes           *pushes
 	view             *resource.View
 
 	// entry holds the servers for the platform's load balancer: for requests, readiness checks and
@@ -112,7 +113,7 @@
 func New(s *settings.Settings, options ...Option) (*Box, error) {
 	b := &Box{
 		serving: make(chan struct{}), pushRequested: make(chan struct{}, 1), leaveRequested: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
-		recorder: newRecorder(), settings: s, started: time.Now(), view: resource.NewView(),
+		pushes: newPushes(time.Now()), recorder: newRecorder(), settings: s, started: time.Now(), view: resource.NewView(),
 	}
 	b.openListeners = b.listen
 	for _, o := range options {
--- a/region_test.go
+++ b/region_test.go
@@ -34,14 +34,15 @@
 // time.
 type region struct {
 	boxes           map[string]*Box
-	intercept       func(to string, q *box.Request) *box.Call // answers calls between boxes in their place; may be nil
-	storeCallCounts map[string]int                            // by box
-	crashing        map[string]*atomic.Int64                  // by box: crashes so far, where all upstreams crash that the box sends to
-	isolated        map[string]bool                           // halls cut off from all others and the platform
-	poweredOff      map[string]bool                           // boxes without power: calls to them hang, and connections are not closed
-	onDelivered     func(from string, q *box.Request)         // called for each call that reaches a box; may be nil
-	serving         sync.WaitGroup                            // Serve of all boxes
-	handlerCancels  []func()                                  // cancel the handling of calls between boxes
+	intercept       func(to string, q *box.Request) *box.Call    // answers calls between boxes in their place; may be nil
+	storeCallCounts map[string]int                               // by box
+	crashing        map[string]*atomic.Int64                     // by box: crashes so far, where all upstreams crash that the box sends to
+	isolated        map[string]bool                              // halls cut off from all others and the platform
+	poweredOff      map[string]bool                              // boxes without power: calls to them hang, and connections are not closed
+	onDelivered     func(from string, q *box.Request)            // called for each call that reaches a box; may be nil
+	onMessage       func(from, to string, k box.Kind, bytes int) // called for each message between boxes; may be nil
+	serving         sync.WaitGroup                               // Serve of all boxes
+	handlerCancels  []func()                                     // cancel the handling of calls between boxes
 	engines         map[string]*engine.Server
 	paused          map[string]bool // boxes whose calls hang
 	hallOf          map[string]string
@@ -329,6 +330,13 @@
 	}
 }
 
+// reportMessage passes a message between boxes to onMessage.
+func (r *region) reportMessage(from, to string, k box.Kind, bytes int) {
+	if r.onMessage != nil {
+		r.onMessage(from, to, k, bytes)
+	}
+}
+
 // linkDelay is the latency of a message between two boxes.
 const linkDelay = time.Millisecond
 
@@ -364,6 +372,7 @@
 	if r.onDelivered != nil {
 		r.onDelivered(from, v)
 	}
+	r.reportMessage(from, to, v.Kind, len(b))
 	ctx, cancel := context.WithCancel(ctx)
 	served, end := context.WithCancel(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, func() {
@@ -382,6 +391,7 @@
 			if err != nil {
 				return err
 			}
+			r.reportMessage(to, from, v.Kind+" reply", len(b))
 			select {
 			case replies <- b:
 				return nil
