Measure fleets of growing size in virtual time

make measure-scale starts 30, 100 and 300 boxes (or those of SCALE) with ten upstreams each in five data halls, and prints the messages and bytes by kind, the processor time with the stand-ins and the heap of a box: at the start, at rest and while a twenty-fifth of the upstreams leaves; and how long a configuration, a leaving upstream and a lost box take to be known.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure measure-moves race-whole soak soak-cases soak-changes test tidy format
+.PHONY: all build demo lint measure measure-moves measure-scale race-whole soak soak-cases soak-changes test tidy format
 
 all: build
 
@@ -40,6 +40,11 @@
 measure-moves:
 	go run ./cmd/measure -moves -period 300s
 
+SCALE ?= 30,100,300
+
+measure-scale:
+	go test -timeout 30m -run '^TestMeasureScale$$' -scale=$(SCALE) .
+
 SEED ?= 0
 FOR ?= 20s
 SOAK ?=
