Loads with a fourth figure are used, and slow upstreams are chosen less

Cause: the load that upstreams report was only read where it had exactly three figures. Upstreams that share their machines with others report a fourth, how long work takes there at present (100 as usual), so that their load was not seen at all.

Change: three or four figures; other counts, negative and unreadable figures are counted as load_invalid and change nothing else. The fourth varies many times a second: its logarithm is smoothed over answers with a weight of 0.3 and decays with a half-life of 1 s, and the expected time at a plain upstream, load included, is multiplied by it. Engines are placed by their owners, which do not see it yet.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -14,6 +14,9 @@
 
 // Load is the load that an upstream reports with an answer, in requests.
 type Load struct {
+	// Pace is how long work takes at the upstream at present, relative to the usual: at 2 it takes
+	// twice as long. It is 0 if the upstream does not report it.
+	Pace    float64
 	Running int
 	Slots   int
 	Waiting int
@@ -41,6 +44,8 @@
 	failureRate      float64     // share of failures among recent answers, from 0 to 1
 	load             float64     // running and waiting requests per slot, as last reported
 	loadAt           time.Time   // when load was reported
+	logPace          float64     // smoothed logarithm of the reported pace; 0 at the usual pace
+	paceAt           time.Time   // when a pace was last reported
 }
 
 // candidate is an upstream and its score: the lower, the better.
@@ -67,7 +72,17 @@
 	failurePenalty       = 6.0                    // penalty at a failure rate of 1, and after a failed connection
 	hallPenalty          = 0.05                   // penalty of an upstream in another hall
 	loadHalfLife         = 500 * time.Millisecond // of the weight of a reported load
-	defaultSlots         = 6                      // requests in flight from this box that count as a load of 1
+	// paceWeight is the weight of the latest report in the smoothed pace. An upstream's pace varies
+	// many times a second, so that a single report says little about the next request.
+	paceWeight = 0.3
+	// paceHalfLife is the half-life of the logarithm of the pace. The decay lets an upstream that
+	// was slow be tried again.
+	paceHalfLife = time.Second
+	// minPace and maxPace bound a reported pace, so that no report can make an upstream look free,
+	// or keep it from being chosen for long.
+	minPace      = 0.25
+	maxPace      = 16.0
+	defaultSlots = 6 // requests in flight from this box that count as a load of 1
 )
 
 // New returns a tracker without observations for a box in the given hall.
@@ -156,6 +171,9 @@
 	if l != nil && l.Slots > 0 {
 		e.load, e.loadAt = float64(l.Running+l.Waiting)/float64(l.Slots), now
 	}
+	if l != nil && l.Pace > 0 {
+		e.recordPace(l.Pace, now)
+	}
 }
 
 // RecordUnreachable records a failed connection to the upstream.
@@ -181,12 +199,15 @@
 	return time.Time{}
 }
 
-// score returns the upstream's load plus its penalties. The caller holds the lock.
+// score returns the time that a request is expected to take at the upstream, beyond that at an idle
+// one and in units of it, plus penalties. The caller holds the lock.
 func (t *Tracker) score(u *resource.Upstream, now time.Time) float64 {
 	e := t.statsOf(u.Name)
 	e.decay(now)
-	s := float64(e.inFlight)/defaultSlots + failurePenalty*e.failureRate
+	s := float64(e.inFlight) / defaultSlots
 	s += e.load * math.Exp2(-now.Sub(e.loadAt).Seconds()/loadHalfLife.Seconds())
+	s = (1+s)*e.pace(now) - 1
+	s += failurePenalty * e.failureRate
 	if u.Spec.Hall != t.hall {
 		s += hallPenalty
 	}
@@ -229,6 +250,25 @@
 	e.decayedAt = now
 }
 
+// pace returns how long work is expected to take at the upstream, relative to the usual.
+func (e *upstreamStats) pace(now time.Time) float64 {
+	return math.Exp2(e.decayedLogPace(now))
+}
+
+// decayedLogPace returns the smoothed binary logarithm of the pace, reduced by the time since the
+// last report.
+func (e *upstreamStats) decayedLogPace(now time.Time) float64 {
+	return e.logPace * math.Exp2(-now.Sub(e.paceAt).Seconds()/paceHalfLife.Seconds())
+}
+
+// recordPace adds a reported pace to the smoothed one. Logarithms are averaged, so that half and
+// twice the usual pace cancel out.
+func (e *upstreamStats) recordPace(pace float64, now time.Time) {
+	l := e.decayedLogPace(now)
+	v := math.Log2(min(maxPace, max(minPace, pace)))
+	e.logPace, e.paceAt = l+paceWeight*(v-l), now
+}
+
 // recordChoice records that the upstream was chosen for a request. If it was unreachable, the
 // request is a probe, and no other one follows within probePeriod.
 func (e *upstreamStats) recordChoice(u *resource.Upstream, now time.Time) {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -19,6 +19,7 @@
 	noticeLeaving      = "leaving"       // it is about to shut down
 	noticeLimit        = "limit"         // the request rate that it accepts from all boxes together
 	noticeLimitInvalid = "limit_invalid" // a rate limit that cannot be parsed or used
+	noticeLoadInvalid  = "load_invalid"  // a load that cannot be parsed
 	noticeBackoff      = "rest"          // it rejected the request and asked this box to back off
 )
 
@@ -34,6 +35,9 @@
 		e.recordLeaving(u)
 	}
 	x.observeLimit(u, a)
+	if a.LoadError != nil {
+		x.metrics.Count(metric.UpstreamNotices, "word", noticeLoadInvalid)
+	}
 	if a.Backoff > 0 {
 		x.metrics.Count(metric.UpstreamNotices, "word", noticeBackoff)
 		x.backoffs.RecordBackoff(u, now.Add(a.Backoff))
--- a/internal/relay/upstreams.go
+++ b/internal/relay/upstreams.go
@@ -20,6 +20,7 @@
 	Limit          *float64      // requests per second that the upstream accepts from all boxes together; nil if it names no limit
 	LimitError     error         // why the limit that the upstream names cannot be used; nil if it can
 	Load           *health.Load  // nil if not reported
+	LoadError      error         // why the load that the upstream reports cannot be used; nil if it can
 	NotRun         bool          // the upstream says that it did not run the request
 	EchoMismatch   bool          // the answer names another request than the one that was sent
 	Backoff        time.Duration // how long this box should send nothing to the upstream, which has rejected the request; 0 for no back-off
