Requests stay in the regions to which their route or workspace restricts them

Cause: allowed_regions of routes and workspaces was read nowhere.

Found by these tests: a stream that may be resumed and whose last engine was lost was placed again and again without a pause until its deadline. It now pauses 50 to 500 ms between tries that send nothing (TestRerunPausesWithoutUpstream).

--- a/assemble.go
+++ b/assemble.go
@@ -135,9 +135,9 @@
 }
 
 func (b *Box) assembleRelay(l *policy.Lengths) {
-	g := b.settings.Budget
+	g, s := b.settings.Budget, b.settings
 	b.relay = relay.New(b.view, b.tracker, l, b.settings.Hall, b.metrics, b.log,
-		relay.WithRetryBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdRateLimits(b.coldCapacity, b.coldShare), relay.WithLimiter(b.limits.limiter), relay.WithBackoffs(b.backoffs))
+		relay.WithRetryBudget(g.Ratio, g.Extra, g.Window.Duration, b.members.Count), relay.WithColdRateLimits(b.coldCapacity, b.coldShare), relay.WithLimiter(b.limits.limiter), relay.WithBackoffs(b.backoffs), relay.WithHallRegions(resource.HallRegions(s.Regions)))
 	b.relay.AnnounceClearance = func(p policy.Fingerprint) {
 		b.broadcast("", box.Request{Kind: box.KindReportCleared, ClearedFingerprints: []policy.Fingerprint{p}})
 	}
@@ -158,7 +158,7 @@
 	services := service.NewRouter(b.view, b.keys, b.metrics)
 	services.Do = b.engines.Call
 	services.Backoffs = b.backoffs
-	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration))
+	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration), client.WithRegions(resource.HallRegions(s.Regions), s.PlatformRegion))
 	c.CallService = services.Call
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,11 +34,13 @@
 	// before the first request.
 	Ready func() bool
 
-	bodyBytes int64
-	deadline  time.Duration
-	metrics   *metric.Set
-	mux       *http.ServeMux
-	view      *resource.View
+	bodyBytes      int64
+	deadline       time.Duration
+	hallRegions    resource.HallRegions
+	metrics        *metric.Set
+	mux            *http.ServeMux
+	platformRegion string
+	view           *resource.View
 }
 
 // Option configures a Server.
@@ -84,6 +87,12 @@
 	return func(s *Server) { s.deadline = d }
 }
 
+// WithRegions sets the region of each data hall, and that of the platform's store, which may be
+// unknown. By default no hall is in a region.
+func WithRegions(halls resource.HallRegions, platform string) Option {
+	return func(s *Server) { s.hallRegions, s.platformRegion = halls, platform }
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mux.ServeHTTP(w, r)
@@ -118,6 +127,15 @@
 	return now.Add(d), nil
 }
 
+// checkKeyRegion returns an error if a request of a workspace must not have a request key, because
+// the answer that is kept under it would be stored outside the regions of the workspace.
+func (s *Server) checkKeyRegion(x *resource.Workspace, key string) error {
+	if key == "" || x.Spec.Regions == nil || (s.platformRegion != "" && slices.Contains(x.Spec.Regions, s.platformRegion)) {
+		return nil
+	}
+	return fail.New(fail.BadInput, origin("read headers"), "key_region", "requests of workspace %q may have no %s: answers are kept outside its regions", x.Name, HeaderIdempotencyKey)
+}
+
 func (s *Server) getModels(w http.ResponseWriter, r *http.Request) {
 	if _, err := s.authorize(r); err != nil {
 		s.refuse(w, err)
@@ -196,6 +214,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.checkKeyRegion(x, k); err != nil {
+		return nil, err
+	}
 	d, err := s.deadlineOf(r, time.Now())
 	if err != nil {
 		return nil, err
@@ -207,7 +228,7 @@
 	n := r.PathValue("name")
 	p := service.PathOf(r.URL, n)
 	return &service.Call{
-		Body: b, Deadline: d, Header: r.Header, Key: k, Method: r.Method, Path: p,
+		Body: b, Deadline: d, Halls: s.hallRegions.Allowed(x.Spec.Regions), Header: r.Header, Key: k, Method: r.Method, Path: p,
 		Fingerprint: fingerprint([]byte(r.Method+" "+n+" "+p), b), Service: n, Workspace: x.Name,
 	}, nil
 }
--- a/internal/client/completion.go
+++ b/internal/client/completion.go
@@ -68,6 +68,7 @@
 		return err
 	}
 	w.Arrived = now
+	w.Halls = s.hallRegions.Allowed(x.Spec.Regions)
 	w.ID = newWorkID()
 	w.Kind = r.Header.Get(HeaderKind)
 	w.MaxTokens, err = maxTokensOf(c, m.MaxTokens)
@@ -229,6 +230,9 @@
 	if err := s.readHeaders(r, q, now); err != nil {
 		return nil, false, err
 	}
+	if err := s.checkKeyRegion(x, q.Key); err != nil {
+		return nil, false, err
+	}
 	return q, c.Stream, s.fillWork(&q.Work, c, r, x, t, now)
 }
 
--- a/internal/delivery/session.go
+++ b/internal/delivery/session.go
@@ -246,6 +246,9 @@
 	if u == nil {
 		return fail.New(fail.NotFound, p, "generation_unknown", "upstream %q is not known", name)
 	}
+	if !s.request.Work.AllowsHall(u.Spec.Hall) {
+		return fail.New(fail.NotFound, p, string(policy.ReasonRegion), "the generation runs outside the regions of the workspace")
+	}
 	x, err := d.engines.Position(s.clientContext, u.Spec.Address, generation)
 	if err != nil {
 		return resumeError(p, err)
--- a/internal/placement/candidatecache.go
+++ b/internal/placement/candidatecache.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +21,11 @@
 	view    *resource.View
 }
 
-// candidateKey identifies a list: the candidates for a model, as seen from a hall.
-type candidateKey struct{ hall, model string }
+// candidateKey identifies a list: the candidates for a model in some halls, as seen from a hall.
+type candidateKey struct {
+	hall, model string
+	halls       string // the only halls, each followed by a line feed; "" for all
+}
 
 // candidateList is a cached list with the versions that it was built from.
 type candidateList struct {
@@ -45,29 +49,29 @@
 	return &candidateCache{lists: make(map[candidateKey]*candidateList), members: m, view: v}
 }
 
-// build computes a list from the current view, without the cache.
-func (c *candidateCache) build(k candidateKey, now time.Time) []policy.Candidate {
+// build computes the list for w from the current view, without the cache.
+func (c *candidateCache) build(k candidateKey, w *policy.Work, now time.Time) []policy.Candidate {
 	all := c.view.UpstreamsOfModel(k.model)
 	reachable := c.reachableHalls()
 	l := make([]policy.Candidate, 0, len(all))
 	for _, u := range all {
-		if u.AcceptsWork(now) && reachable[u.Spec.Hall] {
+		if u.AcceptsWork(now) && reachable[u.Spec.Hall] && w.AllowsHall(u.Spec.Hall) {
 			l = append(l, newCandidate(u, k.hall))
 		}
 	}
 	return l
 }
 
-// get returns the upstreams that serve w's model, accept new work, and have a box in their hall
-// that can own them. Callers must not modify the list.
+// get returns the upstreams that serve w's model in the halls in which it may run, accept new work,
+// and have a box in their hall that can own them. Callers must not modify the list.
 func (c *candidateCache) get(w *policy.Work, now time.Time) []policy.Candidate {
-	k := candidateKey{hall: cmp.Or(w.Hall, c.members.Self().Hall), model: w.Model}
+	k := candidateKey{hall: cmp.Or(w.Hall, c.members.Self().Hall), halls: joinHalls(w.Halls), model: w.Model}
 	boxes, view := c.members.Version(), c.view.Version()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	l := c.lists[k]
 	if l == nil || l.boxes != boxes || l.view != view || !now.Before(l.expires) {
-		l = &candidateList{boxes: boxes, entries: c.build(k, now), expires: now.Add(candidatesTTL), view: view}
+		l = &candidateList{boxes: boxes, entries: c.build(k, w, now), expires: now.Add(candidatesTTL), view: view}
 		if len(c.lists) >= maxCandidateLists {
 			clear(c.lists)
 		}
@@ -85,6 +89,14 @@
 	return m
 }
 
+// joinHalls returns the restriction to halls as a part of a candidateKey.
+func joinHalls(halls []string) string {
+	if halls == nil {
+		return ""
+	}
+	return strings.Join(halls, "\n") + "\n"
+}
+
 // newCandidate returns an upstream as a candidate for work from a hall.
 func newCandidate(u *resource.Upstream, hall string) policy.Candidate {
 	x := policy.Candidate{Capacity: policy.Capacity{KVTokens: u.Spec.KVTokens, MaxBatch: u.Spec.MaxBatch}, Name: u.Name}
--- a/internal/placement/naive.go
+++ b/internal/placement/naive.go
@@ -34,7 +34,7 @@
 	var c []policy.Candidate
 	now := time.Now()
 	for _, u := range p.view.UpstreamsOfModel(w.Model) {
-		if u.AcceptsWork(now) {
+		if u.AcceptsWork(now) && w.AllowsHall(u.Spec.Hall) {
 			c = append(c, policy.Candidate{Name: u.Name})
 		}
 	}
--- a/internal/placement/reserver.go
+++ b/internal/placement/reserver.go
@@ -257,19 +257,23 @@
 
 // unavailableReason returns why no upstream accepts w.
 func (p *Reserver) unavailableReason(w *policy.Work) policy.Reason {
+	reason := policy.ReasonNoUpstream
 	for _, u := range p.view.UpstreamsOfModel(w.Model) {
-		if u.Evacuated() {
+		switch {
+		case !w.AllowsHall(u.Spec.Hall):
+			reason = policy.ReasonRegion
+		case u.Evacuated():
 			return policy.ReasonEvacuated
 		}
 	}
-	return policy.ReasonNoUpstream
+	return reason
 }
 
 // hasUpstream reports whether any upstream outside skip serves w's model and accepts new work.
 func (p *Reserver) hasUpstream(w *policy.Work, skip map[string]bool) bool {
 	now := time.Now()
 	for _, u := range p.view.UpstreamsOfModel(w.Model) {
-		if u.AcceptsWork(now) && !skip[u.Name] {
+		if u.AcceptsWork(now) && !skip[u.Name] && w.AllowsHall(u.Spec.Hall) {
 			return true
 		}
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -6,13 +6,17 @@
 // guard all other types.
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Work describes a generation to be placed.
 type Work struct {
 	Arrived       time.Time
 	Deadline      time.Time // of the complete answer
 	FirstBy       time.Time // when its caller gives up unless the first token has come; zero if there is no such limit
+	Halls         []string  `cbor:"-"` // the only data halls in which it may run; nil stands for all
 	Hall          string    // the preferred data hall; "" for that of the box that places it
 	Hint          int       // the caller's estimate of the output tokens; 0 if it has none
 	ID            string
@@ -31,6 +35,11 @@
 	Workspace     string
 }
 
+// AllowsHall reports whether the work may run in a data hall.
+func (w *Work) AllowsHall(hall string) bool {
+	return w.Halls == nil || slices.Contains(w.Halls, hall)
+}
+
 // Capacity describes an engine.
 type Capacity struct {
 	CopyTimePerToken   time.Duration // to another engine of its hall; 0 if its KV memory can not be copied
@@ -74,6 +83,7 @@
 	ReasonNoUpstream   Reason = "no_upstream"  // no upstream runs the model
 	ReasonQueueFull    Reason = "queue_full"   // the queue is full
 	ReasonBackOff      Reason = "resting"      // the upstream asked this box for back-off
+	ReasonRegion       Reason = "region"       // no upstream of the regions to which the request is restricted takes new work
 	ReasonRetryBudget  Reason = "retry_budget" // too many recent retries
 	ReasonTooLarge     Reason = "too_large"    // the prompt fits no upstream
 )
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,6 +87,9 @@
 	case u == nil || !u.KeepsWork(now):
 		e.avoid[t.upstream.Name] = true
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, origin, string(policy.ReasonLeaving), "the upstream is leaving"), now)
+	case !e.allowsHall(u.Spec.Hall):
+		e.avoid[t.upstream.Name] = true
+		return nil, e.regionError(u, stepCheck)
 	case u.Evacuated():
 		e.avoid[t.upstream.Name] = true
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, origin, string(policy.ReasonEvacuated), "data hall %q is evacuated", u.Spec.Hall), now)
@@ -116,6 +119,9 @@
 	if u == nil && !backAt.IsZero() {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), reasonAllUnreachable, "no upstream of %q can be reached", e.service.Name), backAt)
 	}
+	if u == nil && e.allowedHalls() != nil {
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), string(policy.ReasonRegion), "no upstream of %q in the regions of the request takes new work", e.service.Name), now.Add(refusedRetryDelay))
+	}
 	if u == nil {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), string(policy.ReasonNoUpstream), "no upstream of %q takes new work", e.service.Name), now.Add(refusedRetryDelay))
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -200,19 +200,20 @@
 	return e.upstream.Name
 }
 
-// upstreams returns the upstreams of the request's service that run its model.
+// upstreams returns the upstreams of the request's service that run its model, in the halls in which
+// it may be processed.
 func (e *exchange) upstreams() []*resource.Upstream {
 	if e.service.Spec.Engine != nil {
-		return e.relay.view.UpstreamsOfModel(e.model())
+		return e.inAllowedHalls(e.relay.view.UpstreamsOfModel(e.model()))
 	}
-	return e.relay.view.UpstreamsOfService(e.service.Name)
+	return e.inAllowedHalls(e.relay.view.UpstreamsOfService(e.service.Name))
 }
 
 // work describes the generation for the owners of engines, which place it.
 func (e *exchange) work() *policy.Work {
 	q := e.request
 	w := &policy.Work{
-		Arrived: q.Arrived, Deadline: e.deadline, Hint: q.Hint, ID: q.ID, Kind: e.route.Name, MaxTokens: max(1, q.MaxTokens),
+		Arrived: q.Arrived, Deadline: e.deadline, Halls: e.allowedHalls(), Hint: q.Hint, ID: q.ID, Kind: e.route.Name, MaxTokens: max(1, q.MaxTokens),
 		Model: e.model(), Prefix: q.PrefixKey, PrefixTokens: q.PrefixTokens, Priority: e.priority(), Prompt: q.PromptTokens, RoutePriority: e.route.Priority,
 	}
 	if p := e.route.Spec.FirstEventTimeout.Duration(); p > 0 && e.status == 0 {
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -38,8 +38,9 @@
 	return v != nil && v.AcceptsWork(now) && x.backoffs.Until(u.Name, now).IsZero()
 }
 
-// startMoves starts the moves of all generations whose engines are leaving. Generations in a
-// hall that is evacuated continue at their engines.
+// startMoves starts the moves of all generations whose engines are leaving, or are in a hall in
+// which they may no longer be processed. Generations in a hall that is evacuated continue at their
+// engines.
 func (x *Relay) startMoves() {
 	now := time.Now()
 	x.mutex.Lock()
@@ -51,7 +52,11 @@
 	for _, s := range l {
 		u := s.upstream()
 		v := x.view.Upstream(u.Name)
-		if v != nil && v.KeepsWork(now) {
+		allowed := s.exchange.allowsHall(u.Spec.Hall)
+		if !allowed {
+			s.endOutsideRegions()
+		}
+		if v != nil && v.KeepsWork(now) && allowed {
 			continue
 		}
 		if g := u.Engine(); g == nil || !g.Migrates {
@@ -206,7 +211,7 @@
 	}
 	defer release()
 	for try := 1; ; try++ {
-		if to == nil || !x.acceptsWork(to) {
+		if to == nil || !x.acceptsWork(to) || !s.exchange.allowsHall(to.Spec.Hall) {
 			m.releaseReservation(x)
 			to = s.reserveMoveTarget(ctx, m, avoid)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,7 @@
 	cancel         context.CancelFunc
 	ctx            context.Context // cancelled by Abort
 	frequentRuns   *policy.FrequentRuns
+	hallRegions    resource.HallRegions
 	quarantine     *policy.Quarantine
 	health         *health.Tracker
 	lengths        *policy.Lengths
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -19,6 +19,13 @@
 // the run's memory takes about 10 ms, and the run would be lost otherwise.
 const evacuatedResumeGrace = 500 * time.Millisecond
 
+// minRerunPause and maxRerunPause bound the pause between two tries to run a broken stream elsewhere
+// if no upstream could be asked: callers disconnect if a stream pauses for two seconds or more.
+const (
+	minRerunPause = 50 * time.Millisecond
+	maxRerunPause = 500 * time.Millisecond
+)
+
 // abandonMove abandons the stream's move, if there is one, whether it is under way or has ended.
 func (s *stream) abandonMove() {
 	s.mutex.Lock()
@@ -38,6 +45,9 @@
 	if v != nil && v.Evacuated() && time.Since(v.EvacuatedAt) > evacuatedResumeGrace {
 		return nil, fail.New(fail.NotRun, origin, string(policy.ReasonEvacuated), "data hall %q is evacuated", v.Spec.Hall)
 	}
+	if !e.allowsHall(u.Spec.Hall) {
+		return nil, e.regionError(u, "resume")
+	}
 	if !e.relay.backoffs.TakeProbe(u.Name, time.Now()) {
 		return nil, fail.New(fail.NotRun, origin, string(policy.ReasonBackOff), "the upstream asked for back-off")
 	}
@@ -106,6 +116,7 @@
 	e := s.exchange
 	s.abandonMove()
 	for e.shouldRetry(cause) {
+		sends := e.sends
 		a, err := s.rerunOnce(ctx)
 		if err == nil {
 			e.relay.metrics.Count(metric.Resumptions, "reason", fail.Reason(cause))
@@ -113,6 +124,9 @@
 			return a, nil
 		}
 		cause = err
+		if e.sends == sends {
+			pauseBeforeRerun(ctx, err)
+		}
 	}
 	if e.status != 0 && !errorx.IsOfType(cause, fail.Interrupted) {
 		return nil, fail.Wrap(fail.Interrupted, s.upstreamOrigin("resume"), fail.Reason(cause), cause)
@@ -120,6 +134,17 @@
 	return nil, cause
 }
 
+// pauseBeforeRerun waits until the time at which err says that another try may succeed, for
+// maxRerunPause at most. It is called after a try that sent nothing.
+func pauseBeforeRerun(ctx context.Context, err error) {
+	t := time.NewTimer(min(maxRerunPause, max(minRerunPause, time.Until(fail.RetryAt(err)))))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // rerunOnce sends the request to one more upstream, to continue after the last event.
 func (s *stream) rerunOnce(ctx context.Context) (*Answer, error) {
 	e := s.exchange
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -199,3 +199,28 @@
 		}
 	})
 }
+
+// TestRerunPausesWithoutUpstream guards against a box that tries without a pause to run a broken
+// stream elsewhere while no engine can take it.
+func TestRerunPausesWithoutUpstream(t *testing.T) {
+	withRig(t, 1, 0, func(t *testing.T, r *rig) {
+		tries := 0
+		place := r.relay.Place
+		r.relay.Place = func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
+			if tries++; tries > 1000 {
+				time.Sleep(time.Second) // so that the test ends
+			}
+			return place(ctx, w, avoid)
+		}
+		began := time.Now()
+		_, _ = r.readStream(checkRequest(t.Context(), 1200), func(events int) {
+			if events == 20 {
+				r.kill("u1")
+				r.remove("u1")
+			}
+		})
+		if got, want := tries, 3+int(time.Since(began)/(50*time.Millisecond)); got > want {
+			t.Errorf("tries to place the stream within %v: got %d, want at most %d", time.Since(began), got, want)
+		}
+	}, relay.WithRetryBudget(1, 1e6, 10*time.Second, func() int { return 1 }))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -29,6 +29,8 @@
 
 	mutex         sync.Mutex  // guards the fields below; the locks of moves, lengths and metrics may be taken while it is held
 	closed        bool        // no more moves may start
+	closeAnswer   func()      // ends the reading of the current answer; nil before the first
+	endsOutside   bool        // endOutsideRegions was called
 	events        int         // number of events forwarded
 	firstEventAt  time.Time   // when the first event was forwarded
 	reassignments int         // number of moves and reruns
@@ -139,6 +141,9 @@
 func (s *stream) forward(ctx context.Context, a *Answer) error {
 	closeBody := func() { _ = a.Body.Close() }
 	defer context.AfterFunc(ctx, closeBody)()
+	s.mutex.Lock()
+	s.closeAnswer = closeBody
+	s.mutex.Unlock()
 	timer := time.AfterFunc(s.eventTimeout(), closeBody)
 	defer timer.Stop()
 	x := sse.NewSplitter(a.Body)
--- a/internal/resource/check.go
+++ b/internal/resource/check.go
@@ -163,11 +163,20 @@
 	for i, x := range s.Services {
 		f.checkRange(fmt.Sprintf("spec.services[%d].weight", i), x.Weight, 0, maxWeight)
 	}
+	checkRegions(&f, s.Regions)
 	f.checkRange("spec.patienceMilliseconds", int(s.FirstEventTimeout), 0, maxTimeoutMS)
 	f.checkRange("spec.timeoutMilliseconds", int(s.Timeout), 1, maxTimeoutMS)
 	return f
 }
 
+func checkRegions(f *Faults, r Regions) {
+	for i, x := range r {
+		if x == "" {
+			f.add(fmt.Sprintf("spec.regions[%d]", i), "must be set")
+		}
+	}
+}
+
 func checkService(s *ServiceSpec) Faults {
 	var f Faults
 	if s.Engine != nil {
@@ -240,6 +249,7 @@
 	if len(s.KeyHashes) == 0 {
 		f.add("spec.keyHashes", "must hold at least one hash")
 	}
+	checkRegions(&f, s.Regions)
 	f.checkRange("spec.maxQueued", s.MaxQueued, 0, maxQueuedRequests)
 	if s.Weight < 0 || s.Weight > maxWeight {
 		f.add("spec.weight", "must be between 0 and %d", maxWeight)
--- a/internal/resource/lookup.go
+++ b/internal/resource/lookup.go
@@ -94,6 +94,13 @@
 	return v.cached(name, func(x *index) *upstreamLists { return &x.byService })
 }
 
+// Workspace returns the workspace of the given name, or nil.
+func (v *View) Workspace(name string) *Workspace {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.index.workspaces[name]
+}
+
 // WorkspaceByKey returns the workspace of a bearer key, or nil.
 //
 // The hash is looked up in a map and then compared in constant time, so that response times reveal
--- a/internal/resource/route.go
+++ b/internal/resource/route.go
@@ -28,6 +28,8 @@
 	Priority string `json:"priority,omitempty"`
 	// Public routes need no key.
 	Public bool `json:"public,omitempty"`
+	// Regions are the only regions in which its requests may be processed; all if it is absent.
+	Regions Regions `json:"regions,omitempty"`
 	// RetryPolicy specifies how requests may be retried.
 	RetryPolicy RetryPolicy `json:"repeat"`
 	// Services are the destinations, weighted.
--- a/internal/resource/workspace.go
+++ b/internal/resource/workspace.go
@@ -16,6 +16,9 @@
 	MaxQueued int `json:"maxQueued,omitempty"`
 	// Priority names the Priority of requests that name none.
 	Priority string `json:"priority,omitempty"`
+	// Regions are the only regions in which its requests may be processed and their content stored;
+	// all if it is absent.
+	Regions Regions `json:"regions,omitempty"`
 	// Weight is its share of an overloaded upstream relative to other workspaces.
 	Weight float64 `json:"weight,omitempty"`
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -34,8 +34,9 @@
 	Header      http.Header
 	Key         string // the request key, or ""
 	Method      string
-	Path        string // what follows /services/NAME, with the query
-	Fingerprint string // hash of the request; a key may only be used again with the same one
+	Path        string   // what follows /services/NAME, with the query
+	Halls       []string // the only data halls in which it may run; nil stands for all
+	Fingerprint string   // hash of the request; a key may only be used again with the same one
 	Service     string
 	Workspace   string
 }
@@ -70,6 +71,9 @@
 	// tableRetryDelay is the delay after which callers may retry while request keys cannot be
 	// claimed. It also bounds the time to record the outcome of a call.
 	tableRetryDelay = 5 * time.Second
+	// noUpstreamRetryDelay is the delay after which callers may retry while no upstream of their
+	// regions takes new work.
+	noUpstreamRetryDelay = time.Second
 )
 
 // forwardedHeaders are the request headers that are passed on to a service.
@@ -84,7 +88,11 @@
 func (r *Router) Call(ctx context.Context, c *Call) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	u := r.upstreams(c.Service)
+	all := r.upstreams(c.Service)
+	u := inHalls(all, c.Halls)
+	if len(u) == 0 && len(all) > 0 {
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, r.origin(c), string(policy.ReasonRegion), "no upstream of %q in the regions of the workspace takes new work", c.Service), time.Now().Add(noUpstreamRetryDelay))
+	}
 	if len(u) == 0 {
 		return nil, fail.New(fail.NotFound, r.origin(c), "service_unknown", "no upstream serves %q", c.Service)
 	}
@@ -270,6 +278,14 @@
 	})
 }
 
+// inHalls returns the upstreams of a list in some halls, or all if halls is nil.
+func inHalls(l []*resource.Upstream, halls []string) []*resource.Upstream {
+	if halls == nil {
+		return l
+	}
+	return slices.DeleteFunc(slices.Clone(l), func(u *resource.Upstream) bool { return !slices.Contains(halls, u.Spec.Hall) })
+}
+
 // PathOf returns the path and query that the service receives for a request to /services/NAME/….
 func PathOf(u *url.URL, name string) string {
 	p := strings.TrimPrefix(u.EscapedPath(), "/services/"+name)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/fake/link"
 	fakeservice "github.com/linetiller/linetiller/internal/fake/service"
@@ -84,3 +86,19 @@
 		}
 	})
 }
+
+// TestServiceInTheRegions guards against a call of a workspace that is restricted to regions and runs
+// at an upstream of another hall, or waits where none is allowed.
+func TestServiceInTheRegions(t *testing.T) {
+	withRouter(t, func(t *testing.T, r *Router, _ *link.Link, _ []*fakeservice.Service) {
+		for _, x := range []struct {
+			halls []string
+			want  string // reason of the refusal, "" if it is served
+		}{{nil, ""}, {[]string{"b", "a"}, ""}, {[]string{"b"}, "region"}, {[]string{}, "region"}} {
+			_, err := r.Call(t.Context(), &Call{Deadline: time.Now().Add(time.Second), Halls: x.halls, Header: make(http.Header), Method: http.MethodGet, Path: "/x", Service: "desk"})
+			if (err == nil) != (x.want == "") || (err != nil && (fail.Reason(err) != x.want || !errorx.IsOfType(err, fail.NotRun))) {
+				t.Errorf("halls %q: got %v, want reason %q", x.halls, err, x.want)
+			}
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,24 +88,26 @@
 
 // Settings is the content of a settings file.
 type Settings struct {
-	Box             string      `toml:"box"`               // this box's name
-	BoxAddress      string      `toml:"box_address"`       // IP:port for other boxes, UDP or, with plain links, TCP
-	Budget          RetryBudget `toml:"budget"`            // of retries
-	ClientAddress   string      `toml:"client_address"`    // IP:port for clients
-	Cold            ColdStart   `toml:"cold"`              // limits for cold upstreams
-	Entry           Entry       `toml:"entry"`             // for requests to declared routes
-	FirstStart      bool        `toml:"first_start"`       // whether the whole system starts for the first time
-	Hall            string      `toml:"hall"`              // this box's data hall
-	Limits          Limits      `toml:"limits"`            // on what callers and peers can use
-	Links           Links       `toml:"links"`             // quic or plain
-	LogLevel        string      `toml:"log_level"`         // debug, info, warn or error
-	OperatorAddress string      `toml:"operator_address"`  // IP:port for operators
-	OperatorKeyHash string      `toml:"operator_key_hash"` // SHA-256 in hex
-	Peers           []string    `toml:"peers"`             // IP:port of boxes to join through while the platform is unreachable
-	Platform        string      `toml:"platform"`          // http://IP:port
-	Policy          Policy      `toml:"policy"`            // naive or reserved
-	Timeouts        Timeouts    `toml:"timeouts"`
-	TLS             TLS         `toml:"tls"`
+	Box             string            `toml:"box"`               // this box's name
+	BoxAddress      string            `toml:"box_address"`       // IP:port for other boxes, UDP or, with plain links, TCP
+	Budget          RetryBudget       `toml:"budget"`            // of retries
+	ClientAddress   string            `toml:"client_address"`    // IP:port for clients
+	Cold            ColdStart         `toml:"cold"`              // limits for cold upstreams
+	Entry           Entry             `toml:"entry"`             // for requests to declared routes
+	FirstStart      bool              `toml:"first_start"`       // whether the whole system starts for the first time
+	Hall            string            `toml:"hall"`              // this box's data hall
+	Limits          Limits            `toml:"limits"`            // on what callers and peers can use
+	Links           Links             `toml:"links"`             // quic or plain
+	LogLevel        string            `toml:"log_level"`         // debug, info, warn or error
+	OperatorAddress string            `toml:"operator_address"`  // IP:port for operators
+	OperatorKeyHash string            `toml:"operator_key_hash"` // SHA-256 in hex
+	Peers           []string          `toml:"peers"`             // IP:port of boxes to join through while the platform is unreachable
+	Platform        string            `toml:"platform"`          // http://IP:port
+	PlatformRegion  string            `toml:"platform_region"`   // region in which the platform's store keeps what is written to it; "" if it is not known
+	Policy          Policy            `toml:"policy"`            // naive or reserved
+	Regions         map[string]string `toml:"regions"`           // region of each data hall, for routes and workspaces that are restricted to regions
+	Timeouts        Timeouts          `toml:"timeouts"`
+	TLS             TLS               `toml:"tls"`
 }
 
 // Default returns the defaults, which apply to settings that a file does not set.
--- a/template_test.go
+++ b/template_test.go
@@ -19,7 +19,7 @@
 
 // optionalPart matches a part of the template that is kept only where the platform has a value for
 // it.
-var optionalPart = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+var optionalPart = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
 
 // platformValues returns the platform's values for the template, on loopback.
 func platformValues() map[string]string {
@@ -27,7 +27,7 @@
 		"bootstrap": "true", "bounds.budget_extra": "630", "bounds.budget_window_s": "10", "bounds.grace_s": "8.0", "bounds.retry_budget_ratio": "0.2",
 		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
 		"internal_ports.0": "0", "ip": "127.0.0.1", "limits.memory_mb": "112", "listen.front": "127.0.0.1:0", "listen.readiness": "127.0.0.1:0",
-		"node": "front-a-1", "platform.address": "127.0.0.1:1", "zone": "a",
+		"node": "front-a-1", "platform.address": "127.0.0.1:1", "zone": "a", "zones": "nairobi",
 	}
 }
 
@@ -44,7 +44,7 @@
 		if !ok {
 			return nil
 		}
-		return []byte(strings.ReplaceAll(string(m[2]), "{{.}}", v))
+		return []byte(strings.NewReplacer("{{.}}", v, "{{@}}", values["zone"]).Replace(string(m[2])))
 	})
 	return placeholder.ReplaceAllFunc(b, func(g []byte) []byte {
 		n := strings.Trim(string(g), "{}")
@@ -99,6 +99,18 @@
 	}
 }
 
+// TestTemplateHasTheRegions guards against boxes that do not know the region of their data halls, and
+// refuse every request that is restricted to regions.
+func TestTemplateHasTheRegions(t *testing.T) {
+	s, err := settings.Parse(fillTemplate(t, platformValues()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Regions, map[string]string{"a": "nairobi"}; !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // startOnce creates a box with settings, and closes it again.
 func startOnce(b []byte) error {
 	s, err := settings.Parse(b)
