Few boxes read the list of boxes as a fleet starts for the first time

Cause: on the first start a box waits 0.4 s and a random time of up to 1.2 s, evenly drawn, for the rows of the others, then reads them from the store. The first box to read them takes some hundred milliseconds to reach the others, as all of them start, so that the share of boxes which read is fixed and the reads grow with the fleet, and their bytes with its square.

Change: the random part has a truncated exponential distribution, as suppresses feedback in multicasts: most boxes wait for nearly 2 s, few for a short time.

--- a/join.go
+++ b/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,9 +27,15 @@
 	// within 0.3 s of each other. Without their rows, each box would consider itself one of those
 	// that read the whole store.
 	boxRowsWait = 400 * time.Millisecond
-	// boxRowsWaitJitter is the random part of that wait when the system starts for the first time.
-	// The first box to read the rows sends them to the others, which then need not read them.
-	boxRowsWaitJitter = 1200 * time.Millisecond
+	// maxBoxRowsJitter bounds the random part of that wait when the system starts for the first
+	// time. The first box to read the rows sends them to the others, which then need not read them.
+	maxBoxRowsJitter = 2 * time.Second
+	// boxRowsSkew is the rate of the exponential distribution of that random part, counted from its
+	// bound. Most boxes wait for nearly all of it and only few for a short time, so that the number
+	// of boxes which read the rows before they get them hardly grows with the number of boxes, up
+	// to e to its power. (Exponential feedback suppression, as for negative acknowledgements of
+	// multicasts.)
+	boxRowsSkew = 8
 )
 
 // contactPeers fetches the known boxes and the configuration from the peers named in the settings.
@@ -120,7 +127,7 @@
 // list themselves.
 func (b *Box) awaitBoxes(ctx context.Context) bool {
 	_ = b.register(ctx) // runRegister retries
-	t := time.NewTimer(boxRowsWait + rand.N(boxRowsWaitJitter))
+	t := time.NewTimer(boxRowsWait + boxRowsJitter(rand.Float64()))
 	defer t.Stop()
 	for {
 		c := b.view.Changed()
@@ -137,6 +144,12 @@
 	}
 }
 
+// boxRowsJitter returns the random part of the wait for the list of boxes, for a random number in
+// [0, 1).
+func boxRowsJitter(random float64) time.Duration {
+	return time.Duration(max(0, 1+math.Log(random)/boxRowsSkew) * float64(maxBoxRowsJitter))
+}
+
 // runMembers updates the member table whenever the list of boxes changes.
 func (b *Box) runMembers(ctx context.Context) {
 	for updated := uint64(0); ; {
