Load reports of idle engines are read every five seconds

Change: a report is read every 5 s while the last one has no generations and the owner knows none; every second from the first place on, and every 150 ms, as before, while the platform's list is unavailable.

--- a/internal/ownership/ownedupstream.go
+++ b/internal/ownership/ownedupstream.go
@@ -15,6 +15,7 @@
 	reportFailures int    // consecutive failed reads of the load report
 	instance       string // of the upstream, as its last load report names it; changes with a restart
 	assigned       bool   // this box owns the upstream at present
+	lastReportIdle bool   // the last report has no generations, running or waiting
 	owner          *policy.Owner
 	reportReadAt   time.Time // when the last read of the load report began
 	readingReport  bool
@@ -43,6 +44,7 @@
 		x.owner.HandleRestart()
 	}
 	x.instance = l.Instance
+	x.lastReportIdle = l.Running == 0 && l.Waiting == 0
 	x.owner.SetReport(policy.Report{
 		AsOf: l.AsOf, Preemptions: l.Preemptions, Running: l.Running,
 		StepSeconds: float64(l.StepMicros) / 1e6, UsedTokens: l.UsedTokens, Waiting: l.Waiting,
@@ -113,6 +115,13 @@
 	}
 }
 
+// reportedIdle reports whether the last load report could be read and has no generations.
+func (x *ownedUpstream) reportedIdle() bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.lastReportIdle && x.reportFailures == 0
+}
+
 // setEvacuated records whether the upstream's hall is evacuated; if it is, queued work is
 // refused at once, so that it can go elsewhere. The caller holds the mutex.
 func (x *ownedUpstream) setEvacuated(evacuated bool) {
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -77,6 +77,10 @@
 	// generations, so this takes 0.9 s of a target of 1.5 s.
 	maxPrefillTokens = 7000
 	reportWorkers    = 16 // load reports read concurrently
+	// idleReportInterval is how often load reports of upstreams are read that are idle by their last
+	// report and have no generation that the owner knows. Nothing is decided by them until a place
+	// is granted; that an upstream is leaving is told by the platform's list.
+	idleReportInterval = 5 * time.Second
 	// restartPeriod is how long after its own start a box assumes that a cold engine had another
 	// owner just before: that owner may have been this box itself, before a restart.
 	restartPeriod = time.Second
@@ -236,14 +240,15 @@
 // dispatch passes to the workers the upstreams that have queued work or a load report due.
 func (o *Owners) dispatch(ctx context.Context, ticks, reports chan<- *ownedUpstream, now time.Time) {
 	for _, x := range o.list() {
-		if !x.idle() {
+		idle := x.idle()
+		if !idle {
 			select {
 			case ticks <- x:
 			case <-ctx.Done():
 				return
 			}
 		}
-		if x.beginReportRead(now, o.currentReportInterval()) {
+		if x.beginReportRead(now, o.currentReportInterval(idle && x.reportedIdle())) {
 			select {
 			case reports <- x:
 			case <-ctx.Done():
--- a/internal/ownership/reports.go
+++ b/internal/ownership/reports.go
@@ -33,12 +33,16 @@
 	x.applyReport(l, u.IsLeaving(), u.ReportedLeaving || selfReported)
 }
 
-// currentReportInterval returns how often load reports are read: more often while the platform's
-// list of upstreams is unavailable, since a report is then the only sign that an upstream is
-// leaving.
-func (o *Owners) currentReportInterval() time.Duration {
-	if o.PlatformUnavailable != nil && o.PlatformUnavailable() {
+// currentReportInterval returns how often the load report of an upstream is read: seldom if it is
+// idle, and more often while the platform's list of upstreams is unavailable, since a report is then
+// the only sign that an upstream is leaving.
+func (o *Owners) currentReportInterval(idle bool) time.Duration {
+	switch {
+	case o.PlatformUnavailable != nil && o.PlatformUnavailable():
 		return min(o.reportInterval, outageReportInterval)
+	case idle:
+		return max(o.reportInterval, idleReportInterval)
+	default:
+		return o.reportInterval
 	}
-	return o.reportInterval
 }
