--- a/internal/configuration/hedge_test.go
+++ b/internal/configuration/hedge_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newOutageStore(0)
 		f := s.follower()
-		reconnected := 0
-		f.Reconnect = func() { reconnected++ }
+		var reconnected atomic.Int64
+		f.Reconnect = func() { reconnected.Add(1) }
 		var mutex sync.Mutex
 		began := make(map[resource.Source][]time.Time)
 		for _, n := range []resource.Source{resource.SourceConfiguration, resource.SourceUpstreams} {
@@ -47,7 +48,7 @@
 				t.Errorf("%s: got %d reads, want %d or more", n, got, want)
 			}
 		}
-		if got, want := reconnected, 1; got < want {
+		if got, want := reconnected.Load(), int64(1); got < want {
 			t.Errorf("new connections: got %d, want %d or more", got, want)
 		}
 	})
--- a/internal/member/ranks.go
+++ b/internal/member/ranks.go
@@ -17,6 +17,7 @@
 	links  []string            // the boxes of its own hall, itself included, by their preference as senders to other halls
 }
 
+// newRanks returns the order for a box among the other boxes that it knows.
 func newRanks(self box.Member, boxes map[string]*entry) *ranks {
 	r := &ranks{byHall: make(map[string][]string)}
 	for n, e := range boxes {
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -79,7 +79,7 @@
 	reportWorkers    = 16 // load reports read concurrently
 	// idleReportInterval is how often load reports of upstreams are read that are idle by their last
 	// report and have no generation that the owner knows. Nothing is decided by them until a place
-	// is granted; that an upstream is leaving is told by the platform's list.
+	// is granted, and the platform's list says that an upstream is leaving.
 	idleReportInterval = 5 * time.Second
 	// restartPeriod is how long after its own start a box assumes that a cold engine had another
 	// owner just before: that owner may have been this box itself, before a restart.
