A box that returned counts as alive again where nobody calls it

Its upstreams would have had two owners.

Change: the list is also applied every 5 s.

Test: 40 boxes hear that one leaves; 30 s later all count it as alive. Fails without the timer at all boxes that it does not call.

--- a/join.go
+++ b/join.go
@@ -27,6 +27,9 @@
 	// within 0.3 s of each other. Without their rows, each box would consider itself one of those
 	// that read the whole store.
 	boxRowsWait = 400 * time.Millisecond
+	// membersInterval is the longest time between two updates of the member table from the list of
+	// boxes.
+	membersInterval = 5 * time.Second
 	// maxBoxRowsJitter bounds the random part of that wait when the system starts for the first
 	// time. The first box to read the rows sends them to the others, which then need not read them.
 	maxBoxRowsJitter = 2 * time.Second
@@ -150,8 +153,11 @@
 	return time.Duration(max(0, 1+math.Log(random)/boxRowsSkew) * float64(maxBoxRowsJitter))
 }
 
-// runMembers updates the member table whenever the list of boxes changes.
+// runMembers updates the member table whenever the list of boxes changes, and regularly, since the
+// list takes precedence over what a box reported about itself once that is old.
 func (b *Box) runMembers(ctx context.Context) {
+	t := time.NewTicker(membersInterval)
+	defer t.Stop()
 	for updated := uint64(0); ; {
 		c, version := b.view.Changed(), b.view.BoxesVersion()
 		if version != updated {
@@ -162,6 +168,8 @@
 		case <-ctx.Done():
 			return
 		case <-c:
+		case <-t.C:
+			b.updateMembers()
 		}
 	}
 }
--- a/scale_test.go
+++ b/scale_test.go
@@ -319,3 +319,27 @@
 		}
 	})
 }
+
+// TestBoxThatReturnsCountsAgain guards against a box that restarted and counts as leaving for good at
+// boxes which it does not call, unless some other box comes or goes.
+func TestBoxThatReturnsCountsAgain(t *testing.T) {
+	withFleet(t, 40, 2, func(t *testing.T, l *fleet, _ fleetUsage) {
+		returned, observers := l.boxNames[1], 0
+		for _, n := range l.boxNames {
+			l.boxes[n].members.MarkLeaving(returned)
+		}
+		time.Sleep(30 * time.Second)
+		for _, n := range l.boxNames {
+			if n == returned {
+				continue
+			}
+			observers++
+			if !slices.Contains(l.boxes[n].members.Alive(returned[4:5]), returned) {
+				t.Errorf("%s: the box that returned does not count as alive", n)
+			}
+		}
+		if got, want := observers, 39; got != want {
+			t.Errorf("observers: got %d, want %d", got, want)
+		}
+	})
+}
