Long lists pass between boxes in pages, and hold up nothing else

Cause: a box that starts gets the list of upstreams from its neighbours in one reply, 2.7 MB for 10,001 upstreams, which takes 1.1 s over 20 Mbit/s and more on 0.192 of a core. Heartbeats wait for it and are given up after a second: nothing of the reply is used, the configuration in it neither; the neighbours take the box for lost; each further message starts the same again; and after 0.7 to 1.5 s the box reads the whole list from the store.

Change: changes of upstreams come in pages of 1,000, in the order of their names, complete up to the revision of the first page; what other sources have changed comes with the first one. A message waits 0.3 s for what it gave notice of, which goes on being fetched meanwhile. A reader's news leave a long list out. A starting box waits for as long as pages arrive. Older builds ask for, and send, all at once.

Tests: a box returns over a link on which the list takes 2.6 s while four configurations come, each in force within 2 s, and none reads the list from the store (one reading before); pages of a list that changes in between lose nothing; random exchanges in pages converge.

--- a/handle.go
+++ b/handle.go
@@ -17,6 +17,15 @@
 	}
 }
 
+// changesAfter returns the changes that the sender of a request lacks, or one page of them.
+func (b *Box) changesAfter(q *box.Request) *box.Reply {
+	if q.MaxChanges <= 0 {
+		return &box.Reply{Changes: b.view.Missing(q.Revisions)}
+	}
+	l, next := b.view.MissingPage(q.Revisions, q.PageAfter, q.MaxChanges)
+	return &box.Reply{Changes: l, NextPage: next}
+}
+
 // handleMoveSlot waits until a move slot of the upstream is granted to the run, reports that to the
 // caller, and holds the slot until the caller ends the call.
 func (b *Box) handleMoveSlot(ctx context.Context, t *box.MoveSlotRequest, send func(*box.Reply) error) {
@@ -51,7 +60,7 @@
 		b.recordAnnouncement(q)
 		_ = send(&box.Reply{})
 	case box.KindChanges:
-		_ = send(&box.Reply{Changes: b.view.Missing(q.Revisions)})
+		_ = send(b.changesAfter(q))
 	case box.KindReportCleared, box.KindReportCrashes, box.KindListCrashes:
 		_ = send(b.handleCrashes(q))
 	case box.KindHeartbeat:
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -8,6 +8,7 @@
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/periodic"
+	"github.com/linetiller/linetiller/internal/resource"
 )
 
 const (
@@ -15,8 +16,33 @@
 	pauseThreshold   = time.Second            // time since the last tick from which the process counts as paused
 	heartbeatTimeout = time.Second            // for the reply to a heartbeat or another short call
 	refreshTimeout   = 500 * time.Millisecond // for renewing the views after a pause
+	catchUpWait      = 300 * time.Millisecond // of a message for the changes of which it gave notice
 )
 
+// catchUp fetches the changes that the box at address has and this one does not, and records the age
+// of that box's view. It waits for at most catchUpWait, and the changes go on being fetched: neither
+// the other box nor this one may hold up its messages for a long list. On failure, the next message
+// retries.
+func (b *Box) catchUp(address string, r resource.Revisions, viewAge time.Duration) {
+	if !b.view.Revisions().Behind(r) {
+		b.follower.RecordPeerViewAge(viewAge)
+		return
+	}
+	began, done := time.Now(), make(chan struct{})
+	if !b.startWorker(func() {
+		defer close(done)
+		if b.follower.CatchUp(b.serveContext, address, r) == nil && viewAge > 0 {
+			b.follower.RecordPeerViewAge(viewAge + time.Since(began))
+		}
+	}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(catchUpWait):
+	}
+}
+
 // recordContact records a request from another box as a sign of life. It fetches the changes and
 // crashes, and after a heartbeat also the limits, that the other box has and this one does not.
 func (b *Box) recordContact(ctx context.Context, q *box.Request) {
@@ -26,9 +52,7 @@
 	b.limits.markResponsive(q.From.Name)
 	b.recordLoads(q.Loads)
 	b.pushes.recordKnown(q.From.Name, q.Revisions)
-	if b.follower.CatchUp(ctx, q.From.Address, q.Revisions) == nil { // on failure, the next message retries
-		b.follower.RecordPeerViewAge(q.ViewAge)
-	}
+	b.catchUp(q.From.Address, q.Revisions, q.ViewAge)
 	b.fetchCrashes(ctx, q.From, q.CrashesDigest)
 	if q.Kind == box.KindHeartbeat && !q.BusyLoadsOnly {
 		b.pushes.recordCaller(q.From, time.Now())
@@ -91,9 +115,7 @@
 	if b.members.RecordContact(m, time.Now()) {
 		event.PeerReachable.Log(b.log, "box", m.Name)
 	}
-	if b.follower.CatchUp(ctx, m.Address, r.Revisions) == nil { // on failure, the next heartbeat retries
-		b.follower.RecordPeerViewAge(r.ViewAge)
-	}
+	b.catchUp(m.Address, r.Revisions, r.ViewAge)
 	b.fetchCrashes(ctx, m, r.CrashesDigest)
 	b.fetchLimits(ctx, m, r.LimitsDigest)
 }
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -70,6 +70,8 @@
 	Limits              []ratelimit.Limit        `cbor:"20,keyasint,omitempty"` // limits
 	Loads               []policy.Load            `cbor:"10,keyasint,omitempty"` // heartbeat: loads of the upstreams that the sender owns, with BusyLoadsOnly those that are not idle
 	BusyLoadsOnly       bool                     `cbor:"24,keyasint,omitempty"` // heartbeat: the reply may leave out the loads of idle upstreams
+	MaxChanges          int                      `cbor:"25,keyasint,omitempty"` // changes: how many changes of upstreams the reply may contain; 0 for any number
+	PageAfter           string                   `cbor:"26,keyasint,omitempty"` // changes: reply with the changes of upstreams after this name only
 	Permit              *ratelimit.PermitRequest `cbor:"21,keyasint,omitempty"` // permit
 	ClearedFingerprints []policy.Fingerprint     `cbor:"15,keyasint,omitempty"` // cleared: fingerprints of the requests
 	CrashesDigest       uint64                   `cbor:"18,keyasint,omitempty"` // heartbeat: digest of the crashes that the sender knows
@@ -131,6 +133,7 @@
 	Halls         []HallRevisions    `cbor:"4,keyasint,omitempty"`  // in-force
 	Load          *policy.Load       `cbor:"5,keyasint,omitempty"`  // ask, update: load of the upstream
 	Loads         []policy.Load      `cbor:"12,keyasint,omitempty"` // heartbeat: loads of the upstreams that the sender owns
+	NextPage      string             `cbor:"20,keyasint,omitempty"` // changes: the name after which the changes of upstreams go on, "" if they are complete
 	Members       []Member           `cbor:"6,keyasint,omitempty"`  // members
 	CrashesDigest uint64             `cbor:"15,keyasint,omitempty"` // heartbeat: digest of the crashes that the sender knows
 	Revisions     resource.Revisions `cbor:"7,keyasint"`            // known to the sender
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math"
@@ -59,6 +60,7 @@
 	laggingPeerUntil  map[string]time.Time // by box: until when it counts as a reader that cannot follow the store
 	workers           sync.WaitGroup       // calls to unresponsive readers
 	sources           []*source
+	changesFetchedAt  atomicTime
 	catchUpSlot       chan struct{} // holds a value while a catch-up is in progress
 	view              *resource.View
 }
@@ -67,12 +69,22 @@
 	// listUnavailableTTL is how long another box's report counts that it cannot read the list of
 	// upstreams. A reader repeats the report with each failed read; these are at most 4 s apart.
 	listUnavailableTTL = 5 * time.Second
-	catchUpTimeout     = 3 * time.Second // of one catch-up; a large configuration takes half a second over 10 Mbit/s
+	catchUpTimeout     = 3 * time.Second // for one page of changes; a large configuration takes half a second over 10 Mbit/s
+	// changesPerPage is how many changes of upstreams one reply contains: 190 kB, which take 0.15 s
+	// over 10 Mbit/s.
+	changesPerPage = 1000
 	// catchUpSlotTimeout is how long a catch-up keeps others waiting. The box that it calls may
 	// have lost power since it sent its message.
 	catchUpSlotTimeout = 300 * time.Millisecond
 )
 
+// errPagesChanged says that the pages of a batch do not belong together, because the sender's view
+// changed in between. The next message from the sender repeats the request.
+var errPagesChanged = errors.New("the pages of changes do not belong together")
+
+// FetchedChangesAt returns when another box last sent a page of changes that this one lacked.
+func (f *Follower) FetchedChangesAt() time.Time { return f.changesFetchedAt.get() }
+
 // NewFollower returns a follower that keeps v up to date.
 func NewFollower(v *resource.View, m *member.Table, l *slog.Logger) *Follower {
 	return &Follower{listUnavailableUntil: make(map[string]time.Time), recovered: make(chan struct{}), log: l, members: m, metrics: metric.NewSet(), Reconnect: func() {}, unresponsivePeers: make(map[string]bool), Jitter: func() float64 { return 0.5 }, stateChange: make(chan struct{}), catchUpSlot: make(chan struct{}, 1), laggingPeerUntil: make(map[string]time.Time), view: v}
@@ -85,19 +97,19 @@
 
 // CatchUp brings the view to at least the given revisions by requesting the changes from the box at
 // address. Catch-ups run one at a time, so that many messages from a box with newer data cause a
-// single one, but each keeps the others waiting for at most catchUpSlotTimeout; the wait ends with
-// the context. Catch-ups and reads of the store do not wait for each other: the view accepts
-// changes in any order.
+// single one, but each keeps the others waiting for at most catchUpSlotTimeout after its last page;
+// the wait ends with the context. Catch-ups and reads of the store do not wait for each other: the
+// view accepts changes in any order.
 func (f *Follower) CatchUp(ctx context.Context, address string, r resource.Revisions) error {
 	if !f.view.Revisions().Behind(r) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	select {
 	case f.catchUpSlot <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-time.After(catchUpTimeout):
+		return context.DeadlineExceeded
 	}
 	release := sync.OnceFunc(func() { <-f.catchUpSlot })
 	defer release()
@@ -107,14 +119,7 @@
 	if !have.Behind(r) {
 		return nil
 	}
-	p, err := f.Call(ctx, address, &box.Request{From: f.members.Self(), Kind: box.KindChanges, Revisions: have})
-	if err != nil {
-		return err
-	}
-	for i := range p.Changes {
-		f.apply(&p.Changes[i], "box "+address)
-	}
-	return nil
+	return f.fetchChanges(ctx, address, have, timer)
 }
 
 // Complete reports whether the view has data of every source.
@@ -231,6 +236,50 @@
 	}
 }
 
+// fetchChanges requests the changes after the given revisions from the box at address, page by page,
+// and applies them. Those of upstreams are applied once they are complete. The timer is reset with
+// each page.
+func (f *Follower) fetchChanges(ctx context.Context, address string, have resource.Revisions, timer *time.Timer) error {
+	var upstreams *resource.Batch
+	for after := ""; ; {
+		p, err := f.fetchPage(ctx, address, have, after)
+		if err != nil {
+			return err
+		}
+		timer.Reset(catchUpSlotTimeout)
+		f.changesFetchedAt.set(time.Now())
+		if after != "" && len(p.Changes) != 1 {
+			return errPagesChanged
+		}
+		for i := range p.Changes {
+			b := &p.Changes[i]
+			switch {
+			case after == "" && (b.Source != resource.SourceUpstreams || p.NextPage == ""):
+				f.apply(b, "box "+address)
+			case after == "":
+				upstreams = b
+			case upstreams == nil || !upstreams.Append(b):
+				return errPagesChanged
+			}
+		}
+		if p.NextPage == "" {
+			break
+		}
+		after = p.NextPage
+	}
+	if upstreams != nil {
+		f.apply(upstreams, "box "+address)
+	}
+	return nil
+}
+
+// fetchPage requests one page of the changes after the given revisions.
+func (f *Follower) fetchPage(ctx context.Context, address string, have resource.Revisions, after string) (*box.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return f.Call(ctx, address, &box.Request{From: f.members.Self(), Kind: box.KindChanges, MaxChanges: changesPerPage, PageAfter: after, Revisions: have})
+}
+
 // refresh reads the sources that are wanted concurrently, without waiting for changes. It returns
 // the first error in the order of the sources.
 func (f *Follower) refresh(ctx context.Context, wanted func(*source) bool) error {
--- a/internal/configuration/peerwatch.go
+++ b/internal/configuration/peerwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/box"
@@ -48,7 +49,7 @@
 		changed, stateChange := f.view.Changed(), f.stateChanged()
 		follows := f.FollowsStore()
 		if l := f.view.Missing(have); len(l) > 0 || !follows {
-			return &box.Reply{ViewAge: f.ViewAge(), Changes: l, FollowsStore: follows}
+			return &box.Reply{ViewAge: f.ViewAge(), Changes: withoutLargeLists(l), FollowsStore: follows}
 		}
 		select {
 		case <-changed:
@@ -141,9 +142,9 @@
 // watchPeer requests changes from a reader once, merges them, and reports whether the reader
 // follows the store.
 func (f *Follower) watchPeer(ctx context.Context, peer string, wait time.Duration) (followsStore bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerWatchGrace)
+	callCtx, cancel := context.WithTimeout(ctx, wait+peerWatchGrace)
 	defer cancel()
-	r, err := f.Call(ctx, f.members.Address(peer), &box.Request{
+	r, err := f.Call(callCtx, f.members.Address(peer), &box.Request{
 		From: f.members.Self(), Kind: box.KindWatchChanges, Revisions: f.view.Revisions(), SentAt: time.Now(), Wait: wait,
 	})
 	if err != nil {
@@ -152,10 +153,21 @@
 	for i := range r.Changes {
 		f.apply(&r.Changes[i], "reader "+peer)
 	}
+	if err := f.CatchUp(ctx, f.members.Address(peer), r.Revisions); err != nil { // a large list is not part of the reply
+		return false, err
+	}
 	f.RecordPeerViewAge(r.ViewAge)
 	return r.FollowsStore, nil
 }
 
+// withoutLargeLists returns the batches but for a list of upstreams of several pages, which the
+// receiver has to fetch: it would take longer than the receiver waits.
+func withoutLargeLists(l []resource.Batch) []resource.Batch {
+	return slices.DeleteFunc(l, func(b resource.Batch) bool {
+		return b.Source == resource.SourceUpstreams && len(b.Changes) > changesPerPage
+	})
+}
+
 // followsPeer reports whether a reader that this box watches has recently reported that it follows
 // the store.
 func (f *Follower) followsPeer(now time.Time) bool {
--- a/internal/resource/gossip_test.go
+++ b/internal/resource/gossip_test.go
@@ -55,6 +55,9 @@
 // fetchChanges makes a view fetch what it lacks from another, which may be an older build that does not
 // list its gaps.
 func fetchChanges(to, from *View, older bool) (snapshots int) {
+	if !older && len(from.Missing(to.Revisions())) > 0 {
+		return fetchPages(to, from, 7, func() {})
+	}
 	for _, b := range from.Missing(to.Revisions()) {
 		if older {
 			b.Gaps, b.GapsListed = nil, false
@@ -67,6 +70,63 @@
 	return snapshots
 }
 
+// fetchPages makes a view fetch what it lacks from another in pages. between is called between two
+// pages.
+func fetchPages(to, from *View, limit int, between func()) (snapshots int) {
+	have, pending := to.Revisions(), (*Batch)(nil)
+	for after := ""; ; between() {
+		l, next := from.MissingPage(have, after, limit)
+		for i := range l {
+			if pending == nil {
+				pending = &l[i]
+			} else if !pending.Append(&l[i]) {
+				return snapshots // the next exchange repeats it
+			}
+		}
+		if after = next; next == "" {
+			break
+		}
+	}
+	if pending == nil {
+		return 0
+	}
+	if pending.Snapshot {
+		snapshots++
+	}
+	to.Merge(pending)
+	return snapshots
+}
+
+// TestPagesOfAChangingList guards against a change or removal that is lost because the sender's list
+// changes between two pages.
+func TestPagesOfAChangingList(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		s := &rowStore{rows: make(map[string]Change)}
+		from, to := NewView(), NewView()
+		for range 100 {
+			s.write(r, 60)
+			if r.IntN(10) == 0 {
+				from.Merge(s.read(from.Revisions()[SourceUpstreams] * int64(r.IntN(2))))
+			}
+			if r.IntN(15) == 0 {
+				to.Merge(s.read(to.Revisions()[SourceUpstreams] * int64(r.IntN(2))))
+			}
+		}
+		from.Merge(s.read(from.Revisions()[SourceUpstreams]))
+		fetchPages(to, from, 1+r.IntN(9), func() {
+			s.write(r, 60)
+			from.Merge(s.read(from.Revisions()[SourceUpstreams] * int64(min(1, r.IntN(8)))))
+		})
+		for range 3 {
+			fetchChanges(to, from, false)
+		}
+		if got, want := liveOf(to), s.live(); !slices.Equal(got, want) {
+			t.Errorf("seed %d: got %d upstreams, want %d", seed, len(got), len(want))
+		}
+	}
+}
+
 // TestViewsConverge guards against an upstream that stays in a view for good, because changes which
 // boxes fetched from each other, from feeds and from whole readings lacked its removal.
 func TestViewsConverge(t *testing.T) {
--- a/join.go
+++ b/join.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// joinTimeout limits the whole join. After it, a box serves with whatever it has learned.
-	joinTimeout = 3 * time.Second
+	// joinTimeout limits the whole join. After it, a box serves with whatever it has learned. A list
+	// of 10,000 upstreams takes a small box two to three seconds.
+	joinTimeout = 6 * time.Second
+	// joinProgressWait is how long a starting box goes on waiting after a page of changes has arrived.
+	joinProgressWait = 500 * time.Millisecond
 	// neighbourWait is how long a starting box waits for its neighbours to send the configuration
 	// before it reads everything from the store itself. If all boxes start at once, those that read
 	// the store have the configuration within about 100 ms, and it reaches the others in three or
@@ -88,8 +91,8 @@
 	b.members.ApplyList(l, time.Now())
 }
 
-// awaitNeighbours waits until the neighbours have sent data of every source. It reports false if
-// the wait or ctx ends first.
+// awaitNeighbours waits until the neighbours have sent data of every source, for as long as pages of
+// it arrive. It reports false if the wait or ctx ends first.
 func (b *Box) awaitNeighbours(ctx context.Context) bool {
 	t := time.NewTimer(neighbourWait + rand.N(neighbourWaitJitter))
 	defer t.Stop()
@@ -103,7 +106,11 @@
 			return false
 		case <-c:
 		case <-t.C:
-			return false
+			left := time.Until(b.follower.FetchedChangesAt().Add(joinProgressWait))
+			if left <= 0 {
+				return false
+			}
+			t.Reset(left)
 		}
 	}
 }
--- a/region_test.go
+++ b/region_test.go
@@ -47,7 +47,8 @@
 	paused          map[string]bool // boxes whose calls hang
 	hallOf          map[string]string
 	link            *link.Link
-	mutex           sync.Mutex // guards the maps
+	bytesPerSecond  map[string]int // by box: how fast messages of other boxes reach it; 0 for at once
+	mutex           sync.Mutex     // guards the maps
 	platform        *fakeplatform.Platform
 	storeTransports map[string]http.RoundTripper // by box: its transport to the store, if it is not a boxTransport
 	refusedBoxes    map[string]bool              // boxes that the store refuses
@@ -330,6 +331,20 @@
 	}
 }
 
+// transfer waits for as long as a message takes to reach a box over its link.
+func (r *region) transfer(ctx context.Context, to string, bytes int) {
+	r.mutex.Lock()
+	speed := r.bytesPerSecond[to]
+	r.mutex.Unlock()
+	if speed == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(bytes) * time.Second / time.Duration(speed)):
+	}
+}
+
 // reportMessage passes a message between boxes to onMessage.
 func (r *region) reportMessage(from, to string, k box.Kind, bytes int) {
 	if r.onMessage != nil {
@@ -392,6 +407,7 @@
 				return err
 			}
 			r.reportMessage(to, from, v.Kind+" reply", len(b))
+			r.transfer(ctx, from, len(b))
 			select {
 			case replies <- b:
 				return nil
--- a/scale_test.go
+++ b/scale_test.go
@@ -60,18 +60,18 @@
 func withFleet(t *testing.T, boxes, halls int, f func(t *testing.T, l *fleet, atStart fleetUsage)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		l := newFleet(t, boxes, halls)
+		l := newFleet(t, boxes, halls, boxes*scaleUpstreamsPerBox)
 		defer l.close()
 		f(t, l, l.measure(10*time.Second, l.start))
 	})
 }
 
-func newFleet(t *testing.T, boxes, halls int) *fleet {
+func newFleet(t *testing.T, boxes, halls, upstreams int) *fleet {
 	l := &fleet{routedRegion: &routedRegion{region: newRegion(t), upstreams: make(map[string]*routed.Engine)}, halls: halls}
 	l.reset()
 	l.onMessage = l.count
 	l.configure(1, routedKey)
-	for i := range boxes * scaleUpstreamsPerBox {
+	for i := range upstreams {
 		n := fmt.Sprintf("i-%c%d", 'a'+i%l.halls, i)
 		l.upstreamNames = append(l.upstreamNames, n)
 		l.setHall(fleetAddress(i), n[2:3])
@@ -343,3 +343,38 @@
 		}
 	})
 }
+
+// TestBoxThatReturnsOverANarrowLink guards against a box that starts while a long list is on its way
+// to it, and meanwhile gets no configuration, counts as lost, or reads the list from the store.
+func TestBoxThatReturnsOverANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFleet(t, 6, 1, 6000)
+		defer l.close()
+		l.start()
+		time.Sleep(10 * time.Second)
+		returned := l.boxNames[0]
+		before := l.platform.FullReads("servers")
+		l.kill(returned)
+		time.Sleep(time.Second)
+		l.bytesPerSecond = map[string]int{returned: 400_000} // 1 MB of list takes 2.6 s
+		l.link.SetDown(returned, false)
+		l.startEntryBox(returned)
+		b := l.boxes[returned]
+		for began := time.Now(); !b.isReady() && time.Since(began) < 10*time.Second; {
+			time.Sleep(50 * time.Millisecond)
+		}
+		for version := 2; version < 6; version++ {
+			l.configure(version, routedKey)
+			if s, want := l.await(func(b *Box) bool { return b.view.Revisions()[resource.SourceConfiguration] >= int64(version) }), 2*time.Second; s.last == 0 || s.last > want {
+				t.Errorf("version %d: got %v, want all after %v", version, s, want)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if got, want := len(b.view.UpstreamsOfService("llm")), 6000; got != want {
+			t.Errorf("upstreams: got %d, want %d", got, want)
+		}
+		if got := l.platform.FullReads("servers") - before; got != 0 {
+			t.Errorf("readings of the whole list from the store: got %d, want none", got)
+		}
+	})
+}
