--- a/heartbeat.go
+++ b/heartbeat.go
@@ -55,7 +55,7 @@
 	b.catchUp(q.From.Address, q.Revisions, q.ViewAge)
 	b.fetchCrashes(ctx, q.From, q.CrashesDigest)
 	if q.Kind == box.KindHeartbeat && !q.BusyLoadsOnly {
-		b.pushes.recordCaller(q.From, time.Now())
+		b.pushes.recordInNeighbour(q.From, time.Now())
 	}
 	if q.Kind == box.KindHeartbeat {
 		b.fetchLimits(ctx, q.From, q.LimitsDigest)
--- a/push.go
+++ b/push.go
@@ -9,9 +9,9 @@
 	// pushWait is how long a push delays the next one. Neighbours that have not replied by then
 	// are not waited for: one that lost power replies only at heartbeatTimeout.
 	pushWait = 50 * time.Millisecond
-	// callerHeartbeats is the number of heartbeat intervals without a heartbeat after which a box
-	// no longer counts as a caller.
-	callerHeartbeats = 3
+	// inNeighbourHeartbeats is the number of heartbeat intervals without a heartbeat after which a box
+	// no longer counts as having this one as its neighbour.
+	inNeighbourHeartbeats = 3
 )
 
 // awaitPush waits until the next push may be sent. The wait ends at once if a crash becomes known,
@@ -43,7 +43,7 @@
 // neighbours and the boxes whose neighbour it is.
 func (b *Box) push(ctx context.Context, all bool) {
 	now, r := time.Now(), b.view.Revisions()
-	l := b.pushes.withCallers(b.members.Neighbours(now), now.Add(-callerHeartbeats*b.settings.Timeouts.Heartbeat.Duration))
+	l := b.pushes.withInNeighbours(b.members.Neighbours(now), now.Add(-inNeighbourHeartbeats*b.settings.Timeouts.Heartbeat.Duration))
 	b.pushes.recordPush(r)
 	if lacking := b.pushes.lacking(l, r); !all {
 		l = lacking
--- a/pushes.go
+++ b/pushes.go
@@ -13,16 +13,16 @@
 // pushes limits how often a box pushes, and knows which boxes need no push. It is safe for
 // concurrent use.
 type pushes struct {
-	mutex      sync.Mutex
-	callers    map[string]caller             // by box: the boxes that have this one as their neighbour
-	known      map[string]resource.Revisions // by box: the revisions that it had, by its last message
-	tokens     float64                       // pushes that may follow without a delay
-	tokensAt   time.Time                     // when tokens was computed
-	configured int64                         // revision of the configuration that was pushed last
+	mutex        sync.Mutex
+	inNeighbours map[string]inNeighbour        // by box: the boxes that have this one as their neighbour
+	known        map[string]resource.Revisions // by box: the revisions that it had, by its last message
+	tokens       float64                       // pushes that may follow without a delay
+	tokensAt     time.Time                     // when tokens was computed
+	configured   int64                         // revision of the configuration that was pushed last
 }
 
-// caller is a box that sends its regular heartbeats to this one.
-type caller struct {
+// inNeighbour is a box that sends its regular heartbeats to this one.
+type inNeighbour struct {
 	at     time.Time // of the last heartbeat
 	member box.Member
 }
@@ -39,7 +39,7 @@
 )
 
 func newPushes(now time.Time) *pushes {
-	return &pushes{callers: make(map[string]caller), known: make(map[string]resource.Revisions), tokens: pushBurst, tokensAt: now}
+	return &pushes{inNeighbours: make(map[string]inNeighbour), known: make(map[string]resource.Revisions), tokens: pushBurst, tokensAt: now}
 }
 
 // lacking returns the boxes that may lack a change of the given revisions, and forgets the boxes
@@ -62,11 +62,11 @@
 	return lacking
 }
 
-// recordCaller records a regular heartbeat of another box.
-func (p *pushes) recordCaller(m box.Member, now time.Time) {
+// recordInNeighbour records a regular heartbeat of another box.
+func (p *pushes) recordInNeighbour(m box.Member, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.callers[m.Name] = caller{now, m}
+	p.inNeighbours[m.Name] = inNeighbour{now, m}
 }
 
 // recordKnown records the revisions that another box has.
@@ -103,15 +103,15 @@
 	return r[resource.SourceConfiguration] > p.configured
 }
 
-// withCallers returns the boxes of a list and those whose last heartbeat came after a time. A box
+// withInNeighbours returns the boxes of a list and those whose last heartbeat came after a time. A box
 // that nobody chose as a neighbour would otherwise learn of each change only by its own next
 // heartbeat: one in 50, where each chooses four of many.
-func (p *pushes) withCallers(l []box.Member, after time.Time) []box.Member {
+func (p *pushes) withInNeighbours(l []box.Member, after time.Time) []box.Member {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	maps.DeleteFunc(p.callers, func(_ string, c caller) bool { return c.at.Before(after) })
+	maps.DeleteFunc(p.inNeighbours, func(_ string, c inNeighbour) bool { return c.at.Before(after) })
 	all := slices.Clone(l)
-	for n, c := range p.callers {
+	for n, c := range p.inNeighbours {
 		if !slices.ContainsFunc(l, func(m box.Member) bool { return m.Name == n }) {
 			all = append(all, c.member)
 		}
--- a/pushes_test.go
+++ b/pushes_test.go
@@ -35,9 +35,9 @@
 	p.recordKnown("ahead", resource.Revisions{resource.SourceConfiguration: 2, resource.SourceUpstreams: 9})
 	p.recordKnown("behind", resource.Revisions{resource.SourceConfiguration: 2, resource.SourceUpstreams: 6})
 	p.recordKnown("without", resource.Revisions{resource.SourceUpstreams: 7})
-	p.recordCaller(box.Member{Name: "behind"}, now)
-	p.recordCaller(box.Member{Name: "gone"}, now.Add(-time.Minute))
-	l := p.withCallers([]box.Member{{Name: "same"}, {Name: "ahead"}, {Name: "without"}, {Name: "unknown"}}, now.Add(-time.Second))
+	p.recordInNeighbour(box.Member{Name: "behind"}, now)
+	p.recordInNeighbour(box.Member{Name: "gone"}, now.Add(-time.Minute))
+	l := p.withInNeighbours([]box.Member{{Name: "same"}, {Name: "ahead"}, {Name: "without"}, {Name: "unknown"}}, now.Add(-time.Second))
 	var got []string
 	for _, m := range p.lacking(l, r) {
 		got = append(got, m.Name)
