--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -77,10 +77,10 @@
 	// generations, so this takes 0.9 s of a target of 1.5 s.
 	maxPrefillTokens = 7000
 	reportWorkers    = 16 // load reports read concurrently
-	// idleReportInterval is how often load reports of upstreams are read that are idle by their last
+	// IdleReportInterval is how often load reports of upstreams are read that are idle by their last
 	// report and have no generation that the owner knows. Nothing is decided by them until a place
 	// is granted, and the platform's list says that an upstream is leaving.
-	idleReportInterval = 5 * time.Second
+	IdleReportInterval = 5 * time.Second
 	// restartPeriod is how long after its own start a box assumes that a cold engine had another
 	// owner just before: that owner may have been this box itself, before a restart.
 	restartPeriod = time.Second
--- a/internal/ownership/reports.go
+++ b/internal/ownership/reports.go
@@ -41,7 +41,7 @@
 	case o.PlatformUnavailable != nil && o.PlatformUnavailable():
 		return min(o.reportInterval, outageReportInterval)
 	case idle:
-		return max(o.reportInterval, idleReportInterval)
+		return max(o.reportInterval, IdleReportInterval)
 	default:
 		return o.reportInterval
 	}
--- a/internal/ownership/reports_test.go
+++ b/internal/ownership/reports_test.go
@@ -60,7 +60,7 @@
 			{"the list is unavailable", func() { unavailable.Store(true) }, 100, 150},
 		} {
 			x.change()
-			time.Sleep(idleReportInterval)
+			time.Sleep(IdleReportInterval)
 			reads.Store(0)
 			time.Sleep(20 * time.Second)
 			if got := reads.Load(); got < x.low || got > x.high {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -204,10 +205,10 @@
 // stream elsewhere while no engine can take it.
 func TestRerunPausesWithoutUpstream(t *testing.T) {
 	withRig(t, 1, 0, func(t *testing.T, r *rig) {
-		tries := 0
+		var tries atomic.Int64
 		place := r.relay.Place
 		r.relay.Place = func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error) {
-			if tries++; tries > 1000 {
+			if tries.Add(1) > 1000 {
 				time.Sleep(time.Second) // so that the test ends
 			}
 			return place(ctx, w, avoid)
@@ -219,7 +220,7 @@
 				r.remove("u1")
 			}
 		})
-		if got, want := tries, 3+int(time.Since(began)/(50*time.Millisecond)); got > want {
+		if got, want := tries.Load(), 3+int64(time.Since(began)/(50*time.Millisecond)); got > want {
 			t.Errorf("tries to place the stream within %v: got %d, want at most %d", time.Since(began), got, want)
 		}
 	}, relay.WithRetryBudget(1, 1e6, 10*time.Second, func() int { return 1 }))
