Garbage is collected at the runtime's growth again

Not so where processor time is not charged: a collection at a heap of a few megabytes takes some milliseconds of a core, of which those boxes have 0.12, and at half the growth it comes twice as often.

--- a/internal/cmd/servecmd.go
+++ b/internal/cmd/servecmd.go
@@ -31,19 +31,13 @@
 	}
 }
 
-// collectAtGrowth is the growth of the heap, in percent, after which a box with a memory limit
-// collects garbage. It is half of the runtime's default: in a large fleet the list of upstreams is
-// most of the heap of a small box, and as much again would be garbage.
-const collectAtGrowth = 50
-
-// limitMemory sets the soft memory limit of the Go runtime, in MiB, and makes it collect garbage more
-// often; 0 leaves both unset. A limit that overflows an int64 number of bytes is ignored.
+// limitMemory sets the soft memory limit of the Go runtime, in MiB; 0 leaves it unset. A limit that
+// overflows an int64 number of bytes is ignored.
 func limitMemory(mb float64) {
 	const mebibyte = 1 << 20
 	if mb == 0 || mb >= math.MaxInt64/mebibyte {
 		return
 	}
-	debug.SetGCPercent(collectAtGrowth)
 	debug.SetMemoryLimit(int64(mb * mebibyte))
 }
 
