Boxes that are cut off keep their share of the extra retries

Callers saw nothing of this yet; engines could get more retries than the contract allows. After a hall has been cut off for two minutes, the other halls remove the rows of its boxes and divide the extra retries by those that are left, while the boxes cut off still divide by all: with two boxes in hall a, one of them lost, and eight in hall b, 0.7 x (1/1 + 8/9) of the extra retries.

A box that is unreachable for two minutes is now marked as lost in its row instead of being removed. The mark is in the store, so that a box which restarts during the cut counts it, too. A box that announced that it was leaving is removed as before, and a lost one that starts again takes its place.

TestSharesOfTheExtraRetriesWhileAHallIsCutOff, on the code before: 63.0 extra retries over all boxes during the cut, after a restart meanwhile and as the hall is back, where 50 are allowed; now within. Without the check of the mark in listed, each of twelve lost boxes that start together makes 6 calls to the store where 4 suffice (TestLostBoxesStartTogether).

--- a/assemble.go
+++ b/assemble.go
@@ -55,7 +55,7 @@
 	b.limits = newLimitState()
 	b.limits.limiter.RequestPermits = b.requestPermit
 	b.backoffs = health.NewBackoffs(b.view)
-	b.retryBudget = budget.New(s.Budget.Ratio, s.Budget.Extra, s.Budget.Window.Duration, b.members.Count, time.Now())
+	b.retryBudget = budget.New(s.Budget.Ratio, s.Budget.Extra, s.Budget.Window.Duration, b.members.PossiblyServing, time.Now())
 
 	b.owners = ownership.New(b.view, b.members, lengths, b.metrics, b.log,
 		ownership.WithColdStartLimits(ownership.ColdStartLimits(s.Cold)), ownership.WithMaxQueued(s.Limits.Queued), ownership.WithReportInterval(s.Timeouts.Report.Duration))
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -42,6 +42,8 @@
 // The states of a box.
 const (
 	StateLeaving State = "leaving"
+	// StateLost is the state of a box that the platform lists as lost. It is not sent between boxes.
+	StateLost    State = "lost"
 	StateServing State = "serving"
 )
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,7 @@
 	PeerRemoved               = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerReachable             = Event{slog.LevelInfo, "box reachable again", 502}
 	ReaderUnresponsive        = Event{slog.LevelWarn, "reader of the store did not answer", 504}
+	PeerLost                  = Event{slog.LevelWarn, "box marked as lost", 505}
 	RevisionApplied           = Event{slog.LevelInfo, "configuration revision in force", 601}
 	ResourceWritten           = Event{slog.LevelInfo, "resource written", 602}
 	ResourceRefused           = Event{slog.LevelInfo, "resource write refused", 603}
@@ -87,7 +88,7 @@
 	UpstreamEntryRemoved, UpstreamLeaving, MoveStarted, MoveCompleted, MoveFailed, UpstreamRefused, MemoryCopied, LeavingNoticeReceived, LeavingAnswerReceived, UpstreamCrashed,
 	RequestQuarantined, CrashNotCounted, RequestCleared, QuarantinedRequestRetried, LimitAnnounced, LimitLifted, LimitInvalid, KeptRowsRead,
 	PlatformUnreachable, PlatformReachable, OutcomeNotRecorded, StoreRestored, StaleAnswerIgnored, ChangesHeld, RowIgnored, ReadOverdue, ViewStale, ViewCurrent, ReadHedged,
-	PeerUnreachable, PeerReachable, PeerRemoved, ReaderUnresponsive,
+	PeerUnreachable, PeerReachable, PeerRemoved, ReaderUnresponsive, PeerLost,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,8 @@
 	alive             map[string][]string // cached results of Alive, by hall; cleared by notifyChange
 	boxes             map[string]*entry   // the other boxes, by name
 	failuresClearedAt time.Time           // last call of ClearFailures
+	lost              []string            // boxes that the platform lists as lost
+	lostCount         int                 // number of lost boxes that are not among boxes
 	ranks             *ranks              // cached order of all boxes for Neighbours; nil if it is outdated
 	self              box.Member
 	version           uint64        // see Version
@@ -28,6 +30,7 @@
 type entry struct {
 	failedAt         time.Time // last failed call; zero after a contact, and once it expired or was cleared
 	lastContactAt    time.Time // last contact; zero if there was none
+	left             bool      // whether the box announced that it was leaving and has not served since
 	unreachableSince time.Time // first failed call since the last contact; zero if there is none
 	listed           bool      // whether the platform lists the box
 	member           box.Member
@@ -86,21 +89,26 @@
 }
 
 // ApplyList updates the table from the platform's list of boxes. The list lags, so it overrides
-// neither recent contacts nor failures.
+// neither recent contacts nor failures. Boxes listed as lost are not added to the known boxes.
 func (t *Table) ApplyList(l []box.Member, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := make(map[string]bool, len(l))
+	t.lost = nil
 	for _, m := range l {
-		if m.Name == t.self.Name {
-			continue
+		switch {
+		case m.Name == t.self.Name:
+		case m.State == box.StateLost:
+			t.lost = append(t.lost, m.Name)
+		default:
+			seen[m.Name] = true
+			t.applyListed(m, now)
 		}
-		seen[m.Name] = true
-		t.applyListed(m, now)
 	}
 	for n, e := range t.boxes {
 		e.listed = seen[n]
 	}
+	t.countLost()
 }
 
 // Changed returns a channel that is closed the next time that the results of Alive may have changed.
@@ -148,6 +156,7 @@
 			t.notifyChange()
 		}
 	}
+	t.countLost()
 }
 
 // Halls returns the sorted names of the halls of all known boxes.
@@ -161,15 +170,20 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
-// LongUnreachable returns the names of listed boxes that have been unreachable for more than
-// longUnreachableAfter.
-func (t *Table) LongUnreachable(now time.Time) []string {
+// LongUnreachable returns the listed boxes that have been unreachable for more than
+// longUnreachableAfter. Those that announced that they were leaving are in StateLeaving, whatever the
+// list says.
+func (t *Table) LongUnreachable(now time.Time) []box.Member {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var l []string
-	for n, e := range t.boxes {
+	var l []box.Member
+	for _, e := range t.boxes {
 		if e.listed && !e.unreachableSince.IsZero() && now.Sub(e.unreachableSince) > longUnreachableAfter {
-			l = append(l, n)
+			m := e.member
+			if e.left {
+				m.State = box.StateLeaving
+			}
+			l = append(l, m)
 		}
 	}
 	return l
@@ -180,7 +194,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if e := t.boxes[name]; e != nil && e.member.State != box.StateLeaving {
-		e.member.State = box.StateLeaving
+		e.member.State, e.left = box.StateLeaving, true
 		t.notifyChange()
 	}
 }
@@ -223,6 +237,14 @@
 	return l
 }
 
+// PossiblyServing returns the number of boxes that may be serving, including this one: the known ones
+// and lost ones, which may be cut off.
+func (t *Table) PossiblyServing() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return 1 + len(t.boxes) + t.lostCount
+}
+
 // RecordContact records that a box is alive: it called this box, answered a call, or was named by a
 // box that this one contacted on joining. It reports whether the box counted as failed until now.
 func (t *Table) RecordContact(m box.Member, now time.Time) bool {
@@ -244,6 +266,7 @@
 	}
 	e.failedAt, e.unreachableSince = time.Time{}, time.Time{}
 	e.lastContactAt = now
+	e.left = m.State == box.StateLeaving
 	t.setMember(e, m)
 	return recovered
 }
@@ -333,6 +356,16 @@
 	return l
 }
 
+// countLost counts the lost boxes that are not known otherwise. The caller holds the lock.
+func (t *Table) countLost() {
+	t.lostCount = 0
+	for _, n := range t.lost {
+		if t.boxes[n] == nil {
+			t.lostCount++
+		}
+	}
+}
+
 // notifyChange invalidates the cached results of Alive, increases the version and closes the channel
 // that Changed returned. The caller holds the lock.
 func (t *Table) notifyChange() {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -193,3 +193,21 @@
 		t.Error("call that started afterwards: got no failure, want one")
 	}
 }
+
+// TestLostBoxesArePossiblyServing checks that a lost box counts as possibly serving, once, whether or
+// not it is in contact, and is not alive unless it is.
+func TestLostBoxesArePossiblyServing(t *testing.T) {
+	b := newTable()
+	b.RecordContact(member("b1", "a", box.StateServing), now)
+	b.ApplyList([]box.Member{member("b1", "a", box.StateLost), member("b2", "a", box.StateServing), member("c1", "c", box.StateLost)}, now)
+	b.Expire(now.Add(time.Second))
+	checkAlive(t, b, "", "b1", "b2", "self")
+	if got, want := b.PossiblyServing(), 4; got != want {
+		t.Errorf("with contact to one of two lost boxes: got %d possibly serving, want %d", got, want)
+	}
+	b.Expire(now.Add(unlistedTTL + time.Second))
+	checkAlive(t, b, "", "b2", "self")
+	if got, want := b.PossiblyServing(), 4; got != want {
+		t.Errorf("long after the contact: got %d possibly serving, want %d", got, want)
+	}
+}
--- a/join.go
+++ b/join.go
@@ -86,7 +86,11 @@
 func (b *Box) updateMembers() {
 	var l []box.Member
 	for _, x := range b.view.Boxes() {
-		l = append(l, box.Member{Address: x.Spec.Address, Hall: x.Spec.Hall, Name: x.Name, State: box.StateServing})
+		s := box.StateServing
+		if x.Spec.Lost() {
+			s = box.StateLost
+		}
+		l = append(l, box.Member{Address: x.Spec.Address, Hall: x.Spec.Hall, Name: x.Name, State: s})
 	}
 	b.members.ApplyList(l, time.Now())
 }
@@ -115,11 +119,21 @@
 	}
 }
 
+// listed reports whether the store lists this box as serving.
+func (b *Box) listed() bool {
+	r := b.view.Get(resource.KindBox, b.settings.Box)
+	if r == nil {
+		return false
+	}
+	s, err := resource.Decode[resource.BoxSpec](r)
+	return err == nil && !s.Lost()
+}
+
 // readBoxes reads the list of boxes from the store. If this box is not listed, it writes its row
 // and reads the list again, to find boxes that start at the same time.
 func (b *Box) readBoxes(ctx context.Context) {
 	err := b.follower.RefreshSource(ctx, resource.SourceBoxes) // the follower logs a failure and retries
-	if err != nil || b.view.Get(resource.KindBox, b.settings.Box) != nil {
+	if err != nil || b.listed() {
 		return
 	}
 	if b.register(ctx) != nil {
--- a/register.go
+++ b/register.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
@@ -23,6 +24,10 @@
 // lost it. The box reads its own write back within about 100 ms.
 const registerRetryDelay = 500 * time.Millisecond
 
+// lostBoxTTL is how long a box that is marked as lost keeps its share of the extra retries. Halls
+// may be cut off for hours and serve meanwhile.
+const lostBoxTTL = 24 * time.Hour
+
 // awaitRegisterDue waits until the box's own row is to be checked again: at a regular time or,
 // after registerRetryDelay, as soon as the store has lost the row.
 func (b *Box) awaitRegisterDue(ctx context.Context) {
@@ -74,35 +79,67 @@
 	return err // the written row reaches this view through the boxes that read the store
 }
 
-// removeUnreachable removes the rows of boxes that have been unreachable for a long time. One box
-// of the hall does so. A box that is still running writes its row again.
-func (b *Box) removeUnreachable(ctx context.Context) {
+// markLost marks a box as lost in its row. The box writes its row again when it is no longer cut off.
+func (b *Box) markLost(ctx context.Context, m *box.Member) {
+	v, err := json.Marshal(&resource.BoxSpec{Address: m.Address, Hall: m.Hall, LostUntil: time.Now().Add(lostBoxTTL)})
+	if err != nil {
+		return
+	}
+	if b.rewriteRow(ctx, m.Name, table.Write{Value: v}) {
+		event.PeerLost.Log(b.log, "box", m.Name)
+	}
+}
+
+// removeRow removes the row of another box.
+func (b *Box) removeRow(ctx context.Context, name string) {
+	if b.rewriteRow(ctx, name, table.Write{Delete: true}) {
+		event.PeerRemoved.Log(b.log, "box", name)
+	}
+}
+
+// reviewRows marks boxes that have been unreachable for a long time as lost, and removes the rows of
+// boxes that left or have been lost for lostBoxTTL. One box of the hall does so.
+func (b *Box) reviewRows(ctx context.Context) {
 	s := b.members.Self()
 	if policy.HighestRanked("registrar", b.members.Alive(s.Hall)) != s.Name {
 		return
 	}
-	for _, n := range b.members.LongUnreachable(time.Now()) {
-		r := b.view.Get(resource.KindBox, n)
-		if r == nil {
-			continue
-		}
-		row, err := b.store.Get(ctx, configuration.BoxKey(n))
-		if err != nil || row == nil {
-			continue
+	now := time.Now()
+	for _, m := range b.members.LongUnreachable(now) {
+		if m.State == box.StateLeaving {
+			b.removeRow(ctx, m.Name)
+		} else {
+			b.markLost(ctx, &m)
 		}
-		if r, err := b.store.Commit(ctx, deleteTransaction(n, row.Revision)); err == nil && r.Committed { // on failure, the next round retries
-			event.PeerRemoved.Log(b.log, "box", n)
+	}
+	for _, x := range b.view.Boxes() {
+		if x.Spec.Lost() && now.After(x.Spec.LostUntil) {
+			b.removeRow(ctx, x.Name)
 		}
 	}
 }
 
+// rewriteRow writes the row of another box, unless the row has changed since this box last read it,
+// and reports whether it did. On failure, the next review retries.
+func (b *Box) rewriteRow(ctx context.Context, name string, w table.Write) bool {
+	r := b.view.Get(resource.KindBox, name)
+	if r == nil {
+		return false
+	}
+	w.Key = configuration.BoxKey(name)
+	x, err := b.store.Commit(ctx, &table.Transaction{
+		Conditions: []table.Condition{{Key: w.Key, Revision: r.Revision()}},
+		Writes:     []table.Write{w},
+	})
+	return err == nil && x.Committed
+}
+
 // rowLost reports whether the store was restored from a backup and has lost this box's row.
 func (b *Box) rowLost() bool {
 	return b.view.IsHeld(resource.KindBox, b.settings.Box)
 }
 
-// runRegister keeps the box's own row up to date and removes the rows of boxes that have been
-// unreachable for a long time.
+// runRegister keeps the box's own row up to date and reviews the rows of other boxes.
 func (b *Box) runRegister(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !b.stopping.Load() {
@@ -110,7 +147,7 @@
 				event.PlatformUnreachable.Log(b.log, "source", "boxes", "step", fail.Step(err), "error", err.Error())
 			}
 		}
-		b.removeUnreachable(ctx)
+		b.reviewRows(ctx)
 		b.awaitRegisterDue(ctx)
 	}
 }
--- a/retry_budget_test.go
+++ b/retry_budget_test.go
@@ -3,6 +3,7 @@
 package linetiller
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/fake/routed"
 	fakeservice "github.com/linetiller/linetiller/internal/fake/service"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/settings"
+	"github.com/linetiller/linetiller/internal/table"
 )
 
 // retryUsage is how many retries all boxes together made in one window of the retry budget.
@@ -189,3 +192,110 @@
 		}
 	})
 }
+
+// TestSharesOfTheExtraRetriesWhileAHallIsCutOff guards against boxes that divide the extra retries by
+// the boxes they can reach, while those of a hall that is cut off go on using their shares.
+func TestSharesOfTheExtraRetriesWhileAHallIsCutOff(t *testing.T) {
+	withRegion(t, func(t *testing.T, r *region) {
+		for i := 3; i <= 8; i++ {
+			r.startBox(fmt.Sprint("box-b", i))
+		}
+		time.Sleep(20 * time.Second)
+		r.checkExtraRetries("all boxes", time.Second)
+		r.kill("box-a2")
+		r.isolateHallB(true)
+		r.checkExtraRetries("hall b cut off", 10*time.Minute)
+		r.kill("box-a1")
+		r.link.SetDown("box-a1", false)
+		r.startBox("box-a1")
+		r.checkExtraRetries("a box restarted meanwhile", 10*time.Minute)
+		r.isolateHallB(false)
+		r.checkExtraRetries("hall b back", time.Minute)
+		r.startBox("box-a2")
+		r.checkExtraRetries("all boxes back", time.Minute)
+		for n, b := range r.boxes {
+			if got, want := b.retryBudget.Usage("desk", time.Now()).Boxes, len(r.boxes); got != want {
+				t.Errorf("%s: got the extra retries divided by %d, want by %d", n, got, want)
+			}
+		}
+	})
+}
+
+// TestShareOfABoxThatDoesNotReturn checks that a lost box keeps its share of the extra retries until
+// its time is up, and that one which left does not.
+func TestShareOfABoxThatDoesNotReturn(t *testing.T) {
+	withRegion(t, func(t *testing.T, r *region) {
+		const lostFor = 10 * time.Minute
+		v, err := json.Marshal(&resource.BoxSpec{Address: "box-b9", Hall: "b", LostUntil: time.Now().Add(lostFor)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		row := table.Write{Key: configuration.BoxKey("box-b9"), Value: v}
+		if _, err := r.boxes["box-a1"].store.Commit(t.Context(), &table.Transaction{Writes: []table.Write{row}}); err != nil {
+			t.Fatal(err)
+		}
+		left := r.boxes["box-b2"]
+		left.members.SetLeaving()
+		time.Sleep(5 * time.Second)
+		r.kill("box-b2")
+		for _, x := range []struct {
+			after time.Duration
+			want  int
+		}{{lostFor - time.Minute, 4}, {lostFor + 2*time.Minute, 3}} {
+			time.Sleep(x.after)
+			for n, b := range r.boxes {
+				if got := b.retryBudget.Usage("desk", time.Now()).Boxes; got != x.want {
+					t.Errorf("%s, %s later: got the extra retries divided by %d, want by %d", n, x.after, got, x.want)
+				}
+			}
+		}
+	})
+}
+
+// TestLostBoxesStartTogether guards against the boxes of a hall, all lost, that find no other box
+// listed as they start, so that each of them reads the whole store.
+func TestLostBoxesStartTogether(t *testing.T) {
+	withRegion(t, func(t *testing.T, r *region) {
+		const maxCalls = 4 // two reads of the list of boxes, a read and a write of its own row
+		names, before := []string{"box-b1", "box-b2"}, make(map[string]int)
+		for i := 3; i <= 12; i++ {
+			names = append(names, fmt.Sprint("box-b", i))
+			r.startBox(names[i-1])
+		}
+		time.Sleep(20 * time.Second)
+		for _, n := range names {
+			r.kill(n)
+			before[n] = r.storeCallsOf(n)
+		}
+		time.Sleep(10 * time.Minute)
+		for _, n := range names {
+			r.link.SetDown(n, false)
+			r.startBox(n)
+		}
+		for _, n := range names {
+			for !r.boxes[n].isReady() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if got, maxWant := r.storeCallsOf(n)-before[n], maxCalls; !r.boxes[n].follower.ReadsStore() && got > maxWant {
+				t.Errorf("%s: got %d calls to the store, want at most %d", n, got, maxWant)
+			}
+		}
+	})
+}
+
+// checkExtraRetries checks for a period that the extra retries of all boxes together do not exceed
+// the allowed ones.
+func (r *region) checkExtraRetries(step string, period time.Duration) {
+	r.t.Helper()
+	worst := 0.0
+	for began := time.Now(); time.Since(began) < period; time.Sleep(500 * time.Millisecond) {
+		sum := 0.0
+		for _, b := range r.boxes {
+			sum += b.retryBudget.Usage("desk", time.Now()).Allowed
+		}
+		worst = max(worst, sum)
+	}
+	if want := settings.Default().Budget.Extra; worst <= 0 || worst > want {
+		r.t.Errorf("%s: got %.1f extra retries over all boxes, want above 0 and at most %.0f", step, worst, want)
+	}
+}
