Crashes of an upstream within seconds are told apart at every box alike

Callers got 502 for calls that had been served at every box, where two upstreams had crashed under them a second after other crashes of the same upstreams.

Crashes of an upstream that reports no start were taken for one if less than 2 s apart from the one recorded first. Boxes recorded different ones first, grouped the reports differently and, as they exchanged them, counted one crash twice. A report now says when the suspect was sent to the process: two reports are of two crashes if one process was alive after the other crash was noticed. The closest of several fitting crashes is taken. The field is new and optional; earlier builds ignore it.

Reads and writes of the store are as they were.

--- a/internal/policy/crash.go
+++ b/internal/policy/crash.go
@@ -11,6 +11,7 @@
 // Crash is the crash of one process of an upstream, with the requests that were running there. Boxes
 // announce crashes to each other.
 type Crash struct {
+	AliveAt      time.Time `cbor:"6,keyasint,omitzero"`  // when that process was last known to be alive: a suspect was sent to it; zero if unknown
 	At           time.Time `cbor:"1,keyasint"`           // when the first box noticed it
 	StartedAtMS  int64     `cbor:"2,keyasint,omitempty"` // when that process started, in Unix milliseconds; 0 if unknown
 	LastResentAt time.Time `cbor:"5,keyasint,omitzero"`  // when a quarantined suspect was last sent again; it may lag by renewInterval
@@ -27,9 +28,13 @@
 	Trials      int         `cbor:"4,keyasint,omitempty"` // how often it has been let through since it was quarantined
 }
 
-// sameStartWithin is the maximum time between two reports of the same crash of an upstream that
-// does not report its start time.
-const sameStartWithin = 2 * time.Second
+// Reports of crashes of an upstream that does not report its start time are taken to be of the same
+// process if they are less than sameStartWithin apart and, by more than clockSkew, neither says that
+// the process was alive after the other had noticed its crash.
+const (
+	sameStartWithin = 2 * time.Second
+	clockSkew       = 500 * time.Millisecond // bound of the difference between the clocks of two boxes
+)
 
 // DigestOf returns a hash of crashes, their suspects and their last activity; 0 for no crashes.
 func DigestOf(l []Crash) uint64 {
@@ -79,7 +84,11 @@
 	if c.Upstream != d.Upstream || c.StartedAtMS != d.StartedAtMS {
 		return false
 	}
-	return c.StartedAtMS != 0 || c.At.Sub(d.At).Abs() < sameStartWithin
+	if c.StartedAtMS != 0 {
+		return true
+	}
+	aliveAfter := func(a, b *Crash) bool { return a.AliveAt.Sub(b.At) > clockSkew }
+	return c.At.Sub(d.At).Abs() < sameStartWithin && !aliveAfter(c, d) && !aliveAfter(d, c)
 }
 
 // suspect returns the suspect with fingerprint p, or nil.
--- a/internal/policy/quarantine.go
+++ b/internal/policy/quarantine.go
@@ -366,6 +366,19 @@
 	}
 }
 
+// indexOf returns the index of the recorded crash that an announced one is a report of: the closest in
+// time if there are several, so that all boxes choose the same. It returns -1 if there is none. The
+// caller holds the mutex.
+func (q *Quarantine) indexOf(d *Crash) int {
+	closest := -1
+	for i, c := range q.crashes {
+		if c.sameStart(d) && (closest < 0 || c.At.Sub(d.At).Abs() < q.crashes[closest].At.Sub(d.At).Abs()) {
+			closest = i
+		}
+	}
+	return closest
+}
+
 // lastActivity returns when a request was last sent again or crashed an upstream. The caller holds
 // the mutex.
 func (q *Quarantine) lastActivity(p Fingerprint) time.Time {
@@ -422,9 +435,9 @@
 
 // record adds one announced crash, and reports whether anything changed. The caller holds the mutex.
 func (q *Quarantine) record(d *Crash, now time.Time) (changed bool) {
-	i := slices.IndexFunc(q.crashes, d.sameStart)
+	i := q.indexOf(d)
 	if i < 0 {
-		c := &Crash{At: toMonotonic(d.At, now), StartedAtMS: d.StartedAtMS, Upstream: d.Upstream}
+		c := &Crash{AliveAt: d.AliveAt, At: toMonotonic(d.At, now), StartedAtMS: d.StartedAtMS, Upstream: d.Upstream}
 		i = len(q.crashes)
 		for i > 0 && q.crashes[i-1].At.After(c.At) {
 			i--
@@ -432,6 +445,9 @@
 		q.crashes = slices.Insert(q.crashes, i, c)
 	}
 	c := q.crashes[i]
+	if d.AliveAt.After(c.AliveAt) {
+		c.AliveAt = d.AliveAt
+	}
 	if d.LastResentAt.After(c.LastResentAt) {
 		c.LastResentAt = toMonotonic(d.LastResentAt, now)
 	}
--- a/internal/policy/quarantine_test.go
+++ b/internal/policy/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -247,3 +248,51 @@
 		t.Errorf("got %v, want a second before %v with a monotonic clock reading", got, now)
 	}
 }
+
+// TestCrashesShortlyAfterEachOther guards against boxes that group the crashes of an upstream in
+// different ways, so that a crash counts several times once they exchange what they know.
+func TestCrashesShortlyAfterEachOther(t *testing.T) {
+	const count, gap = 8, time.Second
+	start := time.Unix(1000, 0)
+	for seed := range uint64(50) {
+		startKnown := seed%2 == 1
+		rng := rand.New(rand.NewPCG(seed, 0))
+		var reports []Crash
+		for i := range count {
+			at := start.Add(time.Duration(i) * gap)
+			for _, u := range []string{"u1", "u2"} {
+				late := time.Duration(rng.Int64N(int64(50 * time.Millisecond)))
+				startedAtMS := int64(0)
+				if startKnown {
+					startedAtMS = at.UnixMilli()
+				}
+				reports = append(reports, Crash{AliveAt: at.Add(-20 * time.Millisecond), At: at.Add(late), StartedAtMS: startedAtMS, Suspects: []Suspect{{Fingerprint: Fingerprint(i + 1)}}, Upstream: u})
+			}
+		}
+		now := start.Add(count * gap)
+		var boxes []*Quarantine
+		for range 3 {
+			q := NewQuarantine()
+			for _, i := range rng.Perm(len(reports)) {
+				if rng.IntN(4) > 0 { // some reports are lost
+					q.Record([]Crash{reports[i]}, now)
+				}
+			}
+			boxes = append(boxes, q)
+		}
+		for range 3 {
+			for _, to := range boxes {
+				for _, from := range boxes {
+					to.Record(from.Missing(to.CrashHashes(now), now), now)
+				}
+			}
+		}
+		for i, q := range boxes {
+			for p := range count {
+				if got, maxWant := q.CrashCount(Fingerprint(p+1), now), 2; got > maxWant {
+					t.Fatalf("seed %d, box %d, request %d: got %d crashes, want at most %d", seed, i, p+1, got, maxWant)
+				}
+			}
+		}
+	}
+}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -52,10 +52,10 @@
 		e.ignoreCrash(u, r)
 		return
 	}
-	done, p := make(chan struct{}), e.fingerprint()
+	done, p, sentAt := make(chan struct{}), e.fingerprint(), e.sentAt
 	x.workers.Go(func() {
 		defer close(done)
-		e.confirmCrash(x.ctx, u, now, policy.Suspect{Events: events, Fingerprint: p})
+		e.confirmCrash(x.ctx, u, sentAt, now, policy.Suspect{Events: events, Fingerprint: p})
 	})
 	select {
 	case <-done:
@@ -69,17 +69,18 @@
 	if e.callerCtx.Err() == nil {
 		return
 	}
-	x, now, s := e.relay, time.Now(), policy.Suspect{Fingerprint: e.fingerprint()}
+	x, now, sentAt, s := e.relay, time.Now(), e.sentAt, policy.Suspect{Fingerprint: e.fingerprint()}
 	x.runAfter(disconnectCheckDelay, func() {
 		if e.ignoredReason(u, time.Now()) == "" {
-			e.confirmCrash(x.background, u, now, s)
+			e.confirmCrash(x.background, u, sentAt, now, s)
 		}
 	})
 }
 
 // confirmCrash checks with the upstream's machine whether the process has ended. If so, it records the crash
-// with the suspect s and announces it to the other boxes; otherwise it counts the crash as ignored.
-func (e *exchange) confirmCrash(ctx context.Context, u *resource.Upstream, at time.Time, s policy.Suspect) {
+// with the suspect s, which was sent to the upstream at sentAt and broke off at at, and announces it to
+// the other boxes; otherwise it counts the crash as ignored.
+func (e *exchange) confirmCrash(ctx context.Context, u *resource.Upstream, sentAt, at time.Time, s policy.Suspect) {
 	x := e.relay
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -88,7 +89,7 @@
 		return
 	}
 	s.Cleared = x.completedSinceLastCrash(s.Fingerprint, at)
-	l := []policy.Crash{{At: at, StartedAtMS: u.Spec.StartedAtMS, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
+	l := []policy.Crash{{AliveAt: sentAt, At: at, StartedAtMS: u.Spec.StartedAtMS, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
 	x.metrics.Add(metric.UpstreamCrashes, 1)
 	x.RecordCrashes(l, "")
 	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.CrashCount(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -36,8 +36,9 @@
 	retryChargedAt    time.Time       // when the next arrival was charged to the retry budget; zero if it was not
 	route             *resource.Route
 	service           *resource.Service
-	status            int // of the answer forwarded; 0 until its header is written
-	sends             int // attempts to send the request
+	status            int       // of the answer forwarded; 0 until its header is written
+	sends             int       // attempts to send the request
+	sentAt            time.Time // last attempt
 	upstream          *resource.Upstream
 	workspace         *resource.Workspace
 }
--- a/kept_test.go
+++ b/kept_test.go
@@ -47,7 +47,11 @@
 
 // crash sends the call through some boxes at once, while the two upstreams that each box tries crash
 // as they run it.
-func (f *servingFleet) crash(boxes ...string) {
+func (f *servingFleet) crash(boxes ...string) { f.crashUnder(servedBody, boxes...) }
+
+// crashUnder sends a call with the given body through some boxes at once, while the two upstreams
+// that each box tries crash as they run it.
+func (f *servingFleet) crashUnder(body string, boxes ...string) {
 	for _, n := range boxes {
 		crashed, end := f.crashAll(n)
 		defer func() {
@@ -60,7 +64,7 @@
 	done := make(chan struct{})
 	for _, n := range boxes {
 		go func() {
-			f.post(n, "bystander-"+n, servedBody)
+			f.post(n, "bystander-"+body+n, body)
 			done <- struct{}{}
 		}()
 	}
@@ -268,6 +272,45 @@
 	}
 }
 
+// TestServedRequestsWhileUpstreamsCrashAgain guards against requests that are refused although they
+// were served since, because two crashes of an upstream shortly after each other count as one.
+func TestServedRequestsWhileUpstreamsCrashAgain(t *testing.T) {
+	all := boxesByHall
+	for _, x := range []struct {
+		name    string
+		restart bool
+		pause   time.Duration // between two crashes
+	}{
+		{"all boxes restarted", true, time.Second},
+		{"all boxes restarted, 1.9 s", true, 1900 * time.Millisecond},
+		{"all boxes restarted, 4 s", true, 4 * time.Second},
+		{"no box restarted", false, time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withPlainUpstreams(t, func(t *testing.T, r *routedRegion, _ *callers) {
+				f := &servingFleet{routedRegion: r, t: t}
+				bodies := numberedBodies("call", 100)
+				f.serve(120*time.Second, all, bodies...)
+				if x.restart {
+					f.restart(all...)
+				}
+				for i, body := range bodies[:10] {
+					f.crashUnder(body, all[i%len(all)])
+					time.Sleep(x.pause)
+				}
+				time.Sleep(20 * time.Second)
+				for _, body := range bodies[:10] {
+					for _, n := range all {
+						if got := f.post(n, "next-"+body+n, body); got != http.StatusOK {
+							t.Errorf("%s at %s: got status %d, want 200", body, n, got)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestQuarantineAfterAllBoxesRestarted guards against a poison request that crashes two more
 // upstreams each time all boxes restart, because its quarantine was stored nowhere but in the memory
 // of the boxes.
