Boxes that leave together go on serving

Callers got 503 from a leaving box although all other boxes of its hall were leaving, too: once its balancer must have switched to others, it refused new streams, and everything as soon as its streams had ended, for up to four seconds while one request still waited. The retry reached another box that did the same, and clients retry once.

A leaving box now takes what it can finish until another box of its hall accepts requests, callers have stopped sending, or the last second of its grace. A stream that comes after the balancer's switch has to fit with the larger margin, because a cut would lose it.

TestBoxesThatLeaveTogetherServe fails before in seven of nine cases (all refusals after the drain) and passes now; TestIdleBoxesLeaveAtOnce checks that boxes without callers do not stay.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,7 @@
 	closing       bool
 	streamsEndAt  time.Time // when the streams will be cut off; zero unless the box is leaving
 	inProgress    int
+	lastArrivalAt time.Time        // when the last request arrived; zero if none has
 	trafficEndsAt time.Time        // when the balancer will have stopped sending callers here
 	streams       map[*stream]bool // the streams of engines in progress
 }
@@ -96,7 +97,8 @@
 	// streamLengthMargin is the factor by which a leaving box multiplies a stream's expected
 	// duration when it decides whether to accept the stream: callers' estimates are right only at the
 	// median, and another box serves a refused caller a moment later. If the hall has no other box, a
-	// caller that retries at once reaches this one again, and soleBoxLengthMargin applies.
+	// caller that retries at once reaches this one again, and soleBoxLengthMargin applies until the
+	// balancer has stopped sending callers here.
 	streamLengthMargin  = 3
 	soleBoxLengthMargin = 1
 	// refusedRetryDelay is the time after which a refused caller may retry if no better one is known.
@@ -221,6 +223,13 @@
 	return x.inProgress
 }
 
+// LastArrivalAt returns when the last request arrived, the zero time if none has.
+func (x *Relay) LastArrivalAt() time.Time {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.lastArrivalAt
+}
+
 // Quarantine returns this box's records of crashes and quarantined requests.
 func (x *Relay) Quarantine() *policy.Quarantine { return x.quarantine }
 
@@ -302,6 +311,7 @@
 		return leavingError(time.Now())
 	}
 	x.inProgress++
+	x.lastArrivalAt = time.Now()
 	x.workers.Add(1)
 	return nil
 }
@@ -316,11 +326,8 @@
 		return nil
 	}
 	margin, retryAt := time.Duration(streamLengthMargin), now
-	if !x.HasOtherBoxes() {
-		margin = soleBoxLengthMargin
-		if trafficEnd.After(now) {
-			retryAt = trafficEnd
-		}
+	if trafficEnd.After(now) && !x.HasOtherBoxes() {
+		margin, retryAt = soleBoxLengthMargin, trafficEnd
 	}
 	if now.Add(margin * x.pace.expectedDuration(tokens)).After(streamsEnd) {
 		return leavingError(retryAt)
--- a/routed_test.go
+++ b/routed_test.go
@@ -297,3 +297,59 @@
 		}
 	})
 }
+
+// TestBoxesThatLeaveTogetherServe guards against boxes that refuse requests while they leave although
+// all other boxes of their hall are leaving, too, or not up again.
+func TestBoxesThatLeaveTogetherServe(t *testing.T) {
+	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second, 30 * time.Second} {
+		for _, gap := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("grace %s, one each %s", grace, gap), func(t *testing.T) {
+				withPlainUpstreams(t, func(t *testing.T, r *routedRegion, c *callers) {
+					for _, b := range r.boxes {
+						b.settings.Timeouts.Drain.Duration = 3 * time.Second
+						b.settings.Timeouts.Grace.Duration = grace
+					}
+					var g sync.WaitGroup
+					for _, n := range boxesByHall {
+						g.Go(func() { r.streamPlan(n, "plan-"+n, routedKey, 400) })
+					}
+					began := time.Now()
+					for i, n := range boxesByHall {
+						time.AfterFunc(time.Duration(i)*gap, r.boxes[n].Leave)
+					}
+					closesAt := began.Add(grace - graceMargin - lastCallsTimeout) // of the first box
+					for i := 0; time.Now().Before(closesAt.Add(-100 * time.Millisecond)); i++ {
+						n := boxesByHall[i%len(boxesByHall)]
+						at := time.Since(began)
+						if status, _ := c.callStatus(n, fmt.Sprint("call-", i)); status != http.StatusOK {
+							t.Errorf("call at %s, %s after the first box began to leave: got status %d, want 200", n, at, status)
+						}
+						time.Sleep(50 * time.Millisecond)
+					}
+					g.Wait()
+				})
+			})
+		}
+	}
+}
+
+// TestIdleBoxesLeaveAtOnce checks that boxes which leave together do not wait for each other when no
+// requests arrive.
+func TestIdleBoxesLeaveAtOnce(t *testing.T) {
+	withPlainUpstreams(t, func(t *testing.T, r *routedRegion, c *callers) {
+		const grace = 30 * time.Second
+		for _, n := range boxesByHall {
+			r.boxes[n].settings.Timeouts.Drain.Duration = time.Second
+			r.boxes[n].settings.Timeouts.Grace.Duration = grace
+			c.call(n, "call-"+n)
+		}
+		began := time.Now()
+		for _, b := range r.boxes {
+			b.Leave()
+		}
+		r.serving.Wait()
+		if got, maxWant := time.Since(began), time.Second+idleAfter+time.Second; got > maxWant {
+			t.Errorf("boxes without requests left after %s, want at most %s", got, maxWant)
+		}
+	})
+}
--- a/stopping.go
+++ b/stopping.go
@@ -14,8 +14,11 @@
 	// lastCallsTimeout is the time reserved for the calls in progress once no new ones are
 	// accepted. Calls take about 60 ms, and 0.3 s is required.
 	lastCallsTimeout = time.Second
-	// streamPollInterval is the time between checks whether streams are still in progress.
-	streamPollInterval = 50 * time.Millisecond
+	// drainPollInterval is the time between checks whether a draining box may go on to its next step.
+	drainPollInterval = 50 * time.Millisecond
+	// idleAfter is how long no request must have arrived for callers to be considered gone. Load
+	// balancers check about once per second which boxes are ready.
+	idleAfter = 2 * time.Second
 	// graceMargin is the part of the grace period reserved for the last responses and for removing
 	// the box's own row. A small box closes its connections within about 100 ms.
 	graceMargin     = 500 * time.Millisecond
@@ -75,15 +78,28 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(streamPollInterval):
+		case <-time.After(drainPollInterval):
 		}
 	}
 }
 
-// drain keeps serving until the load balancer must have noticed that the box is not ready, but
-// already refuses streams that would outlast the box. Then it refuses all new streams, accepts
-// other requests while streams are in progress, and waits for the remaining requests until
-// leaveDeadline.
+// awaitOtherBoxes waits until another box of the hall accepts requests or callers no longer send
+// any, but not past until. If all boxes of a hall leave together, a request that one of them refuses
+// reaches another one that is leaving.
+func (b *Box) awaitOtherBoxes(ctx context.Context, until time.Time) {
+	for now := time.Now(); now.Before(until) && !b.hasOtherBoxes() && now.Sub(b.relay.LastArrivalAt()) < idleAfter; now = time.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainPollInterval):
+		}
+	}
+}
+
+// drain keeps serving until the load balancer must have noticed that the box is not ready and
+// another box of the hall serves, but already refuses streams that would outlast the box. Then it
+// refuses all new streams, accepts other requests while streams are in progress, and waits for the
+// remaining requests until leaveDeadline.
 func (b *Box) drain(ctx context.Context) {
 	now := time.Now()
 	deadline := b.leaveDeadline(now)
@@ -95,6 +111,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	b.awaitOtherBoxes(ctx, deadline.Add(-lastCallsTimeout))
 	b.relay.EndStreamsBy(time.Now(), time.Now())
 	b.awaitStreams(ctx, deadline.Add(-lastCallsTimeout))
 	if !b.drainRequests(ctx) {
