Engines keep an owner while all boxes of their hall leave

Callers of streams waited, or were refused after up to 6.8 s, where all boxes of a hall were leaving: no engine of the hall had an owner, so that none of them took new work.

Owners, readers, allocators, recorders and the like are now chosen among the leaving boxes of a hall that can be reached if no other is alive. Once a box of the hall is up again, it takes over as usual.

TestEnginesOfAHallWhoseBoxesLeave: ten of ten streams refused before, at once or after 6.8 s; all complete within the objective now.

--- a/cold.go
+++ b/cold.go
@@ -26,5 +26,5 @@
 	if n <= 0 {
 		return math.MaxInt
 	}
-	return policy.ColdShare(u.Name, b.settings.Box, b.members.Alive(""), n)
+	return policy.ColdShare(u.Name, b.settings.Box, b.members.Active(""), n)
 }
--- a/inforce.go
+++ b/inforce.go
@@ -71,7 +71,7 @@
 // inForceRemote requests the revisions of another hall from the boxes of that hall, one after
 // another until one replies.
 func (b *Box) inForceRemote(ctx context.Context, hall string) []box.HallRevisions {
-	boxes := b.members.Alive(hall)
+	boxes := b.members.Active(hall)
 	for _, n := range policy.Rank(b.settings.Box, boxes) {
 		r, err := b.links.CallOnce(ctx, b.members.Address(n), b.newRequest(box.Request{WholeHall: true, Kind: box.KindInForce}))
 		if err == nil {
--- a/internal/configuration/assignment.go
+++ b/internal/configuration/assignment.go
@@ -89,7 +89,7 @@
 
 // hallReaders returns the names of a hall's readers, in order of preference.
 func (f *Follower) hallReaders(hall string) []string {
-	l := policy.Rank("reader", f.members.Alive(hall))
+	l := policy.Rank("reader", f.members.Active(hall))
 	return l[:min(readersPerHall, len(l))]
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,6 +15,7 @@
 // its own.
 type Table struct {
 	mutex             sync.Mutex
+	active            map[string][]string // cached results of Active, by hall; cleared by notifyChange
 	alive             map[string][]string // cached results of Alive, by hall; cleared by notifyChange
 	boxes             map[string]*entry   // the other boxes, by name
 	failuresClearedAt time.Time           // last call of ClearFailures
@@ -58,7 +59,23 @@
 
 // NewTable returns a table that contains only the given box, to which it belongs.
 func NewTable(self box.Member) *Table {
-	return &Table{alive: make(map[string][]string), boxes: make(map[string]*entry), self: self, changed: make(chan struct{})}
+	return &Table{active: make(map[string][]string), alive: make(map[string][]string), boxes: make(map[string]*entry), self: self, changed: make(chan struct{})}
+}
+
+// Active returns the sorted names of the boxes of a hall that work for the others, such as the owners
+// of upstreams: those that Alive returns or, if there are none, those that are leaving and were not
+// found unreachable. Callers must not modify the result.
+func (t *Table) Active(hall string) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	l, ok := t.active[hall]
+	if !ok {
+		if l = t.namesIn(hall, false); len(l) == 0 {
+			l = t.namesIn(hall, true)
+		}
+		t.active[hall] = l
+	}
+	return l
 }
 
 // Address returns the address of a box, or "" if the box is unknown.
@@ -82,7 +99,7 @@
 	defer t.mutex.Unlock()
 	l, ok := t.alive[hall]
 	if !ok {
-		l = t.computeAlive(hall)
+		l = t.namesIn(hall, false)
 		t.alive[hall] = l
 	}
 	return l
@@ -341,14 +358,28 @@
 	}
 }
 
-// computeAlive computes the result of Alive. The caller holds the lock.
-func (t *Table) computeAlive(hall string) []string {
+// countLost counts the lost boxes that are not known otherwise. The caller holds the lock.
+func (t *Table) countLost() {
+	t.lostCount = 0
+	for _, n := range t.lost {
+		if t.boxes[n] == nil {
+			t.lostCount++
+		}
+	}
+}
+
+// namesIn returns the sorted names of the boxes of a hall, or of all halls if it is empty, that were not
+// found unreachable and are leaving, or are not. The caller holds the lock.
+func (t *Table) namesIn(hall string, leaving bool) []string {
+	matches := func(m *box.Member) bool {
+		return (hall == "" || m.Hall == hall) && (m.State == box.StateLeaving) == leaving
+	}
 	var l []string
-	if (hall == "" || hall == t.self.Hall) && t.self.State != box.StateLeaving {
+	if matches(&t.self) {
 		l = append(l, t.self.Name)
 	}
 	for n, e := range t.boxes {
-		if e.serving() && (hall == "" || e.member.Hall == hall) {
+		if e.failedAt.IsZero() && matches(&e.member) {
 			l = append(l, n)
 		}
 	}
@@ -356,20 +387,11 @@
 	return l
 }
 
-// countLost counts the lost boxes that are not known otherwise. The caller holds the lock.
-func (t *Table) countLost() {
-	t.lostCount = 0
-	for _, n := range t.lost {
-		if t.boxes[n] == nil {
-			t.lostCount++
-		}
-	}
-}
-
-// notifyChange invalidates the cached results of Alive, increases the version and closes the channel
-// that Changed returned. The caller holds the lock.
+// notifyChange invalidates the cached results of Active and Alive, increases the version and closes
+// the channel that Changed returned. The caller holds the lock.
 func (t *Table) notifyChange() {
 	t.version++
+	clear(t.active)
 	clear(t.alive)
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -382,8 +404,3 @@
 	}
 	e.member = m
 }
-
-// serving reports whether the box is believed to be serving: it neither failed nor is leaving.
-func (e *entry) serving() bool {
-	return e.failedAt.IsZero() && e.member.State != box.StateLeaving
-}
--- a/internal/ownership/assign.go
+++ b/internal/ownership/assign.go
@@ -11,7 +11,7 @@
 // considers alive.
 func (o *Owners) Owns(u *resource.Upstream) bool {
 	s := o.members.Self()
-	return policy.HighestRanked(u.Name, o.members.Alive(u.Spec.Hall)) == s.Name
+	return policy.HighestRanked(u.Name, o.members.Active(u.Spec.Hall)) == s.Name
 }
 
 // assign recomputes which upstreams this box owns, if the boxes or the configuration have
@@ -26,7 +26,7 @@
 	o.assignedAt = now
 	names, revision, known := o.view.ChangedUpstreams(o.assignedView)
 	if boxes != o.assignedMembers || o.hallBoxes == nil {
-		o.hallBoxes = policy.NewRendezvous(o.members.Alive(o.members.Self().Hall))
+		o.hallBoxes = policy.NewRendezvous(o.members.Active(o.members.Self().Hall))
 		known = false
 	}
 	o.assignedMembers, o.assignedView = boxes, revision
--- a/internal/placement/candidatecache.go
+++ b/internal/placement/candidatecache.go
@@ -84,7 +84,7 @@
 func (c *candidateCache) reachableHalls() map[string]bool {
 	m := make(map[string]bool)
 	for _, h := range c.members.Halls() {
-		m[h] = len(c.members.Alive(h)) > 0
+		m[h] = len(c.members.Active(h)) > 0
 	}
 	return m
 }
--- a/internal/placement/reserver.go
+++ b/internal/placement/reserver.go
@@ -183,7 +183,7 @@
 // waits for at most the given time, after which it returns errQueued, or until a much better
 // upstream is known, in which case it returns a rerouteError.
 func (p *Reserver) requestPlace(ctx context.Context, u *resource.Upstream, w *policy.Work, wait time.Duration) (*policy.Answer, error) {
-	owner := policy.HighestRanked(u.Name, p.members.Alive(u.Spec.Hall))
+	owner := policy.HighestRanked(u.Name, p.members.Active(u.Spec.Hall))
 	origin := fail.Origin{Peer: "box " + owner, Step: "ask"}
 	if owner == "" {
 		return nil, fail.New(fail.NotRun, origin, "no_owner", "no box is known in hall %q", u.Spec.Hall)
--- a/limits.go
+++ b/limits.go
@@ -94,7 +94,7 @@
 // hall, so that a hall which is cut off still allocates permits. If both are unresponsive, the next
 // is in another hall, because their hall may have failed as a whole.
 func (b *Box) allocatorFor(upstream string, now time.Time) (name string, preferred bool) {
-	l := rankAllocators(upstream, b.members.Alive(b.hallOfUpstream(upstream)), b.members.Alive(""))
+	l := rankAllocators(upstream, b.members.Active(b.hallOfUpstream(upstream)), b.members.Active(""))
 	s := b.limits
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -103,7 +103,7 @@
 			return n, i == 0
 		}
 	}
-	return b.settings.Box, false // all boxes are unresponsive, or this box and all known boxes are leaving
+	return b.settings.Box, false // all boxes are unresponsive
 }
 
 // announceLimit announces to all other boxes that an upstream has become limited or is no longer
--- a/ownercalls.go
+++ b/ownercalls.go
@@ -18,7 +18,7 @@
 // first. The owner is determined from u, not from the view, because a leaving engine may no longer
 // be listed there.
 func (b *Box) acquireMoveSlot(ctx context.Context, u *resource.Upstream, inbound bool, r *policy.Run) (func(), error) {
-	o := policy.HighestRanked(u.Name, b.members.Alive(u.Spec.Hall))
+	o := policy.HighestRanked(u.Name, b.members.Active(u.Spec.Hall))
 	if o == b.settings.Box {
 		return b.moveSlots.Acquire(ctx, u.Name, inbound, r)
 	}
@@ -77,7 +77,7 @@
 	if x == nil {
 		return &box.Reply{}, nil
 	}
-	o := policy.HighestRanked(x.Name, b.members.Alive(x.Spec.Hall))
+	o := policy.HighestRanked(x.Name, b.members.Active(x.Spec.Hall))
 	if o == b.settings.Box {
 		return b.owners.RecordProgress(u), nil
 	}
--- a/recorder.go
+++ b/recorder.go
@@ -161,12 +161,9 @@
 // syncRecorderRows reads the rows, reports this box's completed runs and, on the hall's first
 // recorder, writes the hall's rows, each if it is due.
 func (b *Box) syncRecorderRows(ctx context.Context) {
-	hall := b.members.Alive(b.settings.Hall)
+	hall := b.members.Active(b.settings.Hall)
 	recorders := policy.Rank(recorderTable, hall)
 	recorders = recorders[:min(recordersPerHall, len(recorders))]
-	if len(recorders) == 0 { // all boxes of the hall are leaving
-		recorders = []string{b.settings.Box}
-	}
 	k, now := b.recorder, time.Now()
 	era, _ := b.follower.Era()
 	k.setRecorder(slices.Contains(recorders, b.settings.Box), era, now)
--- a/register.go
+++ b/register.go
@@ -101,7 +101,7 @@
 // boxes that left or have been lost for lostBoxTTL. One box of the hall does so.
 func (b *Box) reviewRows(ctx context.Context) {
 	s := b.members.Self()
-	if policy.HighestRanked("registrar", b.members.Alive(s.Hall)) != s.Name {
+	if policy.HighestRanked("registrar", b.members.Active(s.Hall)) != s.Name {
 		return
 	}
 	now := time.Now()
--- a/routed_test.go
+++ b/routed_test.go
@@ -353,3 +353,39 @@
 		}
 	})
 }
+
+// TestEnginesOfAHallWhoseBoxesLeave guards against streams that wait, or are refused, because the
+// engines of a hall have no owner while all boxes of the hall are leaving.
+func TestEnginesOfAHallWhoseBoxesLeave(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		leaving []string
+	}{
+		{"all boxes", boxesByHall},
+		{"the boxes of one hall", []string{"box-a1", "box-a2"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withRoutedRegion(t, func(t *testing.T, r *routedRegion) {
+				for _, n := range x.leaving {
+					r.boxes[n].settings.Timeouts.Drain.Duration = 3 * time.Second
+					r.boxes[n].settings.Timeouts.Grace.Duration = 30 * time.Second
+					r.boxes[n].Leave()
+				}
+				if len(x.leaving) < len(boxesByHall) {
+					for _, n := range []string{"i-b1", "i-b2"} {
+						r.killUpstream(n)
+					}
+				}
+				time.Sleep(500 * time.Millisecond)
+				for i := range 5 {
+					n := boxesByHall[len(boxesByHall)-1-i%2]
+					began := time.Now()
+					_, complete, status := r.streamPlan(n, fmt.Sprint("plan-", i), routedKey, 40)
+					if got, maxWant := time.Since(began), 1800*time.Millisecond; !complete || got > maxWant {
+						t.Errorf("stream %d at %s: got status %d, complete %v after %s, want it within %s", i, n, status, complete, got, maxWant)
+					}
+				}
+			})
+		})
+	}
+}
