--- a/internal/fake/soak/boxrestarts.go
+++ b/internal/fake/soak/boxrestarts.go
@@ -21,8 +21,8 @@
 	boxRestartsInterval = retryWindow + 500*time.Millisecond
 )
 
-// runBoxRestarts repeats until the context ends: after an interval, all upstreams reject requests or fail, and all boxes,
-// or a random part of them, are killed and restarted several times.
+// runBoxRestarts repeats until the context ends: after an interval, all upstreams reject requests or
+// fail, and all boxes, or a random part of them, are killed and restarted several times.
 func (c *callers) runBoxRestarts(ctx context.Context, r *rand.Rand) {
 	w := c.cluster
 	for n := 0; ; n++ {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -78,9 +78,9 @@
 }
 
 // confirmCrash checks with the upstream's machine whether the process has ended. If so, it records the crash
-// with the suspect s, which was sent to the upstream at sentAt and broke off at at, and announces it to
-// the other boxes; otherwise it counts the crash as ignored.
-func (e *exchange) confirmCrash(ctx context.Context, u *resource.Upstream, sentAt, at time.Time, s policy.Suspect) {
+// with the suspect s, which was sent to the upstream at sentAt and whose answer broke off at brokenAt, and
+// announces it to the other boxes; otherwise it counts the crash as ignored.
+func (e *exchange) confirmCrash(ctx context.Context, u *resource.Upstream, sentAt, brokenAt time.Time, s policy.Suspect) {
 	x := e.relay
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -88,8 +88,8 @@
 		e.ignoreCrash(u, ignoredNotRefused)
 		return
 	}
-	s.Cleared = x.completedSinceLastCrash(s.Fingerprint, at)
-	l := []policy.Crash{{AliveAt: sentAt, At: at, StartedAtMS: u.Spec.StartedAtMS, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
+	s.Cleared = x.completedSinceLastCrash(s.Fingerprint, brokenAt)
+	l := []policy.Crash{{AliveAt: sentAt, At: brokenAt, StartedAtMS: u.Spec.StartedAtMS, Suspects: []policy.Suspect{s}, Upstream: u.Name}}
 	x.metrics.Add(metric.UpstreamCrashes, 1)
 	x.RecordCrashes(l, "")
 	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.CrashCount(s.Fingerprint, time.Now()), "asked", s.Fingerprint.String())
