Leaving boxes refuse streams after the drain, whoever else serves

How long a stream lasts is not known, so that none may be accepted once callers no longer have to come here. Calls are still taken while no other box of the hall accepts them.

TestBoxesThatLeaveTogetherServe checks both.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,8 +97,7 @@
 	// streamLengthMargin is the factor by which a leaving box multiplies a stream's expected
 	// duration when it decides whether to accept the stream: callers' estimates are right only at the
 	// median, and another box serves a refused caller a moment later. If the hall has no other box, a
-	// caller that retries at once reaches this one again, and soleBoxLengthMargin applies until the
-	// balancer has stopped sending callers here.
+	// caller that retries at once reaches this one again, and soleBoxLengthMargin applies.
 	streamLengthMargin  = 3
 	soleBoxLengthMargin = 1
 	// refusedRetryDelay is the time after which a refused caller may retry if no better one is known.
@@ -326,8 +325,11 @@
 		return nil
 	}
 	margin, retryAt := time.Duration(streamLengthMargin), now
-	if trafficEnd.After(now) && !x.HasOtherBoxes() {
-		margin, retryAt = soleBoxLengthMargin, trafficEnd
+	if !x.HasOtherBoxes() {
+		margin = soleBoxLengthMargin
+		if trafficEnd.After(now) {
+			retryAt = trafficEnd
+		}
 	}
 	if now.Add(margin * x.pace.expectedDuration(tokens)).After(streamsEnd) {
 		return leavingError(retryAt)
--- a/routed_test.go
+++ b/routed_test.go
@@ -298,8 +298,8 @@
 	})
 }
 
-// TestBoxesThatLeaveTogetherServe guards against boxes that refuse requests while they leave although
-// all other boxes of their hall are leaving, too, or not up again.
+// TestBoxesThatLeaveTogetherServe guards against boxes that refuse calls while they leave although all
+// other boxes of their hall are leaving, too, or that accept streams which they might cut off.
 func TestBoxesThatLeaveTogetherServe(t *testing.T) {
 	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second, 30 * time.Second} {
 		for _, gap := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
@@ -324,6 +324,12 @@
 						if status, _ := c.callStatus(n, fmt.Sprint("call-", i)); status != http.StatusOK {
 							t.Errorf("call at %s, %s after the first box began to leave: got status %d, want 200", n, at, status)
 						}
+						if drained := at > 3*time.Second+gap*time.Duration(len(boxesByHall)-1); drained && i%10 == 0 {
+							id := fmt.Sprint("late-", i)
+							if _, _, status := r.streamPlan(n, id, routedKey, 8); status != http.StatusServiceUnavailable || r.runCount(id) != 0 {
+								t.Errorf("stream at %s, %s after the first box began to leave: got status %d and %d runs, want it refused", n, at, status, r.runCount(id))
+							}
+						}
 						time.Sleep(50 * time.Millisecond)
 					}
 					g.Wait()
--- a/stopping.go
+++ b/stopping.go
@@ -85,7 +85,8 @@
 
 // awaitOtherBoxes waits until another box of the hall accepts requests or callers no longer send
 // any, but not past until. If all boxes of a hall leave together, a request that one of them refuses
-// reaches another one that is leaving.
+// reaches another one that is leaving. Streams are refused nevertheless, because nobody knows how
+// long they last.
 func (b *Box) awaitOtherBoxes(ctx context.Context, until time.Time) {
 	for now := time.Now(); now.Before(until) && !b.hasOtherBoxes() && now.Sub(b.relay.LastArrivalAt()) < idleAfter; now = time.Now() {
 		select {
@@ -96,10 +97,10 @@
 	}
 }
 
-// drain keeps serving until the load balancer must have noticed that the box is not ready and
-// another box of the hall serves, but already refuses streams that would outlast the box. Then it
-// refuses all new streams, accepts other requests while streams are in progress, and waits for the
-// remaining requests until leaveDeadline.
+// drain keeps serving until the load balancer must have noticed that the box is not ready, but
+// already refuses streams that would outlast the box. Then it refuses all new streams, accepts
+// other requests while streams are in progress or no other box of the hall accepts them, and waits
+// for the remaining requests until leaveDeadline.
 func (b *Box) drain(ctx context.Context) {
 	now := time.Now()
 	deadline := b.leaveDeadline(now)
@@ -111,8 +112,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	b.awaitOtherBoxes(ctx, deadline.Add(-lastCallsTimeout))
 	b.relay.EndStreamsBy(time.Now(), time.Now())
+	b.awaitOtherBoxes(ctx, deadline.Add(-lastCallsTimeout))
 	b.awaitStreams(ctx, deadline.Add(-lastCallsTimeout))
 	if !b.drainRequests(ctx) {
 		event.BoxStopIncomplete.Log(b.log, "held", b.InProgress())
