Boxes without a permit are never told to retry at once

A box that got no permit for an upstream with a limit could be told to ask again at the same instant, since the time until the next permit was rounded down to 0 ns where rounding had left the bucket a fraction short of one.

The time is rounded up now.

--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -97,7 +98,8 @@
 	}
 }
 
-// durationOf converts seconds to a duration.
+// durationOf converts seconds to a duration. It rounds up, so that no box is told to retry before the
+// tokens are there.
 func durationOf(seconds float64) time.Duration {
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(math.Ceil(seconds * float64(time.Second)))
 }
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -58,6 +58,21 @@
 	})
 }
 
+// TestRetryForAFractionOfAPermit guards against a box that is told to retry at once, because rounding
+// left a bucket a fraction of a nanosecond's tokens short of a permit.
+func TestRetryForAFractionOfAPermit(t *testing.T) {
+	for rate := 1.0; rate <= 300; rate++ {
+		a, now := NewAllocator(), time.Unix(1_000, 0)
+		for i, pause := range []time.Duration{0, 19 * time.Millisecond, time.Millisecond, 0, 3 * time.Millisecond, time.Millisecond, 7 * time.Millisecond} {
+			now = now.Add(pause)
+			q := &PermitRequest{Limit: Limit{ReportedAt: now, PerSecond: rate, Upstream: "u"}, Urgent: i == 0, Want: 1 + i%3}
+			if g := a.Allocate(q, 1, 8, now); g.Count == 0 && !g.RetryAt.After(now) {
+				t.Errorf("%v permits a second, request %d: got retry after %s, want a positive delay", rate, i, g.RetryAt.Sub(now))
+			}
+		}
+	}
+}
+
 // TestPermitForLater checks that a request that can wait gets a permit for a later time, and that
 // no future permit is granted twice.
 func TestPermitForLater(t *testing.T) {
