Count reservations that end without a token; say why a connection failed

Cause: the logs of boxes without links to upstreams could not tell two hypotheses apart: that the places which they take at engines keep streams of other boxes waiting, and that they are given back before that matters. Event 301 named no cause where a connection failed.

Change: the owner of an engine records how long a reservation was held that ended without an output token (linetiller_unused_reservation_seconds); event 301 carries the error. No decision changes.

Before: neither was to be had from logs or metrics. After: TestOwnerDropsReservationsThatWereNotUsed checks which reservations count as unused.

--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/metric"
@@ -49,6 +51,7 @@
 	mutex          sync.Mutex // guards owners
 	owners         map[string]*ownedUpstream
 	reportInterval time.Duration // between reads of a load report, and the time-out of each
+	unusedTimes    *metrics.Histogram
 	view           *resource.View
 }
 
@@ -92,7 +95,7 @@
 func New(v *resource.View, m *member.Table, l *policy.Lengths, s *metric.Set, log *slog.Logger, options ...Option) *Owners {
 	o := &Owners{
 		coldStart: ColdStartLimits{Overage: 1}, lengths: l, log: log, maxQueued: 10_000, members: m, metrics: s,
-		owners: make(map[string]*ownedUpstream), reportInterval: time.Second, startedAt: time.Now(), view: v,
+		owners: make(map[string]*ownedUpstream), reportInterval: time.Second, startedAt: time.Now(), unusedTimes: s.Histogram(metric.UnusedReservations), view: v,
 	}
 	for _, x := range options {
 		x(o)
@@ -289,6 +292,7 @@
 	}
 	x.owner = policy.NewOwner(name, c, o.lengths, now, options...)
 	x.owner.Evacuated = u.Evacuated()
+	x.owner.OnUnused = func(held time.Duration) { o.unusedTimes.Update(held.Seconds()) }
 	x.owner.StartedAtMS, x.owner.Leaving, x.owner.LeavingReported = u.Spec.StartedAtMS, u.IsLeaving(), u.ReportedLeaving
 	x.assigned = o.Owns(u)
 	o.owners[name] = x
--- a/internal/policy/owner.go
+++ b/internal/policy/owner.go
@@ -19,6 +19,9 @@
 	// LeavingReported is whether the upstream itself reported that it is leaving. Boxes that get this
 	// from the owner trust it over the upstream's entry.
 	LeavingReported bool
+	// OnUnused, if set, is called when a reservation ends without an output token, with the time for
+	// which it was held.
+	OnUnused func(held time.Duration)
 	// Upstream is the upstream's name.
 	Upstream string
 
@@ -137,10 +140,14 @@
 	if r == nil {
 		return
 	}
+	reservedAt := r.lastTokenAt
 	o.advance(r, produced, now)
 	if ended {
 		o.lengths.Observe(r.key, produced, produced, true)
 	}
+	if produced == 0 {
+		o.reportUnused(now.Sub(reservedAt))
+	}
 	o.release(id, r)
 }
 
--- a/internal/policy/owner_test.go
+++ b/internal/policy/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,8 +50,17 @@
 
 func TestOwnerDropsReservationsThatWereNotUsed(t *testing.T) {
 	o := newTestOwner()
+	var unused []time.Duration
+	o.OnUnused = func(held time.Duration) { unused = append(unused, held) }
 	o.RequestPlace(testWork("a"), testStart)
 	o.Dispatch(testStart.Add(reservationTimeout + time.Millisecond))
+	o.RequestPlace(testWork("b"), testStart)
+	o.Finish("b", 0, false, testStart.Add(time.Second))
+	o.RequestPlace(testWork("c"), testStart)
+	o.Finish("c", 1, true, testStart.Add(time.Second))
+	if got, want := unused, []time.Duration{reservationTimeout + time.Millisecond, time.Second}; !slices.Equal(got, want) {
+		t.Errorf("unused reservations: got %v, want %v", got, want)
+	}
 	if got, want := o.Running(), 0; got != want {
 		t.Errorf("reservations: got %d, want %d", got, want)
 	}
--- a/internal/policy/running.go
+++ b/internal/policy/running.go
@@ -64,11 +64,21 @@
 func (o *Owner) releaseExpired(now time.Time) {
 	for id, r := range o.running {
 		if now.After(r.expiresAt) {
+			if r.produced == 0 {
+				o.reportUnused(now.Sub(r.lastTokenAt))
+			}
 			o.release(id, r)
 		}
 	}
 }
 
+// reportUnused passes to OnUnused how long a reservation without an output token was held.
+func (o *Owner) reportUnused(held time.Duration) {
+	if o.OnUnused != nil {
+		o.OnUnused(held)
+	}
+}
+
 // setStalled records whether a generation is stalled, and counts the stalled ones.
 func (o *Owner) setStalled(r *runningWork, stalled bool) {
 	if r.stalled == stalled {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -138,7 +138,7 @@
 	if errorx.IsOfType(err, fail.NotRun) {
 		e.avoid[u.Name] = true
 		x.health.RecordUnreachable(u.Name, now)
-		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err))
+		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
 		return nil, true, err
 	}
 	e.arrivals++
