--- /dev/null
+++ b/links_test.go
@@ -0,0 +1,404 @@
+//go:build !race || whole
+
+package linetiller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// upstreamLinks carries the connections of boxes to upstreams in memory. Links of single boxes to
+// single upstreams can be cut.
+type upstreamLinks struct {
+	region    *routedRegion
+	mutex     sync.Mutex // guards the fields below
+	cuts      map[upstreamLink]cut
+	conns     map[upstreamLink][]net.Conn
+	listeners map[string]*memoryListener // by upstream
+}
+
+// upstreamLink names a box and an upstream.
+type upstreamLink struct{ box, upstream string }
+
+// cut is what happens to connections over a link that is cut.
+type cut string
+
+const (
+	cutHangs   cut = "hangs"   // new connections hang, open ones carry no more data
+	cutRefuses cut = "refused" // new connections are refused, open ones go on
+	cutResets  cut = "reset"   // new connections are refused, open ones are reset
+)
+
+// hangTime is how long a connection over a link that is cut hangs before it fails by itself.
+const hangTime = time.Second
+
+// memoryListener accepts connections that are made in memory.
+type memoryListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept returns the next connection.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Addr returns the address of the listener, which has none.
+func (*memoryListener) Addr() net.Addr { return new(net.TCPAddr) }
+
+// Close ends the listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// linkedConn is a box's end of a connection over a link.
+type linkedConn struct {
+	net.Conn
+	silent func() bool // whether the connection carries no more data
+}
+
+// Read reads from the connection. While the connection is silent, what arrives is dropped.
+func (c *linkedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent() {
+			return n, err
+		}
+	}
+}
+
+// Write writes to the connection, or drops the data while it is silent.
+func (c *linkedConn) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// withUpstreamLinks runs f with two halls of two boxes, two engines and two plain upstreams each. The
+// boxes' connections to upstreams can be cut.
+func withUpstreamLinks(t *testing.T, f func(t *testing.T, r *routedRegion, l *upstreamLinks, c *callers)) {
+	t.Helper()
+	l := &upstreamLinks{cuts: make(map[upstreamLink]cut), conns: make(map[upstreamLink][]net.Conn), listeners: make(map[string]*memoryListener)}
+	withRoutedRegionOver(t, l, func(t *testing.T, r *routedRegion) {
+		for _, n := range plainUpstreams {
+			r.startUpstream(n)
+		}
+		time.Sleep(time.Second)
+		f(t, r, l, newCallers(r))
+	})
+}
+
+// serve accepts connections to an upstream until the listener is closed.
+func (l *upstreamLinks) serve(upstream string, h http.Handler) {
+	m := &memoryListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	l.mutex.Lock()
+	l.listeners[upstream] = m
+	l.mutex.Unlock()
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(m) }()
+	l.region.t.Cleanup(func() { _ = s.Close() })
+}
+
+// close ends all upstreams.
+func (l *upstreamLinks) close() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, m := range l.listeners {
+		_ = m.Close()
+	}
+	for _, s := range l.conns {
+		for _, c := range s {
+			_ = c.Close()
+		}
+	}
+}
+
+// set cuts the links of boxes to upstreams, or restores them if c is "".
+func (l *upstreamLinks) set(c cut, boxes, upstreams []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, b := range boxes {
+		for _, u := range upstreams {
+			k := upstreamLink{b, u}
+			l.cuts[k] = c
+			if c != cutResets {
+				continue
+			}
+			for _, x := range l.conns[k] {
+				_ = x.Close()
+			}
+			l.conns[k] = nil
+		}
+	}
+}
+
+func (l *upstreamLinks) cutOf(k upstreamLink) cut {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.cuts[k]
+}
+
+// transport returns the transport of a box to upstreams.
+func (l *upstreamLinks) transport(box string) http.RoundTripper {
+	return &http.Transport{DialContext: l.dialer(box), DisableCompression: true, DisableKeepAlives: true}
+}
+
+// dialer returns the function by which a box connects to upstreams.
+func (l *upstreamLinks) dialer(box string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		for n := range l.region.upstreams {
+			if upstreamAddress(n) == address {
+				return l.dial(ctx, upstreamLink{box, n})
+			}
+		}
+		return nil, dialError(syscall.EHOSTUNREACH)
+	}
+}
+
+func (l *upstreamLinks) dial(ctx context.Context, k upstreamLink) (net.Conn, error) {
+	switch l.cutOf(k) {
+	case cutHangs:
+		select {
+		case <-ctx.Done():
+		case <-time.After(hangTime):
+		}
+		return nil, dialError(errors.New("time-out"))
+	case cutRefuses, cutResets:
+		return nil, dialError(syscall.ECONNREFUSED)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, dialError(ctx.Err())
+	case <-time.After(linkDelay):
+	}
+	l.mutex.Lock()
+	m := l.listeners[k.upstream]
+	l.mutex.Unlock()
+	near, far := net.Pipe()
+	select {
+	case <-m.closed:
+		return nil, dialError(syscall.ECONNREFUSED)
+	case m.accepted <- far:
+	}
+	c := &linkedConn{Conn: near, silent: func() bool { return l.cutOf(k) == cutHangs }}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.conns[k] = append(l.conns[k], c)
+	return c, nil
+}
+
+func dialError(err error) error {
+	return &net.OpError{Op: "dial", Net: "link", Err: err}
+}
+
+// upstreamNames returns the names of all upstreams, or of the engines only.
+func (r *routedRegion) upstreamNames(enginesOnly bool) []string {
+	var l []string
+	for n := range r.upstreams {
+		if !enginesOnly || n[0] == 'i' {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+// tally counts requests by what became of them.
+type tally struct{ sent, served, late int }
+
+// linkLoad sends calls and short streams through boxes and counts them by box.
+type linkLoad struct {
+	callers *callers
+	mutex   sync.Mutex // guards the fields below
+	calls   map[string]*tally
+	streams map[string]*tally
+}
+
+// target latencies of the routes in configure.
+const (
+	callTarget   = 300 * time.Millisecond
+	streamTarget = 1800 * time.Millisecond
+)
+
+// send sends five calls and five streams a second through each of the boxes for a period.
+func (c *callers) send(period time.Duration, boxes ...string) *linkLoad {
+	x := &linkLoad{callers: c, calls: make(map[string]*tally), streams: make(map[string]*tally)}
+	for _, b := range boxes {
+		x.calls[b], x.streams[b] = new(tally), new(tally)
+	}
+	const interval = 200 * time.Millisecond
+	var g sync.WaitGroup
+	for i, began := 0, time.Now(); time.Since(began) < period; i++ {
+		for _, b := range boxes {
+			id := fmt.Sprintf("%s-%d-%d", b, began.UnixMilli(), i)
+			g.Go(func() {
+				began := time.Now()
+				ok := c.call(b, "call-"+id)
+				x.count(x.calls[b], ok, time.Since(began) > callTarget)
+			})
+			g.Go(func() {
+				began := time.Now()
+				_, ok, _ := c.region.streamPlan(b, "plan-"+id, routedKey, 40)
+				x.count(x.streams[b], ok, time.Since(began) > streamTarget+time.Second)
+			})
+		}
+		time.Sleep(interval)
+	}
+	g.Wait()
+	return x
+}
+
+func (x *linkLoad) count(t *tally, served, late bool) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	t.sent++
+	if served {
+		t.served++
+	}
+	if served && late {
+		t.late++
+	}
+}
+
+// sum returns the sums of the calls and of the streams at the boxes for which f is true.
+func (x *linkLoad) sum(f func(box string) bool) (calls, streams tally) {
+	for b := range x.calls {
+		if f(b) {
+			calls.add(x.calls[b])
+			streams.add(x.streams[b])
+		}
+	}
+	return calls, streams
+}
+
+func (t *tally) add(o *tally) {
+	t.sent, t.served, t.late = t.sent+o.sent, t.served+o.served, t.late+o.late
+}
+
+// linkCut is a case in which boxes lose their links to upstreams.
+type linkCut struct {
+	name        string
+	kind        cut
+	boxes       []string
+	enginesOnly bool
+}
+
+// linkCuts are the cases of the tests of lost links.
+var linkCuts = []linkCut{
+	{"one box, hangs", cutHangs, boxesByHall[:1], false},
+	{"one box, refused", cutRefuses, boxesByHall[:1], false},
+	{"one box, reset", cutResets, boxesByHall[:1], false},
+	{"one of each hall, hangs", cutHangs, []string{"box-a1", "box-b1"}, false},
+	{"a hall, hangs", cutHangs, boxesByHall[:2], false},
+	{"a hall, refused", cutRefuses, boxesByHall[:2], false},
+	{"all but one, hangs", cutHangs, boxesByHall[:3], false},
+	{"all but one, refused", cutRefuses, boxesByHall[:3], false},
+	{"one box from the engines, hangs", cutHangs, boxesByHall[:1], true},
+}
+
+// settleTime is how long after the beginning of a cut its requests are judged.
+const settleTime = 3 * time.Second
+
+// isCut reports whether a box has lost its links.
+func (x *linkCut) isCut(box string) bool {
+	for _, b := range x.boxes {
+		if b == box {
+			return true
+		}
+	}
+	return false
+}
+
+// play cuts the links and sends requests at all boxes, and afterwards restores the links. It returns
+// what became of the requests from settleTime after the beginning of the cut on.
+func (x *linkCut) play(r *routedRegion, l *upstreamLinks, c *callers) *linkLoad {
+	l.set(x.kind, x.boxes, r.upstreamNames(x.enginesOnly))
+	c.send(settleTime, boxesByHall...)
+	load := c.send(10*time.Second, boxesByHall...)
+	l.set("", x.boxes, r.upstreamNames(false))
+	return load
+}
+
+// TestBoxesWithoutLinksServe guards against boxes that serve nothing, and still take callers, while
+// they have lost their own links to upstreams that their peers reach.
+func TestBoxesWithoutLinksServe(t *testing.T) {
+	for _, x := range linkCuts {
+		t.Run(x.name, func(t *testing.T) {
+			withUpstreamLinks(t, func(t *testing.T, r *routedRegion, l *upstreamLinks, c *callers) {
+				load := x.play(r, l, c)
+				calls, streams := load.sum(x.isCut)
+				otherCalls, otherStreams := load.sum(func(b string) bool { return !x.isCut(b) })
+				t.Logf("without links: calls %+v, streams %+v; others: calls %+v, streams %+v", calls, streams, otherCalls, otherStreams)
+				for _, k := range []struct {
+					name       string
+					got, other tally
+				}{{"calls", calls, otherCalls}, {"streams", streams, otherStreams}} {
+					if k.got.served*3*k.other.sent < 2*k.other.served*k.got.sent {
+						t.Errorf("%s at boxes without links: got %d of %d served, want at least two thirds of the rate elsewhere, %d of %d", k.name, k.got.served, k.got.sent, k.other.served, k.other.sent)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestOthersServeWhileBoxesHaveNoLinks guards against boxes that take places at engines which they
+// cannot reach, so that streams of other boxes are refused for want of them.
+func TestOthersServeWhileBoxesHaveNoLinks(t *testing.T) {
+	for _, x := range linkCuts {
+		t.Run(x.name, func(t *testing.T) {
+			withUpstreamLinks(t, func(t *testing.T, r *routedRegion, l *upstreamLinks, c *callers) {
+				load := x.play(r, l, c)
+				for b, k := range load.streams {
+					if !x.isCut(b) && k.served != k.sent {
+						t.Errorf("streams at %s, which has its links: got %d served, want all %d", b, k.served, k.sent)
+					}
+				}
+				for b, k := range load.calls {
+					if !x.isCut(b) && k.served != k.sent {
+						t.Errorf("calls at %s, which has its links: got %d served, want all %d", b, k.served, k.sent)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLostLinksAreNoCrashes guards against a box that takes upstreams which it no longer reaches for
+// crashed ones, so that requests which ran there are quarantined at all boxes.
+func TestLostLinksAreNoCrashes(t *testing.T) {
+	withUpstreamLinks(t, func(t *testing.T, r *routedRegion, l *upstreamLinks, _ *callers) {
+		var g sync.WaitGroup
+		for i := range 4 {
+			g.Go(func() { r.streamPlan("box-a1", fmt.Sprint("long-", i), routedKey, 1200) })
+		}
+		time.Sleep(2 * time.Second)
+		l.set(cutResets, boxesByHall[:1], r.upstreamNames(false))
+		time.Sleep(2 * time.Second)
+		for n, b := range r.boxes {
+			if got := b.relay.Quarantine().Size(time.Now()); got != 0 {
+				t.Errorf("%s: got %d quarantined requests, want none", n, got)
+			}
+		}
+		for _, n := range boxesByHall[1:] {
+			if _, complete, status := r.streamPlan(n, "same-"+n, routedKey, 40); !complete {
+				t.Errorf("%s: got status %d, want a complete stream", n, status)
+			}
+		}
+		g.Wait()
+	})
+}
--- a/routed_test.go
+++ b/routed_test.go
@@ -25,6 +25,7 @@
 // the list of upstreams from the platform's store, where upstreams list themselves.
 type routedRegion struct {
 	*region
+	links     *upstreamLinks // carries connections to upstreams; nil if requests are passed to them directly
 	upstreams map[string]*routed.Engine
 }
 
@@ -35,10 +36,20 @@
 
 // withRoutedRegion runs f with two halls of two boxes and two engines each.
 func withRoutedRegion(t *testing.T, f func(t *testing.T, r *routedRegion)) {
+	t.Helper()
+	withRoutedRegionOver(t, nil, f)
+}
+
+// withRoutedRegionOver does the same with connections to upstreams over links, if these are not nil.
+func withRoutedRegionOver(t *testing.T, l *upstreamLinks, f func(t *testing.T, r *routedRegion)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &routedRegion{region: newRegion(t), upstreams: make(map[string]*routed.Engine)}
+		r := &routedRegion{region: newRegion(t), links: l, upstreams: make(map[string]*routed.Engine)}
 		defer r.close()
+		if l != nil {
+			l.region, r.upstreamTransport = r, l.transport
+			defer l.close()
+		}
 		r.configure(1, routedKey)
 		for _, n := range []string{"i-a1", "i-a2", "i-b1", "i-b2"} {
 			r.startUpstream(n)
@@ -85,6 +96,9 @@
 	r.mutex.Unlock()
 	r.setHall(upstreamAddress(name), name[2:3])
 	r.link.Handle(upstreamAddress(name), e)
+	if r.links != nil {
+		r.links.serve(name, e)
+	}
 	r.listUpstream(name, "ready")
 }
 
