Boxes take no places at engines that they cannot reach

What callers saw: while a box had lost its links to engines and connections hung, streams at the other boxes were refused (138 of 150 served with one box cut off, 26 of 50 with all but one), and waits ended with deadline and late at the step ask.

Cause: a box asked for a place first and connected then, at one engine after another, whatever earlier connections had shown. Each place was held for as long as a connection hung. Evidence: 145 reservations without a token, held for 1.0 s each; where connections were refused they were held for 0 to 2 ms and nothing was refused elsewhere.

Change: internal/reach connects to the upstreams of routes and tracks those to which connections fail. A request avoids them, and is refused at once where none is left. Only background attempts, not requests, find out that an upstream is back. If connections to several upstreams fail and none to a sample of the others succeeds, all count as unreachable. The gauge linetiller_unreachable_upstreams shows how many there are.

--- a/assemble.go
+++ b/assemble.go
@@ -23,6 +23,7 @@
 	"github.com/linetiller/linetiller/internal/ownership"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
+	"github.com/linetiller/linetiller/internal/reach"
 	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/requestkey"
 	"github.com/linetiller/linetiller/internal/resource"
@@ -48,7 +49,9 @@
 		platform.WithStoreCallObserver(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithTransport(b.engineTransport))
-	b.routedEngines = platform.NewEngines(platform.WithEnginesTransport(b.routedTransport))
+	b.upstreamDialer = reach.NewDialer(b.dialUpstream)
+	b.upstreamDialer.Addresses = b.upstreamAddresses
+	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialContext), platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
 	b.keys.Era = b.follower.Era
@@ -86,6 +89,7 @@
 		era, _ := b.follower.Era()
 		return float64(era)
 	})
+	b.metrics.Gauge(metric.UnreachableUpstreams, func() float64 { return float64(b.upstreamDialer.UnreachableCount()) })
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
@@ -152,6 +156,7 @@
 	b.relay.HasOtherBoxes = b.hasOtherBoxes
 	b.relay.NextBoxAt = b.nextBoxAt
 	b.relay.AcquireMoveSlot = b.acquireMoveSlot
+	b.relay.Unreachable = b.unreachableUpstreams
 	b.relay.ViewAge = b.follower.ViewAge
 	b.relay.Upstreams = relay.UpstreamCalls{ProcessEnded: b.routedEngines.ProcessEnded, Migrate: b.routedEngines.Migrate, Release: b.routedEngines.Release, Send: b.routedEngines.Send}
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -52,6 +52,7 @@
 	TimeBetweenTokens    Name = "linetiller_time_between_tokens_seconds"  // histogram
 	TimeToFirstToken     Name = "linetiller_time_to_first_token_seconds"  // histogram
 	Tokens               Name = "linetiller_tokens_total"                 // counter: tokens delivered to clients
+	UnreachableUpstreams Name = "linetiller_unreachable_upstreams"        // gauge: upstreams to which this box cannot connect
 	UnusedReservations   Name = "linetiller_unused_reservation_seconds"   // histogram: how long reservations were held that ended without an output token
 	UpstreamCrashes      Name = "linetiller_upstream_ends_total"          // counter: requests during which their upstream crashed
 	UpstreamReportErrors Name = "linetiller_upstream_report_errors_total" // counter: load reports that could not be read from upstreams
@@ -63,7 +64,7 @@
 var Names = []Name{
 	Boxes, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
 	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, Requests, Reservations, Resumptions, Retries,
-	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnusedReservations, UpstreamCrashes, UpstreamReportErrors,
+	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamCrashes, UpstreamReportErrors,
 	UpstreamNotices, ViewAge,
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,11 @@
 		if err := x.backoffs.AllBackingOffError(l, e.serviceOrigin(), now); err != nil {
 			return nil, err
 		}
-		avoid, waitUntil, err := e.avoidUnpermitted(l, x.backoffs.Avoid(l, e.avoid, now), refusals, now)
+		avoid := x.avoidUnreachable(l, e.avoid)
+		if err := e.allUnreachableError(l, avoid, now); err != nil {
+			return nil, err
+		}
+		avoid, waitUntil, err := e.avoidUnpermitted(l, x.backoffs.Avoid(l, avoid, now), refusals, now)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -176,7 +176,7 @@
 	w.Hall = m.from.Spec.Hall
 	w.Moved = true
 	now, l := time.Now(), s.exchange.upstreams()
-	avoid = x.avoidAllLimited(l, x.backoffs.Avoid(l, avoid, now), now)
+	avoid = x.avoidAllLimited(l, x.backoffs.Avoid(l, x.avoidUnreachable(l, avoid), now), now)
 	placementCtx, cancel := context.WithTimeout(ctx, movePlacementTimeout)
 	defer cancel()
 	var to *resource.Upstream
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,8 @@
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
 	// AcquireMoveSlot waits for a move slot of an upstream.
 	AcquireMoveSlot MoveSlotFunc
+	// Unreachable returns those of the upstreams to which connections from this box are known to fail.
+	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 	// Upstreams are the calls to engines and services.
 	Upstreams UpstreamCalls
 	// ViewAge returns the time since the view was last known to be current, 0 if it never was.
@@ -124,6 +126,7 @@
 		RecordLeaving:     func(u *resource.Upstream) { v.RecordLeaving(u.Name, u.Spec.StartedAtMS) },
 		HasOtherBoxes:     func() bool { return true },
 		NextBoxAt:         func(time.Time) time.Time { return time.Time{} },
+		Unreachable:       func([]*resource.Upstream) []*resource.Upstream { return nil },
 		ViewAge:           func() time.Duration { return 0 },
 		coldRate:          func(*resource.Upstream) float64 { return 0 },
 		background:        background, stopBackground: stopBackground,
--- a/linetiller.go
+++ b/linetiller.go
@@ -27,6 +27,7 @@
 	"github.com/linetiller/linetiller/internal/order"
 	"github.com/linetiller/linetiller/internal/ownership"
 	"github.com/linetiller/linetiller/internal/placement"
+	"github.com/linetiller/linetiller/internal/reach"
 	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/requestkey"
 	"github.com/linetiller/linetiller/internal/resource"
@@ -64,6 +65,7 @@
 	backoffs         *health.Backoffs
 	retryBudget      *budget.Budget
 	routedEngines    *platform.Engines // upstreams of declared routes
+	upstreamDialer   *reach.Dialer     // connects to them
 	recorder         *recorder
 	store            *table.Store
 	tracker          *placement.Tracker
@@ -75,9 +77,10 @@
 	// metrics, in this order. It is empty without an entry.
 	entry []endpoint
 
-	// openListeners opens the addresses of the box; the transports carry its calls to engines and
-	// the platform. Tests replace them.
+	// openListeners opens the addresses of the box; dialUpstream connects it to the upstreams of declared
+	// routes; the transports carry its calls to engines and the platform. Tests replace them.
 	openListeners     func() error
+	dialUpstream      reach.DialFunc
 	engineTransport   http.RoundTripper
 	platformTransport http.RoundTripper
 	routedTransport   http.RoundTripper
@@ -117,7 +120,7 @@
 		serving: make(chan struct{}), pushRequested: make(chan struct{}, 1), leaveRequested: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
 		pushes: newPushes(time.Now()), recorder: newRecorder(), settings: s, started: time.Now(), view: resource.NewView(),
 	}
-	b.openListeners = b.listen
+	b.openListeners, b.dialUpstream = b.listen, new(net.Dialer).DialContext
 	for _, o := range options {
 		o(b)
 	}
@@ -189,7 +192,7 @@
 		b.follower.Run, b.follower.MonitorViewAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runTicks, b.runPush, b.runRegister,
 	}
 	if b.hasEntry() {
-		l = append(l, b.runRecorder)
+		l = append(l, b.runRecorder, b.upstreamDialer.Run)
 	} else {
 		l = append(l, b.orders.Run, b.runRewrite) // with an entry, the platform's operators and engines write their own rows
 	}
--- a/links_test.go
+++ b/links_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/linetiller/linetiller/internal/reach"
 )
 
 // upstreamLinks carries the connections of boxes to upstreams in memory. Links of single boxes to
@@ -153,13 +155,8 @@
 	return l.cuts[k]
 }
 
-// transport returns the transport of a box to upstreams.
-func (l *upstreamLinks) transport(box string) http.RoundTripper {
-	return &http.Transport{DialContext: l.dialer(box), DisableCompression: true, DisableKeepAlives: true}
-}
-
 // dialer returns the function by which a box connects to upstreams.
-func (l *upstreamLinks) dialer(box string) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (l *upstreamLinks) dialer(box string) reach.DialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		for n := range l.region.upstreams {
 			if upstreamAddress(n) == address {
--- a/region_test.go
+++ b/region_test.go
@@ -26,6 +26,7 @@
 	"github.com/linetiller/linetiller/internal/fake/link"
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/operator"
+	"github.com/linetiller/linetiller/internal/reach"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/settings"
 )
@@ -33,27 +34,27 @@
 // region is a set of halls of complete boxes, which are connected in memory and run in virtual
 // time.
 type region struct {
-	boxes             map[string]*Box
-	intercept         func(to string, q *box.Request) *box.Call    // answers calls between boxes in their place; may be nil
-	storeCallCounts   map[string]int                               // by box
-	crashing          map[string]*atomic.Int64                     // by box: crashes so far, where all upstreams crash that the box sends to
-	isolated          map[string]bool                              // halls cut off from all others and the platform
-	poweredOff        map[string]bool                              // boxes without power: calls to them hang, and connections are not closed
-	onDelivered       func(from string, q *box.Request)            // called for each call that reaches a box; may be nil
-	onMessage         func(from, to string, k box.Kind, bytes int) // called for each message between boxes; may be nil
-	serving           sync.WaitGroup                               // Serve of all boxes
-	handlerCancels    []func()                                     // cancel the handling of calls between boxes
-	engines           map[string]*engine.Server
-	paused            map[string]bool // boxes whose calls hang
-	hallOf            map[string]string
-	link              *link.Link
-	bytesPerSecond    map[string]int // by box: how fast messages of other boxes reach it; 0 for at once
-	mutex             sync.Mutex     // guards the maps
-	platform          *fakeplatform.Platform
-	storeTransports   map[string]http.RoundTripper       // by box: its transport to the store, if it is not a boxTransport
-	upstreamTransport func(box string) http.RoundTripper // returns a box's transport to the upstreams of routes; nil for a boxTransport
-	refusedBoxes      map[string]bool                    // boxes that the store refuses
-	t                 *testing.T
+	boxes           map[string]*Box
+	intercept       func(to string, q *box.Request) *box.Call    // answers calls between boxes in their place; may be nil
+	storeCallCounts map[string]int                               // by box
+	crashing        map[string]*atomic.Int64                     // by box: crashes so far, where all upstreams crash that the box sends to
+	isolated        map[string]bool                              // halls cut off from all others and the platform
+	poweredOff      map[string]bool                              // boxes without power: calls to them hang, and connections are not closed
+	onDelivered     func(from string, q *box.Request)            // called for each call that reaches a box; may be nil
+	onMessage       func(from, to string, k box.Kind, bytes int) // called for each message between boxes; may be nil
+	serving         sync.WaitGroup                               // Serve of all boxes
+	handlerCancels  []func()                                     // cancel the handling of calls between boxes
+	engines         map[string]*engine.Server
+	paused          map[string]bool // boxes whose calls hang
+	hallOf          map[string]string
+	link            *link.Link
+	bytesPerSecond  map[string]int // by box: how fast messages of other boxes reach it; 0 for at once
+	mutex           sync.Mutex     // guards the maps
+	platform        *fakeplatform.Platform
+	storeTransports map[string]http.RoundTripper    // by box: its transport to the store, if it is not a boxTransport
+	upstreamDialer  func(box string) reach.DialFunc // returns how a box connects to the upstreams of routes; nil if requests are passed to them directly
+	refusedBoxes    map[string]bool                 // boxes that the store refuses
+	t               *testing.T
 }
 
 const workspaceKey = "key"
@@ -231,7 +232,11 @@
 		}
 		b.engineTransport = &boxTransport{from: name, region: r}
 		b.platformTransport = r.storeTransport(name)
-		b.routedTransport = r.routedTransport(name)
+		if r.upstreamDialer != nil {
+			b.dialUpstream = r.upstreamDialer(name)
+		} else {
+			b.routedTransport = &boxTransport{from: name, region: r}
+		}
 	})
 	if err != nil {
 		r.t.Fatal(err)
@@ -243,14 +248,6 @@
 	return b
 }
 
-// routedTransport returns a box's transport to the upstreams of routes.
-func (r *region) routedTransport(name string) http.RoundTripper {
-	if r.upstreamTransport != nil {
-		return r.upstreamTransport(name)
-	}
-	return &boxTransport{from: name, region: r}
-}
-
 // storeTransport returns a box's transport to the platform's store.
 func (r *region) storeTransport(name string) http.RoundTripper {
 	if t := r.storeTransports[name]; t != nil {
--- a/routed_test.go
+++ b/routed_test.go
@@ -47,7 +47,7 @@
 		r := &routedRegion{region: newRegion(t), links: l, upstreams: make(map[string]*routed.Engine)}
 		defer r.close()
 		if l != nil {
-			l.region, r.upstreamTransport = r, l.transport
+			l.region, r.upstreamDialer = r, l.dialer
 			defer l.close()
 		}
 		r.configure(1, routedKey)
