Boxes that lose their links connect to upstreams by way of other boxes

Cause: a box used its own links only.

Change: where a direct connection to an upstream fails or takes longer than 50 ms, the box connects by way of another one, which connects directly or says at once that it cannot. Only the connection takes another path: order, once, budget, limits, back-offs and the promise of a refusal stay with the box that holds the request. Between boxes the bytes are the bodies of an HTTP request and its response, or a QUIC stream, so that a box that is lost in between never makes an answer look complete. limits.relayed bounds the connections that a box opens for others; they are waited for when it stops.

Weighed against it: the whole request handed to a peer, whose answer would have to be told from the upstream's.

--- a/assemble.go
+++ b/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/linetiller/linetiller/internal/client"
 	"github.com/linetiller/linetiller/internal/configuration"
 	"github.com/linetiller/linetiller/internal/delivery"
+	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/lease"
@@ -49,8 +50,7 @@
 		platform.WithStoreCallObserver(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithTransport(b.engineTransport))
-	b.upstreamDialer = reach.NewDialer(b.dialUpstream)
-	b.upstreamDialer.Addresses = b.upstreamAddresses
+	b.assembleUpstreamDialer()
 	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialContext), platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
@@ -89,7 +89,6 @@
 		era, _ := b.follower.Era()
 		return float64(era)
 	})
-	b.metrics.Gauge(metric.UnreachableUpstreams, func() float64 { return float64(b.upstreamDialer.UnreachableCount()) })
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
@@ -183,6 +182,39 @@
 	b.assembleEntry()
 }
 
+// assembleUpstreamDialer creates the dialer for connections to the upstreams of routes.
+func (b *Box) assembleUpstreamDialer() {
+	d := reach.NewDialer(b.dialUpstream)
+	d.Addresses = b.upstreamAddresses
+	d.OnConnected = func(peer string) {
+		path := "direct"
+		if peer != "" {
+			path = "relayed"
+		}
+		b.metrics.Count(metric.UpstreamConnections, "path", path)
+	}
+	d.OnDirectChange = func(address string, reachable bool, err error) {
+		if reachable {
+			event.UpstreamLinkRestored.Log(b.log, "address", address)
+			return
+		}
+		event.UpstreamLinkLost.Log(b.log, "address", address, "error", err.Error())
+	}
+	d.Peers = b.relayPeers
+	d.Via = b.connectVia
+	b.upstreamDialer = d
+	b.relayed.limit = b.settings.Limits.Relayed
+	b.metrics.GaugeOf(metric.UnreachableUpstreams, "path", "direct", func() float64 {
+		n, _ := d.UnreachableCounts()
+		return float64(n)
+	})
+	b.metrics.GaugeOf(metric.UnreachableUpstreams, "path", "any", func() float64 {
+		_, n := d.UnreachableCounts()
+		return float64(n)
+	})
+	b.metrics.Gauge(metric.RelayedConnections, func() float64 { return float64(b.relayed.Count()) })
+}
+
 // httpServer returns a server for h with the limits of the settings.
 func (b *Box) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/box/endpoint.go
+++ b/internal/box/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
@@ -20,6 +21,9 @@
 	Call func(ctx context.Context, address string, q *Request) (*Call, error)
 	// Close closes all connections and waits for the calls in progress.
 	Close func() error
+	// Connect opens a connection to the upstream that q names by way of the box at address. The reason
+	// of its error is one of that box, or ReasonUnreachable.
+	Connect func(ctx context.Context, address string, q *Request) (net.Conn, error)
 }
 
 // Call is a call in progress. Tests may set its functions.
--- a/internal/box/http.go
+++ b/internal/box/http.go
@@ -18,14 +18,16 @@
 // authentication. It is meant for networks that only boxes can reach and in which no certificates
 // are issued. It is safe for concurrent use.
 type HTTPTransport struct {
-	cancel   context.CancelFunc
-	clients  map[string]*http.Client // by address, each with its own connections
-	ctx      context.Context
-	handler  Handler
-	listener net.Listener
-	mutex    sync.Mutex // guards clients
-	server   *http.Server
-	workers  sync.WaitGroup
+	cancel        context.CancelFunc
+	clients       map[string]*http.Client // by address, each with its own connections
+	connectClient *http.Client            // for connections to upstreams
+	connector     Connector
+	ctx           context.Context
+	handler       Handler
+	listener      net.Listener
+	mutex         sync.Mutex // guards clients
+	server        *http.Server
+	workers       sync.WaitGroup
 }
 
 const (
@@ -38,16 +40,24 @@
 	httpWriteTimeout = 2 * time.Second        // for writing one reply
 )
 
-// ListenHTTP returns a transport that listens at address (IP:port) and serves calls with h.
-func ListenHTTP(address string, h Handler) (*HTTPTransport, error) {
+// ListenHTTP returns a transport that listens at address (IP:port) and serves calls with h, and
+// connections to upstreams with n.
+func ListenHTTP(address string, h Handler, n Connector) (*HTTPTransport, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fail.Wrap(fail.Unavailable, fail.Origin{Peer: "boxes", Step: "listen"}, "listen", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &HTTPTransport{cancel: cancel, clients: make(map[string]*http.Client), ctx: ctx, handler: h, listener: l}
+	p := &HTTPTransport{cancel: cancel, clients: make(map[string]*http.Client), connector: n, ctx: ctx, handler: h, listener: l}
+	p.connectClient = &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: httpDialTimeout}).DialContext,
+		DisableKeepAlives: true, // a kept connection may have stopped carrying data
+	}}
+	m := http.NewServeMux()
+	m.HandleFunc(connectPath, p.serveConnectRequest)
+	m.HandleFunc("/", p.serve)
 	p.server = &http.Server{
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), Handler: http.HandlerFunc(p.serve),
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), Handler: m,
 		IdleTimeout: 2 * httpIdleTimeout, ReadTimeout: httpReadTimeout,
 	}
 	p.workers.Go(func() { _ = p.server.Serve(l) })
@@ -86,7 +96,7 @@
 
 // Endpoint returns the transport as an Endpoint.
 func (p *HTTPTransport) Endpoint() *Endpoint {
-	return &Endpoint{Address: p.Address, Call: p.Call, Close: p.Close}
+	return &Endpoint{Address: p.Address, Call: p.Call, Close: p.Close, Connect: p.Connect}
 }
 
 // serve handles one call.
--- a/internal/box/message.go
+++ b/internal/box/message.go
@@ -21,6 +21,7 @@
 	KindPlacement       Kind = "ask"       // asks for a slot at an upstream; replied to repeatedly until the work starts or is refused
 	KindListUnavailable Kind = "away"      // announces whether the platform's list of upstreams is unavailable to the sender
 	KindChanges         Kind = "changes"   // asks for the configuration changes after a revision
+	KindConnect         Kind = "connect"   // asks for a connection to an upstream; what follows the messages passes between the sender and the upstream
 	KindReportCleared   Kind = "cleared"   // announces requests that are no longer suspected of having crashed upstreams
 	KindReportCrashes   Kind = "crashed"   // announces crashes of upstreams
 	KindListCrashes     Kind = "crashes"   // asks for the crashes that the receiver knows of
@@ -61,6 +62,7 @@
 	ViewAge             time.Duration            `cbor:"22,keyasint,omitempty"` // heartbeat: age of the sender's view, 0 if unknown
 	Placement           *PlacementRequest        `cbor:"2,keyasint,omitempty"`
 	ListUnavailable     bool                     `cbor:"11,keyasint,omitempty"` // away: the sender cannot read the list of upstreams
+	Connect             *ConnectRequest          `cbor:"27,keyasint,omitempty"` // connect
 	StartedAtMS         int64                    `cbor:"13,keyasint,omitempty"` // leaving: start time of the upstream in Unix milliseconds, 0 if unknown
 	Crashes             []policy.Crash           `cbor:"16,keyasint,omitempty"` // crashed
 	From                Member                   `cbor:"3,keyasint"`
@@ -85,6 +87,11 @@
 	Wait                time.Duration            `cbor:"12,keyasint,omitempty"` // news: how long to wait for changes after the arrival of the request
 }
 
+// ConnectRequest asks for a connection to an upstream.
+type ConnectRequest struct {
+	Address string `cbor:"1,keyasint"` // of the upstream, IP:port
+}
+
 // PlacementRequest asks the owner of an upstream for a slot.
 type PlacementRequest struct {
 	Upstream string      `cbor:"1,keyasint"`
--- a/internal/box/silent_test.go
+++ b/internal/box/silent_test.go
@@ -115,9 +115,9 @@
 					all.Wait()
 				}
 				_ = answer(&Reply{})
-			})
+			}, nil)
 			s := newBlackholeProxy(t, a.Address())
-			b := newHTTPTransport(t, nil).Endpoint()
+			b := newHTTPTransport(t, nil, nil).Endpoint()
 			call := func(q *Request, d time.Duration) error {
 				ctx, cancel := context.WithTimeout(t.Context(), d)
 				defer cancel()
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -24,14 +24,15 @@
 	mutex       sync.Mutex // guards connections; no other lock may be taken while it is held
 	connections map[string]*quic.Conn
 
-	cancel   context.CancelFunc
-	client   *tls.Config
-	ctx      context.Context
-	handler  Handler
-	listener *quic.Listener
-	quic     *quic.Transport
-	socket   net.PacketConn
-	workers  sync.WaitGroup
+	cancel    context.CancelFunc
+	client    *tls.Config
+	connector Connector
+	ctx       context.Context
+	handler   Handler
+	listener  *quic.Listener
+	quic      *quic.Transport
+	socket    net.PacketConn
+	workers   sync.WaitGroup
 }
 
 // Protocol is the ALPN name of the protocol between boxes in the TLS handshake.
@@ -47,11 +48,12 @@
 	quicMaxStreams      = 1 << 16          // concurrent incoming calls of one connection
 )
 
-// ListenQUIC returns a transport that listens at address (IP:port) and serves calls with h.
+// ListenQUIC returns a transport that listens at address (IP:port) and serves calls with h, and
+// connections to upstreams with n.
 //
 // Both TLS configurations must name Protocol. If both carry certificates, the boxes authenticate
 // each other.
-func ListenQUIC(address string, server, client *tls.Config, h Handler) (*QUICTransport, error) {
+func ListenQUIC(address string, server, client *tls.Config, h Handler, n Connector) (*QUICTransport, error) {
 	p := fail.Origin{Peer: "boxes", Step: "listen"}
 	s, err := net.ListenPacket("udp", address)
 	if err != nil {
@@ -60,7 +62,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &QUICTransport{
 		cancel: cancel, client: client, connections: make(map[string]*quic.Conn), ctx: ctx,
-		handler: h, quic: &quic.Transport{Conn: s}, socket: s,
+		connector: n, handler: h, quic: &quic.Transport{Conn: s}, socket: s,
 	}
 	t.listener, err = t.quic.Listen(server, quicConfig())
 	if err != nil {
@@ -128,7 +130,7 @@
 
 // Endpoint returns the transport as an Endpoint.
 func (t *QUICTransport) Endpoint() *Endpoint {
-	return &Endpoint{Address: t.Address, Call: t.Call, Close: t.Close}
+	return &Endpoint{Address: t.Address, Call: t.Call, Close: t.Close, Connect: t.Connect}
 }
 
 // DecodeRequest decodes a request, checks that it has the part that its kind needs, and converts
@@ -142,6 +144,9 @@
 	if q.Kind == KindPlacement && q.Placement == nil {
 		return nil, errors.New("placement request without its work")
 	}
+	if q.Kind == KindConnect && q.Connect == nil {
+		return nil, errors.New("connect request without an upstream")
+	}
 	if q.Kind == KindPermit && q.Permit == nil {
 		return nil, errors.New("permit request without its limit")
 	}
@@ -225,6 +230,10 @@
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
 	defer context.AfterFunc(t.ctx, cancel)()
+	if q.Kind == KindConnect && t.connector != nil {
+		t.serveConnectRequest(ctx, s, q)
+		return
+	}
 	t.handler(ctx, q, func(r *Reply) error { return e.Encode(r) })
 }
 
--- a/internal/box/transport_test.go
+++ b/internal/box/transport_test.go
@@ -16,13 +16,13 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func newQUICTransport(t *testing.T, h Handler) *QUICTransport {
+func newQUICTransport(t *testing.T, h Handler, n Connector) *QUICTransport {
 	t.Helper()
 	server, client, err := certificate.Ephemeral(Protocol)
 	if err != nil {
 		t.Fatal(err)
 	}
-	v, err := ListenQUIC("127.0.0.1:0", server, client, h)
+	v, err := ListenQUIC("127.0.0.1:0", server, client, h, n)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,9 +34,9 @@
 	return v
 }
 
-func newHTTPTransport(t *testing.T, h Handler) *HTTPTransport {
+func newHTTPTransport(t *testing.T, h Handler, n Connector) *HTTPTransport {
 	t.Helper()
-	v, err := ListenHTTP("127.0.0.1:0", h)
+	v, err := ListenHTTP("127.0.0.1:0", h, n)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,10 +52,10 @@
 func eachTransport(t *testing.T, f func(t *testing.T, newEndpoint func(Handler) *Endpoint)) {
 	t.Helper()
 	t.Run("quic", func(t *testing.T) {
-		f(t, func(h Handler) *Endpoint { return newQUICTransport(t, h).Endpoint() })
+		f(t, func(h Handler) *Endpoint { return newQUICTransport(t, h, nil).Endpoint() })
 	})
 	t.Run("plain", func(t *testing.T) {
-		f(t, func(h Handler) *Endpoint { return newHTTPTransport(t, h).Endpoint() })
+		f(t, func(h Handler) *Endpoint { return newHTTPTransport(t, h, nil).Endpoint() })
 	})
 }
 
@@ -108,10 +108,10 @@
 }
 
 func TestUnreachableBox(t *testing.T) {
-	a := newQUICTransport(t, nil)
+	a := newQUICTransport(t, nil, nil)
 	address := a.Address()
 	_ = a.Close()
-	b := newQUICTransport(t, nil)
+	b := newQUICTransport(t, nil, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	if _, err := b.Endpoint().CallOnce(ctx, address, &Request{Kind: KindHeartbeat}); err == nil {
@@ -126,18 +126,18 @@
 	a, err := ListenQUIC("127.0.0.1:0", server, client, func(_ context.Context, _ *Request, answer func(*Reply) error) {
 		reached = true
 		_ = answer(&Reply{})
-	})
+	}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = a.Close() }()
-	trusted, err := ListenQUIC("127.0.0.1:0", server, client, nil)
+	trusted, err := ListenQUIC("127.0.0.1:0", server, client, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = trusted.Close() }()
 	_, untrustedClient := newMutualTLS(t)
-	untrusted, err := ListenQUIC("127.0.0.1:0", server, untrustedClient, nil)
+	untrusted, err := ListenQUIC("127.0.0.1:0", server, untrustedClient, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,6 +155,7 @@
 	for _, q := range []Request{
 		{Kind: KindHeartbeat, From: Member{Name: "a"}},
 		{Kind: KindPlacement, Placement: &PlacementRequest{Upstream: "u", Work: policy.Work{ID: "w"}}},
+		{Kind: KindConnect, Connect: &ConnectRequest{Address: "10.0.0.1:1"}},
 		{Kind: KindProgress, Progress: &ProgressReport{Items: []GenerationProgress{{ID: "x", Released: true}}}},
 	} {
 		b, _ := cbor.Marshal(q)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,7 @@
 	active            map[string][]string // cached results of Active, by hall; cleared by notifyChange
 	alive             map[string][]string // cached results of Alive, by hall; cleared by notifyChange
 	boxes             map[string]*entry   // the other boxes, by name
+	halls             []string            // cached result of Halls; nil after notifyChange
 	failuresClearedAt time.Time           // last call of ClearFailures
 	leavingSince      time.Time           // when SetLeaving was called; zero before
 	lost              []string            // boxes that the platform lists as lost
@@ -195,15 +196,19 @@
 	return first
 }
 
-// Halls returns the sorted names of the halls of all known boxes.
+// Halls returns the sorted names of the halls of all known boxes. Callers must not modify the result.
 func (t *Table) Halls() []string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.halls != nil {
+		return t.halls
+	}
 	m := map[string]bool{t.self.Hall: true}
 	for _, e := range t.boxes {
 		m[e.member.Hall] = true
 	}
-	return slices.Sorted(maps.Keys(m))
+	t.halls = slices.Sorted(maps.Keys(m))
+	return t.halls
 }
 
 // LongUnreachable returns the listed boxes that have been unreachable for more than
@@ -413,6 +418,7 @@
 	t.version++
 	clear(t.active)
 	clear(t.alive)
+	t.halls = nil
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,8 @@
 	Boxes                Name = "linetiller_boxes"                        // gauge, by hall: boxes that are considered alive
 	Generations          Name = "linetiller_generations_total"            // counter, by outcome
 	CompletedRequests    Name = "linetiller_kept_requests"                // gauge: requests that are known to have completed at any box of the hall, as stored by its recorders
+	RelayRefusals        Name = "linetiller_relay_refusals_total"         // counter, by reason: connections to upstreams that this box did not open for another box
+	RelayedConnections   Name = "linetiller_relayed_connections"          // gauge: connections to upstreams that this box has open for other boxes
 	RequestKeyCommits    Name = "linetiller_request_key_commits_total"    // counter: transactions that write request keys
 	RequestKeyRewrites   Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	RequestKeyWrites     Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
@@ -52,8 +54,9 @@
 	TimeBetweenTokens    Name = "linetiller_time_between_tokens_seconds"  // histogram
 	TimeToFirstToken     Name = "linetiller_time_to_first_token_seconds"  // histogram
 	Tokens               Name = "linetiller_tokens_total"                 // counter: tokens delivered to clients
-	UnreachableUpstreams Name = "linetiller_unreachable_upstreams"        // gauge: upstreams to which this box cannot connect
+	UnreachableUpstreams Name = "linetiller_unreachable_upstreams"        // gauge, by path: upstreams to which this box cannot connect directly, or over any path
 	UnusedReservations   Name = "linetiller_unused_reservation_seconds"   // histogram: how long reservations were held that ended without an output token
+	UpstreamConnections  Name = "linetiller_upstream_connections_total"   // counter, by path: connections to upstreams of routes, direct or relayed by another box
 	UpstreamCrashes      Name = "linetiller_upstream_ends_total"          // counter: requests during which their upstream crashed
 	UpstreamReportErrors Name = "linetiller_upstream_report_errors_total" // counter: load reports that could not be read from upstreams
 	ViewAge              Name = "linetiller_view_age_seconds"             // gauge: time since the view was last known to be current
@@ -63,8 +66,8 @@
 // Names lists every metric.
 var Names = []Name{
 	Boxes, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
-	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, Requests, Reservations, Resumptions, Retries,
-	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamCrashes, UpstreamReportErrors,
+	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, Requests, Reservations, Resumptions, Retries,
+	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamConnections, UpstreamCrashes, UpstreamReportErrors,
 	UpstreamNotices, ViewAge,
 }
 
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -1,10 +1,13 @@
-// Package reach connects a box to upstreams, and tracks to which of them connections fail.
+// Package reach connects a box to upstreams: directly or, where that fails, by way of another box. It
+// tracks to which upstreams connections fail.
 package reach
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -13,103 +16,223 @@
 type Dialer struct {
 	// Addresses returns the addresses (IP:port) of all upstreams. It must be set before Run.
 	Addresses func() []string
+	// OnConnected is called for each connection that DialContext returns; peer is the box in between, or
+	// "" for a direct connection.
+	OnConnected func(peer string)
+	// OnDirectChange is called when direct connections to an upstream begin to fail, and when one
+	// succeeds again.
+	OnDirectChange func(address string, reachable bool, err error)
+	// Peers returns the boxes by way of which to connect, the best first, of those for which usable
+	// returns true.
+	Peers func(usable func(peer string) bool) []string
+	// Via opens a connection to the upstream at an address by way of another box. Its error is
+	// ECONNREFUSED if the upstream's machine refused the connection, and an UpstreamError if the box
+	// failed to connect to it for another reason.
+	Via func(ctx context.Context, peer, address string) (net.Conn, error)
 
-	direct DialFunc
-	wake   chan struct{} // buffered; holds a value once a connection has failed
+	direct  DialFunc
+	peers   *peerStates
+	wake    chan struct{}  // buffered; holds a value once a connection has failed
+	workers sync.WaitGroup // attempts that nobody waits for
 
 	mutex       sync.Mutex // guards the fields below; no other lock is taken under it
-	connectedAt time.Time  // last connection to any upstream
-	connections uint64     // number of connections to upstreams
+	connectedAt time.Time  // last direct connection to any upstream
+	connections uint64     // number of direct connections to upstreams
 	failures    map[string]*failedUpstream
-	linksLost   bool // connections to all upstreams that were tried fail
+	linksLost   bool // direct connections to all upstreams that were tried fail
+	unreachable int  // number of consecutive upstreams to which no path led since a path to any did
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// failedUpstream is an upstream to which the last connections failed.
+// UpstreamError is the error of a peer that cannot connect to an upstream either.
+type UpstreamError struct{ Err error }
+
+// failedUpstream is an upstream to which the last direct connections failed.
 type failedUpstream struct {
-	count   int // consecutive failed connections
-	triedAt time.Time
+	direct     int       // consecutive failed direct connections
+	paths      int       // how often in a row no path led to the upstream
+	refused    bool      // the last direct connection was refused
+	triedAt    time.Time // last direct connection
+	triedViaAt time.Time // last attempt of a probe by way of peers
 }
 
-// dialTimeout bounds an attempt to connect: a connection takes milliseconds, if need be with one lost
-// packet sent again.
-const dialTimeout = 300 * time.Millisecond
+const (
+	// dialTimeout bounds an attempt to connect: a connection takes milliseconds, if need be with one lost
+	// packet sent again.
+	dialTimeout = 300 * time.Millisecond
+	// hedgeDelay is how long an attempt may take before the next path is tried beside it.
+	hedgeDelay = 50 * time.Millisecond
+	// unreachableThreshold is the number of consecutive failed connections after which an upstream
+	// counts as unreachable. On a link with packet loss, single connections fail although the upstream
+	// is up.
+	unreachableThreshold = 2
+)
 
-// unreachableThreshold is the number of consecutive failed connections after which an upstream counts
-// as unreachable. On a link with packet loss, single connections fail although the upstream is up.
-const unreachableThreshold = 2
+// errKnownUnreachable is returned by DialDirect for an upstream to which direct connections are known to
+// fail.
+var errKnownUnreachable = errors.New("connections to the upstream are known to fail")
 
-// NewDialer returns a Dialer that opens connections with direct.
+// NewDialer returns a Dialer that opens direct connections with direct, and knows no peers.
 func NewDialer(direct DialFunc) *Dialer {
 	return &Dialer{
-		Addresses: func() []string { return nil },
-		direct:    direct, failures: make(map[string]*failedUpstream), wake: make(chan struct{}, 1),
+		Addresses:      func() []string { return nil },
+		OnConnected:    func(string) {},
+		OnDirectChange: func(string, bool, error) {},
+		Peers:          func(func(string) bool) []string { return nil },
+		direct:         direct, failures: make(map[string]*failedUpstream), peers: newPeerStates(), wake: make(chan struct{}, 1),
 	}
 }
 
-// AllReachable reports whether no upstream is known to be unreachable.
+// AllReachable reports whether direct connections to all upstreams succeed as far as is known.
 func (d *Dialer) AllReachable() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return len(d.failures) == 0
 }
 
-// DialContext connects to the upstream at an address (IP:port).
-func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	limited, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	c, err := d.direct(limited, network, address)
-	if err == nil || ctx.Err() == nil { // otherwise the attempt was given up
-		d.record(address, err == nil, time.Now())
+// Close waits until all attempts to connect have ended.
+func (d *Dialer) Close() error {
+	d.workers.Wait()
+	return nil
+}
+
+// DialContext connects to the upstream at an address (IP:port), directly or by way of a peer.
+func (d *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	c, path, err := d.connect(ctx, address, d.paths(address))
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 	}
-	return c, err
+	d.OnConnected(path)
+	return c, nil
+}
+
+// DialDirect connects to the upstream at an address (IP:port) for a peer. It fails at once if direct
+// connections to the upstream are known to fail. The error is ECONNREFUSED if the upstream's machine
+// refuses connections.
+func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	if fails, refused := d.directFails(address); refused {
+		return nil, syscall.ECONNREFUSED
+	} else if fails {
+		return nil, errKnownUnreachable
+	}
+	return d.dial(ctx, address)
 }
 
-// Unreachable reports whether connections to the upstream at an address are known to fail.
+// Error returns the message of the error.
+func (e UpstreamError) Error() string { return "upstream unreachable from the peer: " + e.Err.Error() }
+
+// Unreachable reports whether no path is known to lead to the upstream at an address.
 func (d *Dialer) Unreachable(address string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.linksLost {
+	if d.linksLost && d.unreachable >= lostLinksThreshold {
 		return true
 	}
 	f := d.failures[address]
-	return f != nil && f.count >= unreachableThreshold
+	return f != nil && f.unreachable()
 }
 
-// UnreachableCount returns the number of upstreams that are known to be unreachable.
-func (d *Dialer) UnreachableCount() int {
+// UnreachableCounts returns the number of upstreams to which direct connections are known to fail, and
+// of those the number to which no path leads.
+func (d *Dialer) UnreachableCounts() (direct, paths int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	n := 0
 	for _, f := range d.failures {
-		if f.count >= unreachableThreshold {
-			n++
+		if f.direct >= unreachableThreshold {
+			direct++
 		}
+		if f.unreachable() {
+			paths++
+		}
+	}
+	return direct, paths
+}
+
+// Unwrap returns the cause.
+func (e UpstreamError) Unwrap() error { return e.Err }
+
+// dial connects directly and records the outcome, unless ctx ends first.
+func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := d.direct(limited, "tcp", address)
+	if err == nil || ctx.Err() == nil {
+		d.recordDirect(address, err, time.Now())
 	}
-	return n
+	return c, err
 }
 
-// record records the outcome of an attempt to connect.
-func (d *Dialer) record(address string, connected bool, now time.Time) {
+// directFails reports whether direct connections to an upstream are known to fail, and whether its
+// machine refuses them while this box reaches others.
+func (d *Dialer) directFails(address string) (fails, refused bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if connected {
-		d.connectedAt, d.linksLost = now, false
-		d.connections++
-		delete(d.failures, address)
-		return
+	if d.linksLost {
+		return true, false
 	}
+	f := d.failures[address]
+	fails = f != nil && f.direct >= unreachableThreshold
+	return fails, fails && f.refused
+}
+
+// failed returns the record of failures of an upstream, and creates it if needed. The caller holds the
+// lock.
+func (d *Dialer) failed(address string) *failedUpstream {
 	f := d.failures[address]
 	if f == nil {
 		f = new(failedUpstream)
 		d.failures[address] = f
 	}
-	f.count++
-	f.triedAt = now
+	return f
+}
+
+// recordDirect records the outcome of a direct connection.
+func (d *Dialer) recordDirect(address string, err error, now time.Time) {
+	if d.countDirect(address, err, now) {
+		d.OnDirectChange(address, err == nil, err)
+	}
+}
+
+// countDirect counts the outcome of a direct connection, and reports whether direct connections have begun
+// to fail or succeed again by it.
+func (d *Dialer) countDirect(address string, err error, now time.Time) (changed bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	f := d.failures[address]
+	if err == nil {
+		d.connectedAt, d.linksLost, d.unreachable = now, false, 0
+		d.connections++
+		delete(d.failures, address)
+		return f != nil && f.direct >= unreachableThreshold
+	}
+	f = d.failed(address)
+	f.direct++
+	f.triedAt, f.refused = now, errors.Is(err, syscall.ECONNREFUSED)
 	select {
 	case d.wake <- struct{}{}:
 	default:
 	}
+	return f.direct == unreachableThreshold
+}
+
+// recordPaths records whether any path led to an upstream.
+func (d *Dialer) recordPaths(address string, connected bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !connected {
+		d.failed(address).paths++
+		d.unreachable++
+		return
+	}
+	d.unreachable = 0
+	if f := d.failures[address]; f != nil {
+		f.paths = 0
+	}
+}
+
+// unreachable reports whether no path is known to lead to the upstream.
+func (f *failedUpstream) unreachable() bool {
+	return f.paths > 0 && f.direct >= unreachableThreshold
 }
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,19 +20,73 @@
 
 // network is a set of upstreams, to some of which connections fail.
 type network struct {
-	mutex  sync.Mutex // guards the fields below
-	dials  map[string]int
-	down   map[string]bool
-	refuse bool // connections that fail are refused; otherwise they hang
+	mutex    sync.Mutex // guards the fields below
+	dials    map[string]int
+	down     map[string]bool
+	refuse   bool // connections that fail are refused; otherwise they hang
+	unlisted bool // no upstream is listed any more
+
+	peers    []string
+	peersAre map[string]error // by peer: the error of its connections, nil if they succeed, errHangs if they hang
+	via      int              // connections by way of peers attempted
 }
 
+// errHangs is the error of a peer whose connections hang.
+var errHangs = errors.New("hangs")
+
 // newNetwork returns a network and the addresses of n upstreams in it.
 func newNetwork(n int) (*network, []string) {
 	var l []string
 	for i := range n {
 		l = append(l, fmt.Sprintf("10.0.0.%d:1", i))
 	}
-	return &network{dials: make(map[string]int), down: make(map[string]bool)}, l
+	return &network{dials: make(map[string]int), down: make(map[string]bool), peersAre: make(map[string]error)}, l
+}
+
+func (n *network) dialVia(ctx context.Context, peer, _ string) (net.Conn, error) {
+	n.mutex.Lock()
+	n.via++
+	err := n.peersAre[peer]
+	n.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(time.Millisecond):
+	}
+	if errors.Is(err, errHangs) {
+		<-ctx.Done()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+func (n *network) isUnlisted() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.unlisted
+}
+
+func (n *network) unlist() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.unlisted = true
+}
+
+// setPeers sets the peers and the errors of their connections.
+func (n *network) setPeers(errs map[string]error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.peers, n.peersAre = slices.Sorted(maps.Keys(errs)), errs
+}
+
+// viaCount returns how often connections by way of peers were attempted.
+func (n *network) viaCount() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.via
 }
 
 func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -73,7 +130,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, addresses := newNetwork(upstreams)
 		d := NewDialer(n.dial)
-		d.Addresses = func() []string { return addresses }
+		d.Addresses = func() []string {
+			if n.isUnlisted() {
+				return nil
+			}
+			return addresses
+		}
+		d.Peers = func(usable func(string) bool) []string {
+			return slices.DeleteFunc(slices.Clone(n.peers), func(p string) bool { return !usable(p) })
+		}
+		d.Via = n.dialVia
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -83,6 +149,7 @@
 		f(t, d, n, addresses)
 		cancel()
 		<-done
+		_ = d.Close()
 	})
 }
 
@@ -135,7 +202,7 @@
 					}
 					before := n.dialCount()
 					time.Sleep(time.Second)
-					const rounds = int(time.Second/probeInterval) + 1
+					const rounds = int(time.Second/probeInterval) + 1 // at most
 					if got, maxWant := n.dialCount()-before, rounds*(min(x.down, maxProbes)+lostLinksSample); got > maxWant {
 						t.Errorf("attempts in a second: got %d, want at most %d", got, maxWant)
 					}
@@ -162,9 +229,7 @@
 		n.setDown(true, addresses...)
 		connect(t.Context(), d, addresses...)
 		time.Sleep(2 * time.Second)
-		d.mutex.Lock()
-		d.Addresses = func() []string { return nil }
-		d.mutex.Unlock()
+		n.unlist()
 		time.Sleep(2 * time.Second)
 		if got := unreachable(d, addresses); got != 0 || !d.AllReachable() {
 			t.Errorf("unreachable upstreams that are not listed: got %d, want none", got)
--- /dev/null
+++ b/internal/reach/paths.go
@@ -0,0 +1,191 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// directPath is the path without a peer.
+const directPath = ""
+
+// errNoPath is returned if there is no path to try.
+var errNoPath = errors.New("no path to the upstream")
+
+// attempt is the outcome of an attempt to connect over one path.
+type attempt struct {
+	conn net.Conn
+	err  error
+	path string // the peer, or directPath
+}
+
+// pathQueue holds the paths that are still to be tried for one connection.
+type pathQueue struct {
+	more  func() []string // returns those behind paths; nil once it was called
+	paths []string
+}
+
+// race is the attempt to connect to one upstream over several paths.
+type race struct {
+	address  string
+	attempts chan attempt
+	dialer   *Dialer
+	direct   context.Context // of the direct attempt
+	failed   []attempt
+	pending  int // attempts in progress
+	queue    *pathQueue
+	started  []string        // paths
+	via      context.Context // of attempts by way of peers
+}
+
+// connect connects to an upstream over the first path of the queue that leads there. Each path is tried
+// once the attempt before it has failed or takes longer than hedgeDelay. It returns the path, or the error
+// of failureOf.
+func (d *Dialer) connect(ctx context.Context, address string, q *pathQueue) (net.Conn, string, error) {
+	via, cancelVia := context.WithCancel(ctx)
+	// The direct attempt goes on if another path is faster, so that its outcome is known.
+	direct, cancelDirect := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancelDirect)
+	r := &race{address: address, attempts: make(chan attempt), dialer: d, direct: direct, queue: q, via: via}
+	a, err := r.run(ctx)
+	cancelVia()
+	d.workers.Go(func() {
+		r.discard()
+		stop()
+		cancelDirect()
+	})
+	return a.conn, a.path, err
+}
+
+// paths returns the paths over which to connect to an upstream.
+func (d *Dialer) paths(address string) *pathQueue {
+	if fails, _ := d.directFails(address); fails {
+		return &pathQueue{more: func() []string { return append(d.peerPaths(), directPath) }}
+	}
+	return &pathQueue{paths: []string{directPath}, more: d.peerPaths}
+}
+
+// peerPaths returns the peers by way of which to connect.
+func (d *Dialer) peerPaths() []string {
+	now := time.Now()
+	peers := d.Peers(d.peers.usable(now))
+	if p := d.peers.lastWorked(now); p != "" && !slices.Contains(peers, p) {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// try attempts to connect over one path.
+func (d *Dialer) try(ctx context.Context, path, address string) attempt {
+	if path == directPath {
+		c, err := d.dial(ctx, address)
+		return attempt{c, err, path}
+	}
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := d.Via(limited, path, address)
+	var u UpstreamError
+	if err != nil && ctx.Err() == nil && !errors.As(err, &u) && !errors.Is(err, syscall.ECONNREFUSED) {
+		d.peers.recordFailure(path, time.Now()) // it says nothing of the upstream
+	}
+	return attempt{c, err, path}
+}
+
+// next returns the next path, or false if there is none.
+func (q *pathQueue) next() (path string, ok bool) {
+	if len(q.paths) == 0 && q.more != nil {
+		q.paths, q.more = q.more(), nil
+	}
+	if len(q.paths) == 0 {
+		return "", false
+	}
+	path, q.paths = q.paths[0], q.paths[1:]
+	return path, true
+}
+
+// discard closes the connections of attempts that came too late.
+func (r *race) discard() {
+	for range r.pending {
+		if a := <-r.attempts; a.err == nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
+// recordSuccess records that a path led to the upstream. Peers that were tried before and did not connect
+// are avoided for a while.
+func (r *race) recordSuccess(path string) {
+	d, now := r.dialer, time.Now()
+	d.recordPaths(r.address, true)
+	if path != directPath {
+		d.peers.recordSuccess(path, now)
+	}
+	for _, p := range r.started[:slices.Index(r.started, path)] {
+		if p != directPath {
+			d.peers.recordFailure(p, now)
+		}
+	}
+}
+
+// run returns the first attempt that succeeds.
+func (r *race) run(ctx context.Context) (attempt, error) {
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	r.start()
+	for r.pending > 0 {
+		select {
+		case a := <-r.attempts:
+			r.pending--
+			if a.err == nil {
+				r.recordSuccess(a.path)
+				return a, nil
+			}
+			r.failed = append(r.failed, a)
+			r.start()
+		case <-hedge.C:
+			r.start()
+		case <-ctx.Done():
+			return attempt{}, ctx.Err()
+		}
+	}
+	if ctx.Err() != nil {
+		return attempt{}, ctx.Err()
+	}
+	r.dialer.recordPaths(r.address, false)
+	return attempt{}, failureOf(r.failed)
+}
+
+// start begins an attempt over the next path, if there is one.
+func (r *race) start() {
+	path, ok := r.queue.next()
+	if !ok {
+		return
+	}
+	ctx := r.via
+	if path == directPath {
+		ctx = r.direct
+	}
+	r.pending++
+	r.started = append(r.started, path)
+	r.dialer.workers.Go(func() { r.attempts <- r.dialer.try(ctx, path, r.address) })
+}
+
+// failureOf returns the error for attempts that all failed: that of the last path that says something of
+// the upstream. It is ECONNREFUSED only if the upstream refused on each of these.
+func failureOf(failed []attempt) error {
+	err := errNoPath
+	for _, a := range failed {
+		var u UpstreamError
+		refused := errors.Is(a.err, syscall.ECONNREFUSED)
+		if a.path != directPath && !refused && !errors.As(a.err, &u) {
+			continue // the peer did not try
+		}
+		if errors.Is(err, errNoPath) || !refused {
+			err = a.err
+		}
+	}
+	return err
+}
--- a/internal/reach/probe.go
+++ b/internal/reach/probe.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	probeInterval = 200 * time.Millisecond // between two rounds of background attempts
-	// maxProbes bounds the background attempts of a round.
-	maxProbes = 16
+	probeInterval = 200 * time.Millisecond // between two rounds of probes
+	// maxProbeInterval bounds the time between two probes of one upstream, which doubles with each
+	// failure.
+	maxProbeInterval = 500 * time.Millisecond
+	maxProbes        = 16 // direct connections in a round
+	maxViaProbes     = 2  // connections by way of peers in a round
 	// lostLinksThreshold is the number of upstreams to which connections fail from which on others
 	// are tried as well, to find out whether the box has lost its links to all of them.
 	lostLinksThreshold = 3
@@ -38,85 +41,140 @@
 	}
 }
 
-// probe tries to connect once to upstreams to which connections fail, and to a sample of others if
-// connections to several fail and to none succeeded since the last round. It reports whether
+// probe tries to connect once to upstreams to which connections fail, and directly to a sample of others
+// if direct connections to several fail and to none succeeded since the last round. It reports whether
 // connections to any upstream still fail.
 func (d *Dialer) probe(ctx context.Context) bool {
 	before := d.connectionCount()
-	failed, others := d.due(time.Now())
-	d.try(ctx, failed)
+	now := time.Now()
+	failed := d.dueDirect(now)
+	var g sync.WaitGroup
+	g.Go(func() { d.probeVia(ctx, d.dueVia(now)) })
+	d.probeDirect(ctx, failed)
+	others := d.sample(now)
 	if len(others) > 0 && d.connectionCount() == before {
 		for range unreachableThreshold {
-			d.try(ctx, others)
+			d.probeDirect(ctx, others)
 		}
 	}
+	g.Wait()
 	lost := len(others) > 0 && ctx.Err() == nil
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if lost && d.connections == before {
 		d.linksLost = true
 	}
+	if d.connections > before {
+		d.retryAllSoon()
+	}
 	if len(d.failures) > 0 {
 		return true
 	}
-	d.linksLost = false
+	d.linksLost, d.unreachable = false, 0
 	return false
 }
 
-// connectionCount returns how many connections to upstreams succeeded so far.
+// connectionCount returns how many direct connections to upstreams succeeded so far.
 func (d *Dialer) connectionCount() uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.connections
 }
 
-// due returns the upstreams to try in a round: those to which connections fail, beginning with the one
-// that was not tried for the longest time, and a random sample of others. Upstreams that are no longer
-// listed are dropped.
-func (d *Dialer) due(now time.Time) (failed, others []string) {
-	all := d.Addresses()
-	listed := make(map[string]bool, len(all))
-	for _, a := range all {
+// dueDirect returns the upstreams to which to connect directly in a round, beginning with the one that
+// was not tried for the longest time. It drops upstreams that are no longer listed.
+func (d *Dialer) dueDirect(now time.Time) []string {
+	listed := make(map[string]bool)
+	for _, a := range d.Addresses() {
 		listed[a] = true
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for a := range d.failures {
+	var due []string
+	for a, f := range d.failures {
 		if !listed[a] {
 			delete(d.failures, a)
 			continue
 		}
-		failed = append(failed, a)
+		if !now.Before(f.probeAt()) {
+			due = append(due, a)
+		}
 	}
-	slices.SortFunc(failed, func(a, b string) int {
+	slices.SortFunc(due, func(a, b string) int {
 		return cmp.Or(d.failures[a].triedAt.Compare(d.failures[b].triedAt), cmp.Compare(a, b))
 	})
-	suspect := !d.linksLost && len(failed) >= lostLinksThreshold && now.Sub(d.connectedAt) > probeInterval
-	failed = failed[:min(len(failed), maxProbes)]
-	if !suspect {
-		return failed, nil
+	return due[:min(len(due), maxProbes)]
+}
+
+// dueVia returns the upstreams to which to connect by way of peers in a round: those to which no path
+// led.
+func (d *Dialer) dueVia(now time.Time) []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var due []string
+	for a, f := range d.failures {
+		if len(due) < maxViaProbes && f.paths > 0 && now.Sub(f.triedViaAt) >= maxProbeInterval {
+			f.triedViaAt = now
+			due = append(due, a)
+		}
+	}
+	return due
+}
+
+// sample returns upstreams to which no connection has failed, to try whether the box has lost its links
+// to all upstreams, or nil if that is known or nothing suggests it.
+func (d *Dialer) sample(now time.Time) []string {
+	all := d.Addresses()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.linksLost || len(d.failures) < lostLinksThreshold || now.Sub(d.connectedAt) <= probeInterval {
+		return nil
 	}
+	var others []string
 	for _, i := range rand.Perm(len(all)) {
 		if len(others) < lostLinksSample && d.failures[all[i]] == nil {
 			others = append(others, all[i])
 		}
 	}
-	return failed, others
+	return others
 }
 
-// try connects to upstreams at once and closes the connections.
-func (d *Dialer) try(ctx context.Context, addresses []string) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+// retryAllSoon makes all upstreams to which connections fail due in the next round. The caller holds the
+// lock.
+func (d *Dialer) retryAllSoon() {
+	for _, f := range d.failures {
+		f.direct = min(f.direct, unreachableThreshold)
+	}
+}
+
+// probeDirect connects to upstreams at once and closes the connections.
+func (d *Dialer) probeDirect(ctx context.Context, addresses []string) {
 	var g sync.WaitGroup
 	for _, a := range addresses {
 		g.Go(func() {
-			c, err := d.direct(ctx, "tcp", a)
-			d.record(a, err == nil, time.Now())
-			if err == nil {
+			if c, err := d.dial(ctx, a); err == nil {
 				_ = c.Close()
 			}
 		})
 	}
 	g.Wait()
 }
+
+// probeVia connects to upstreams by way of peers and closes the connections.
+func (d *Dialer) probeVia(ctx context.Context, addresses []string) {
+	for _, a := range addresses {
+		peers := d.peerPaths()
+		if len(peers) == 0 {
+			return
+		}
+		if c, _, err := d.connect(ctx, a, &pathQueue{paths: peers}); err == nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// probeAt returns when the upstream is to be tried again.
+func (f *failedUpstream) probeAt() time.Time {
+	period := probeInterval << min(8, max(0, f.direct-unreachableThreshold))
+	return f.triedAt.Add(min(maxProbeInterval, period))
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -95,6 +95,7 @@
 		{"body_bytes", s.Limits.BodyBytes},
 		{"header_bytes", int64(s.Limits.HeaderBytes)},
 		{"queued", int64(s.Limits.Queued)},
+		{"relayed", int64(s.Limits.Relayed)},
 		{"streams", int64(s.Limits.Streams)},
 		{"weight_loads", int64(s.Limits.WeightLoads)},
 		{"drain", int64(s.Timeouts.Drain.Duration)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 	// more often as usage approaches it. 0 means no limit.
 	MemoryMB    float64 `toml:"memory_mb"`
 	Queued      int     `toml:"queued"`       // waiting requests of all workspaces
+	Relayed     int     `toml:"relayed"`      // connections to upstreams that are open for other boxes at once
 	Streams     int     `toml:"streams"`      // concurrent requests
 	WeightLoads int     `toml:"weight_loads"` // concurrent loads from the weight store, by all boxes together
 }
@@ -116,7 +117,7 @@
 		Budget:   RetryBudget{Extra: 50, Ratio: 0.2, Window: Duration{10 * time.Second}},
 		Cold:     ColdStart{Overage: 1},
 		Links:    LinksQUIC,
-		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Streams: 10_000, WeightLoads: 2},
+		Limits:   Limits{BodyBytes: 4 << 20, HeaderBytes: 64 << 10, Queued: 20_000, Relayed: 512, Streams: 10_000, WeightLoads: 2},
 		LogLevel: "info",
 		Policy:   PolicyReserved,
 		Timeouts: Timeouts{
--- a/linetiller.go
+++ b/linetiller.go
@@ -66,6 +66,8 @@
 	retryBudget      *budget.Budget
 	routedEngines    *platform.Engines // upstreams of declared routes
 	upstreamDialer   *reach.Dialer     // connects to them
+	upstreamIndex    upstreamIndex
+	relayed          relayedConnections
 	recorder         *recorder
 	store            *table.Store
 	tracker          *placement.Tracker
--- a/listen.go
+++ b/listen.go
@@ -43,7 +43,7 @@
 func (b *Box) listenBoxes() (*box.Endpoint, error) {
 	s := b.settings
 	if s.Links == settings.LinksPlain {
-		p, err := box.ListenHTTP(s.BoxAddress, b.handleRequest)
+		p, err := box.ListenHTTP(s.BoxAddress, b.handleRequest, b.connectForPeer)
 		if err != nil {
 			return nil, err
 		}
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, fail.Wrap(fail.BadInput, fail.Origin{Peer: "boxes", Step: "load certificates"}, "bad_certificate", err)
 	}
-	t, err := box.ListenQUIC(s.BoxAddress, server, dial, b.handleRequest)
+	t, err := box.ListenQUIC(s.BoxAddress, server, dial, b.handleRequest, b.connectForPeer)
 	if err != nil {
 		return nil, err
 	}
--- a/region_test.go
+++ b/region_test.go
@@ -53,6 +53,7 @@
 	platform        *fakeplatform.Platform
 	storeTransports map[string]http.RoundTripper    // by box: its transport to the store, if it is not a boxTransport
 	upstreamDialer  func(box string) reach.DialFunc // returns how a box connects to the upstreams of routes; nil if requests are passed to them directly
+	relayed         map[string][]net.Conn           // by box: connections to upstreams that it has opened for others
 	refusedBoxes    map[string]bool                 // boxes that the store refuses
 	t               *testing.T
 }
@@ -85,6 +86,7 @@
 	r := &region{
 		boxes: make(map[string]*Box), storeCallCounts: make(map[string]int), crashing: make(map[string]*atomic.Int64), isolated: make(map[string]bool), poweredOff: make(map[string]bool), engines: make(map[string]*engine.Server),
 		paused: make(map[string]bool), hallOf: map[string]string{"platform": "platform"}, link: link.New(), platform: fakeplatform.New(),
+		relayed:         make(map[string][]net.Conn),
 		storeTransports: make(map[string]http.RoundTripper),
 		refusedBoxes:    make(map[string]bool), t: t,
 	}
@@ -262,6 +264,11 @@
 	delete(r.boxes, name)
 	r.mutex.Unlock()
 	r.link.SetDown(name, true)
+	r.mutex.Lock()
+	for _, c := range r.relayed[name] {
+		_ = c.Close()
+	}
+	r.mutex.Unlock()
 	_ = b.Close()
 }
 
@@ -348,9 +355,40 @@
 			return r.call(ctx, from, to, q)
 		},
 		Close: func() error { return nil },
+		Connect: func(ctx context.Context, to string, q *box.Request) (net.Conn, error) {
+			return r.connect(ctx, from, to, q)
+		},
 	}
 }
 
+// connect opens a connection to an upstream by way of a box. It ends when that box is killed.
+func (r *region) connect(ctx context.Context, from, to string, q *box.Request) (net.Conn, error) {
+	errUnreachable := fail.New(fail.Unavailable, fail.Origin{Peer: "box " + to, Step: "connect"}, box.ReasonUnreachable, "no route")
+	r.mutex.Lock()
+	peer := r.boxes[to]
+	r.mutex.Unlock()
+	if peer == nil || r.unreachable(from, to) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return nil, errUnreachable
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(linkDelay):
+	}
+	c, err := peer.connectForPeer(ctx, q)
+	if err != nil {
+		return nil, fail.New(fail.Unavailable, fail.Origin{Peer: "box " + to, Step: "connect"}, fail.Reason(err), "refused")
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.relayed[to] = append(r.relayed[to], c)
+	return &linkedConn{Conn: c, silent: func() bool { return r.unreachable(from, to) }}, nil
+}
+
 // transfer waits for as long as a message takes to reach a box over its link.
 func (r *region) transfer(ctx context.Context, to string, bytes int) {
 	r.mutex.Lock()
--- a/stopping.go
+++ b/stopping.go
@@ -43,7 +43,7 @@
 		}
 		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort()) // before workers.Wait: workers may wait for requests in progress
 		b.workers.Wait()
-		err = errors.Join(err, b.keys.Close(), b.links.Close(), b.engines.Close(), b.routedEngines.Close(), b.store.Close())
+		err = errors.Join(err, b.keys.Close(), b.links.Close(), b.engines.Close(), b.routedEngines.Close(), b.upstreamDialer.Close(), b.store.Close())
 	})
 	return err
 }
@@ -123,6 +123,7 @@
 		b.abortRequests()
 		return
 	}
+	b.relayed.wait(ctx)
 	b.shutDown(ctx)
 }
 
