A refused connection counts as a crash only if another box is refused, too

What callers saw: a request that ran over links which were then reset was refused with 502 at all four boxes.

Cause: a box whose answer breaks off asks the upstream's machine whether the process has ended, and took a refusal for proof. A link between the two may refuse as well. The crashes were announced, and the request that ran at two upstreams was quarantined everywhere for ten minutes. It is the same class as boxes that use their own links only: what a box sees over its own links is taken for the state of the upstream.

Change: a refusal counts if the box's peers are refused as well and none of them gets a connection, or if no peer tries.

--- a/assemble.go
+++ b/assemble.go
@@ -51,7 +51,7 @@
 	b.store = store.Table()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithTransport(b.engineTransport))
 	b.assembleUpstreamDialer()
-	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialContext), platform.WithEnginesTransport(b.routedTransport))
+	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
 	b.keys.Era = b.follower.Era
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -92,6 +92,24 @@
 	return len(d.failures) == 0
 }
 
+// CheckProcess connects to the upstream at an address to find out whether its process has ended, and closes
+// the connection. It returns nil if the process accepts connections, ECONNREFUSED if its machine refuses
+// them, and another error if that cannot be told. A refusal may come from a link between this box and the
+// upstream, so it counts only if a peer is refused as well and none gets a connection, or if no peer tries.
+func (d *Dialer) CheckProcess(ctx context.Context, address string) error {
+	c, err := d.dial(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c, _, err = d.connect(ctx, address, &pathQueue{paths: d.peerPaths()})
+	}
+	if errors.Is(err, errNoPath) {
+		return syscall.ECONNREFUSED
+	}
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Close waits until all attempts to connect have ended.
 func (d *Dialer) Close() error {
 	d.workers.Wait()
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -173,19 +173,17 @@
 	r.dialer.workers.Go(func() { r.attempts <- r.dialer.try(ctx, path, r.address) })
 }
 
-// failureOf returns the error for attempts that all failed: that of the last path that says something of
-// the upstream. It is ECONNREFUSED only if the upstream refused on each of these.
+// failureOf returns the errors of those attempts that say something of the upstream, or errNoPath.
 func failureOf(failed []attempt) error {
-	err := errNoPath
+	var errs []error
 	for _, a := range failed {
 		var u UpstreamError
-		refused := errors.Is(a.err, syscall.ECONNREFUSED)
-		if a.path != directPath && !refused && !errors.As(a.err, &u) {
-			continue // the peer did not try
-		}
-		if errors.Is(err, errNoPath) || !refused {
-			err = a.err
+		if a.path == directPath || errors.Is(a.err, syscall.ECONNREFUSED) || errors.As(a.err, &u) {
+			errs = append(errs, a.err)
 		}
 	}
-	return err
+	if len(errs) == 0 {
+		return errNoPath
+	}
+	return errors.Join(errs...)
 }
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -135,3 +135,36 @@
 		}
 	})
 }
+
+// TestCheckOfAProcess guards against a box that takes an upstream for ended because its own links refuse
+// connections.
+func TestCheckOfAProcess(t *testing.T) {
+	unreachable := UpstreamError{errors.New("time-out")}
+	for _, x := range []struct {
+		name   string
+		down   bool
+		refuse bool
+		peers  map[string]error
+		want   error
+	}{
+		{"runs", false, true, map[string]error{"a": syscall.ECONNREFUSED}, nil},
+		{"a peer gets a connection", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": nil}, nil},
+		{"one of the peers cannot tell", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": unreachable}, syscall.ECONNREFUSED},
+		{"no peer can tell", true, true, map[string]error{"a": unreachable, "b": unreachable}, unreachable},
+		{"refused everywhere", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": syscall.ECONNREFUSED}, syscall.ECONNREFUSED},
+		{"no peer tries", true, true, map[string]error{"a": errOther}, syscall.ECONNREFUSED},
+		{"no peers", true, true, nil, syscall.ECONNREFUSED},
+		{"hangs", true, false, map[string]error{"a": syscall.ECONNREFUSED}, context.DeadlineExceeded},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			withDialer(t, 1, func(t *testing.T, d *Dialer, n *network, addresses []string) {
+				n.refuse = x.refuse
+				n.setPeers(x.peers)
+				n.setDown(x.down, addresses...)
+				if err := d.CheckProcess(t.Context(), addresses[0]); !errors.Is(err, x.want) || (x.want == nil && err != nil) {
+					t.Errorf("got %v, want %v", err, x.want)
+				}
+			})
+		})
+	}
+}
