Crashes, spread and return of relayed connections

Found by tests of what has to hold over another box as over the own links, before anything of it landed: - A box whose connections hang could not tell a crashed upstream from a lost link, since its direct attempt used up the time: a poison request crashed four upstreams. The refusal that a peer gets counts; the direct path is left out where it is known to fail.

--- a/assemble.go
+++ b/assemble.go
@@ -196,6 +196,7 @@
 	d.OnDirectChange = func(address string, reachable bool, err error) {
 		if reachable {
 			event.UpstreamLinkRestored.Log(b.log, "address", address)
+			b.routedEngines.CloseIdleConnections() // some may still go over other boxes
 			return
 		}
 		event.UpstreamLinkLost.Log(b.log, "address", address, "error", err.Error())
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -19,6 +19,7 @@
 	CompletedRequests    Name = "linetiller_kept_requests"                // gauge: requests that are known to have completed at any box of the hall, as stored by its recorders
 	RelayRefusals        Name = "linetiller_relay_refusals_total"         // counter, by reason: connections to upstreams that this box did not open for another box
 	RelayedConnections   Name = "linetiller_relayed_connections"          // gauge: connections to upstreams that this box has open for other boxes
+	RelayedTotal         Name = "linetiller_relayed_connections_total"    // counter: connections to upstreams that this box has opened for other boxes
 	RequestKeyCommits    Name = "linetiller_request_key_commits_total"    // counter: transactions that write request keys
 	RequestKeyRewrites   Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	RequestKeyWrites     Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
@@ -66,7 +67,7 @@
 // Names lists every metric.
 var Names = []Name{
 	Boxes, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
-	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, Requests, Reservations, Resumptions, Retries,
+	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, RelayedTotal, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamConnections, UpstreamCrashes, UpstreamReportErrors,
 	UpstreamNotices, ViewAge,
 }
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -70,6 +70,9 @@
 	unreachableThreshold = 2
 )
 
+// errProcessUnknown is returned by CheckProcess if it cannot tell whether a process has ended.
+var errProcessUnknown = errors.New("no path to the upstream tells whether its process has ended")
+
 // errKnownUnreachable is returned by DialDirect for an upstream to which direct connections are known to
 // fail.
 var errKnownUnreachable = errors.New("connections to the upstream are known to fail")
@@ -94,20 +97,19 @@
 
 // CheckProcess connects to the upstream at an address to find out whether its process has ended, and closes
 // the connection. It returns nil if the process accepts connections, ECONNREFUSED if its machine refuses
-// them, and another error if that cannot be told. A refusal may come from a link between this box and the
-// upstream, so it counts only if a peer is refused as well and none gets a connection, or if no peer tries.
+// them, and another error if that cannot be told. A direct connection may be refused by the link between
+// this box and the upstream, so that the refusals of peers count first.
 func (d *Dialer) CheckProcess(ctx context.Context, address string) error {
-	c, err := d.dial(ctx, address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		c, _, err = d.connect(ctx, address, &pathQueue{paths: d.peerPaths()})
-	}
-	if errors.Is(err, errNoPath) {
+	_, refused := d.directFails(address)
+	c, _, err := d.connect(ctx, address, d.paths(address))
+	var p pathsError
+	switch {
+	case err == nil:
+		return c.Close()
+	case errors.As(err, &p) && p.meansEnded(refused):
 		return syscall.ECONNREFUSED
 	}
-	if err != nil {
-		return err
-	}
-	return c.Close()
+	return errProcessUnknown
 }
 
 // Close waits until all attempts to connect have ended.
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -12,9 +12,6 @@
 // directPath is the path without a peer.
 const directPath = ""
 
-// errNoPath is returned if there is no path to try.
-var errNoPath = errors.New("no path to the upstream")
-
 // attempt is the outcome of an attempt to connect over one path.
 type attempt struct {
 	conn net.Conn
@@ -22,6 +19,9 @@
 	path string // the peer, or directPath
 }
 
+// pathsError is the error for attempts over several paths, none of which led to the upstream.
+type pathsError []attempt
+
 // pathQueue holds the paths that are still to be tried for one connection.
 type pathQueue struct {
 	more  func() []string // returns those behind paths; nil once it was called
@@ -42,8 +42,8 @@
 }
 
 // connect connects to an upstream over the first path of the queue that leads there. Each path is tried
-// once the attempt before it has failed or takes longer than hedgeDelay. It returns the path, or the error
-// of failureOf.
+// once the attempt before it has failed or takes longer than hedgeDelay. It returns the path, or a
+// pathsError.
 func (d *Dialer) connect(ctx context.Context, address string, q *pathQueue) (net.Conn, string, error) {
 	via, cancelVia := context.WithCancel(ctx)
 	// The direct attempt goes on if another path is faster, so that its outcome is known.
@@ -60,10 +60,13 @@
 	return a.conn, a.path, err
 }
 
-// paths returns the paths over which to connect to an upstream.
+// paths returns the paths over which to connect to an upstream. The direct path is left out if it is known
+// to fail and there are others.
 func (d *Dialer) paths(address string) *pathQueue {
 	if fails, _ := d.directFails(address); fails {
-		return &pathQueue{more: func() []string { return append(d.peerPaths(), directPath) }}
+		if peers := d.peerPaths(); len(peers) > 0 {
+			return &pathQueue{paths: peers}
+		}
 	}
 	return &pathQueue{paths: []string{directPath}, more: d.peerPaths}
 }
@@ -94,6 +97,38 @@
 	return attempt{c, err, path}
 }
 
+// Error returns the messages of the attempts.
+func (p pathsError) Error() string {
+	return "no path to the upstream: " + errors.Join(p.Unwrap()...).Error()
+}
+
+// Unwrap returns the errors of the attempts.
+func (p pathsError) Unwrap() []error {
+	var errs []error
+	for _, a := range p {
+		errs = append(errs, a.err)
+	}
+	return errs
+}
+
+// meansEnded reports whether the attempts show that the upstream's process has ended: a peer was refused,
+// or this box was and no peer tried. refused says that direct connections are known to be refused.
+func (p pathsError) meansEnded(refused bool) bool {
+	tried := false
+	for _, a := range p {
+		var u UpstreamError
+		switch {
+		case errors.Is(a.err, syscall.ECONNREFUSED) && a.path == directPath:
+			refused = true
+		case errors.Is(a.err, syscall.ECONNREFUSED):
+			return true
+		case errors.As(a.err, &u):
+			tried = true
+		}
+	}
+	return refused && !tried
+}
+
 // next returns the next path, or false if there is none.
 func (q *pathQueue) next() (path string, ok bool) {
 	if len(q.paths) == 0 && q.more != nil {
@@ -148,14 +183,14 @@
 		case <-hedge.C:
 			r.start()
 		case <-ctx.Done():
-			return attempt{}, ctx.Err()
+			return attempt{}, pathsError(append(r.failed, attempt{err: ctx.Err()}))
 		}
 	}
 	if ctx.Err() != nil {
-		return attempt{}, ctx.Err()
+		return attempt{}, pathsError(r.failed)
 	}
 	r.dialer.recordPaths(r.address, false)
-	return attempt{}, failureOf(r.failed)
+	return attempt{}, pathsError(r.failed)
 }
 
 // start begins an attempt over the next path, if there is one.
@@ -172,18 +207,3 @@
 	r.started = append(r.started, path)
 	r.dialer.workers.Go(func() { r.attempts <- r.dialer.try(ctx, path, r.address) })
 }
-
-// failureOf returns the errors of those attempts that say something of the upstream, or errNoPath.
-func failureOf(failed []attempt) error {
-	var errs []error
-	for _, a := range failed {
-		var u UpstreamError
-		if a.path == directPath || errors.Is(a.err, syscall.ECONNREFUSED) || errors.As(a.err, &u) {
-			errs = append(errs, a.err)
-		}
-	}
-	if len(errs) == 0 {
-		return errNoPath
-	}
-	return errors.Join(errs...)
-}
--- a/internal/reach/peerstates.go
+++ b/internal/reach/peerstates.go
@@ -18,7 +18,7 @@
 	// peerRetryDelay how long it is if none does.
 	peerFailureTTL = 5 * time.Second
 	peerRetryDelay = time.Second
-	peerSuccessTTL = 10 * time.Second // for which a peer is preferred while others fail
+	peerSuccessTTL = 10 * time.Second // for which a peer counts as working
 )
 
 func newPeerStates() *peerStates {
@@ -55,19 +55,18 @@
 	delete(p.failed, peer)
 }
 
-// usable returns a function that reports whether to connect by way of a peer. If some peers have failed
-// and others worked lately, these are the latter, and otherwise all that have not just failed.
+// usable returns a function that reports whether to connect by way of a peer: not if it has failed lately
+// while others worked, or has just failed.
 func (p *peerStates) usable(now time.Time) func(peer string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	expire(p.failed, now.Add(-peerFailureTTL))
 	expire(p.worked, now.Add(-peerSuccessTTL))
-	if len(p.failed) > 0 && len(p.worked) > 0 {
-		worked := maps.Clone(p.worked)
-		return func(peer string) bool { return !worked[peer].IsZero() }
+	failed, avoided := maps.Clone(p.failed), peerRetryDelay
+	if len(p.worked) > 0 {
+		avoided = peerFailureTTL
 	}
-	failed := maps.Clone(p.failed)
-	return func(peer string) bool { return now.Sub(failed[peer]) >= peerRetryDelay }
+	return func(peer string) bool { return now.Sub(failed[peer]) >= avoided }
 }
 
 // expire drops the entries of before a time.
--- a/relayed.go
+++ b/relayed.go
@@ -89,6 +89,7 @@
 		b.metrics.Count(metric.RelayRefusals, "reason", reason)
 		return nil, fail.Wrap(fail.Unavailable, fail.Origin{Peer: "upstream " + address, Step: "connect for " + q.From.Name}, reason, err)
 	}
+	b.metrics.Add(metric.RelayedTotal, 1)
 	return c, nil
 }
 
