A box that stops waits for connections that carry requests, not for load reports

Cause: the owners of engines keep a connection open for load reports. Over another box such a connection never ended, and that box waited for it until its whole grace was used up.

Change: connections that are kept for load reports are direct ones. Where a direct one fails, each report opens a connection of its own over any path. A box that stops waits for connections of others only as long as for its own last calls.

Before: TestStopOfABoxThatCarriesNoRequest: two of three boxes still served 5 s after their stop was requested, with a drain of 1 s. After: all have stopped.

--- a/assemble.go
+++ b/assemble.go
@@ -51,7 +51,7 @@
 	b.store = store.Table()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithTransport(b.engineTransport))
 	b.assembleUpstreamDialer()
-	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
+	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
 	b.keys.Era = b.follower.Era
@@ -196,7 +196,6 @@
 	d.OnDirectChange = func(address string, reachable bool, err error) {
 		if reachable {
 			event.UpstreamLinkRestored.Log(b.log, "address", address)
-			b.routedEngines.CloseIdleConnections() // some may still go over other boxes
 			return
 		}
 		event.UpstreamLinkLost.Log(b.log, "address", address, "error", err.Error())
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -128,16 +128,22 @@
 	return c, nil
 }
 
-// DialDirect connects to the upstream at an address (IP:port) for a peer. It fails at once if direct
-// connections to the upstream are known to fail. The error is ECONNREFUSED if the upstream's machine
-// refuses connections.
-func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	if fails, refused := d.directFails(address); refused {
-		return nil, syscall.ECONNREFUSED
-	} else if fails {
-		return nil, errKnownUnreachable
+// DialDirect connects directly to the upstream at an address (IP:port). It fails at once if direct
+// connections to the upstream are known to fail. The error is ECONNREFUSED if the upstream's machine refuses
+// connections.
+func (d *Dialer) DialDirect(ctx context.Context, _, address string) (net.Conn, error) {
+	fails, refused := d.directFails(address)
+	err := errKnownUnreachable
+	switch {
+	case refused:
+		err = syscall.ECONNREFUSED
+	case !fails:
+		var c net.Conn
+		if c, err = d.dial(ctx, address); err == nil {
+			return c, nil
+		}
 	}
-	return d.dial(ctx, address)
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 }
 
 // Error returns the message of the error.
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -138,7 +138,7 @@
 		connect(t.Context(), d, addresses...)
 		time.Sleep(time.Second)
 		before, began := n.viaCount(), time.Now()
-		if c, err := d.DialDirect(t.Context(), addresses[0]); err == nil {
+		if c, err := d.DialDirect(t.Context(), "tcp", addresses[0]); err == nil {
 			_ = c.Close()
 			t.Error("got a connection, want an error")
 		}
--- a/relayed.go
+++ b/relayed.go
@@ -105,7 +105,7 @@
 	if !ok {
 		return nil, box.ReasonTooManyConnections, errors.New("too many connections are open for other boxes")
 	}
-	c, err = b.upstreamDialer.DialDirect(ctx, address)
+	c, err = b.upstreamDialer.DialDirect(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		return &relayedConnection{c, end}, "", nil
--- a/relayed_test.go
+++ b/relayed_test.go
@@ -244,3 +244,22 @@
 		}
 	})
 }
+
+// TestStopOfABoxThatCarriesNoRequest guards against a box that takes its whole grace to stop because other
+// boxes keep connections over it open.
+func TestStopOfABoxThatCarriesNoRequest(t *testing.T) {
+	withRelayedBox(t, func(t *testing.T, r *routedRegion, _ *callers) {
+		time.Sleep(3 * time.Second) // for load reports
+		for _, n := range boxesByHall[1:] {
+			b := r.boxes[n]
+			b.settings.Timeouts.Drain.Duration, b.settings.Timeouts.Grace.Duration = time.Second, 15*time.Second
+			b.Leave()
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range boxesByHall[1:] {
+			if r.boxes[n].serveContext.Err() == nil {
+				t.Errorf("%s: got a box that still serves 5 s after its stop was requested, want it stopped", n)
+			}
+		}
+	})
+}
--- a/stopping.go
+++ b/stopping.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// awaitRelayed waits until no connection to an upstream is open for another box, but not past until.
+func (b *Box) awaitRelayed(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	b.relayed.wait(ctx)
+}
+
 // awaitOtherBoxes waits until another box of the hall accepts requests or callers no longer send
 // any, but not past until. If all boxes of a hall leave together, a request that one of them refuses
 // reaches another one that is leaving. Streams are refused nevertheless, because nobody knows how
@@ -123,7 +130,7 @@
 		b.abortRequests()
 		return
 	}
-	b.relayed.wait(ctx)
+	b.awaitRelayed(ctx, deadline.Add(-lastCallsTimeout))
 	b.shutDown(ctx)
 }
 
