An attempt to connect over a box that is lost ends

Cause, from the stacks of such a process: net/http's client waits for the end of a request's body although the request has failed, and the body, a pipe, was never closed if the box in between closed the connection before it answered. The attempt never ended, nor did Dialer.Close, which waits for it.

Change: the pipe is closed with the attempt's context. Dialer.Close also ends direct attempts, which took up to 0.3 s of the 0.5 s that a box has for its last steps.

Before: TestConnectThroughABoxThatIsLost hung in its first case. After: it passes within its time limit of 0.2 s.

--- a/internal/box/connect_test.go
+++ b/internal/box/connect_test.go
@@ -215,3 +215,25 @@
 		}
 	}
 }
+
+// TestConnectThroughABoxThatIsLost guards against an attempt that never ends because the box in between is
+// lost before it answers.
+func TestConnectThroughABoxThatIsLost(t *testing.T) {
+	for name, serve := range map[string]func(c *net.TCPConn){
+		"closes": func(c *net.TCPConn) {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+		},
+		"hangs": func(*net.TCPConn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startUpstream(t, serve)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err := newHTTPTransport(t, nil, nil).Connect(ctx, address, &Request{Kind: KindConnect, Connect: &ConnectRequest{Address: "127.0.0.1:1"}})
+			if fail.Reason(err) != ReasonUnreachable {
+				t.Errorf("got %v, want %s", err, ReasonUnreachable)
+			}
+		})
+	}
+}
--- a/internal/box/httpconnection.go
+++ b/internal/box/httpconnection.go
@@ -38,13 +38,17 @@
 		return nil, fail.Wrap(fail.BadInput, origin, "bad_message", err)
 	}
 	callCtx, cancelCall := context.WithCancel(context.WithoutCancel(ctx))
-	stopClosing := context.AfterFunc(p.ctx, cancelCall)
+	pr, pw := io.Pipe()
+	abort := func() {
+		_ = pw.CloseWithError(net.ErrClosed) // the client waits for the end of the body even if it has failed
+		cancelCall()
+	}
+	stopClosing := context.AfterFunc(p.ctx, abort)
 	cancel := func() {
 		stopClosing()
-		cancelCall()
+		abort()
 	}
 	stop := context.AfterFunc(ctx, cancel)
-	pr, pw := io.Pipe()
 	c := &httpConnection{cancel: cancel, writer: pw}
 	r, err := http.NewRequestWithContext(callCtx, http.MethodPost, "http://"+address+connectPath, io.MultiReader(bytes.NewReader(b), pr))
 	if err != nil {
@@ -110,7 +114,6 @@
 // Close ends the connection.
 func (c *httpConnection) Close() error {
 	c.cancel()
-	_ = c.writer.CloseWithError(net.ErrClosed)
 	return c.body.Close()
 }
 
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -30,6 +30,8 @@
 	// failed to connect to it for another reason.
 	Via func(ctx context.Context, peer, address string) (net.Conn, error)
 
+	cancel  context.CancelFunc
+	ctx     context.Context // cancelled by Close
 	direct  DialFunc
 	peers   *peerStates
 	wake    chan struct{}  // buffered; holds a value once a connection has failed
@@ -79,12 +81,13 @@
 
 // NewDialer returns a Dialer that opens direct connections with direct, and knows no peers.
 func NewDialer(direct DialFunc) *Dialer {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Dialer{
 		Addresses:      func() []string { return nil },
 		OnConnected:    func(string) {},
 		OnDirectChange: func(string, bool, error) {},
 		Peers:          func(func(string) bool) []string { return nil },
-		direct:         direct, failures: make(map[string]*failedUpstream), peers: newPeerStates(), wake: make(chan struct{}, 1),
+		cancel:         cancel, ctx: ctx, direct: direct, failures: make(map[string]*failedUpstream), peers: newPeerStates(), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -112,8 +115,9 @@
 	return errProcessUnknown
 }
 
-// Close waits until all attempts to connect have ended.
+// Close ends the attempts that nobody waits for.
 func (d *Dialer) Close() error {
+	d.cancel()
 	d.workers.Wait()
 	return nil
 }
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -47,7 +47,7 @@
 func (d *Dialer) connect(ctx context.Context, address string, q *pathQueue) (net.Conn, string, error) {
 	via, cancelVia := context.WithCancel(ctx)
 	// The direct attempt goes on if another path is faster, so that its outcome is known.
-	direct, cancelDirect := context.WithCancel(context.WithoutCancel(ctx))
+	direct, cancelDirect := context.WithCancel(d.ctx)
 	stop := context.AfterFunc(ctx, cancelDirect)
 	r := &race{address: address, attempts: make(chan attempt), dialer: d, direct: direct, queue: q, via: via}
 	a, err := r.run(ctx)
