The soak cuts boxes off from all upstreams and compares first tries

The soak could not show boxes without links: its proxies stand before upstreams, not between one box and all of them. A box's connections to upstreams may now be opened from an address that the settings name (upstream_source), and the setting is applied without a restart; operators whose upstreams admit certain addresses need it as well. The soak sets it to an address that no machine has: connections that are open live on, new ones fail. One box, one of each hall, a hall or all but one are cut off for 4 s, and first tries there are compared with those at the others by the users' rule.

--- a/internal/fake/soak/caller.go
+++ b/internal/fake/soak/caller.go
@@ -25,6 +25,7 @@
 	dispatches     map[string]dispatch // by request ID
 	atMostOnce     []string            // IDs of requests that may run at most once
 	cluster        *cluster
+	linkCuts       []*linkCut // only used by the goroutine of runLinkCuts until it has ended
 }
 
 // callerRequest is a request as its caller sent it.
--- a/internal/fake/soak/cluster.go
+++ b/internal/fake/soak/cluster.go
@@ -47,13 +47,14 @@
 
 // soakBox is a box with its proxies and its settings file.
 type soakBox struct {
-	disturbedAt []time.Time // when it was killed, stopped, started, paused or resumed
-	entryProxy  *proxy      // between callers and the box
-	mutex       sync.Mutex  // guards disturbedAt and process
-	name        string
-	process     *process.Process
-	settings    string // path of its settings file
-	storeProxy  *proxy // between the box and the store
+	disturbedAt  []time.Time // when it was killed, stopped, started, paused or resumed
+	entryProxy   *proxy      // between callers and the box
+	mutex        sync.Mutex  // guards disturbedAt and process
+	name         string
+	process      *process.Process
+	settings     string // path of its settings file
+	settingsText string // the file's content, except for the source of connections to upstreams
+	storeProxy   *proxy // between the box and the store
 }
 
 // soakUpstream is an engine or a service.
@@ -152,7 +153,8 @@
 drain = "500ms"
 leave = "3s"
 `, b.name, w.halls[i%len(w.halls)], addresses[0], addresses[1], addresses[2], b.storeProxy.address(), addresses[3], addresses[4], addresses[5], retryExtra, retryRatio, retryWindow, coldSlack)
-	if err := os.WriteFile(b.settings, []byte(s), 0o600); err != nil {
+	b.settingsText = s
+	if err := b.writeSettings(""); err != nil {
 		return err
 	}
 	if err := w.startBox(b); err != nil {
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -42,6 +42,7 @@
 	kinds := f.String("faults", "", "regular `expression` that matches the names of the faults to inject; all by default")
 	halls := f.Bool("halls", true, "also evacuate halls and start upstreams cold")
 	limits := f.Bool("limits", true, "have upstreams announce rate limits")
+	links := f.Bool("links", true, "cut boxes off from all upstreams, and compare how first tries are served there and at the others")
 	many := f.Bool("many", true, "send poison requests also several at once, and for longer")
 	restarts := f.Bool("restarts", false, "also have all upstreams reject requests or fail, and restart all boxes or a part of them several times in a row")
 	rows := f.Bool("rows", true, "also write invalid rows to the table of upstreams")
@@ -60,7 +61,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	violations, err := run(*programs, *seed, *duration, activities{boxRestarts: *restarts, changes: *changes, restores: *copies, faults: pattern, evacuations: *halls, limits: *limits, poisonBursts: *many, invalidRows: *rows, wide: *wide, notices: *words}, output)
+	violations, err := run(*programs, *seed, *duration, activities{boxRestarts: *restarts, changes: *changes, restores: *copies, faults: pattern, evacuations: *halls, limits: *limits, links: *links, poisonBursts: *many, invalidRows: *rows, wide: *wide, notices: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitFailure
@@ -83,6 +84,7 @@
 	faults       *regexp.Regexp // matches the names of the faults to inject
 	evacuations  bool           // halls are evacuated, and upstreams start cold
 	limits       bool           // upstreams announce rate limits
+	links        bool           // boxes are cut off from all upstreams
 	poisonBursts bool           // poison requests are also sent several at once, and for longer
 	invalidRows  bool           // invalid rows are written to the table of upstreams
 	wide         bool           // nine boxes in three halls
@@ -107,6 +109,9 @@
 	if x.limits {
 		g.Go(func() { c.runLimits(ctx, rand.New(rand.NewPCG(seed, limitsRNGStream))) })
 	}
+	if x.links {
+		g.Go(func() { c.runLinkCuts(ctx, rand.New(rand.NewPCG(seed, linksRNGStream))) })
+	}
 	if x.invalidRows {
 		g.Go(func() { w.runInvalidRows(ctx, rand.New(rand.NewPCG(seed, invalidRowsRNGStream))) })
 	}
@@ -147,6 +152,7 @@
 	c.checkNotices()
 	c.checkLimits()
 	c.checkPoison()
+	c.checkLinkCuts(output)
 	c.checkRetryBudget(output)
 	p.report(output)
 	if len(w.harnessErrors) > 0 {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,9 @@
 			add(x.key, "must be IP:port")
 		}
 	}
+	if _, err := netip.ParseAddr(s.UpstreamSource); err != nil && s.UpstreamSource != "" {
+		add("upstream_source", "must be an IP")
+	}
 	if s.Entry != (Entry{}) {
 		checkEntry(s, add)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,6 +109,7 @@
 	Regions         map[string]string `toml:"regions"`           // region of each data hall, for routes and workspaces that are restricted to regions
 	Timeouts        Timeouts          `toml:"timeouts"`
 	TLS             TLS               `toml:"tls"`
+	UpstreamSource  string            `toml:"upstream_source"` // IP from which the box connects to the upstreams of routes; "" for any
 }
 
 // Default returns the defaults, which apply to settings that a file does not set.
--- a/linetiller.go
+++ b/linetiller.go
@@ -67,6 +67,7 @@
 	routedEngines    *platform.Engines // upstreams of declared routes
 	upstreamDialer   *reach.Dialer     // connects to them
 	upstreamIndex    upstreamIndex
+	upstreamSource   upstreamSource
 	relayed          relayedConnections
 	recorder         *recorder
 	store            *table.Store
@@ -122,7 +123,8 @@
 		serving: make(chan struct{}), pushRequested: make(chan struct{}, 1), leaveRequested: make(chan struct{}), log: slog.New(slog.DiscardHandler), metrics: metric.NewSet(),
 		pushes: newPushes(time.Now()), recorder: newRecorder(), settings: s, started: time.Now(), view: resource.NewView(),
 	}
-	b.openListeners, b.dialUpstream = b.listen, new(net.Dialer).DialContext
+	b.openListeners, b.dialUpstream = b.listen, b.upstreamSource.dial
+	b.upstreamSource.set(s.UpstreamSource)
 	for _, o := range options {
 		o(b)
 	}
