Generations and service calls use the paths of routed requests

Looking for the same cause elsewhere: the product's own interface, generations at declared engines and calls of declared services, opened connections from its own box only as well, and asked for places at engines it could not reach.

Change: the client of engines and services uses the dialer of routed requests: kept connections are direct ones, and where a direct one fails a request is sent over a connection of its own by any path.

--- a/assemble.go
+++ b/assemble.go
@@ -49,8 +49,8 @@
 		platform.WithStoreRestoreObserver(func(era int64) { b.follower.RecordEra(era) }),
 		platform.WithStoreCallObserver(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
-	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithTransport(b.engineTransport))
 	b.assembleUpstreamDialer()
+	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithDialers(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), upstream.WithTransport(b.engineTransport))
 	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
 	b.keys = requestkey.New(b.store, b.metrics)
 	b.assembleFollower(store)
@@ -77,6 +77,7 @@
 		delivery.WithMaxInProgress(s.Limits.Streams), delivery.WithBackoffs(b.backoffs), delivery.WithRetryBudget(b.retryBudget), delivery.WithStallTimeout(s.Timeouts.Silence.Duration))
 	b.deliverer.RefreshViews = b.refreshAfterPause
 	b.deliverer.Place = b.reserved.Place
+	b.deliverer.Unreachable = b.unreachableUpstreams
 	if s.Policy == settings.PolicyNaive {
 		b.naive = placement.NewNaive(b.view, s.Timeouts.Report.Duration, seed)
 		b.naive.ReadLoad = b.engines.Load
@@ -164,6 +165,7 @@
 	s := b.settings
 	services := service.NewRouter(b.view, b.keys, b.metrics)
 	services.Do = b.engines.Call
+	services.Unreachable = b.unreachableUpstreams
 	services.Backoffs = b.backoffs
 	services.RetryBudget = b.retryBudget
 	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration), client.WithRegions(resource.HallRegions(s.Regions), s.PlatformRegion))
@@ -182,7 +184,7 @@
 	b.assembleEntry()
 }
 
-// assembleUpstreamDialer creates the dialer for connections to the upstreams of routes.
+// assembleUpstreamDialer creates the dialer for connections to upstreams.
 func (b *Box) assembleUpstreamDialer() {
 	d := reach.NewDialer(b.dialUpstream)
 	d.Addresses = b.upstreamAddresses
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -66,6 +66,9 @@
 	RefreshViews func(ctx context.Context)
 	// Place obtains a place at an upstream that is not in avoid. It must be set before use.
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
+	// Unreachable returns those of the upstreams to which connections from this box are known to fail. Set it
+	// before use; by default there are none.
+	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 
 	cancel                context.CancelFunc
 	ctx                   context.Context // cancelled by Abort, or when Close stops waiting for outcomes to be recorded
@@ -115,6 +118,7 @@
 	d := &Deliverer{
 		inProgressByWorkspace: make(map[string]int), queuedByWorkspace: make(map[string]int),
 		RefreshViews: func(context.Context) {},
+		Unreachable:  func([]*resource.Upstream) []*resource.Upstream { return nil },
 		cancel:       cancel, ctx: ctx,
 		engines: c, keys: k, maxInProgress: 10_000, log: l, meter: meter.New(m), metrics: m,
 		backoffs: health.NewBackoffs(v), retryBudget: budget.NewDefault(time.Now()), stallTimeout: 10 * time.Second, tracker: t, view: v,
@@ -261,10 +265,15 @@
 		decrement(d.queuedByWorkspace, w)
 	}()
 	l, now := d.view.UpstreamsOfModel(q.Work.Model), time.Now()
-	if err := d.backoffs.AllBackingOffError(l, fail.Origin{Peer: "upstreams", Step: "choose"}, now); err != nil {
+	p := fail.Origin{Peer: "upstreams", Step: "choose"}
+	if err := d.backoffs.AllBackingOffError(l, p, now); err != nil {
 		return nil, err
 	}
-	return d.Place(ctx, &q.Work, d.backoffs.Avoid(l, avoid, now))
+	all := health.AvoidUnreachable(d.Unreachable(l), avoid)
+	if err := health.AllUnreachableError(l, avoid, all, p, now); err != nil {
+		return nil, err
+	}
+	return d.Place(ctx, &q.Work, d.backoffs.Avoid(l, all, now))
 }
 
 // recordEnd counts and logs the outcome of a request. It returns err.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/placement"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
@@ -31,8 +32,8 @@
 		if err := x.backoffs.AllBackingOffError(l, e.serviceOrigin(), now); err != nil {
 			return nil, err
 		}
-		avoid := x.avoidUnreachable(l, e.avoid)
-		if err := e.allUnreachableError(l, avoid, now); err != nil {
+		avoid := health.AvoidUnreachable(x.Unreachable(l), e.avoid)
+		if err := health.AllUnreachableError(l, e.avoid, avoid, e.serviceOrigin(), now); err != nil {
 			return nil, err
 		}
 		avoid, waitUntil, err := e.avoidUnpermitted(l, x.backoffs.Avoid(l, avoid, now), refusals, now)
@@ -121,7 +122,7 @@
 	now := time.Now()
 	u, backAt := x.health.Choose(e.upstreams(), avoid, now)
 	if u == nil && !backAt.IsZero() {
-		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), reasonAllUnreachable, "no upstream of %q can be reached", e.service.Name), backAt)
+		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), health.ReasonAllUnreachable, "no upstream of %q can be reached", e.service.Name), backAt)
 	}
 	if u == nil && e.allowedHalls() != nil {
 		return nil, fail.WithRetryAt(fail.New(fail.NotRun, e.serviceOrigin(), string(policy.ReasonRegion), "no upstream of %q in the regions of the request takes new work", e.service.Name), now.Add(refusedRetryDelay))
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -14,9 +14,6 @@
 const (
 	// reasonCallerDisconnected is the failure reason when the caller has disconnected.
 	reasonCallerDisconnected = "caller_gone"
-	// reasonAllUnreachable is the refusal reason when recent connection attempts to all upstreams of
-	// a service failed.
-	reasonAllUnreachable = "upstreams_out_of_reach"
 	// stepCheck is the error step of checkBeforeSend.
 	stepCheck = "check before the send"
 )
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -9,6 +9,7 @@
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
@@ -176,7 +177,7 @@
 	w.Hall = m.from.Spec.Hall
 	w.Moved = true
 	now, l := time.Now(), s.exchange.upstreams()
-	avoid = x.avoidAllLimited(l, x.backoffs.Avoid(l, x.avoidUnreachable(l, avoid), now), now)
+	avoid = x.avoidAllLimited(l, x.backoffs.Avoid(l, health.AvoidUnreachable(x.Unreachable(l), avoid), now), now)
 	placementCtx, cancel := context.WithTimeout(ctx, movePlacementTimeout)
 	defer cancel()
 	var to *resource.Upstream
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -60,6 +60,9 @@
 	// RetryBudget is the budget that retries are charged to. It may be shared with other senders of
 	// the box. NewRouter sets a new one.
 	RetryBudget *budget.Budget
+	// Unreachable returns those of the upstreams to which connections from this box are known to fail.
+	// NewRouter sets one that returns none.
+	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 
 	keys       *requestkey.Keys
 	metrics    *metric.Set
@@ -84,7 +87,7 @@
 
 // NewRouter returns a router for the services in v.
 func NewRouter(v *resource.View, k *requestkey.Keys, m *metric.Set) *Router {
-	return &Router{inProgress: make(map[string]int), keys: k, metrics: m, Backoffs: health.NewBackoffs(v), RetryBudget: budget.NewDefault(time.Now()), view: v}
+	return &Router{inProgress: make(map[string]int), keys: k, metrics: m, Backoffs: health.NewBackoffs(v), RetryBudget: budget.NewDefault(time.Now()), Unreachable: func([]*resource.Upstream) []*resource.Upstream { return nil }, view: v}
 }
 
 // Call sends c to an upstream of its service and returns the answer, within the deadline of c.
@@ -182,6 +185,9 @@
 	if err := r.Backoffs.AllBackingOffError(u, r.origin(c), time.Now()); err != nil {
 		return err
 	}
+	if err := health.AllUnreachableError(u, nil, health.AvoidUnreachable(r.Unreachable(u), nil), r.origin(c), time.Now()); err != nil {
+		return err
+	}
 	return fail.WithRetryAt(fail.New(fail.NotRun, r.origin(c), string(policy.ReasonBackOff), "all upstreams of %q are backing off", c.Service), time.Now())
 }
 
@@ -189,10 +195,10 @@
 	return fail.Origin{Peer: "service " + c.Service, Step: "call"}
 }
 
-// pick returns the upstream with the fewest calls in progress that is neither backing off nor in
-// avoid, or nil if there is none.
+// pick returns the upstream with the fewest calls in progress that is neither unreachable nor backing off
+// nor in avoid, or nil if there is none.
 func (r *Router) pick(u []*resource.Upstream, avoid map[string]bool) *resource.Upstream {
-	avoid = r.Backoffs.Avoid(u, avoid, time.Now())
+	avoid = r.Backoffs.Avoid(u, health.AvoidUnreachable(r.Unreachable(u), avoid), time.Now())
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var best *resource.Upstream
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -21,6 +21,7 @@
 
 // Client calls model engines and plain services. It is safe for concurrent use.
 type Client struct {
+	anyPath *http.Client // for upstreams to which the connections of http fail; nil if there is no other path
 	http    *http.Client
 	timeout time.Duration
 }
@@ -63,11 +64,23 @@
 	return c
 }
 
+// WithDialers sets how connections are opened: direct ones, and ones over any path, which are used where
+// direct ones fail and for one request each.
+func WithDialers(direct, anyPath func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) {
+		t := c.http.Transport.(*http.Transport)
+		t.DialContext = direct
+		t = t.Clone()
+		t.DialContext, t.DisableKeepAlives = anyPath, true
+		c.anyPath = &http.Client{Transport: t}
+	}
+}
+
 // WithTransport sets the HTTP transport, for tests. A nil transport keeps the default one.
 func WithTransport(t http.RoundTripper) Option {
 	return func(c *Client) {
 		if t != nil {
-			c.http.Transport = t
+			c.http.Transport, c.anyPath = t, nil
 		}
 	}
 }
@@ -195,6 +208,15 @@
 	return nil
 }
 
+// do sends a request, over another path if no direct connection can be opened.
+func (c *Client) do(r *http.Request) (*http.Response, error) {
+	w, err := c.http.Do(r)
+	if c.anyPath == nil || !IsDialError(err) {
+		return w, err
+	}
+	return c.anyPath.Do(r.Clone(r.Context())) // nothing has been read of its body
+}
+
 // openStream sends in as JSON and returns the event stream of the response. The stream starts at the
 // token with index from.
 func (c *Client) openStream(ctx context.Context, step, method, address, path string, in any, id string, from int) (*Stream, error) {
@@ -216,7 +238,7 @@
 	if err != nil {
 		return nil, fail.Wrap(fail.BadInput, p, "bad_upstream_request", err)
 	}
-	w, err := c.http.Do(r)
+	w, err := c.do(r)
 	if err != nil {
 		return nil, sendError(p, err)
 	}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -15,7 +15,7 @@
 // run.
 func (c *Client) Call(r *http.Request) (*http.Response, error) {
 	p := fail.Origin{Peer: "upstream " + r.URL.Host, Step: "call service"}
-	w, err := c.http.Do(r)
+	w, err := c.do(r)
 	if err != nil {
 		return nil, sendError(p, err)
 	}
--- a/linetiller.go
+++ b/linetiller.go
@@ -65,7 +65,7 @@
 	backoffs         *health.Backoffs
 	retryBudget      *budget.Budget
 	routedEngines    *platform.Engines // upstreams of declared routes
-	upstreamDialer   *reach.Dialer     // connects to them
+	upstreamDialer   *reach.Dialer
 	upstreamIndex    upstreamIndex
 	upstreamSource   upstreamSource
 	relayed          relayedConnections
@@ -80,8 +80,8 @@
 	// metrics, in this order. It is empty without an entry.
 	entry []endpoint
 
-	// openListeners opens the addresses of the box; dialUpstream connects it to the upstreams of declared
-	// routes; the transports carry its calls to engines and the platform. Tests replace them.
+	// openListeners opens the addresses of the box; dialUpstream connects it to upstreams; the
+	// transports carry its calls to them, in place of connections, and to the platform. Tests replace them.
 	openListeners     func() error
 	dialUpstream      reach.DialFunc
 	engineTransport   http.RoundTripper
@@ -193,10 +193,10 @@
 // backgroundLoops returns the functions that run for as long as the box serves.
 func (b *Box) backgroundLoops() []func(context.Context) {
 	l := []func(context.Context){
-		b.follower.Run, b.follower.MonitorViewAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runTicks, b.runPush, b.runRegister,
+		b.follower.Run, b.follower.MonitorViewAge, b.owners.Run, b.tracker.Run, b.relay.Run, b.runHeartbeats, b.runMembers, b.runTicks, b.runPush, b.runRegister, b.upstreamDialer.Run,
 	}
 	if b.hasEntry() {
-		l = append(l, b.runRecorder, b.upstreamDialer.Run)
+		l = append(l, b.runRecorder)
 	} else {
 		l = append(l, b.orders.Run, b.runRewrite) // with an entry, the platform's operators and engines write their own rows
 	}
--- a/links_test.go
+++ b/links_test.go
@@ -19,8 +19,9 @@
 // upstreamLinks carries the connections of boxes to upstreams in memory. Links of single boxes to
 // single upstreams can be cut.
 type upstreamLinks struct {
-	region    *routedRegion
-	mutex     sync.Mutex // guards the fields below
+	t         *testing.T
+	mutex     sync.Mutex        // guards the fields below
+	addresses map[string]string // by address: the upstream
 	cuts      map[upstreamLink]cut
 	conns     map[upstreamLink][]net.Conn
 	listeners map[string]*memoryListener // by upstream
@@ -95,7 +96,7 @@
 // boxes' connections to upstreams can be cut.
 func withUpstreamLinks(t *testing.T, f func(t *testing.T, r *routedRegion, l *upstreamLinks, c *callers)) {
 	t.Helper()
-	l := &upstreamLinks{cuts: make(map[upstreamLink]cut), conns: make(map[upstreamLink][]net.Conn), listeners: make(map[string]*memoryListener)}
+	l := newUpstreamLinks()
 	withRoutedRegionOver(t, l, func(t *testing.T, r *routedRegion) {
 		for _, n := range plainUpstreams {
 			r.startUpstream(n)
@@ -105,15 +106,19 @@
 	})
 }
 
+func newUpstreamLinks() *upstreamLinks {
+	return &upstreamLinks{addresses: make(map[string]string), cuts: make(map[upstreamLink]cut), conns: make(map[upstreamLink][]net.Conn), listeners: make(map[string]*memoryListener)}
+}
+
 // serve accepts connections to an upstream until the listener is closed.
-func (l *upstreamLinks) serve(upstream string, h http.Handler) {
+func (l *upstreamLinks) serve(upstream, address string, h http.Handler) {
 	m := &memoryListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	l.mutex.Lock()
-	l.listeners[upstream] = m
+	l.addresses[address], l.listeners[upstream] = upstream, m
 	l.mutex.Unlock()
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(m) }()
-	l.region.t.Cleanup(func() { _ = s.Close() })
+	l.t.Cleanup(func() { _ = s.Close() })
 }
 
 // close ends all upstreams.
@@ -158,12 +163,13 @@
 // dialer returns the function by which a box connects to upstreams.
 func (l *upstreamLinks) dialer(box string) reach.DialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		for n := range l.region.upstreams {
-			if upstreamAddress(n) == address {
-				return l.dial(ctx, upstreamLink{box, n})
-			}
+		l.mutex.Lock()
+		n := l.addresses[address]
+		l.mutex.Unlock()
+		if n == "" {
+			return nil, dialError(syscall.EHOSTUNREACH)
 		}
-		return nil, dialError(syscall.EHOSTUNREACH)
+		return l.dial(ctx, upstreamLink{box, n})
 	}
 }
 
@@ -399,3 +405,18 @@
 		g.Wait()
 	})
 }
+
+// TestGenerationsAtABoxWithoutLinks guards against generations and load reports of declared engines that use
+// the links of their own box only.
+func TestGenerationsAtABoxWithoutLinks(t *testing.T) {
+	l := newUpstreamLinks()
+	withRegionOver(t, l, func(t *testing.T, r *region) {
+		l.set(cutHangs, []string{"box-a1"}, []string{"engine-a", "engine-b"})
+		time.Sleep(settleTime)
+		for i := range 10 {
+			if n, err := r.generate("", fmt.Sprint(i, " length=20"), "box-a1"); err != nil || n != 20 {
+				t.Errorf("generation %d: got %d tokens, %v; want 20", i, n, err)
+			}
+		}
+	})
+}
--- a/region_test.go
+++ b/region_test.go
@@ -26,7 +26,6 @@
 	"github.com/linetiller/linetiller/internal/fake/link"
 	fakeplatform "github.com/linetiller/linetiller/internal/fake/platform"
 	"github.com/linetiller/linetiller/internal/operator"
-	"github.com/linetiller/linetiller/internal/reach"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/settings"
 )
@@ -51,10 +50,10 @@
 	bytesPerSecond  map[string]int // by box: how fast messages of other boxes reach it; 0 for at once
 	mutex           sync.Mutex     // guards the maps
 	platform        *fakeplatform.Platform
-	storeTransports map[string]http.RoundTripper    // by box: its transport to the store, if it is not a boxTransport
-	upstreamDialer  func(box string) reach.DialFunc // returns how a box connects to the upstreams of routes; nil if requests are passed to them directly
-	relayed         map[string][]net.Conn           // by box: connections to upstreams that it has opened for others
-	refusedBoxes    map[string]bool                 // boxes that the store refuses
+	storeTransports map[string]http.RoundTripper // by box: its transport to the store, if it is not a boxTransport
+	links           *upstreamLinks               // carries connections to upstreams; nil if requests are passed to them directly
+	relayed         map[string][]net.Conn        // by box: connections to upstreams that it has opened for others
+	refusedBoxes    map[string]bool              // boxes that the store refuses
 	t               *testing.T
 }
 
@@ -65,10 +64,20 @@
 
 // withRegion runs f with two halls of two boxes and one engine each.
 func withRegion(t *testing.T, f func(t *testing.T, r *region)) {
+	t.Helper()
+	withRegionOver(t, nil, f)
+}
+
+// withRegionOver does the same with connections to upstreams over links, if these are not nil.
+func withRegionOver(t *testing.T, l *upstreamLinks, f func(t *testing.T, r *region)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t)
 		defer r.close()
+		if l != nil {
+			l.t, r.links = t, l
+			defer l.close()
+		}
 		for _, n := range []string{"engine-a", "engine-b"} {
 			r.startEngine(n)
 		}
@@ -194,6 +203,9 @@
 	r.engines[name] = e
 	r.setHall(engineHosts[name], name[len(name)-1:])
 	r.link.Handle(engineHosts[name], e)
+	if r.links != nil {
+		r.links.serve(name, engineHosts[name], e)
+	}
 }
 
 // storeCallsOf returns how many store calls a box has made.
@@ -232,12 +244,11 @@
 			}
 			return nil
 		}
-		b.engineTransport = &boxTransport{from: name, region: r}
 		b.platformTransport = r.storeTransport(name)
-		if r.upstreamDialer != nil {
-			b.dialUpstream = r.upstreamDialer(name)
+		if r.links != nil {
+			b.dialUpstream = r.links.dialer(name)
 		} else {
-			b.routedTransport = &boxTransport{from: name, region: r}
+			b.engineTransport, b.routedTransport = &boxTransport{from: name, region: r}, &boxTransport{from: name, region: r}
 		}
 	})
 	if err != nil {
--- a/routed_test.go
+++ b/routed_test.go
@@ -25,7 +25,6 @@
 // the list of upstreams from the platform's store, where upstreams list themselves.
 type routedRegion struct {
 	*region
-	links     *upstreamLinks // carries connections to upstreams; nil if requests are passed to them directly
 	upstreams map[string]*routed.Engine
 }
 
@@ -44,10 +43,10 @@
 func withRoutedRegionOver(t *testing.T, l *upstreamLinks, f func(t *testing.T, r *routedRegion)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &routedRegion{region: newRegion(t), links: l, upstreams: make(map[string]*routed.Engine)}
+		r := &routedRegion{region: newRegion(t), upstreams: make(map[string]*routed.Engine)}
 		defer r.close()
 		if l != nil {
-			l.region, r.upstreamDialer = r, l.dialer
+			l.t, r.links = t, l
 			defer l.close()
 		}
 		r.configure(1, routedKey)
@@ -97,7 +96,7 @@
 	r.setHall(upstreamAddress(name), name[2:3])
 	r.link.Handle(upstreamAddress(name), e)
 	if r.links != nil {
-		r.links.serve(name, e)
+		r.links.serve(name, upstreamAddress(name), e)
 	}
 	r.listUpstream(name, "ready")
 }
