Relayed connections take less memory

Cause: net/http copies a request's body with a buffer of 32 KB of its own, and gave the body's WriterTo another one, both for as long as a connection is open; the box in between used 16 KB in each direction.

Change: the body hides its WriterTo, and the buffers are 8 KB.

--- a/internal/box/connect.go
+++ b/internal/box/connect.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	connectionBufferBytes = 16 << 10         // of each direction of a connection
+	connectionBufferBytes = 8 << 10          // of each direction of a connection
 	connectionWriteLimit  = 10 * time.Second // for the other box to accept data
 )
 
--- a/internal/box/httpconnection.go
+++ b/internal/box/httpconnection.go
@@ -22,6 +22,10 @@
 	writer *io.PipeWriter
 }
 
+// readerOnly hides the other methods of a reader: net/http copies a body with its own buffer, beside which
+// that of a WriterTo would be kept for as long as the connection is open.
+type readerOnly struct{ io.Reader }
+
 // flushingWriter sends each write at once.
 type flushingWriter struct {
 	controller *http.ResponseController
@@ -50,7 +54,8 @@
 	}
 	stop := context.AfterFunc(ctx, cancel)
 	c := &httpConnection{cancel: cancel, writer: pw}
-	r, err := http.NewRequestWithContext(callCtx, http.MethodPost, "http://"+address+connectPath, io.MultiReader(bytes.NewReader(b), pr))
+	body := readerOnly{io.MultiReader(bytes.NewReader(b), pr)}
+	r, err := http.NewRequestWithContext(callCtx, http.MethodPost, "http://"+address+connectPath, body)
 	if err != nil {
 		cancel()
 		return nil, fail.Wrap(fail.BadInput, origin, "bad_message", err)
