A refusal counts as a crash where other upstreams are reached

Cause, from the boxes' logs: all boxes but one had no links to upstreams. The one that had was refused by a crashed upstream, asked its peers, who answered that they could not connect, and took that for a sign of a lost link.

Change: where peers cannot tell, a box that is refused connects to other upstreams; if one accepts, the refusal counts.

Before: TestCheckOfAProcess, no peer can tell: unknown. After: ended; TestCheckOfAProcessWithoutLinks: still unknown if all upstreams refuse.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -101,15 +101,20 @@
 // CheckProcess connects to the upstream at an address to find out whether its process has ended, and closes
 // the connection. It returns nil if the process accepts connections, ECONNREFUSED if its machine refuses
 // them, and another error if that cannot be told. A direct connection may be refused by the link between
-// this box and the upstream, so that the refusals of peers count first.
+// this box and the upstream. It counts if a peer is refused as well, if no peer tries, or if peers cannot
+// connect either but this box connects to another upstream.
 func (d *Dialer) CheckProcess(ctx context.Context, address string) error {
 	_, refused := d.directFails(address)
 	c, _, err := d.connect(ctx, address, d.paths(address))
-	var p pathsError
-	switch {
-	case err == nil:
+	if err == nil {
 		return c.Close()
-	case errors.As(err, &p) && p.meansEnded(refused):
+	}
+	var p pathsError
+	if !errors.As(err, &p) {
+		return errProcessUnknown
+	}
+	direct, peers, tried := p.refusals()
+	if peers || ((direct || refused) && (!tried || d.reachesOther(ctx, address))) {
 		return syscall.ECONNREFUSED
 	}
 	return errProcessUnknown
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -111,22 +111,21 @@
 	return errs
 }
 
-// meansEnded reports whether the attempts show that the upstream's process has ended: a peer was refused,
-// or this box was and no peer tried. refused says that direct connections are known to be refused.
-func (p pathsError) meansEnded(refused bool) bool {
-	tried := false
+// refusals reports whether the upstream's machine refused a direct connection, whether it refused one of a
+// peer, and whether a peer failed to connect for another reason.
+func (p pathsError) refusals() (direct, peers, tried bool) {
 	for _, a := range p {
 		var u UpstreamError
 		switch {
 		case errors.Is(a.err, syscall.ECONNREFUSED) && a.path == directPath:
-			refused = true
+			direct = true
 		case errors.Is(a.err, syscall.ECONNREFUSED):
-			return true
+			peers = true
 		case errors.As(a.err, &u):
 			tried = true
 		}
 	}
-	return refused && !tried
+	return direct, peers, tried
 }
 
 // next returns the next path, or false if there is none.
--- a/internal/reach/probe.go
+++ b/internal/reach/probe.go
@@ -139,6 +139,15 @@
 	return others
 }
 
+// reachesOther reports whether a direct connection to an upstream other than that at an address succeeds now.
+func (d *Dialer) reachesOther(ctx context.Context, address string) bool {
+	all := slices.DeleteFunc(slices.Clone(d.Addresses()), func(a string) bool { return a == address })
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	before := d.connectionCount()
+	d.probeDirect(ctx, all[:min(len(all), lostLinksSample)])
+	return d.connectionCount() > before
+}
+
 // retryAllSoon makes all upstreams to which connections fail due in the next round. The caller holds the
 // lock.
 func (d *Dialer) retryAllSoon() {
