A peer that is down is not taken for an upstream that refuses

A peer's verdict on an upstream was ECONNREFUSED, as is the error of a connection to a peer that is itself down, so that a box that restarts could make a lost link look like a crash. The verdict is a field of UpstreamError now, and other errors of peers say nothing of the upstream (TestCheckOfAProcessWithoutLinks).

--- a/internal/box/quicconnection.go
+++ b/internal/box/quicconnection.go
@@ -24,14 +24,9 @@
 // Connect opens a connection to the upstream that q names by way of the box at address.
 func (t *QUICTransport) Connect(ctx context.Context, address string, q *Request) (net.Conn, error) {
 	p := fail.Origin{Peer: "box " + address, Step: "connect"}
-	c, err := t.connection(ctx, address)
+	c, s, err := t.openStream(ctx, address, p)
 	if err != nil {
-		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
-	}
-	s, err := c.OpenStreamSync(ctx)
-	if err != nil {
-		t.dropConnection(address, c)
-		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
+		return nil, err
 	}
 	x := &quicConnection{Stream: s, local: c.LocalAddr(), remote: c.RemoteAddr()}
 	stop := context.AfterFunc(ctx, func() { _ = x.Close() })
--- a/internal/box/transport.go
+++ b/internal/box/transport.go
@@ -82,14 +82,9 @@
 // Call sends q to the box at address. The caller must close the call.
 func (t *QUICTransport) Call(ctx context.Context, address string, q *Request) (*Call, error) {
 	p := fail.Origin{Peer: "box " + address, Step: "call " + string(q.Kind)}
-	c, err := t.connection(ctx, address)
-	if err != nil {
-		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
-	}
-	s, err := c.OpenStreamSync(ctx)
+	_, s, err := t.openStream(ctx, address, p)
 	if err != nil {
-		t.dropConnection(address, c)
-		return nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
+		return nil, err
 	}
 	if d, ok := ctx.Deadline(); ok {
 		_ = s.SetDeadline(d)
@@ -207,6 +202,20 @@
 	}
 }
 
+// openStream opens a stream to the box at address.
+func (t *QUICTransport) openStream(ctx context.Context, address string, p fail.Origin) (*quic.Conn, *quic.Stream, error) {
+	c, err := t.connection(ctx, address)
+	if err != nil {
+		return nil, nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
+	}
+	s, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		t.dropConnection(address, c)
+		return nil, nil, fail.Wrap(fail.Unavailable, p, ReasonUnreachable, err)
+	}
+	return c, s, nil
+}
+
 func (t *QUICTransport) serveConnection(c *quic.Conn) {
 	defer func() { _ = c.CloseWithError(quicCodeClosed, "closing") }()
 	for {
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -66,7 +66,7 @@
 	RefreshViews func(ctx context.Context)
 	// Place obtains a place at an upstream that is not in avoid. It must be set before use.
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
-	// Unreachable returns those of the upstreams to which connections from this box are known to fail. Set it
+	// Unreachable returns those of the upstreams to which no path is known to lead. Set it
 	// before use; by default there are none.
 	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -25,9 +25,8 @@
 	// Peers returns the boxes by way of which to connect, the best first, of those for which usable
 	// returns true.
 	Peers func(usable func(peer string) bool) []string
-	// Via opens a connection to the upstream at an address by way of another box. Its error is
-	// ECONNREFUSED if the upstream's machine refused the connection, and an UpstreamError if the box
-	// failed to connect to it for another reason.
+	// Via opens a connection to the upstream at an address by way of another box. Its error is an
+	// UpstreamError if that box tried and failed, or knows that it would.
 	Via func(ctx context.Context, peer, address string) (net.Conn, error)
 
 	cancel  context.CancelFunc
@@ -49,7 +48,10 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // UpstreamError is the error of a peer that cannot connect to an upstream either.
-type UpstreamError struct{ Err error }
+type UpstreamError struct {
+	Err     error
+	Refused bool // the upstream's machine refused the peer's connection
+}
 
 // failedUpstream is an upstream to which the last direct connections failed.
 type failedUpstream struct {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	c, err := d.Via(limited, path, address)
 	var u UpstreamError
-	if err != nil && ctx.Err() == nil && !errors.As(err, &u) && !errors.Is(err, syscall.ECONNREFUSED) {
+	if err != nil && ctx.Err() == nil && !errors.As(err, &u) {
 		d.peers.recordFailure(path, time.Now()) // it says nothing of the upstream
 	}
 	return attempt{c, err, path}
@@ -117,11 +117,12 @@
 	for _, a := range p {
 		var u UpstreamError
 		switch {
-		case errors.Is(a.err, syscall.ECONNREFUSED) && a.path == directPath:
-			direct = true
-		case errors.Is(a.err, syscall.ECONNREFUSED):
+		case a.path == directPath:
+			direct = direct || errors.Is(a.err, syscall.ECONNREFUSED)
+		case !errors.As(a.err, &u): // the peer did not try
+		case u.Refused:
 			peers = true
-		case errors.As(a.err, &u):
+		default:
 			tried = true
 		}
 	}
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -11,6 +11,9 @@
 // errOther is the error of a peer that does not connect for a reason of its own.
 var errOther = errors.New("no connections")
 
+// refused is the error of a peer that the upstream's machine refused.
+var refused = UpstreamError{Err: errors.New("refused"), Refused: true}
+
 // errAny stands for any error.
 var errAny = errors.New("any error")
 
@@ -36,7 +39,7 @@
 // TestPathsToAnUpstream guards against connections that wait for a path that fails while another leads to
 // the upstream, and against a refusal on one path that is taken for one by the upstream's machine.
 func TestPathsToAnUpstream(t *testing.T) {
-	unreachable := UpstreamError{errors.New("time-out")}
+	unreachable := UpstreamError{Err: errors.New("time-out")}
 	for _, x := range []struct {
 		name     string
 		refuse   bool // direct connections are refused; otherwise they hang
@@ -51,8 +54,8 @@
 		{"hangs, the first peer hangs", false, map[string]error{"a": errHangs, "b": nil}, nil, nil, 2*hedgeDelay + 5*time.Millisecond, 5 * time.Millisecond},
 		{"hangs, the first peer has lost its links", false, map[string]error{"a": unreachable, "b": nil}, nil, nil, hedgeDelay + 5*time.Millisecond, 5 * time.Millisecond},
 		{"hangs, the first peer is of an earlier version", false, map[string]error{"a": errOther, "b": nil}, nil, nil, hedgeDelay + 5*time.Millisecond, 5 * time.Millisecond},
-		{"refused everywhere", true, map[string]error{"a": syscall.ECONNREFUSED, "b": syscall.ECONNREFUSED}, syscall.ECONNREFUSED, syscall.ECONNREFUSED, 5 * time.Millisecond, 5 * time.Millisecond},
-		{"refused, a peer cannot tell", true, map[string]error{"a": syscall.ECONNREFUSED, "b": unreachable}, unreachable, unreachable, 5 * time.Millisecond, 5 * time.Millisecond},
+		{"refused everywhere", true, map[string]error{"a": refused, "b": refused}, syscall.ECONNREFUSED, refused, 5 * time.Millisecond, 5 * time.Millisecond},
+		{"refused, a peer cannot tell", true, map[string]error{"a": refused, "b": unreachable}, unreachable, unreachable, 5 * time.Millisecond, 5 * time.Millisecond},
 		{"refused, peers do not try", true, map[string]error{"a": errOther, "b": errHangs}, syscall.ECONNREFUSED, errAny, dialTimeout + 5*time.Millisecond, dialTimeout + 5*time.Millisecond},
 		{"refused, no peers", true, nil, syscall.ECONNREFUSED, syscall.ECONNREFUSED, 0, 0},
 		{"hangs, no peers", false, nil, context.DeadlineExceeded, context.DeadlineExceeded, dialTimeout, dialTimeout},
@@ -114,7 +117,7 @@
 // a peer reaches it again, although the box itself does not and no request tries.
 func TestPathReturnsWithoutRequests(t *testing.T) {
 	withDialer(t, 5, func(t *testing.T, d *Dialer, n *network, addresses []string) {
-		n.setPeers(map[string]error{"a": UpstreamError{errOther}})
+		n.setPeers(map[string]error{"a": UpstreamError{Err: errOther}})
 		n.setDown(true, addresses...)
 		connect(t.Context(), d, addresses...)
 		time.Sleep(2 * time.Second)
@@ -151,7 +154,7 @@
 // TestCheckOfAProcess guards against a box that takes an upstream for ended because its own links refuse
 // connections.
 func TestCheckOfAProcess(t *testing.T) {
-	unreachable := UpstreamError{errors.New("time-out")}
+	unreachable := UpstreamError{Err: errors.New("time-out")}
 	for _, x := range []struct {
 		name   string
 		down   bool
@@ -159,15 +162,15 @@
 		peers  map[string]error
 		want   error
 	}{
-		{"runs", false, true, map[string]error{"a": syscall.ECONNREFUSED}, nil},
-		{"a peer gets a connection", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": nil}, nil},
-		{"one of the peers cannot tell", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": unreachable}, syscall.ECONNREFUSED},
+		{"runs", false, true, map[string]error{"a": refused}, nil},
+		{"a peer gets a connection", true, true, map[string]error{"a": refused, "b": nil}, nil},
+		{"one of the peers cannot tell", true, true, map[string]error{"a": refused, "b": unreachable}, syscall.ECONNREFUSED},
 		{"no peer can tell", true, true, map[string]error{"a": unreachable, "b": unreachable}, syscall.ECONNREFUSED},
-		{"refused everywhere", true, true, map[string]error{"a": syscall.ECONNREFUSED, "b": syscall.ECONNREFUSED}, syscall.ECONNREFUSED},
+		{"refused everywhere", true, true, map[string]error{"a": refused, "b": refused}, syscall.ECONNREFUSED},
 		{"no peer tries", true, true, map[string]error{"a": errOther}, syscall.ECONNREFUSED},
 		{"no peers", true, true, nil, syscall.ECONNREFUSED},
-		{"hangs, a peer is refused", true, false, map[string]error{"a": syscall.ECONNREFUSED}, syscall.ECONNREFUSED},
-		{"hangs, a peer gets a connection", true, false, map[string]error{"a": syscall.ECONNREFUSED, "b": nil}, nil},
+		{"hangs, a peer is refused", true, false, map[string]error{"a": refused}, syscall.ECONNREFUSED},
+		{"hangs, a peer gets a connection", true, false, map[string]error{"a": refused, "b": nil}, nil},
 		{"hangs, no peers", true, false, nil, errProcessUnknown},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -188,7 +191,7 @@
 func TestCheckOfAProcessWithoutLinks(t *testing.T) {
 	withDialer(t, 2, func(t *testing.T, d *Dialer, n *network, addresses []string) {
 		n.refuse = true
-		n.setPeers(map[string]error{"a": UpstreamError{errOther}})
+		n.setPeers(map[string]error{"a": UpstreamError{Err: errOther}, "b": syscall.ECONNREFUSED}) // b is down itself
 		n.setDown(true, addresses...)
 		if err := d.CheckProcess(t.Context(), addresses[0]); !errors.Is(err, errProcessUnknown) {
 			t.Errorf("got %v, want %v", err, errProcessUnknown)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,7 +54,7 @@
 	Place func(ctx context.Context, w *policy.Work, avoid map[string]bool) (*placement.Place, error)
 	// AcquireMoveSlot waits for a move slot of an upstream.
 	AcquireMoveSlot MoveSlotFunc
-	// Unreachable returns those of the upstreams to which connections from this box are known to fail.
+	// Unreachable returns those of the upstreams to which no path is known to lead.
 	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 	// Upstreams are the calls to engines and services.
 	Upstreams UpstreamCalls
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -60,7 +60,7 @@
 	// RetryBudget is the budget that retries are charged to. It may be shared with other senders of
 	// the box. NewRouter sets a new one.
 	RetryBudget *budget.Budget
-	// Unreachable returns those of the upstreams to which connections from this box are known to fail.
+	// Unreachable returns those of the upstreams to which no path is known to lead.
 	// NewRouter sets one that returns none.
 	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 
--- a/reachable.go
+++ b/reachable.go
@@ -4,8 +4,7 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// unreachableUpstreams returns those of the upstreams to which connections from this box are known to
-// fail.
+// unreachableUpstreams returns those of the upstreams to which no path is known to lead.
 func (b *Box) unreachableUpstreams(l []*resource.Upstream) []*resource.Upstream {
 	if b.upstreamDialer.AllReachable() {
 		return nil
--- a/region_test.go
+++ b/region_test.go
@@ -372,23 +372,29 @@
 	}
 }
 
-// connect opens a connection to an upstream by way of a box. It ends when that box is killed.
-func (r *region) connect(ctx context.Context, from, to string, q *box.Request) (net.Conn, error) {
-	errUnreachable := fail.New(fail.Unavailable, fail.Origin{Peer: "box " + to, Step: "connect"}, box.ReasonUnreachable, "no route")
+// awaitBox waits until a message has reached a box and returns the box, or nil if it cannot be reached.
+func (r *region) awaitBox(ctx context.Context, from, to string) *Box {
 	r.mutex.Lock()
-	peer := r.boxes[to]
+	b := r.boxes[to]
 	r.mutex.Unlock()
-	if peer == nil || r.unreachable(from, to) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
-		return nil, errUnreachable
+	delay := linkDelay
+	if b == nil || r.unreachable(from, to) {
+		b, delay = nil, time.Second
 	}
 	select {
 	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-time.After(linkDelay):
+		return nil
+	case <-time.After(delay):
+	}
+	return b
+}
+
+// connect opens a connection to an upstream by way of a box. It ends when that box is killed.
+func (r *region) connect(ctx context.Context, from, to string, q *box.Request) (net.Conn, error) {
+	errUnreachable := fail.New(fail.Unavailable, fail.Origin{Peer: "box " + to, Step: "connect"}, box.ReasonUnreachable, "no route")
+	peer := r.awaitBox(ctx, from, to)
+	if peer == nil {
+		return nil, errUnreachable
 	}
 	c, err := peer.connectForPeer(ctx, q)
 	if err != nil {
@@ -438,21 +444,10 @@
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
-	r.mutex.Lock()
-	peer := r.boxes[to]
-	r.mutex.Unlock()
-	if peer == nil || r.unreachable(from, to) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
+	peer := r.awaitBox(ctx, from, to)
+	if peer == nil {
 		return nil, errUnreachable
 	}
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-time.After(linkDelay):
-	}
 	if r.onDelivered != nil {
 		r.onDelivered(from, v)
 	}
--- a/relayed.go
+++ b/relayed.go
@@ -121,11 +121,9 @@
 // connectVia opens a connection to the upstream at an address by way of another box.
 func (b *Box) connectVia(ctx context.Context, peer, address string) (net.Conn, error) {
 	c, err := b.links.Connect(ctx, b.members.Address(peer), b.newRequest(box.Request{Kind: box.KindConnect, Connect: &box.ConnectRequest{Address: address}}))
-	switch fail.Reason(err) {
-	case box.ReasonUpstreamRefused:
-		return nil, errors.Join(syscall.ECONNREFUSED, err)
-	case box.ReasonUpstreamUnreachable:
-		return nil, reach.UpstreamError{Err: err}
+	switch r := fail.Reason(err); r {
+	case box.ReasonUpstreamRefused, box.ReasonUpstreamUnreachable:
+		return nil, reach.UpstreamError{Err: err, Refused: r == box.ReasonUpstreamRefused}
 	}
 	return c, err
 }
