The soak's settings are read by earlier versions

The soak wrote upstream_source into each settings file, which earlier versions refuse as an unknown key, so that boxes of the old and the new build could not run beside each other.

--- a/internal/fake/soak/links.go
+++ b/internal/fake/soak/links.go
@@ -99,9 +99,14 @@
 	return b.process != nil
 }
 
-// writeSettings writes the box's settings file.
+// writeSettings writes the box's settings file, with the source of connections to upstreams if it is not "":
+// earlier versions do not know that setting.
 func (b *soakBox) writeSettings(source string) error {
-	return os.WriteFile(b.settings, []byte(fmt.Sprintf("upstream_source = %q\n", source)+b.settingsText), 0o600)
+	text := b.settingsText
+	if source != "" {
+		text = fmt.Sprintf("upstream_source = %q\n", source) + text
+	}
+	return os.WriteFile(b.settings, []byte(text), 0o600)
 }
 
 // tryAll sends requests to all boxes until the cut ends, and counts those at boxes without other faults.
