--- a/relayed_test.go
+++ b/relayed_test.go
@@ -263,3 +263,68 @@
 		}
 	})
 }
+
+// TestRunsMoveOverOtherBoxes checks that the streams of a box without links move away from an engine that
+// leaves: none is lost or runs twice.
+func TestRunsMoveOverOtherBoxes(t *testing.T) {
+	withRelayedBox(t, func(t *testing.T, r *routedRegion, _ *callers) {
+		var g sync.WaitGroup
+		for i := range 8 {
+			id := fmt.Sprint("moved-", i)
+			g.Go(func() {
+				events, complete, _ := r.streamPlan("box-a1", id, routedKey, 1200)
+				if events != 300 || !complete || r.runCount(id) != 1 {
+					t.Errorf("%s: got %d events, complete %v, %d runs; want 300, complete, 1 run", id, events, complete, r.runCount(id))
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		for _, n := range []string{"i-a1", "i-b1"} {
+			if r.upstreams[n].RunningRequests() > 0 {
+				r.listUpstream(n, "draining")
+				time.Sleep(1500 * time.Millisecond)
+				_ = r.links.listeners[n].Close()
+				r.killUpstream(n)
+			}
+		}
+		g.Wait()
+	})
+}
+
+// TestEvacuationHoldsOverOtherBoxes checks that a box without links sends nothing to an evacuated hall.
+func TestEvacuationHoldsOverOtherBoxes(t *testing.T) {
+	withRelayedBox(t, func(t *testing.T, r *routedRegion, c *callers) {
+		r.evacuate(false, "a")
+		time.Sleep(evacuationBound)
+		began := time.Now()
+		load := c.send(5*time.Second, "box-a1")
+		for _, n := range []string{"i-a1", "i-a2", "s-a1", "s-a2"} {
+			if got := r.requestsSince(n, began); got != 0 {
+				t.Errorf("%s, in the evacuated hall: got %d requests, want none", n, got)
+			}
+		}
+		if k := load.calls["box-a1"]; k.served != k.sent {
+			t.Errorf("calls: got %d served, want all %d", k.served, k.sent)
+		}
+	})
+}
+
+// TestNoPathThroughOtherRegions guards against requests that pass through a region to which they may be
+// restricted.
+func TestNoPathThroughOtherRegions(t *testing.T) {
+	withUpstreamLinks(t, func(t *testing.T, r *routedRegion, l *upstreamLinks, c *callers) {
+		for _, b := range r.boxes {
+			b.settings.Regions = map[string]string{"a": "east", "b": "west"}
+		}
+		l.set(cutHangs, boxesByHall[:2], r.upstreamNames(false))
+		load := c.send(5*time.Second, boxesByHall[0])
+		for _, n := range boxesByHall[2:] {
+			if got := r.boxes[n].metrics.Counter(metric.RelayedTotal).Get(); got != 0 {
+				t.Errorf("%s, in another region: got %d connections for others, want none", n, got)
+			}
+		}
+		if got := load.calls[boxesByHall[0]].served; got != 0 {
+			t.Errorf("calls served without a path: got %d, want none", got)
+		}
+	})
+}
