Peers that cannot connect no longer count as working

Cause, from the boxes' logs: three of four boxes had no links. The machine stood still for 0.3 s, so that an attempt by way of the box that had links ended without an answer. That box was then avoided for 5 s, as if others worked: one of them had, just before it lost its links, and its answers that it could not connect did not change that. With no path known, requests were refused at once for two seconds, until the cut ended.

Change: a peer that cannot connect to an upstream no longer counts as working.

Before: TestPeerThatFailedOnce: no connection and unreachable a second later. After: connected.

--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -91,8 +91,12 @@
 	defer cancel()
 	c, err := d.Via(limited, path, address)
 	var u UpstreamError
-	if err != nil && ctx.Err() == nil && !errors.As(err, &u) {
-		d.peers.recordFailure(path, time.Now()) // it says nothing of the upstream
+	switch {
+	case err == nil, ctx.Err() != nil:
+	case errors.As(err, &u):
+		d.peers.recordNoPath(path)
+	default:
+		d.peers.recordFailure(path, time.Now())
 	}
 	return attempt{c, err, path}
 }
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -198,3 +198,22 @@
 		}
 	})
 }
+
+// TestPeerThatFailedOnce guards against a box that leaves out the only peer with links for seconds after one
+// attempt by way of it failed, because another peer, which has lost its links since, worked before.
+func TestPeerThatFailedOnce(t *testing.T) {
+	withDialer(t, 1, func(t *testing.T, d *Dialer, n *network, addresses []string) {
+		n.setPeers(map[string]error{"a": nil, "b": nil})
+		n.setDown(true, addresses...)
+		connect(t.Context(), d, addresses...)
+		n.setPeers(map[string]error{"a": UpstreamError{Err: errOther}, "b": errOther})
+		if _, err := dialOnce(t, d, addresses[0]); err == nil {
+			t.Error("got a connection, want none")
+		}
+		n.setPeers(map[string]error{"a": UpstreamError{Err: errOther}, "b": nil})
+		time.Sleep(time.Second)
+		if _, err := dialOnce(t, d, addresses[0]); err != nil || d.Unreachable(addresses[0]) {
+			t.Errorf("a second later: got %v, unreachable %v, want a connection", err, d.Unreachable(addresses[0]))
+		}
+	})
+}
--- a/internal/reach/peerstates.go
+++ b/internal/reach/peerstates.go
@@ -17,7 +17,7 @@
 	// peerFailureTTL is how long a peer is avoided after a failure while others work, and
 	// peerRetryDelay how long it is if none does.
 	peerFailureTTL = 5 * time.Second
-	peerRetryDelay = time.Second
+	peerRetryDelay = 500 * time.Millisecond
 	peerSuccessTTL = 10 * time.Second // for which a peer counts as working
 )
 
@@ -39,7 +39,14 @@
 	return last
 }
 
-// recordFailure records that a peer did not connect although there was a path.
+// recordNoPath records that a peer cannot connect to an upstream either.
+func (p *peerStates) recordNoPath(peer string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.worked, peer)
+}
+
+// recordFailure records that a peer did not connect although there was a path, or did not answer.
 func (p *peerStates) recordFailure(peer string, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
