--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,7 +8,7 @@
 )
 
 func main() {
-	cases := map[string]func(r *rig, trouble bool) (broken bool){"path": playPath, "readers": playReaders}
+	cases := map[string]func(r *rig, trouble bool) (broken bool){"memory": playMemory, "path": playPath, "readers": playReaders}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins CASE RECORD")
 		os.Exit(exitNotRun)
