--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 mkdir -p review/bin
 go build -o review/bin/fakeplatform ./cmd/fakeplatform
 cd review/standins
-go build -o ../bin/standins .
+go test -c -o ../bin/standins .
--- a/review/standins/config.go
+++ b/review/standins/config_test.go
@@ -1,4 +1,4 @@
-package main
+package review
 
 // route returns a public route of the operator's configuration.
 func route(name, prefix, kind, service string, timeoutMS int) map[string]any {
--- a/review/standins/main.go
+++ b/review/standins/main_test.go
@@ -1,13 +1,15 @@
-// Command standins plays one case of the review against the project's own programs: standins CASE
-// RECORD, in the root of the repository. TROUBLE=0 leaves the disruption out.
-package main
+// Package review plays the cases of the review against the project's own programs.
+package review
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
-func main() {
+// TestMain plays one case. Its arguments are the name of the case and the path of the record, relative to
+// the root of the repository, in which it runs. TROUBLE=0 leaves the disruption out.
+func TestMain(*testing.M) {
 	cases := map[string]func(r *rig, trouble bool) (broken bool){"memory": playMemory, "path": playPath, "readers": playReaders}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins CASE RECORD")
