Log and count when an upstream is silent under a stream

Of the three hypotheses of the incident, logs could not tell the first (the box ends an answer for silence) from the third (the connection is lost): both gave 317 and 203, or 301 with an error that is often cut off. Event 326 and linetiller_upstream_silences_total name each silence that the box acts on.

Nothing is decided otherwise.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	LimitInvalid              = Event{slog.LevelWarn, "limit of an upstream cannot be used", 322}
 	UpstreamLinkLost          = Event{slog.LevelWarn, "upstream out of reach of this box", 324}
 	UpstreamLinkRestored      = Event{slog.LevelInfo, "upstream in reach of this box again", 325}
+	UpstreamSilent            = Event{slog.LevelInfo, "upstream silent", 326}
 	KeptRowsRead              = Event{slog.LevelInfo, "kept requests read", 323}
 	PlatformUnreachable       = Event{slog.LevelWarn, "platform unreachable", 401}
 	PlatformReachable         = Event{slog.LevelInfo, "platform reachable again", 402}
@@ -88,7 +89,7 @@
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerDisconnected, RequestPlaced, RetryOverBudget,
 	UpstreamFailed, UpstreamFrameMismatch, LoadReportMissing, OrderSent, OrderFailed,
 	UpstreamEntryRemoved, UpstreamLeaving, MoveStarted, MoveCompleted, MoveFailed, UpstreamRefused, MemoryCopied, LeavingNoticeReceived, LeavingAnswerReceived, UpstreamCrashed,
-	RequestQuarantined, CrashNotCounted, RequestCleared, QuarantinedRequestRetried, LimitAnnounced, LimitLifted, LimitInvalid, UpstreamLinkLost, UpstreamLinkRestored, KeptRowsRead,
+	RequestQuarantined, CrashNotCounted, RequestCleared, QuarantinedRequestRetried, LimitAnnounced, LimitLifted, LimitInvalid, UpstreamLinkLost, UpstreamLinkRestored, UpstreamSilent, KeptRowsRead,
 	PlatformUnreachable, PlatformReachable, OutcomeNotRecorded, StoreRestored, StaleAnswerIgnored, ChangesHeld, RowIgnored, ReadOverdue, ViewStale, ViewCurrent, ReadHedged,
 	PeerUnreachable, PeerReachable, PeerRemoved, ReaderUnresponsive, PeerLost,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -61,6 +61,7 @@
 	UpstreamCrashes      Name = "linetiller_upstream_ends_total"          // counter: requests during which their upstream crashed
 	UpstreamReportErrors Name = "linetiller_upstream_report_errors_total" // counter: load reports that could not be read from upstreams
 	ViewAge              Name = "linetiller_view_age_seconds"             // gauge: time since the view was last known to be current
+	UpstreamSilences     Name = "linetiller_upstream_silences_total"      // counter, by event: how often an upstream sent no first, or next, event of a stream that may be resumed in time
 	UpstreamNotices      Name = "linetiller_upstream_words_total"         // counter, by word: answers in which an upstream announced its state, such as a limit or that it is leaving
 )
 
@@ -69,7 +70,7 @@
 	Boxes, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
 	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, RelayedTotal, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamConnections, UpstreamCrashes, UpstreamReportErrors,
-	UpstreamNotices, ViewAge,
+	UpstreamNotices, UpstreamSilences, ViewAge,
 }
 
 // Set is the registry of the metrics of one box. It is safe for concurrent use.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -110,6 +110,17 @@
 	x.RecordLeaving(u)
 }
 
+// recordSilence records that u sent no event of the stream in time, after the given number of events. It may
+// be called by any goroutine.
+func (e *exchange) recordSilence(u *resource.Upstream, events int) {
+	awaited := "first"
+	if events > 0 {
+		awaited = "next"
+	}
+	e.relay.metrics.Count(metric.UpstreamSilences, "event", awaited)
+	event.UpstreamSilent.Log(e.relay.log, "request", e.request.ID, "upstream", u.Name, "events", events)
+}
+
 // retryAt returns when a caller whose request an upstream rejected may retry: after
 // refusedRetryDelay, or when the first back-off ends if all upstreams have asked for back-off until
 // later.
@@ -131,7 +142,7 @@
 	o := &SendOptions{Deadline: e.deadline, LastEventID: e.lastEventID, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
 	e.logPlaced(u, r)
 	e.chargeArrival()
-	ctx, stop := e.withFirstEventTimeout(ctx)
+	ctx, stop := e.withFirstEventTimeout(ctx, u)
 	a, err = x.Upstreams.Send(ctx, u, e.request, o)
 	stop()
 	now := time.Now()
@@ -167,11 +178,14 @@
 // withFirstEventTimeout returns a context that is cancelled after firstEventTimeout, unless the
 // returned function is called before. Streams that may not be resumed have no such timeout: they
 // cannot be run elsewhere.
-func (e *exchange) withFirstEventTimeout(ctx context.Context) (context.Context, func()) {
+func (e *exchange) withFirstEventTimeout(ctx context.Context, u *resource.Upstream) (context.Context, func()) {
 	if e.route.Spec.RetryPolicy != resource.RetryResume {
 		return ctx, func() {}
 	}
 	c, cancel := context.WithCancel(ctx)
-	t := time.AfterFunc(firstEventTimeout, cancel)
+	t := time.AfterFunc(firstEventTimeout, func() {
+		e.recordSilence(u, 0)
+		cancel()
+	})
 	return c, func() { t.Stop() }
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -144,7 +144,12 @@
 	s.mutex.Lock()
 	s.closeAnswer = closeBody
 	s.mutex.Unlock()
-	timer := time.AfterFunc(s.eventTimeout(), closeBody)
+	timer := time.AfterFunc(s.eventTimeout(), func() {
+		if s.exchange.route.Spec.RetryPolicy == resource.RetryResume {
+			s.exchange.recordSilence(s.upstream(), s.eventsDelivered())
+		}
+		closeBody()
+	})
 	defer timer.Stop()
 	x := sse.NewSplitter(a.Body)
 	events := 0
