--- a/internal/fake/routed/engine.go
+++ b/internal/fake/routed/engine.go
@@ -39,6 +39,7 @@
 	faults      Faults
 	leaving     bool
 	limit       string        // in requests per second, as announced in answers; "" for none
+	pausedUntil time.Time     // until when the process does not run
 	linkSlot    chan struct{} // semaphore of the link that copies use; a channel, because waiting for a mutex would stop virtual time
 	requests    []http.Header
 	runs        map[string]*run
@@ -117,6 +118,9 @@
 
 // ServeHTTP answers one call.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !e.awaitRunning(r) {
+		return
+	}
 	e.mutex.Lock()
 	f, crashed := e.faults, e.crashed
 	e.mutex.Unlock()
--- a/internal/fake/routed/streams.go
+++ b/internal/fake/routed/streams.go
@@ -38,7 +38,7 @@
 	}
 	select {
 	case <-time.After(e.settings.EventInterval):
-		return true
+		return e.awaitRunning(r)
 	case <-c:
 	case <-x.stopped:
 	case <-r.Context().Done():
@@ -101,6 +101,7 @@
 	events := length / e.settings.TokensPerEvent
 	if r.Header.Get("Kv-From") == "" {
 		time.Sleep(time.Duration(x.kv.tokens) * e.settings.PrefillPerToken)
+		e.awaitRunning(r)
 	} else if x.kv.events >= events {
 		x.kv.events = events - 1 // a resumed run emits at least one event
 	}
