The answer of a silent upstream stays open until another one has sent an event

Callers of streams that may be resumed got the events that were there and no end, or 502, while sound upstreams were silent for a second or two.

Cause: timers closed the answer after 1 s without a next event, or 2 s without a first one, before anything said that another upstream could go on. With the retry budget or the attempts used up, or with the other upstreams silent as well, nothing was left. Streams that may not be resumed waited, and were whole.

Evidence: TestStreamOutlastsASilence, 42 of 48 cases failed, with upstreams that neither end nor refuse a connection; with the budget empty the stream ended in the instant that the timer fired, as in the users' logs.

Now a watch starts a takeover at these times. It sends the request to an upstream that can start it at once and is not silent itself, within the attempts and the retry budget, and the stream goes on with whichever upstream sends the next event first. Sends count as runs, and charge the budget, from the moment at which they are sent, since one is still open while the next is tried.

Upstreams that are silent for good are still left within 2 s (TestStreamIsResumed, unchanged).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// HasRoom reports whether one more retry is left.
+func (b *Budget) HasRoom(service string, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.usage(b.windowOf(service, now), now).hasRoom()
+}
+
 // Postpone charges a retry that was taken at takenAt as of now instead. A retry counts when it is sent,
 // which may be long after it was taken.
 func (b *Budget) Postpone(service string, takenAt, now time.Time) {
@@ -116,7 +123,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.windowOf(service, now)
-	if u := b.usage(s, now); float64(u.Retries+1) > u.Allowed {
+	if !b.usage(s, now).hasRoom() {
 		return false
 	}
 	s.retries[s.newest%ringSize]++
@@ -153,6 +160,11 @@
 	return u
 }
 
+// hasRoom reports whether one more retry is allowed.
+func (u Usage) hasRoom() bool {
+	return float64(u.Retries+1) <= u.Allowed
+}
+
 // windowOf returns a service's window after advancing it to now. It also records the number of boxes.
 // The caller holds the mutex.
 func (b *Budget) windowOf(service string, now time.Time) *slidingWindow {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -74,6 +74,9 @@
 			return u, 0, nil
 		}
 	}
+	if s.work.NoQueue && len(s.queued) > 0 {
+		return nil, 0, fail.New(fail.NotRun, fail.Origin{Peer: "upstreams", Step: "choose"}, string(policy.ReasonNoUpstream), "no upstream can start the work at once")
+	}
 	u, err = p.chooseUpstream(s.work, s.skip, next)
 	if len(s.queued) > 0 {
 		wait = s.queueWait()
--- a/internal/placement/search_test.go
+++ b/internal/placement/search_test.go
@@ -207,3 +207,32 @@
 		}
 	})
 }
+
+// TestWorkThatDoesNotQueue checks that such work is placed where it can start at once, and is refused within
+// a few requests otherwise.
+func TestWorkThatDoesNotQueue(t *testing.T) {
+	for _, x := range []struct {
+		full  []string
+		found bool
+	}{
+		{[]string{"h0"}, true},
+		{[]string{"h0", "h1", "h2"}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p, requestCounts := newFullHalls(x.full...)
+			began := time.Now()
+			w := &policy.Work{Arrived: began, Deadline: began.Add(time.Minute), ID: "id", MaxTokens: 400, Model: "m", NoQueue: true, Prompt: 3000}
+			v, err := p.Place(t.Context(), w, nil)
+			if got := err == nil; got != x.found {
+				t.Errorf("full halls %v: got %+v %v, want a place: %v", x.full, v, err, x.found)
+			}
+			sum := 0
+			for _, n := range requestCounts() {
+				sum += n
+			}
+			if limit := maxProbes + maxProbesOtherHalls; sum > limit || time.Since(began) > 100*time.Millisecond {
+				t.Errorf("full halls %v: got %d requests in %s, want at most %d at once", x.full, sum, time.Since(began), limit)
+			}
+		})
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -25,6 +25,7 @@
 	MaxTokens     int    // upper bound of the output tokens
 	Model         string
 	Moved         bool      // its KV memory is copied from another engine, so that no prompt is prefilled
+	NoQueue       bool      `cbor:"-"` // it is placed only where it can start at once
 	Prefix        uint64    // key of the prompt's prefix; 0 if it has none
 	PrefixTokens  int       // tokens of that prefix
 	Priority      int       // higher goes first
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -19,9 +19,9 @@
 	upstream *resource.Upstream
 }
 
-// assign chooses an upstream for w and takes a permit to send to it. It avoids upstreams that asked
-// for back-off. If the permit is refused, it chooses again.
-func (e *exchange) assign(ctx context.Context, w *policy.Work) (*assignment, error) {
+// assign chooses an upstream for w that is not in avoid and takes a permit to send to it. It avoids upstreams
+// that asked for back-off. If the permit is refused, it chooses again.
+func (e *exchange) assign(ctx context.Context, w *policy.Work, avoid map[string]bool) (*assignment, error) {
 	if err := e.quarantineError(); err != nil {
 		return nil, err
 	}
@@ -32,15 +32,15 @@
 		if err := x.backoffs.AllBackingOffError(l, e.serviceOrigin(), now); err != nil {
 			return nil, err
 		}
-		avoid := health.AvoidUnreachable(x.Unreachable(l), e.avoid)
-		if err := health.AllUnreachableError(l, e.avoid, avoid, e.serviceOrigin(), now); err != nil {
+		reachable := health.AvoidUnreachable(x.Unreachable(l), avoid)
+		if err := health.AllUnreachableError(l, avoid, reachable, e.serviceOrigin(), now); err != nil {
 			return nil, err
 		}
-		avoid, waitUntil, err := e.avoidUnpermitted(l, x.backoffs.Avoid(l, avoid, now), refusals, now)
+		permitted, waitUntil, err := e.avoidUnpermitted(l, x.backoffs.Avoid(l, reachable, now), refusals, now)
 		if err != nil {
 			return nil, err
 		}
-		t, err := e.chooseUpstream(ctx, w, avoid)
+		t, err := e.chooseUpstream(ctx, w, permitted)
 		if err != nil {
 			return nil, err
 		}
@@ -57,7 +57,7 @@
 // attempt sends the request to one upstream and forwards its answer. retry reports
 // whether another upstream may be tried.
 func (e *exchange) attempt(ctx context.Context) (retry bool, err error) {
-	t, err := e.assign(ctx, e.work())
+	t, err := e.assign(ctx, e.work(), e.avoid)
 	if err != nil {
 		return false, err
 	}
@@ -67,15 +67,19 @@
 	if err != nil {
 		return true, err
 	}
-	a, retry, err := e.send(ctx, u, nil)
+	if e.route.Spec.Stream {
+		x, err := s.open(ctx, t, u, nil)
+		if err != nil {
+			return true, err
+		}
+		return s.run(ctx, x)
+	}
+	a, err := e.send(ctx, u)
 	if err != nil {
-		return retry, err
+		return true, err
 	}
 	defer func() { _ = a.Body.Close() }()
-	if !e.route.Spec.Stream {
-		return e.deliver(ctx, a)
-	}
-	return s.run(ctx, a)
+	return e.deliver(ctx, a)
 }
 
 // checkBeforeSend checks, just before the send, that the chosen upstream may still be used: the
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -44,16 +44,24 @@
 // checkCrash checks whether an upstream that broke off its answer crashed while it ran the request,
 // and records the crash. events is the number of events that the stream had received. A broken
 // connection, a network partition, a slow answer or a planned shutdown does not count as a crash.
-func (e *exchange) checkCrash(u *resource.Upstream, events int) {
-	x, now := e.relay, time.Now()
-	if r := e.ignoredReason(u, now); r != "" {
-		e.ignoreCrash(u, r)
+func (e *exchange) checkCrash(c *sendAttempt, events int) {
+	if r := e.ignoredReason(c.upstream, time.Now()); r != "" {
+		e.ignoreCrash(c.upstream, r)
 		return
 	}
-	done, l, sentAt := make(chan struct{}), e.suspects(events), e.sentAt
+	e.awaitCrashCheck(c, events, func() { e.ignoreCrash(c.upstream, ignoredNotRefused) })
+}
+
+// awaitCrashCheck checks whether the process of an upstream has ended, and records the crash. Otherwise it
+// calls onRunning. It waits for at most crashCheckWait.
+func (e *exchange) awaitCrashCheck(c *sendAttempt, events int, onRunning func()) {
+	x, now := e.relay, time.Now()
+	done, l, sent := make(chan struct{}), e.suspects(c, events), *c
 	x.workers.Go(func() {
 		defer close(done)
-		e.confirmCrash(x.ctx, u, sentAt, now, l)
+		if !e.confirmCrash(x.ctx, &sent, now, l) {
+			onRunning()
+		}
 	})
 	select {
 	case <-done:
@@ -63,36 +71,43 @@
 
 // checkCrashAfterDisconnect schedules a crash check of the upstream if the caller has disconnected. It
 // is called for requests whose answer had not begun: the upstream may have started to run them.
-func (e *exchange) checkCrashAfterDisconnect(u *resource.Upstream) {
+func (e *exchange) checkCrashAfterDisconnect(c *sendAttempt) {
 	if e.callerCtx.Err() == nil {
 		return
 	}
-	x, now, sentAt, l := e.relay, time.Now(), e.sentAt, e.suspects(0)
+	x, now, sent, l := e.relay, time.Now(), *c, e.suspects(c, 0)
 	x.runAfter(disconnectCheckDelay, func() {
-		if e.ignoredReason(u, time.Now()) == "" {
-			e.confirmCrash(x.background, u, sentAt, now, l)
+		if e.ignoredReason(sent.upstream, time.Now()) == "" && !e.confirmCrash(x.background, &sent, now, l) {
+			e.ignoreCrash(sent.upstream, ignoredNotRefused)
 		}
 	})
 }
 
-// confirmCrash checks with the upstream's machine whether the process has ended. If so, it records the crash
-// with the suspects, which were sent to the upstream at sentAt and whose answer broke off at brokenAt, and
-// announces it to the other boxes; otherwise it counts the crash as ignored.
-func (e *exchange) confirmCrash(ctx context.Context, u *resource.Upstream, sentAt, brokenAt time.Time, suspects []policy.Suspect) {
-	x := e.relay
+// checkCrashOfSilent checks whether an upstream that is silent crashed while it ran the request, and records the
+// crash. Nothing is counted if its process runs: the answer has not broken off.
+func (e *exchange) checkCrashOfSilent(c *sendAttempt, events int) {
+	if e.ignoredReason(c.upstream, time.Now()) == "" {
+		e.awaitCrashCheck(c, events, func() {})
+	}
+}
+
+// confirmCrash checks with the upstream's machine whether the process has ended, and reports whether it has. If so,
+// it records the crash with the suspects, whose answer broke off at brokenAt, and announces it to the other boxes.
+func (e *exchange) confirmCrash(ctx context.Context, c *sendAttempt, brokenAt time.Time, suspects []policy.Suspect) bool {
+	x, u := e.relay, c.upstream
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	if !x.Upstreams.ProcessEnded(ctx, u) {
-		e.ignoreCrash(u, ignoredNotRefused)
-		return
+		return false
 	}
-	l := []policy.Crash{{AliveAt: sentAt, At: brokenAt, StartedAtMS: u.Spec.StartedAtMS, Suspects: suspects, Upstream: u.Name}}
+	l := []policy.Crash{{AliveAt: c.at, At: brokenAt, StartedAtMS: u.Spec.StartedAtMS, Suspects: suspects, Upstream: u.Name}}
 	x.metrics.Add(metric.UpstreamCrashes, 1)
 	x.RecordCrashes(l, "")
 	request := suspects[0]
 	event.UpstreamCrashed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "ends", x.quarantine.CrashCount(request.Fingerprint, time.Now()), "asked", request.Fingerprint.String(), "events", request.Events, "parts", e.partNames())
 	x.AnnounceCrashes(l)
 	x.ClearCompleted()
+	return true
 }
 
 // ignoreCrash records in the metrics and the log that a broken request is not counted as a crash.
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -49,17 +49,17 @@
 // deliver forwards an answer that is not a stream. retry reports whether another
 // upstream may be tried.
 func (e *exchange) deliver(ctx context.Context, a *Answer) (retry bool, err error) {
-	p := fail.Origin{Peer: "upstream " + e.upstream.Name, Step: "read answer"}
+	p := fail.Origin{Peer: "upstream " + e.upstreamName(), Step: "read answer"}
 	b, err := readBody(ctx, a)
 	if errors.Is(err, errTooLarge) {
 		return false, e.copyAnswer(a, b)
 	}
 	if err != nil {
-		e.relay.health.RecordAnswer(e.upstream.Name, true, nil, time.Now())
+		e.relay.health.RecordAnswer(e.upstreamName(), true, nil, time.Now())
 		if ctx.Err() == nil {
-			e.checkCrash(e.upstream, 0)
+			e.checkCrash(&e.sent, 0)
 		}
-		e.checkCrashAfterDisconnect(e.upstream)
+		e.checkCrashAfterDisconnect(&e.sent)
 		return true, fail.Wrap(fail.Unknown, p, "answer_cut", err)
 	}
 	if a.Status < http.StatusMultipleChoices {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -31,16 +31,13 @@
 	fallback           *bufferedAnswer // a failed answer, forwarded if no other upstream succeeds
 	lastEventID        string          // id of the last event that the caller has, "" if it has none
 	longestGap         time.Duration   // longest time between two events forwarded
-	mayHaveRun         bool            // an upstream may have run the request
-	partsHarmless      bool            // the run at the current upstream has shown that the parts of the prompt are harmless
-	possibleRuns       int             // number of upstreams that may have run the request
+	possibleRuns       int             // number of upstreams that may have run the request, or may run it yet
 	retryChargedAt     time.Time       // when the next arrival was charged to the retry budget; zero if it was not
 	route              *resource.Route
 	service            *resource.Service
-	status             int       // of the answer forwarded; 0 until its header is written
-	sends              int       // attempts to send the request
-	sentAt             time.Time // last attempt
-	upstream           *resource.Upstream
+	status             int         // of the answer forwarded; 0 until its header is written
+	sends              int         // attempts to send the request
+	sent               sendAttempt // the last one
 	workspace          *resource.Workspace
 }
 
@@ -106,17 +103,27 @@
 	}
 	p := fail.Origin{Peer: fail.Peer(err), Step: fail.Step(err)}
 	if e.status == 0 && ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		if e.mayHaveRun {
+		if e.possibleRuns > 0 {
 			return fail.Wrap(errDeadline, p, "deadline", err)
 		}
 		return fail.Wrap(fail.NotRun, p, "deadline", err)
 	}
-	if e.mayHaveRun && errorx.IsOfType(err, fail.NotRun) {
+	if e.possibleRuns > 0 && errorx.IsOfType(err, fail.NotRun) {
 		return fail.Wrap(fail.Unknown, p, fail.Reason(err), err)
 	}
 	return err
 }
 
+// mayRunAgain reports whether the route allows that one more upstream runs the request.
+func (e *exchange) mayRunAgain() bool {
+	return e.route.Spec.RetryPolicy.Retryable() && e.possibleRuns < e.route.Spec.Attempts
+}
+
+// maySendAgain reports whether the request may still be sent to an upstream.
+func (e *exchange) maySendAgain() bool {
+	return e.callerCtx.Err() == nil && e.sends < maxSends && time.Now().Before(e.deadline) && e.quarantineError() == nil
+}
+
 // model returns the name under which the engines that run the request's model are listed.
 func (e *exchange) model() string {
 	return e.service.Name + "/" + e.request.Model
@@ -178,10 +185,7 @@
 // retry budget, unless no upstream has received the request since the last one was charged.
 func (e *exchange) shouldRetry(err error) bool {
 	x := e.relay
-	if e.callerCtx.Err() != nil || e.sends >= maxSends || !time.Now().Before(e.deadline) || e.quarantineError() != nil {
-		return false
-	}
-	if !errorx.IsOfType(err, fail.NotRun) && (!e.route.Spec.RetryPolicy.Retryable() || e.possibleRuns >= e.route.Spec.Attempts) {
+	if !e.maySendAgain() || !errorx.IsOfType(err, fail.NotRun) && !e.mayRunAgain() {
 		return false
 	}
 	if !e.takeRetry() {
@@ -220,10 +224,10 @@
 }
 
 func (e *exchange) upstreamName() string {
-	if e.upstream == nil {
+	if e.sent.upstream == nil {
 		return ""
 	}
-	return e.upstream.Name
+	return e.sent.upstream.Name
 }
 
 // upstreams returns the upstreams of the request's service that run its model, in the halls in which
--- a/internal/relay/fingerprints.go
+++ b/internal/relay/fingerprints.go
@@ -69,20 +69,20 @@
 // upstreams would have prevented. It does so once for each run: a part that becomes poisonous later does not
 // crash the upstreams of runs in progress.
 func (e *exchange) recordPartsHarmless() {
-	if e.partsHarmless {
+	if e.sent.partsHarmless {
 		return
 	}
-	e.partsHarmless = true
+	e.sent.partsHarmless = true
 	for _, p := range e.fingerprints()[1:] {
 		e.recordHarmless(p)
 	}
 }
 
-// suspects returns the suspects if the upstream of the request has crashed: the request, of whose stream
+// suspects returns the suspects if the upstream of an attempt has crashed: the request, of whose stream
 // that many events had come, and the parts of its prompt unless the run has shown that they are harmless.
-func (e *exchange) suspects(events int) []policy.Suspect {
+func (e *exchange) suspects(c *sendAttempt, events int) []policy.Suspect {
 	l := []policy.Suspect{{Events: events, Fingerprint: e.fingerprint()}}
-	if e.partsHarmless {
+	if c.partsHarmless {
 		return l
 	}
 	for _, p := range e.fingerprints()[1:] {
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -40,7 +40,8 @@
 // resumeAt resumes a run that was stopped for a move at an engine which has its memory. Since
 // the run cannot continue anywhere else, it does so for evacuatedResumeGrace after the engine's
 // hall was evacuated, and for one run during each back-off that the engine asked for.
-func (e *exchange) resumeAt(ctx context.Context, u *resource.Upstream, r *Resume) (*Answer, error) {
+func (s *stream) resumeAt(ctx context.Context, u *resource.Upstream, r *Resume) (*source, error) {
+	e := s.exchange
 	v, origin := e.relay.view.Upstream(u.Name), fail.Origin{Peer: "upstream " + u.Name, Step: "resume"}
 	if v != nil && v.Evacuated() && time.Since(v.EvacuatedAt) > evacuatedResumeGrace {
 		return nil, fail.New(fail.NotRun, origin, string(policy.ReasonEvacuated), "data hall %q is evacuated", v.Spec.Hall)
@@ -54,8 +55,7 @@
 	if !e.takeResumePermit(ctx, u) {
 		return nil, fail.New(fail.NotRun, origin, string(policy.ReasonLimited), "the upstream has reached its rate limit")
 	}
-	a, _, err := e.send(ctx, u, r)
-	return a, err
+	return s.open(ctx, nil, u, r)
 }
 
 // countReassignment counts a move, so that the reservation of the next one gets an id of its own.
@@ -68,10 +68,10 @@
 // failOver continues a stream that broke off with cause: from the copy that a move made, or
 // by running the generation again if the route allows it. An error means that the stream cannot be
 // continued.
-func (s *stream) failOver(ctx context.Context, cause error) (*Answer, error) {
-	a, err := s.resumeFromMove(ctx, cause)
+func (s *stream) failOver(ctx context.Context, cause error) (*source, error) {
+	x, err := s.resumeFromMove(ctx, cause)
 	if err == nil || s.exchange.route.Spec.RetryPolicy != resource.RetryResume {
-		return a, err
+		return x, err
 	}
 	return s.rerun(ctx, err)
 }
@@ -112,16 +112,16 @@
 // rerun runs the generation again, to continue after the last event that the caller has, at
 // one upstream after another while the route and the retry budget allow it. An error means that the
 // stream cannot be continued.
-func (s *stream) rerun(ctx context.Context, cause error) (*Answer, error) {
+func (s *stream) rerun(ctx context.Context, cause error) (*source, error) {
 	e := s.exchange
 	s.abandonMove()
 	for e.shouldRetry(cause) {
 		sends := e.sends
-		a, err := s.rerunOnce(ctx)
+		x, err := s.rerunOnce(ctx)
 		if err == nil {
 			e.relay.metrics.Count(metric.Resumptions, "reason", fail.Reason(cause))
 			event.StreamResumed.Log(e.relay.log, "request", e.request.ID, "upstream", s.upstream().Name, "reason", fail.Reason(cause), "last_event", e.lastEventID)
-			return a, nil
+			return x, nil
 		}
 		cause = err
 		if e.sends == sends {
@@ -146,9 +146,9 @@
 }
 
 // rerunOnce sends the request to one more upstream, to continue after the last event.
-func (s *stream) rerunOnce(ctx context.Context) (*Answer, error) {
+func (s *stream) rerunOnce(ctx context.Context) (*source, error) {
 	e := s.exchange
-	t, err := e.assign(ctx, s.remainingWork())
+	t, err := e.assign(ctx, s.remainingWork(), e.avoid)
 	if err != nil {
 		return nil, err
 	}
@@ -157,16 +157,16 @@
 	if err != nil {
 		return nil, err
 	}
-	a, _, err := e.send(ctx, u, nil)
+	x, err := s.open(ctx, t, u, nil)
 	if err != nil {
 		return nil, err
 	}
-	if a.Status != http.StatusOK {
-		_ = a.Body.Close()
-		return nil, fail.New(fail.Unknown, s.upstreamOrigin("resume"), "upstream_failed", "status %d", a.Status)
+	if x.answer.Status != http.StatusOK {
+		x.close()
+		return nil, fail.New(fail.Unknown, s.upstreamOrigin("resume"), "upstream_failed", "status %d", x.answer.Status)
 	}
 	e.relay.startMoves() // the engine may have announced its shutdown since it was chosen
-	return a, nil
+	return x, nil
 }
 
 // resumeCandidates returns the engines that hold the memory of a moved run, in the order in which
@@ -185,7 +185,7 @@
 
 // resumeFromMove resumes the generation after its stream broke off with cause, if a move has
 // copied it to another engine.
-func (s *stream) resumeFromMove(ctx context.Context, cause error) (*Answer, error) {
+func (s *stream) resumeFromMove(ctx context.Context, cause error) (*source, error) {
 	e := s.exchange
 	lost := fail.Wrap(fail.Interrupted, s.upstreamOrigin("read stream"), "stream_broken", cause)
 	if e.status == 0 {
@@ -201,35 +201,36 @@
 	if !m.hasCopy() {
 		return nil, lost
 	}
-	a, err := s.resumeMoved(ctx, m)
+	x, err := s.resumeMoved(ctx, m)
 	if err != nil {
 		e.relay.metrics.Count(metric.Moves, "result", "resume_failed")
 		event.MoveFailed.Log(e.relay.log, "request", e.request.ID, "from", m.from.Name, "to", m.to.Name, "reason", "resume_failed", "error", err.Error())
 		return nil, fail.Wrap(fail.Interrupted, s.upstreamOrigin("resume"), "move_lost", err)
 	}
-	return a, nil
+	return x, nil
 }
 
 // resumeMoved resumes the run at the first of the resumeCandidates that accepts it, and returns the
 // answer with the rest of the stream.
-func (s *stream) resumeMoved(ctx context.Context, m *move) (*Answer, error) {
-	e := s.exchange
+func (s *stream) resumeMoved(ctx context.Context, m *move) (*source, error) {
 	r := &Resume{Handle: m.copy.Handle, Source: m.from.HostPort()}
-	var a *Answer
+	var x *source
 	var err error
 	var u *resource.Upstream
 	for _, u = range s.resumeCandidates(m) {
-		if a, err = e.resumeAt(ctx, u, r); err == nil {
+		if x, err = s.resumeAt(ctx, u, r); err == nil {
 			break
 		}
 	}
 	if err != nil {
 		return nil, err
 	}
-	if a.Status != http.StatusOK {
-		_ = a.Body.Close()
-		return nil, fail.New(fail.Unknown, s.upstreamOrigin("resume"), "upstream_failed", "status %d", a.Status)
+	if x.answer.Status != http.StatusOK {
+		x.close()
+		return nil, fail.New(fail.Unknown, s.upstreamOrigin("resume"), "upstream_failed", "status %d", x.answer.Status)
+	}
+	if x.assignment == nil { // otherwise a takeover has made the stream go on elsewhere
+		s.recordMoved(m, u)
 	}
-	s.recordMoved(m, u)
-	return a, nil
+	return x, nil
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -26,6 +27,28 @@
 // fromAnswer names an upstream's own answer as the source of a change, in log lines.
 const fromAnswer = "its answer"
 
+// sendAttempt is one attempt to send the request to an upstream.
+type sendAttempt struct {
+	at            time.Time
+	chargedAt     time.Time // when it was charged to the retry budget; zero if it was not
+	partsHarmless bool      // the run has shown that the parts of the prompt are harmless
+	upstream      *resource.Upstream
+}
+
+// beginSend records that the request is sent to u, and returns the parameters. The upstream counts as one that
+// may run the request until it is known not to have.
+func (e *exchange) beginSend(u *resource.Upstream, r *Resume) *SendOptions {
+	e.sends++
+	e.avoid[u.Name] = true
+	e.sent = sendAttempt{at: time.Now(), upstream: u}
+	e.logPlaced(u, r)
+	e.chargeArrival()
+	e.sent.chargedAt, e.retryChargedAt = e.retryChargedAt, time.Time{}
+	e.arrivals++
+	e.possibleRuns++
+	return &SendOptions{Deadline: e.deadline, LastEventID: e.lastEventID, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
+}
+
 // chargeArrival charges an arrival beyond the first to the retry budget as of now. If shouldRetry has
 // not charged it, it is the resumption of a moved run, which the budget does not stop: the run would be
 // lost.
@@ -59,6 +82,7 @@
 		x.backoffs.RecordBackoff(u, now.Add(a.Backoff))
 	}
 	if a.NotRun {
+		e.possibleRuns--
 		// An upstream that rejects every request is never busy, so that least-loaded selection would
 		// send it the most. Unless it asks for back-off, its rejections therefore count as failures.
 		rejectsAll := impliesNotRun(a.Status) && a.Backoff == 0 // with any other status the request itself is at fault
@@ -69,8 +93,6 @@
 		event.UpstreamRefused.Log(x.log, "request", e.request.ID, "upstream", u.Name, "status", a.Status, "rest_ms", a.Backoff.Milliseconds())
 		return fail.WithRetryAt(fail.New(fail.NotRun, p, "upstream_refused", "status %d, request not run", a.Status), e.retryAt(now))
 	}
-	e.possibleRuns++
-	e.mayHaveRun = true
 	x.backoffs.RecordSuccess(u.Name)
 	mismatch := a.EchoMismatch || (a.Status < http.StatusBadRequest && !a.Stamped)
 	x.health.RecordAnswer(u.Name, mismatch || a.Status >= http.StatusInternalServerError, a.Load, now)
@@ -81,6 +103,39 @@
 	return nil
 }
 
+// endSend records the outcome of an attempt: the answer a, or the error err. It returns the answer unless that
+// must not be forwarded.
+func (e *exchange) endSend(ctx context.Context, c *sendAttempt, a *Answer, err error) (*Answer, error) {
+	x, u, now := e.relay, c.upstream, time.Now()
+	if err == nil {
+		if err = e.checkAnswer(u, a); err != nil {
+			_ = a.Body.Close()
+			return nil, err
+		}
+		return a, nil
+	}
+	if errorx.IsOfType(err, fail.NotRun) {
+		e.arrivals--
+		e.possibleRuns--
+		e.retryChargedAt = c.chargedAt
+		x.health.RecordUnreachable(u.Name, now)
+		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
+		return nil, err
+	}
+	if errors.Is(context.Cause(ctx), errUpstreamHeard) {
+		return nil, err // the box itself has ended the attempt
+	}
+	if e.callerCtx.Err() == nil { // otherwise the error says nothing about the upstream
+		x.health.RecordAnswer(u.Name, true, nil, now)
+	}
+	if ctx.Err() == nil {
+		e.checkCrash(c, 0)
+	}
+	e.checkCrashAfterDisconnect(c)
+	event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
+	return nil, err
+}
+
 // logPlaced logs to which upstream the request is sent, how long the choice took and
 // on which revisions it was based.
 func (e *exchange) logPlaced(u *resource.Upstream, r *Resume) {
@@ -132,60 +187,10 @@
 	return t
 }
 
-// send sends the request to u, or resumes a run there if r is set. An answer that belongs to
-// another request, or says that the request was not run, is returned as an error. retry reports
-// whether another upstream may be tried.
-func (e *exchange) send(ctx context.Context, u *resource.Upstream, r *Resume) (a *Answer, retry bool, err error) {
-	x := e.relay
-	e.sends++
-	e.sentAt, e.upstream, e.partsHarmless = time.Now(), u, false
-	o := &SendOptions{Deadline: e.deadline, LastEventID: e.lastEventID, Priority: e.priority(), Resume: r, Workspace: e.workspaceName()}
-	e.logPlaced(u, r)
-	e.chargeArrival()
-	ctx, stop := e.withFirstEventTimeout(ctx, u)
-	a, err = x.Upstreams.Send(ctx, u, e.request, o)
-	stop()
-	now := time.Now()
-	if errorx.IsOfType(err, fail.NotRun) {
-		e.avoid[u.Name] = true
-		x.health.RecordUnreachable(u.Name, now)
-		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
-		return nil, true, err
-	}
-	e.arrivals++
-	e.retryChargedAt = time.Time{}
-	e.avoid[u.Name] = true
-	if err != nil {
-		e.mayHaveRun = true
-		e.possibleRuns++
-		if e.callerCtx.Err() == nil { // otherwise the error says nothing about the upstream
-			x.health.RecordAnswer(u.Name, true, nil, now)
-		}
-		if ctx.Err() == nil {
-			e.checkCrash(u, 0)
-		}
-		e.checkCrashAfterDisconnect(u)
-		event.UpstreamFailed.Log(x.log, "request", e.request.ID, "upstream", u.Name, "reason", fail.Reason(err), "error", err.Error())
-		return nil, true, err
-	}
-	if err := e.checkAnswer(u, a); err != nil {
-		_ = a.Body.Close()
-		return nil, true, err
-	}
-	return a, false, nil
-}
-
-// withFirstEventTimeout returns a context that is cancelled after firstEventTimeout, unless the
-// returned function is called before. Streams that may not be resumed have no such timeout: they
-// cannot be run elsewhere.
-func (e *exchange) withFirstEventTimeout(ctx context.Context, u *resource.Upstream) (context.Context, func()) {
-	if e.route.Spec.RetryPolicy != resource.RetryResume {
-		return ctx, func() {}
-	}
-	c, cancel := context.WithCancel(ctx)
-	t := time.AfterFunc(firstEventTimeout, func() {
-		e.recordSilence(u, 0)
-		cancel()
-	})
-	return c, func() { t.Stop() }
+// send sends the request to u. An answer that belongs to another request, or says that the request was not
+// run, is returned as an error. Another upstream may be tried after an error.
+func (e *exchange) send(ctx context.Context, u *resource.Upstream) (*Answer, error) {
+	o := e.beginSend(u, nil)
+	a, err := e.relay.Upstreams.Send(ctx, u, e.request, o)
+	return e.endSend(ctx, &e.sent, a, err)
 }
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -65,7 +65,7 @@
 				for _, upstreams := range []int{1, 2, 4} {
 					s := silence{events: x.events, length: x.length, inTurn: inTurn, budget: budget}
 					t.Run(fmt.Sprintf("%d upstreams, %s after event %d, in turn %v, extra retries %v", upstreams, x.length, x.events, inTurn, budget), func(t *testing.T) {
-						withRig(t, upstreams, 0, func(t *testing.T, r *rig) {
+						withRig(t, upstreams, 0, func(_ *testing.T, r *rig) {
 							r.playSilence(&s, events)
 						}, withRetryBudget(0, budget, 1))
 					})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,7 +14,6 @@
 	"github.com/linetiller/linetiller/internal/meter"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
-	"github.com/linetiller/linetiller/internal/sse"
 )
 
 // stream is the answer to one generation, across all upstreams that it runs at.
@@ -42,8 +41,8 @@
 const (
 	// eventWriteTimeout bounds the write of one event to the caller.
 	eventWriteTimeout = 10 * time.Second
-	// firstEventTimeout is how long a stream that may be resumed waits for its first event
-	// before it is run elsewhere: under load, 99 % of first events arrive within 2 s.
+	// firstEventTimeout is how long a stream that may be resumed waits for its first event before a
+	// takeover begins: under load, 99 % of first events arrive within 2 s.
 	firstEventTimeout = 2 * time.Second
 	// nextEventTimeout is the same between two events, which arrive every 30 to 60 ms. It is longer
 	// than the pause of an engine that prefills a long prompt, and shorter than the 2 s after which
@@ -116,19 +115,28 @@
 	}
 }
 
-// eventTimeout returns how long to wait for the next event. For a stream that may not be resumed
-// that is until the request's deadline, since it cannot be run elsewhere.
+// eventTimeout returns how long an upstream may take to send the next event before it counts as silent.
 func (s *stream) eventTimeout() time.Duration {
-	e := s.exchange
-	switch {
-	case e.route.Spec.RetryPolicy != resource.RetryResume:
-		return time.Until(e.deadline)
-	case s.eventsDelivered() == 0:
+	if s.eventsDelivered() == 0 {
 		return firstEventTimeout
 	}
 	return nextEventTimeout
 }
 
+// discard closes a source that is not needed; nil is ignored.
+func (s *stream) discard(x *source) {
+	if x != nil {
+		x.close()
+		x.assignment.release(s.exchange.relay, false)
+	}
+}
+
+// endsAfterLastEvent reports whether a read error means that the upstream has ended the stream after the
+// last event that the caller has.
+func (s *stream) endsAfterLastEvent(err error) bool {
+	return errors.Is(err, io.EOF) && s.exchange.lastEventID != ""
+}
+
 // eventsDelivered returns the number of events forwarded.
 func (s *stream) eventsDelivered() int {
 	s.mutex.Lock()
@@ -136,41 +144,36 @@
 	return s.events
 }
 
-// forward forwards the events of one engine's answer to the caller. A nil error means that
-// the stream is complete.
-func (s *stream) forward(ctx context.Context, a *Answer) error {
-	closeBody := func() { _ = a.Body.Close() }
-	defer context.AfterFunc(ctx, closeBody)()
+// forward forwards the events of a source to the caller. It returns another source if the stream goes on
+// there, since the upstream of x was silent; err is then set if the answer of x broke off as well. Otherwise, a nil
+// error means that the stream is complete.
+func (s *stream) forward(ctx context.Context, x *source) (other *source, err error) {
+	defer context.AfterFunc(ctx, x.close)()
 	s.mutex.Lock()
-	s.closeAnswer = closeBody
+	s.closeAnswer = x.close
 	s.mutex.Unlock()
-	timer := time.AfterFunc(s.eventTimeout(), func() {
-		if s.exchange.route.Spec.RetryPolicy == resource.RetryResume {
-			s.exchange.recordSilence(s.upstream(), s.eventsDelivered())
-		}
-		closeBody()
-	})
-	defer timer.Stop()
-	x := sse.NewSplitter(a.Body)
+	w := s.newWatch(ctx, x.close)
 	events := 0
 	for {
-		timer.Reset(s.eventTimeout())
-		b, id, err := x.Next()
-		timer.Stop()
-		if errors.Is(err, io.EOF) && s.isComplete(ctx, a) {
-			return nil
+		w.arm(s.eventTimeout())
+		b, id, err := x.next()
+		complete := errors.Is(err, io.EOF) && s.isComplete(ctx, x.answer)
+		other := w.stop(err != nil && !complete)
+		if complete {
+			s.discard(other)
+			return nil, nil
 		}
-		if err != nil {
-			return err
+		if other != nil || err != nil {
+			return other, err
 		}
 		if s.alreadyDelivered(string(id)) {
 			continue
 		}
 		if err := s.checkSequence(string(id)); err != nil {
-			return err
+			return nil, err
 		}
-		if err := s.writeEvent(a, b); err != nil {
-			return fail.Wrap(fail.Interrupted, clientOrigin("deliver"), reasonCallerDisconnected, err)
+		if err := s.writeEvent(x.answer, b); err != nil {
+			return nil, fail.Wrap(fail.Interrupted, clientOrigin("deliver"), reasonCallerDisconnected, err)
 		}
 		s.recordEvent(string(id))
 		if events++; events == clearanceLeadEvents {
@@ -235,27 +238,36 @@
 
 // run forwards the stream to its end and fails over to other upstreams if it breaks. retry reports
 // whether the request may be sent to another upstream from the beginning.
-func (s *stream) run(ctx context.Context, a *Answer) (retry bool, err error) {
-	if a.Status != http.StatusOK {
-		return s.exchange.deliver(ctx, a)
+func (s *stream) run(ctx context.Context, x *source) (retry bool, err error) {
+	e := s.exchange
+	if x.answer.Status != http.StatusOK {
+		defer x.close()
+		return e.deliver(ctx, x.answer)
 	}
 	for {
-		err := s.forward(ctx, a)
-		_ = a.Body.Close()
-		if err == nil {
+		other, err := s.forward(ctx, x)
+		x.close()
+		switch {
+		case other != nil:
+			if err != nil {
+				e.checkCrashOfSilent(&x.sent, s.position())
+			}
+			s.adopt(other)
+			x = other
+			continue
+		case err == nil:
 			s.finished = true
-			s.exchange.recordCompleted()
-			s.writeHeader(a) // no event has written it if the caller had all of them before
+			e.recordCompleted()
+			s.writeHeader(x.answer) // no event has written it if the caller had all of them before
 			return false, nil
-		}
-		if ctx.Err() != nil || fail.Reason(err) == reasonCallerDisconnected {
+		case ctx.Err() != nil || fail.Reason(err) == reasonCallerDisconnected:
 			if s.eventsDelivered() == 0 {
-				s.exchange.checkCrashAfterDisconnect(s.upstream())
+				e.checkCrashAfterDisconnect(&e.sent)
 			}
 			return false, fail.Wrap(fail.Interrupted, s.upstreamOrigin("read stream"), reasonCallerDisconnected, err)
 		}
-		s.exchange.checkCrash(s.upstream(), s.position())
-		if a, err = s.failOver(ctx, err); err != nil {
+		e.checkCrash(&e.sent, s.position())
+		if x, err = s.failOver(ctx, err); err != nil {
 			return false, err
 		}
 	}
