A stream that broke off releases its place before it waits for another

Callers of streams that may be resumed got nothing more until their deadlines once the answers at all upstreams broke off at the same time: 0 of 36 streams whole, the last one given up after 36 s, although the upstreams served again at once.

Cause: the stream kept its reservation at the upstream that had run it until it had a place elsewhere. Its owner sees a run without progress and starts nothing else there meanwhile; with such a run at each upstream, no place becomes free.

The place is released as the stream breaks off. The reservation of an upstream that is only silent stays, since its run does.

--- a/internal/fake/routed/pause.go
+++ b/internal/fake/routed/pause.go
@@ -28,3 +28,10 @@
 		}
 	}
 }
+
+// Reset breaks off the answers of all streams, as a lost link does. The engine goes on.
+func (e *Engine) Reset() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.wakeStreams()
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -138,10 +138,11 @@
 }
 
 // release removes the request from the counts of the upstream; ended is whether the
-// generation ran to completion there.
+// generation ran to completion there. Further calls do nothing.
 func (t *assignment) release(x *Relay, ended bool) {
 	if t.end != nil {
 		t.end()
+		t.end = nil
 	}
 	if t.running != nil {
 		x.tracker.Finish(t.running, ended)
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -115,6 +115,7 @@
 func (s *stream) rerun(ctx context.Context, cause error) (*source, error) {
 	e := s.exchange
 	s.abandonMove()
+	s.assignment.release(e.relay, false) // its owner starts no other work there while a run makes no progress
 	for e.shouldRetry(cause) {
 		sends := e.sends
 		x, err := s.rerunOnce(ctx)
