A generation whose engine is silent goes on with it until the deadline

The box closes a stream without tokens after 10 s and opens it again at the same engine, the only one that has the run. It gave up after 3 s of failed attempts, and counted one that the engine did not answer in time like one that found no process. An engine that accepts a connection and says nothing is silent, not lost: attempts go on until the request's deadline. Connections that are refused, or that cannot be opened, end it after 3 s, as before.

The errors of such attempts have the reason upstream_silent.

--- a/internal/delivery/forwarder.go
+++ b/internal/delivery/forwarder.go
@@ -50,7 +50,7 @@
 		if idle > maxIdleReopens {
 			return fail.Wrap(fail.Interrupted, f.upstreamOrigin("resume"), "no_progress", err)
 		}
-		if err := f.reopen(time.Now().Add(resumeTimeout), err); err != nil {
+		if err := f.reopen(err); err != nil {
 			return err
 		}
 	}
@@ -125,10 +125,11 @@
 }
 
 // reopen opens the stream at the next token. It fails if the generation was cancelled, if the upstream
-// does not know it or if no attempt succeeds until lostAt. cause is the error that ended
-// the previous stream.
-func (f *forwarder) reopen(lostAt time.Time, cause error) error {
+// does not know it, or if no attempt succeeds within resumeTimeout or, as long as the upstream is only silent,
+// before the request's deadline. cause is the error that ended the previous stream.
+func (f *forwarder) reopen(cause error) error {
 	d := f.session.deliverer
+	lostAt := time.Now().Add(resumeTimeout)
 	if fail.Reason(cause) == "cancelled" {
 		return cause
 	}
@@ -143,6 +144,9 @@
 			event.StreamResumed.Log(d.log, "upstream", f.upstream.Name, "reason", fail.Reason(cause), "index", f.session.deliveredTokens)
 			return nil
 		}
+		if fail.Reason(err) == upstream.ReasonSilent && time.Now().Before(f.session.request.Work.Deadline) {
+			lostAt = time.Now().Add(resumeTimeout)
+		}
 		if errorx.IsOfType(err, fail.NotFound) || time.Now().After(lostAt) {
 			return fail.Wrap(fail.Interrupted, f.upstreamOrigin("resume"), "generation_lost", err)
 		}
--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -36,6 +36,7 @@
 	"stream_gap":             "an event was missing from the upstream's stream",
 	"upstream_failed":        "the upstream failed",
 	"upstream_lost":          "the connection to the upstream was lost",
+	"upstream_silent":        "the upstream sent nothing for longer than usual",
 	"upstream_refused":       "the upstream refused to run it",
 	"upstream_unreachable":   "the upstream could not be reached",
 	"upstreams_out_of_reach": "recent connection attempts to all of the upstreams had failed",
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +43,7 @@
 // Reasons of errors.
 const (
 	ReasonLeaving     = "upstream_leaving"     // an engine answers that it accepts no new work
+	ReasonSilent      = "upstream_silent"      // the upstream accepted the connection, but sent no response in time
 	ReasonUnreachable = "upstream_unreachable" // no connection to the upstream could be made, so that it received nothing
 )
 
@@ -273,8 +275,12 @@
 // sendError returns the error of a request without a response. It is of type fail.NotRun if nothing
 // was sent, and fail.Unknown otherwise.
 func sendError(p fail.Origin, err error) error {
-	if IsDialError(err) {
+	var n net.Error
+	switch {
+	case IsDialError(err):
 		return fail.Wrap(fail.NotRun, p, ReasonUnreachable, err)
+	case errors.As(err, &n) && n.Timeout():
+		return fail.Wrap(fail.Unknown, p, ReasonSilent, err)
 	}
 	return fail.Wrap(fail.Unknown, p, "upstream_lost", err)
 }
--- a/silent_upstreams_test.go
+++ b/silent_upstreams_test.go
@@ -122,3 +122,52 @@
 "services":[{"name":"llm","engine":{"slots":64,"kv_tokens":34545,"kv_bytes":18432,"link_mbps":2700.0,"moves":true,"stride":4,"models":[{"name":"m"}]}}],
 "tenants":[{"name":"w","api_keys":[%q]}]}`, version, routedHost, resumable, attempts, routedKey)))
 }
+
+// TestStreamsOutlastLapsedEntries guards against streams that are lost because the entry of their upstream lapses while
+// it is silent.
+func TestStreamsOutlastLapsedEntries(t *testing.T) {
+	for _, length := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
+		for _, resumable := range []bool{false, true} {
+			for _, returns := range []bool{true, false} {
+				for _, share := range []int{1, 4} {
+					t.Run(fmt.Sprintf("%d silent for %s, resumable %v, entries return %v", share, length, resumable, returns), func(t *testing.T) {
+						withRoutedRegion(t, func(t *testing.T, r *routedRegion) {
+							r.configureStreams(2, resumable)
+							time.Sleep(3 * time.Second)
+							var g sync.WaitGroup
+							for i := range 8 {
+								n := boxesAlternatingHalls[i%len(boxesAlternatingHalls)]
+								g.Go(func() {
+									events, complete, status := r.streamPlan(n, fmt.Sprint("stream-", i), routedKey, 800)
+									if !complete || events != 200 {
+										t.Errorf("stream %d: got %d events, complete %v, status %d; want 200, complete", i, events, complete, status)
+									}
+								})
+							}
+							time.Sleep(2 * time.Second)
+							r.lapse([]string{"i-a1", "i-a2", "i-b1", "i-b2"}[:share], length, returns)
+							g.Wait()
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// lapse silences upstreams. Their entries lapse a second later, and return as the upstreams go on if returns is set.
+func (r *routedRegion) lapse(names []string, length time.Duration, returns bool) {
+	for _, n := range names {
+		r.upstreams[n].Pause(length)
+	}
+	time.Sleep(time.Second)
+	for _, n := range names {
+		r.platform.Remove("servers/" + n)
+	}
+	time.Sleep(length - time.Second)
+	for _, n := range names {
+		if returns {
+			r.listUpstream(n, "ready")
+		}
+	}
+}
