The header of an upstream's response is bounded at 64 KiB

An upstream in trouble may send a header without end. A box read 10 MiB of each, the library's default, so that a dozen such answers took the memory of a small box.

TestHeaderWithoutEnd counts what is read over a connection without buffers: 10,485,760 bytes before for each form (fields, one long field, a status line, interim responses), at most 131,072 now.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -47,6 +47,9 @@
 	ReasonUnreachable = "upstream_unreachable" // no connection to the upstream could be made, so that it received nothing
 )
 
+// MaxHeaderBytes bounds the header of a response: an upstream in trouble may send bytes without end.
+const MaxHeaderBytes = 64 << 10
+
 const (
 	maxResponseBytes          = 1 << 20
 	maxIdleConnectionsPerHost = 256
@@ -58,6 +61,8 @@
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = maxIdleConnectionsPerHost
 	t.ResponseHeaderTimeout = timeout
+	t.MaxResponseHeaderBytes = MaxHeaderBytes
+
 	t.DialContext = (&net.Dialer{Timeout: timeout}).DialContext
 	c := &Client{http: &http.Client{Transport: t}, timeout: timeout}
 	for _, o := range options {
