Blank lines without end in a stream cost a box time in proportion to their number

An upstream in trouble may send a body of blank lines. For each of them the box looked through all that it had of the event, up to 1 MiB, to see whether any line of it is not blank: a stream of 64 KiB each millisecond held a core for more than ten minutes in a run of TestStreamOfBytesWithoutEnd, which was then ended.

The splitter remembers whether the event has begun. The test passes in 0.1 s, and TestSplitterReadsBlankLines reads half a MiB of them. TestAnswerWithoutEnd found no fault: an answer without end is cut off at the route's timeout.

--- /dev/null
+++ b/internal/relay/endless_test.go
@@ -0,0 +1,73 @@
+package relay_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// endlessBody answers each request with text without end, in pieces of 64 KiB each millisecond, until its caller closes
+// the answer.
+type endlessBody struct {
+	text string
+	sent int // bytes of the last answer
+}
+
+func (b *endlessBody) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	const piece = 64 << 10
+	h := w.Header()
+	h.Set("X-Linetiller-Request-Id", r.Header.Get("X-Linetiller-Request-Id"))
+	h.Set("X-Linetiller-Server-Stamp", "stamp")
+	b.sent = 0
+	text := strings.Repeat(b.text, piece/len(b.text))
+	for r.Context().Err() == nil {
+		n, err := w.Write([]byte(text))
+		if b.sent += n; err != nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// TestStreamOfBytesWithoutEnd guards against an upstream in trouble that sends bytes that are no events: a box reads a
+// bounded number of them, and a stream that may be resumed goes on at another upstream.
+func TestStreamOfBytesWithoutEnd(t *testing.T) {
+	const maxWant = 2 << 20
+	for name, text := range map[string]string{"one line": "x", "comments": ": comment\n", "empty lines": "\n", "data": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, 2, 0, func(t *testing.T, r *rig) {
+				b := &endlessBody{text: text}
+				r.link.Handle("u1", b)
+				s, err := r.readStream(checkRequest(t.Context(), 200), nil)
+				if err != nil || !s.complete || s.events != 50 || b.sent > maxWant {
+					t.Errorf("a stream that may be resumed: got %+v %v and %d bytes read, want 50 events, an end and at most %d", s, err, b.sent, maxWant)
+				}
+				began := time.Now()
+				w, _, err := r.do(planRequest(t.Context(), "plan", 200))
+				if err == nil && w.StatusCode == http.StatusOK || b.sent > maxWant || time.Since(began) > time.Second {
+					t.Errorf("another stream: got %+v %v after %s and %d bytes read, want a failure at once and at most %d", w, err, time.Since(began), b.sent, maxWant)
+				}
+			})
+		})
+	}
+}
+
+// TestAnswerWithoutEnd guards against an answer without end that holds its caller longer than the route allows, or looks
+// complete.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for _, path := range []string{"/once/x", "/often/x"} {
+		withRig(t, 0, 1, func(t *testing.T, r *rig) {
+			r.link.Handle("s1", &endlessBody{text: "x"})
+			began := time.Now()
+			w, _, err := r.do(request(t.Context(), http.MethodPost, path, "id", ""))
+			if err == nil && w.StatusCode < http.StatusInternalServerError {
+				t.Errorf("%s: got %+v, want an answer that is cut off", path, w)
+			}
+			if got, maxWant := time.Since(began), 2*time.Second; got > maxWant {
+				t.Errorf("%s: the answer ended after %s, want at most the 1.5 s of the route and half a second", path, got)
+			}
+		})
+	}
+}
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -9,6 +9,7 @@
 
 // Splitter splits a stream into its events and returns them unchanged.
 type Splitter struct {
+	begun  bool // event has a line that is not blank
 	event  []byte
 	id     []byte
 	reader *bufio.Reader
@@ -24,7 +25,7 @@
 // the error is then io.ErrUnexpectedEOF instead of io.EOF. An event of more than MaxLineBytes gives
 // ErrTooLarge.
 func (s *Splitter) Next() (event, id []byte, err error) {
-	s.event, s.id = s.event[:0], s.id[:0]
+	s.begun, s.event, s.id = false, s.event[:0], s.id[:0]
 	for {
 		l, err := s.reader.ReadSlice('\n')
 		s.event = append(s.event, l...)
@@ -32,6 +33,7 @@
 			return nil, nil, ErrTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			s.begun = s.begun || len(bytes.TrimSpace(l)) > 0
 			continue
 		}
 		if err != nil {
@@ -53,5 +55,6 @@
 	if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 		s.id = append(s.id[:0], bytes.TrimSpace(v)...)
 	}
-	return len(line) == 0 && len(bytes.TrimSpace(s.event)) > 0
+	s.begun = s.begun || len(bytes.TrimSpace(line)) > 0
+	return len(line) == 0 && s.begun
 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -64,3 +64,18 @@
 		t.Fatal("more events than bytes")
 	})
 }
+
+// TestSplitterReadsBlankLines guards against blank lines without end that take a box's processor: each of them cost as much
+// time as all before it together.
+func TestSplitterReadsBlankLines(t *testing.T) {
+	lines := strings.Repeat("\n", MaxLineBytes/2)
+	x := NewSplitter(strings.NewReader(lines + "id: 1\n\n"))
+	b, id, err := x.Next()
+	if err != nil || string(id) != "1" || len(b) != len(lines)+len("id: 1\n\n") {
+		t.Errorf("got %d bytes, id %q, %v; want all of them, 1", len(b), id, err)
+	}
+	x = NewSplitter(strings.NewReader(strings.Repeat(" \r\n", MaxLineBytes)))
+	if _, _, err := x.Next(); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("blank lines beyond the limit: got %v, want %v", err, ErrTooLarge)
+	}
+}
