An event is not split where a line fills the reader's buffer

A line of exactly 4,096 bytes, or a multiple, left its line feed for the next read, which was taken for the empty line that ends an event. The first part had no id, so that the box broke the stream off as one with a gap (302), and ran it elsewhere, or not at all where it may not be resumed.

TestSplitterReadsLongLines: lines of 4,096 and 8,192 bytes failed before.

--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -26,7 +26,7 @@
 // ErrTooLarge.
 func (s *Splitter) Next() (event, id []byte, err error) {
 	s.begun, s.event, s.id = false, s.event[:0], s.id[:0]
-	for {
+	for partial := false; ; {
 		l, err := s.reader.ReadSlice('\n')
 		s.event = append(s.event, l...)
 		if len(s.event) > MaxLineBytes {
@@ -34,6 +34,7 @@
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			s.begun = s.begun || len(bytes.TrimSpace(l)) > 0
+			partial = true
 			continue
 		}
 		if err != nil {
@@ -42,9 +43,10 @@
 			}
 			return nil, nil, err
 		}
-		if s.endsEvent(l) {
+		if s.endsEvent(l) && !partial {
 			return s.event, s.id, nil
 		}
+		partial = false
 	}
 }
 
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -65,6 +65,20 @@
 	})
 }
 
+// TestSplitterReadsLongLines guards against events that are split where a line fills the reader's buffer exactly.
+func TestSplitterReadsLongLines(t *testing.T) {
+	for _, n := range []int{initialBufferBytes - 1, initialBufferBytes, initialBufferBytes + 1, 2 * initialBufferBytes} {
+		event := "data: " + strings.Repeat("x", n-len("data: ")) + "\nid: 1\n\n"
+		x := NewSplitter(strings.NewReader(event + event))
+		for range 2 {
+			b, id, err := x.Next()
+			if err != nil || string(b) != event || string(id) != "1" {
+				t.Errorf("a line of %d bytes: got %d bytes, id %q, %v; want %d bytes, id 1", n, len(b), id, err, len(event))
+			}
+		}
+	}
+}
+
 // TestSplitterReadsBlankLines guards against blank lines without end that take a box's processor: each of them cost as much
 // time as all before it together.
 func TestSplitterReadsBlankLines(t *testing.T) {
