The soak silences sound upstreams, and checks that streams are whole

make soak-silences runs real boxes while all upstreams, or some, fall silent for 0.3 to 1.9 s and go on, with boxes stopped and killed and a retry budget that is often used up. A stream whose caller stays and whose box is not disturbed must not be cut off or fail.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 programs := linetiller experiment soak fakeengine fakeplatform fakeservice demo
 tools := bin/tools
 
-.PHONY: all build demo lint measure measure-moves measure-scale race-whole soak soak-cases soak-changes soak-links soak-parts soak-restarts test tidy format
+.PHONY: all build demo lint measure measure-moves measure-scale race-whole soak soak-cases soak-changes soak-links soak-parts soak-restarts soak-silences test tidy format
 
 all: build
 
@@ -68,6 +68,10 @@
 soak-restarts: build
 	bin/soak -programs bin -changes=false -copies=false -halls=false -limits=false -links=false -parts=false -rows=false -words=false -faults '^$$' -restarts $(SOAK) -seed $(SEED) -for $(FOR)
 
+# Upstreams that fall silent and go on, while boxes are stopped and killed: no stream at the others may be cut off.
+soak-silences: build
+	bin/soak -programs bin -changes=false -copies=false -halls=false -limits=false -links=false -many=false -parts=false -rows=false -words=false -faults 'box (killed|stopped)|configuration' -silences $(SOAK) -seed $(SEED) -for $(FOR)
+
 # The seeds that ever failed; docs/incidents tells why.
 soak_cases := 9 111 114 314
 soak_cases_words := 306
--- a/internal/fake/soak/caller.go
+++ b/internal/fake/soak/caller.go
@@ -19,13 +19,14 @@
 	violations     []string       // descriptions of violated guarantees
 	statusCounts   map[string]int // number of answers by status
 	http           *http.Client
-	mutex          sync.Mutex // guards atMostOnce, dispatches, leavingNotices, partPeriods, refused, statusCounts and violations
+	mutex          sync.Mutex // guards atMostOnce, dispatches, leavingNotices, partPeriods, refused, silenceCounts, statusCounts and violations
 	leavingNotices []leavingNotice
 	refused        []string            // IDs of requests that were answered as not run
 	dispatches     map[string]dispatch // by request ID
 	atMostOnce     []string            // IDs of requests that may run at most once
 	cluster        *cluster
 	partPeriods    []*partPeriod
+	silenceCounts  silenceCounts
 	linkCuts       []*linkCut // only used by the goroutine of runLinkCuts until it has ended
 }
 
@@ -234,7 +235,9 @@
 			time.AfterFunc(time.Duration(r.IntN(600))*time.Millisecond, cancel)
 		}
 		for attempt := 1; s != nil && attempt <= maxAttempts; attempt++ {
-			served := c.call(callCtx, c.cluster.boxes[r.IntN(len(c.cluster.boxes))], s)
+			box, sentAt := c.cluster.boxes[r.IntN(len(c.cluster.boxes))], time.Now()
+			served := c.call(callCtx, box, s)
+			c.recordStream(callCtx, box, s, sentAt, served)
 			if served || callCtx.Err() != nil {
 				break
 			}
--- a/internal/fake/soak/cluster.go
+++ b/internal/fake/soak/cluster.go
@@ -37,6 +37,7 @@
 	crashes        []crash
 	endedUpstreams []*soakUpstream // upstreams that have ended
 	platform       *fakeplatform.Platform
+	retryExtra     int // retries in a window, of all boxes together, that do not depend on the number of requests
 	programFolder  string
 	storeServer    *httptest.Server
 	harnessErrors  []error // failures of the soak itself, as opposed to violations
@@ -82,12 +83,12 @@
 )
 
 // newCluster starts a cluster in two data halls or, if it is wide, in three.
-func newCluster(programs string, cold, wide bool) (*cluster, error) {
+func newCluster(programs string, cold, wide bool, retryExtra int) (*cluster, error) {
 	d, err := os.MkdirTemp("", "linetiller-soak-")
 	if err != nil {
 		return nil, err
 	}
-	w := &cluster{cold: cold, directory: d, halls: "ab", logs: newLogFile(filepath.Join(d, "boxes.log")), evacuating: make(map[byte]bool), platform: fakeplatform.New(), programFolder: programs, upstreams: make(map[string]*soakUpstream)}
+	w := &cluster{cold: cold, directory: d, halls: "ab", logs: newLogFile(filepath.Join(d, "boxes.log")), evacuating: make(map[byte]bool), platform: fakeplatform.New(), programFolder: programs, retryExtra: retryExtra, upstreams: make(map[string]*soakUpstream)}
 	if wide {
 		w.halls = "abc"
 	}
@@ -152,7 +153,7 @@
 platform = "1s"
 drain = "500ms"
 leave = "3s"
-`, b.name, w.halls[i%len(w.halls)], addresses[0], addresses[1], addresses[2], b.storeProxy.address(), addresses[3], addresses[4], addresses[5], retryExtra, retryRatio, retryWindow, coldSlack)
+`, b.name, w.halls[i%len(w.halls)], addresses[0], addresses[1], addresses[2], b.storeProxy.address(), addresses[3], addresses[4], addresses[5], w.retryExtra, retryRatio, retryWindow, coldSlack)
 	b.settingsText = s
 	if err := b.writeSettings(""); err != nil {
 		return err
--- a/internal/fake/soak/retrybudget.go
+++ b/internal/fake/soak/retrybudget.go
@@ -26,7 +26,7 @@
 		for _, from := range retries {
 			n := countWithin(retries, from)
 			sent := max(countWithin(requests, from), countWithin(requests, from.Add(-retryWindow/2)), countWithin(requests, from.Add(-retryWindow)))
-			allowed := retryRatio*float64(sent) + retryExtra
+			allowed := retryRatio*float64(sent) + float64(c.cluster.retryExtra)
 			if share := float64(n) / allowed; share > 1 && largest <= 1 {
 				c.addViolation("service %s: %d retries in the window from %s for %d requests, %.0f allowed", service, n, from.Format(time.RFC3339Nano), sent, allowed)
 			}
--- a/internal/fake/soak/soak.go
+++ b/internal/fake/soak/soak.go
@@ -47,6 +47,7 @@
 	parts := f.Bool("parts", true, "send requests with parts of prompts that crash upstreams, and sound ones that share the other parts")
 	restarts := f.Bool("restarts", false, "also have all upstreams reject requests or fail, and restart all boxes or a part of them several times in a row")
 	rows := f.Bool("rows", true, "also write invalid rows to the table of upstreams")
+	silences := f.Bool("silences", false, "also have upstreams fall silent and go on, and check that no stream is cut off; without other faults of upstreams")
 	words := f.Bool("words", true, "have upstreams announce in answers that they are leaving or request back-off, and send poison requests that crash them")
 	wide := f.Bool("wide", false, "run nine boxes in three halls instead of four in two")
 	connections := f.Bool("connections", false, "inject no faults; measure what connections cost a box instead")
@@ -70,7 +71,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
-	violations, err := run(*programs, *seed, *duration, activities{boxRestarts: *restarts, changes: *changes, restores: *copies, faults: pattern, evacuations: *halls, limits: *limits, links: *links, poisonBursts: *many, poisonParts: *parts, invalidRows: *rows, wide: *wide, notices: *words}, output)
+	violations, err := run(*programs, *seed, *duration, activities{boxRestarts: *restarts, changes: *changes, restores: *copies, faults: pattern, evacuations: *halls, limits: *limits, links: *links, poisonBursts: *many, poisonParts: *parts, invalidRows: *rows, silences: *silences, wide: *wide, notices: *words}, output)
 	if err != nil {
 		_, _ = fmt.Fprintln(output, "soak:", err)
 		return exitFailure
@@ -96,6 +97,7 @@
 	links        bool           // boxes are cut off from all upstreams
 	poisonBursts bool           // poison requests are also sent several at once, and for longer
 	poisonParts  bool           // requests with poison parts in their prompts are sent
+	silences     bool           // upstreams fall silent and go on, and streams must be whole
 	invalidRows  bool           // invalid rows are written to the table of upstreams
 	wide         bool           // nine boxes in three halls
 	notices      bool           // upstreams announce in answers that they are leaving or request back-off, and poison requests are sent
@@ -128,6 +130,9 @@
 	if x.invalidRows {
 		g.Go(func() { w.runInvalidRows(ctx, rand.New(rand.NewPCG(seed, invalidRowsRNGStream))) })
 	}
+	if x.silences {
+		g.Go(func() { w.runSilences(ctx, rand.New(rand.NewPCG(seed, silencesRNGStream))) })
+	}
 	if x.notices {
 		g.Go(func() { w.runNotices(ctx, rand.New(rand.NewPCG(seed, noticesRNGStream))) })
 		g.Go(func() { c.runPoison(ctx, rand.New(rand.NewPCG(seed, poisonRNGStream)), x.poisonBursts) })
@@ -136,7 +141,11 @@
 
 // run runs one soak and returns the violations of the guarantees.
 func run(programs string, seed uint64, duration time.Duration, x activities, output io.Writer) (violations []string, err error) {
-	w, err := newCluster(programs, x.evacuations, x.wide)
+	extra := retryExtra
+	if x.silences {
+		extra = silencesRetryExtra
+	}
+	w, err := newCluster(programs, x.evacuations, x.wide, extra)
 	if err != nil {
 		return nil, err
 	}
@@ -168,6 +177,9 @@
 	c.checkParts(output)
 	c.checkLinkCuts(output)
 	c.checkRetryBudget(output)
+	if x.silences {
+		c.checkSilences(output)
+	}
 	p.report(output)
 	if len(w.harnessErrors) > 0 {
 		return c.violations, fmt.Errorf("the soak itself failed: %v; logs of the boxes: %s", w.harnessErrors, w.logs.path)
