--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -11,7 +12,7 @@
 // the answer.
 type endlessBody struct {
 	text string
-	sent int // bytes of the last answer
+	sent atomic.Int64 // bytes of all answers
 }
 
 func (b *endlessBody) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -19,11 +20,10 @@
 	h := w.Header()
 	h.Set("X-Linetiller-Request-Id", r.Header.Get("X-Linetiller-Request-Id"))
 	h.Set("X-Linetiller-Server-Stamp", "stamp")
-	b.sent = 0
 	text := strings.Repeat(b.text, piece/len(b.text))
 	for r.Context().Err() == nil {
 		n, err := w.Write([]byte(text))
-		if b.sent += n; err != nil {
+		if b.sent.Add(int64(n)); err != nil {
 			return
 		}
 		time.Sleep(time.Millisecond)
@@ -41,13 +41,14 @@
 				b := &endlessBody{text: text}
 				r.link.Handle("u1", b)
 				s, err := r.readStream(checkRequest(t.Context(), 200), nil)
-				if err != nil || !s.complete || s.events != 50 || b.sent > maxWant {
-					t.Errorf("a stream that may be resumed: got %+v %v and %d bytes read, want 50 events, an end and at most %d", s, err, b.sent, maxWant)
+				if err != nil || !s.complete || s.events != 50 || b.sent.Load() > maxWant {
+					t.Errorf("a stream that may be resumed: got %+v %v and %d bytes read, want 50 events, an end and at most %d", s, err, b.sent.Load(), maxWant)
 				}
+				b.sent.Store(0)
 				began := time.Now()
 				w, _, err := r.do(planRequest(t.Context(), "plan", 200))
-				if err == nil && w.StatusCode == http.StatusOK || b.sent > maxWant || time.Since(began) > time.Second {
-					t.Errorf("another stream: got %+v %v after %s and %d bytes read, want a failure at once and at most %d", w, err, time.Since(began), b.sent, maxWant)
+				if err == nil && w.StatusCode == http.StatusOK || b.sent.Load() > maxWant || time.Since(began) > time.Second {
+					t.Errorf("another stream: got %+v %v after %s and %d bytes read, want a failure at once and at most %d", w, err, time.Since(began), b.sent.Load(), maxWant)
 				}
 			})
 		})
