A stream whose answer breaks off between two takeovers goes on at once

A takeover whose upstream had rejected the request paused for half a second, and went on pausing when the answer of the silent upstream broke off meanwhile: the stream waited 1.74 to 1.79 s for its next event, where another upstream was free.

The takeover forgets the request that it sent once that upstream cannot go on, so that it is cancelled with the answer. TestAnswerBreaksBetweenTakeovers failed before (at most 1.5 s). The stand-in's stalled streams break off when it crashes; until now they did not, so that TestAnswerBreaksDuringTakeover tested nothing: it fails now if the takeover is cancelled as the answer breaks.

--- a/internal/fake/routed/pause.go
+++ b/internal/fake/routed/pause.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// stall waits until the engine crashes, its streams are reset, or the caller of r leaves.
+func (e *Engine) stall(r *http.Request) {
+	e.mutex.Lock()
+	c := e.changed
+	e.mutex.Unlock()
+	select {
+	case <-c:
+	case <-r.Context().Done():
+	}
+}
+
 // Reset breaks off the answers of all streams, as a lost link does. The engine goes on.
 func (e *Engine) Reset() {
 	e.mutex.Lock()
--- a/internal/fake/routed/streams.go
+++ b/internal/fake/routed/streams.go
@@ -114,7 +114,8 @@
 	poisonPart := e.poisonPartOf(r)
 	for n := x.kv.events + 1; n <= events; n++ {
 		if f.StallAfter > 0 && n > f.StallAfter {
-			<-r.Context().Done()
+			e.stall(r)
+			panic(http.ErrAbortHandler)
 		}
 		if !e.awaitNextEvent(r, x) {
 			panic(http.ErrAbortHandler)
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -25,7 +25,7 @@
 
 	mutex    sync.Mutex // guards the fields below
 	failed   bool       // the answer of the silent upstream has broken off
-	sent     bool       // the request was sent to another upstream
+	sent     bool       // the request was sent to another upstream, which may go on with the stream
 	finished bool       // source is set
 }
 
@@ -60,6 +60,13 @@
 	return t.sent
 }
 
+// endSend records that the upstream to which the request was sent cannot go on with the stream.
+func (t *takeover) endSend() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.sent = false
+}
+
 // finish ends the takeover with a source, unless it was cancelled before.
 func (t *takeover) finish(x *source) bool {
 	t.mutex.Lock()
@@ -157,6 +164,7 @@
 			s.discard(x)
 			break
 		}
+		t.endSend()
 		t.pause()
 	}
 	e.sent = silent
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +18,9 @@
 // settled is the time after which a run has ended that was broken off while its prompt was prefilled.
 const settled = 250 * time.Millisecond
 
+// crashCheckTime is how long a box waits to learn whether an upstream has crashed.
+const crashCheckTime = 50 * time.Millisecond
+
 // arrivalsOf returns how many requests with an id reached upstreams.
 func (r *rig) arrivalsOf(id string) int {
 	n := 0
@@ -140,6 +144,30 @@
 	})
 }
 
+// TestAnswerBreaksBetweenTakeovers guards against a stream that waits for the next try of a takeover although the answer
+// of its silent upstream has broken off.
+func TestAnswerBreaksBetweenTakeovers(t *testing.T) {
+	withRig(t, 2, 0, func(t *testing.T, r *rig) {
+		r.engines["u1"].SetFaults(routed.Faults{StallAfter: 5})
+		r.engines["u2"].SetFaults(routed.Faults{RefuseStatus: http.StatusServiceUnavailable})
+		s, err := r.readStream(checkRequest(t.Context(), 200), func(n int) {
+			if n == 5 {
+				time.AfterFunc(1200*time.Millisecond, func() {
+					r.start("u3", "llm")
+					r.engines["u1"].Crash()
+				})
+			}
+		})
+		if err != nil || !s.complete || s.events != 50 {
+			t.Errorf("got %+v %v, want 50 events and an end", s, err)
+		}
+		const maxWant = 1200*time.Millisecond + crashCheckTime + settled
+		if s != nil && s.longestGap > maxWant {
+			t.Errorf("longest pause: got %s, want at most %s", s.longestGap, maxWant)
+		}
+	})
+}
+
 // TestSilentUpstreamGoesOnDuringTakeover guards against a stream that runs at two upstreams: the one that is not needed
 // gets no more work, and none of its answer is forwarded.
 func TestSilentUpstreamGoesOnDuringTakeover(t *testing.T) {
