Random silences under several streams, from fixed seeds

150 seeds of TestRandomSilences: one to four upstreams, a small retry budget, silences of 0.2 to 1.9 s, a crash in a third of them.

--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -226,3 +228,52 @@
 		}
 	})
 }
+
+// TestRandomSilences plays silences drawn from fixed seeds under several streams. Streams must have each event once and in
+// order, keep to their attempts, and be whole unless an upstream crashes.
+func TestRandomSilences(t *testing.T) {
+	const seeds, streams, attempts = 150, 4, 2
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		upstreams, extra, crash := 1+rng.IntN(4), float64(rng.IntN(8)), seed%3 == 0
+		withRig(t, upstreams, 0, func(t *testing.T, r *rig) {
+			var g sync.WaitGroup
+			for i := range streams {
+				events, delay := 20+rng.IntN(150), time.Duration(rng.IntN(1500))*time.Millisecond
+				id := fmt.Sprint("id-", i)
+				g.Go(func() {
+					time.Sleep(delay)
+					ctx, cancel := context.WithTimeout(t.Context(), 38*time.Second)
+					defer cancel()
+					s, err := r.readStream(generationRequest(ctx, "/checks/x", id, 4*events), nil)
+					if !crash && (err != nil || !s.complete || s.events != events) {
+						t.Errorf("seed %d, %s: got %+v %v, want %d events and an end", seed, id, s, err, events)
+					}
+					if err != nil && !strings.HasPrefix(err.Error(), "status") {
+						t.Errorf("seed %d, %s: %v", seed, id, err)
+					}
+					if got := r.arrivalsOf(id); got > attempts {
+						t.Errorf("seed %d, %s: reached %d upstreams, want at most %d", seed, id, got, attempts)
+					}
+				})
+			}
+			for range 6 {
+				time.Sleep(time.Duration(rng.IntN(1200)) * time.Millisecond)
+				length := time.Duration(200+rng.IntN(1700)) * time.Millisecond
+				for i := range upstreams {
+					if rng.IntN(3) > 0 {
+						r.engines[engineName(i)].Pause(length)
+					}
+				}
+			}
+			if crash {
+				r.kill(engineName(rng.IntN(upstreams)))
+			}
+			g.Wait()
+			time.Sleep(2 * time.Second)
+			if got := r.running(); got != 0 {
+				t.Errorf("seed %d: runs after all streams have ended: got %d, want none", seed, got)
+			}
+		}, withRetryBudget(0, extra, 1))
+	}
+}
