Takeovers are counted as retries, and logged when the budget does not allow them

A request that is sent to another upstream beside a silent one counts in linetiller_retries_total and is logged (204), as each other retry is; a stream whose takeover the budget does not allow is logged once (208). Both were left out.

TestTakeoverKeepsToTheRetryBudget checks both: 0 were counted before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -152,6 +152,19 @@
 	return nil
 }
 
+// recordOverBudget records in the metrics and the log that the retry budget does not allow a retry, for which reason and
+// peer are the cause.
+func (e *exchange) recordOverBudget(reason, peer string) {
+	e.relay.metrics.Count(metric.Refusals, "reason", string(policy.ReasonRetryBudget))
+	event.RetryOverBudget.Log(e.relay.log, append(e.budgetAttributes(), "request", e.request.ID, "reason", reason, "peer", peer, "tries", e.sends)...)
+}
+
+// recordRetry records in the metrics and the log that the request is sent again, for which reason and peer are the cause.
+func (e *exchange) recordRetry(reason, peer string) {
+	e.relay.metrics.Count(metric.Retries, "reason", reason)
+	event.RequestRetried.Log(e.relay.log, append(e.budgetAttributes(), "request", e.request.ID, "reason", reason, "peer", peer, "tries", e.sends)...)
+}
+
 func (e *exchange) routeName() string {
 	if e.route == nil {
 		return ""
@@ -184,17 +197,14 @@
 // shouldRetry reports whether to try another upstream after err. It charges a retry to the service's
 // retry budget, unless no upstream has received the request since the last one was charged.
 func (e *exchange) shouldRetry(err error) bool {
-	x := e.relay
 	if !e.maySendAgain() || !errorx.IsOfType(err, fail.NotRun) && !e.mayRunAgain() {
 		return false
 	}
 	if !e.takeRetry() {
-		x.metrics.Count(metric.Refusals, "reason", string(policy.ReasonRetryBudget))
-		event.RetryOverBudget.Log(x.log, append(e.budgetAttributes(), "request", e.request.ID, "reason", fail.Reason(err), "peer", fail.Peer(err), "tries", e.sends)...)
+		e.recordOverBudget(fail.Reason(err), fail.Peer(err))
 		return false
 	}
-	x.metrics.Count(metric.Retries, "reason", fail.Reason(err))
-	event.RequestRetried.Log(x.log, append(e.budgetAttributes(), "request", e.request.ID, "reason", fail.Reason(err), "peer", fail.Peer(err), "tries", e.sends)...)
+	e.recordRetry(fail.Reason(err), fail.Peer(err))
 	return true
 }
 
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -71,6 +71,7 @@
 	if !t.beginSend() {
 		return nil, t.ctx.Err()
 	}
+	e.recordRetry(reasonSilent, "upstream "+e.sent.upstream.Name)
 	x, err := s.openUnadopted(t.ctx, a, u, nil)
 	if err != nil {
 		return nil, err
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -17,11 +17,12 @@
 // of the silent upstream stays open until the other one has sent an event, so that a stream goes on with whichever
 // is first.
 type takeover struct {
-	cancel context.CancelCauseFunc
-	ctx    context.Context
-	done   chan struct{} // closed when the attempt has ended
-	source *source       // set before done is closed; nil if the stream does not go on elsewhere
-	tries  int
+	cancel     context.CancelCauseFunc
+	ctx        context.Context
+	done       chan struct{} // closed when the attempt has ended
+	overBudget bool          // the retry budget did not allow a try
+	source     *source       // set before done is closed; nil if the stream does not go on elsewhere
+	tries      int
 
 	mutex    sync.Mutex // guards the fields below
 	failed   bool       // the answer of the silent upstream has broken off
@@ -184,6 +185,10 @@
 func (s *stream) tryTakeover(t *takeover) (*source, error) {
 	e := s.exchange
 	if e.retryChargedAt.IsZero() && !e.relay.retryBudget.HasRoom(e.service.Name, time.Now()) {
+		if !t.overBudget {
+			e.recordOverBudget(reasonSilent, "upstream "+e.sent.upstream.Name)
+		}
+		t.overBudget = true
 		return nil, e.budgetError()
 	}
 	return s.openElsewhere(t)
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -103,6 +103,12 @@
 		})
 		time.Sleep(5 * time.Second)
 		retries := r.logs.count(207) - streams
+		if got := r.metrics.Value(metric.Retries, "reason", "upstream_silent"); int(got) != retries {
+			t.Errorf("retries counted: got %d, want %d", got, retries)
+		}
+		if got, want := r.logs.count(208), streams-retries; got != want {
+			t.Errorf("log lines of streams beyond the budget: got %d, want %d", got, want)
+		}
 		if maxWant := 0.7 * extra; retries == 0 || float64(retries) > maxWant {
 			t.Errorf("requests sent again: got %d, want 1 to %.0f", retries, maxWant)
 		}
