--- a/internal/fake/routed/pause.go
+++ b/internal/fake/routed/pause.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Pause suspends the process for d: its streams send nothing, and calls get no answer, until it goes on.
+// Pause suspends the process for d: its streams send nothing, and calls get no answer, until it resumes.
 func (e *Engine) Pause(d time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -40,7 +40,7 @@
 	}
 }
 
-// Reset breaks off the answers of all streams, as a lost link does. The engine goes on.
+// Reset breaks off the answers of all streams, as a lost link does. The engine keeps running.
 func (e *Engine) Reset() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/fake/soak/silences.go
+++ b/internal/fake/soak/silences.go
@@ -22,7 +22,7 @@
 type silenceCounts struct{ whole, cut, failed, refused int }
 
 // runSilences repeats until the context ends: all upstreams, or a random part of them, are silent for a while and then
-// go on.
+// resume.
 func (w *cluster) runSilences(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration(r.Int64N(int64(maxSilencePause))))
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -48,7 +48,7 @@
 
 // open sends the request to u, where t assigns it, or resumes a run there if r is set, and returns the source once the
 // answer has begun. If the upstream is silent and another one sends its first event before, open returns the
-// source of that one and makes the stream go on there.
+// source of that one and continues the stream there.
 func (s *stream) open(ctx context.Context, t *assignment, u *resource.Upstream, r *Resume) (*source, error) {
 	x, err := s.openUnadopted(ctx, t, u, r)
 	if err == nil && x.assignment != t {
@@ -105,7 +105,7 @@
 	return x, err
 }
 
-// openUnadopted is open, but leaves it to its caller to make the stream go on at the other upstream.
+// openUnadopted is open, but leaves it to its caller to continue the stream at the other upstream.
 func (s *stream) openUnadopted(ctx context.Context, t *assignment, u *resource.Upstream, r *Resume) (*source, error) {
 	e := s.exchange
 	o := e.beginSend(u, r)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -144,7 +144,7 @@
 	return s.events
 }
 
-// forward forwards the events of a source to the caller. It returns another source if the stream goes on
+// forward forwards the events of a source to the caller. It returns another source if the stream continues
 // there, since the upstream of x was silent. Otherwise, a nil error means that the stream is complete.
 func (s *stream) forward(ctx context.Context, x *source) (other *source, err error) {
 	defer context.AfterFunc(ctx, x.close)()
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -13,20 +13,20 @@
 	"github.com/linetiller/linetiller/internal/resource"
 )
 
-// takeover is an attempt to go on with a stream at another upstream while the one that runs it is silent. The answer
-// of the silent upstream stays open until the other one has sent an event, so that a stream goes on with whichever
-// is first.
+// takeover is an attempt to continue a stream at another upstream while the one that runs it is silent. The answer
+// of the silent upstream stays open until the other one has sent an event, so that the stream continues with
+// whichever is first.
 type takeover struct {
 	cancel     context.CancelCauseFunc
 	ctx        context.Context
 	done       chan struct{} // closed when the attempt has ended
 	overBudget bool          // the retry budget did not allow a try
-	source     *source       // set before done is closed; nil if the stream does not go on elsewhere
+	source     *source       // set before done is closed; nil if the stream does not continue elsewhere
 	tries      int
 
 	mutex    sync.Mutex // guards the fields below
 	failed   bool       // the answer of the silent upstream has broken off
-	sent     bool       // the request was sent to another upstream, which may go on with the stream
+	sent     bool       // the request was sent to another upstream, which may continue the stream
 	finished bool       // source is set
 }
 
@@ -39,7 +39,7 @@
 	// unqueuedTries is how many tries of a takeover do not wait in a queue: most silences are short, and owners
 	// refuse other work because of work that is queued.
 	unqueuedTries = 3
-	// reasonSilent is the reason why a stream goes on elsewhere after a takeover.
+	// reasonSilent is the reason why a stream continues elsewhere after a takeover.
 	reasonSilent = "upstream_silent"
 )
 
@@ -61,7 +61,7 @@
 	return t.sent
 }
 
-// endSend records that the upstream to which the request was sent cannot go on with the stream.
+// endSend records that the upstream to which the request was sent cannot continue the stream.
 func (t *takeover) endSend() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -79,16 +79,16 @@
 	return true
 }
 
-// mayGoOn reports whether the takeover may try another upstream.
-func (t *takeover) mayGoOn() bool {
+// mayContinue reports whether the takeover may try another upstream.
+func (t *takeover) mayContinue() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return !t.failed && t.ctx.Err() == nil
 }
 
-// pause waits for takeoverPause, or until the takeover must not go on.
+// pause waits for takeoverPause, or until the takeover must not continue.
 func (t *takeover) pause() {
-	if !t.mayGoOn() {
+	if !t.mayContinue() {
 		return
 	}
 	select {
@@ -108,7 +108,7 @@
 	}
 }
 
-// adopt makes the stream go on with a source that a takeover has opened.
+// adopt continues the stream with a source that a takeover has opened.
 func (s *stream) adopt(x *source) {
 	e := s.exchange
 	s.abandonMove()
@@ -145,15 +145,15 @@
 	return s.assignment.upstream, s.lastEventAt
 }
 
-// takeOver tries to go on with the stream at other upstreams, one after another, until one has sent its first event or
-// the takeover is cancelled. It reports whether the wait for the silent upstream must end: the stream goes on at
+// takeOver tries to continue the stream at other upstreams, one after another, until one has sent its first event or
+// the takeover is cancelled. It reports whether the wait for the silent upstream must end: the stream continues at
 // another one, or from a copy of its run that is complete.
 func (s *stream) takeOver(t *takeover) bool {
 	e := s.exchange
 	silent := e.sent
 	e.recordSilence(silent.upstream, s.eventsDelivered())
 	awaitCrashCheck(e.startCrashCheckOfSilent(&silent, s.position()))
-	for t.mayGoOn() && e.maySendAgain() && e.mayRunAgain() {
+	for t.mayContinue() && e.maySendAgain() && e.mayRunAgain() {
 		if s.hasCopy() {
 			return true
 		}
@@ -199,7 +199,7 @@
 	return fail.New(fail.NotRun, e.serviceOrigin(), string(policy.ReasonRetryBudget), "the retry budget is used up")
 }
 
-// endSuperseded records that an attempt to send was ended because the stream goes on at another upstream. Its answer
+// endSuperseded records that an attempt to send was ended because the stream continues at another upstream. Its answer
 // may have begun.
 func (e *exchange) endSuperseded(c *sendAttempt, a *Answer) {
 	if a != nil {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -47,7 +47,7 @@
 }
 
 // stop ends the wait. It returns the source at another upstream if a takeover has succeeded, and nil otherwise. If
-// the wait has failed, a takeover that has sent the request goes on until its outcome is known; else it is
+// the wait has failed, a takeover that has sent the request continues until its outcome is known; else it is
 // cancelled.
 func (w *watch) stop(failed bool) *source {
 	if w == nil {
