What callers make a box hold is bounded by its memory

Cause: nothing bounded what a box held for callers. Each body was read whole into a buffer that grew step by step, for as many requests as came. The cause is not the body alone: 1,000 requests of 1 KiB in progress took a box to 118,868 kB, from 22,592 at rest (heap 42 to 52 MB, stacks 22 MB, program's pages 15.7 MB, by its own metrics).

Each box now has an account of bytes, whose limit follows from limits.memory_mb. A request is charged a fixed cost and its body, before the body is read; what has no room gets 503 with Retry-After, reason "memory". Bodies of known length are read into one buffer of that size; answers that cannot be buffered are forwarded as they arrive; events of streams are always read, and charged. The clients' API of the product is covered as well.

Connections are not counted yet: 3,600 of them take a box to 135,744 kB.

--- a/assemble.go
+++ b/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/lease"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/operator"
 	"github.com/linetiller/linetiller/internal/order"
@@ -48,6 +49,7 @@
 		platform.WithStoreRestoreObserver(func(era int64) { b.follower.RecordEra(era) }),
 		platform.WithStoreCallObserver(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
+	b.memory = memory.NewAccount(memory.CallerLimit(s.Limits.MemoryMB))
 	b.assembleUpstreamDialer()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithDialers(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), upstream.WithTransport(b.engineTransport))
 	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
@@ -89,6 +91,8 @@
 		era, _ := b.follower.Era()
 		return float64(era)
 	})
+	b.metrics.GaugeOf(metric.CallerMemory, "state", "limit", func() float64 { return float64(b.memory.Limit()) })
+	b.metrics.GaugeOf(metric.CallerMemory, "state", "reserved", func() float64 { return float64(b.memory.Reserved()) })
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
@@ -102,6 +106,7 @@
 	i := platform.NewIngress(b.relay, b.settings.Limits.BodyBytes)
 	i.Leaving = b.stopping.Load
 	i.Limits = b.view.Limits
+	i.Memory = b.memory
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
@@ -166,7 +171,7 @@
 	services.Unreachable = b.unreachableUpstreams
 	services.Backoffs = b.backoffs
 	services.RetryBudget = b.retryBudget
-	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithDeadline(s.Timeouts.Request.Duration), client.WithRegions(resource.HallRegions(s.Regions), s.PlatformRegion))
+	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithMemory(b.memory), client.WithDeadline(s.Timeouts.Request.Duration), client.WithRegions(resource.HallRegions(s.Regions), s.PlatformRegion))
 	c.CallService = services.Call
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -18,7 +18,9 @@
 
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/service"
 )
@@ -37,6 +39,7 @@
 	bodyBytes      int64
 	deadline       time.Duration
 	hallRegions    resource.HallRegions
+	memory         *memory.Account
 	metrics        *metric.Set
 	mux            *http.ServeMux
 	platformRegion string
@@ -60,9 +63,12 @@
 // maxHeaderValue is the maximum length of a request key or kind, in characters.
 const maxHeaderValue = 256
 
+// memoryRetryDelay is the time after which a caller may retry for whose request the box has no memory.
+const memoryRetryDelay = time.Second
+
 // New returns a server for the workspaces and models in v.
 func New(v *resource.View, m *metric.Set, options ...Option) *Server {
-	s := &Server{bodyBytes: 4 << 20, deadline: 5 * time.Minute, metrics: m, mux: http.NewServeMux(), view: v}
+	s := &Server{bodyBytes: 4 << 20, deadline: 5 * time.Minute, memory: memory.NewAccount(0), metrics: m, mux: http.NewServeMux(), view: v}
 	for _, o := range options {
 		o(s)
 	}
@@ -70,9 +76,13 @@
 	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { m.Write(w) })
 	s.mux.HandleFunc("GET /readyz", s.getReady)
 	s.mux.HandleFunc("GET /v1/models", s.getModels)
-	s.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { s.postCompletion(w, r, objectChat) })
-	s.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { s.postCompletion(w, r, objectText) })
-	s.mux.HandleFunc("/services/{name}/", s.handleServiceCall)
+	s.mux.HandleFunc("POST /v1/chat/completions", s.withMemory(func(w http.ResponseWriter, r *http.Request, m *memory.Reservation) {
+		s.postCompletion(w, r, objectChat, m)
+	}))
+	s.mux.HandleFunc("POST /v1/completions", s.withMemory(func(w http.ResponseWriter, r *http.Request, m *memory.Reservation) {
+		s.postCompletion(w, r, objectText, m)
+	}))
+	s.mux.HandleFunc("/services/{name}/", s.withMemory(s.handleServiceCall))
 	s.mux.HandleFunc("/", s.handleUnknownPath)
 	return s
 }
@@ -87,6 +97,11 @@
 	return func(s *Server) { s.deadline = d }
 }
 
+// WithMemory sets the account of the memory that requests hold. By default they have one without a limit.
+func WithMemory(a *memory.Account) Option {
+	return func(s *Server) { s.memory = a }
+}
+
 // WithRegions sets the region of each data hall, and that of the platform's store, which may be
 // unknown. By default no hall is in a region.
 func WithRegions(halls resource.HallRegions, platform string) Option {
@@ -157,8 +172,8 @@
 }
 
 // handleServiceCall serves a call to a plain service, of any method.
-func (s *Server) handleServiceCall(w http.ResponseWriter, r *http.Request) {
-	c, err := s.readCall(w, r)
+func (s *Server) handleServiceCall(w http.ResponseWriter, r *http.Request, m *memory.Reservation) {
+	c, err := s.readCall(w, r, m)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -193,19 +208,23 @@
 	return k, nil
 }
 
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes))
-	var m *http.MaxBytesError
-	if errors.As(err, &m) {
+// readBody reads the body of a request, whose memory it reserves in m.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, m *memory.Reservation) ([]byte, error) {
+	b, err := memory.ReadBody(http.MaxBytesReader(w, r.Body, s.bodyBytes), min(r.ContentLength, s.bodyBytes+1), s.bodyBytes, m)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return nil, fail.New(fail.BadInput, origin("read body"), "body_too_large", "the body is larger than %d bytes", s.bodyBytes)
 	}
+	if errors.Is(err, memory.ErrShort) {
+		return nil, memoryError()
+	}
 	if err != nil {
 		return nil, fail.Wrap(fail.BadInput, origin("read body"), "body_cut", err)
 	}
 	return b, nil
 }
 
-func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*service.Call, error) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, m *memory.Reservation) (*service.Call, error) {
 	x, err := s.authorize(r)
 	if err != nil {
 		return nil, err
@@ -221,7 +240,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := s.readBody(w, r)
+	b, err := s.readBody(w, r, m)
 	if err != nil {
 		return nil, err
 	}
@@ -239,6 +258,19 @@
 	writeError(w, err)
 }
 
+// withMemory returns a handler that reserves the memory of a request for as long as h handles it.
+func (s *Server) withMemory(h func(w http.ResponseWriter, r *http.Request, m *memory.Reservation)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		m, err := s.memory.Reserve(memory.RequestBytes)
+		if err != nil {
+			s.refuse(w, memoryError())
+			return
+		}
+		defer m.Release()
+		h(w, r, m)
+	}
+}
+
 // fingerprint returns a hash of a request. A request key may only be used again with the same
 // fingerprint. Each part is preceded by its length, so that the boundaries of the parts count, too.
 func fingerprint(parts ...[]byte) string {
@@ -254,6 +286,12 @@
 	return fail.Origin{Peer: "client", Step: step}
 }
 
+// memoryError returns the error for a request for which the box has no memory.
+func memoryError() error {
+	err := fail.New(fail.NotRun, origin("read body"), string(policy.ReasonMemory), "the box has no memory for the request")
+	return fail.WithRetryAt(err, time.Now().Add(memoryRetryDelay))
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/client/completion.go
+++ b/internal/client/completion.go
@@ -11,6 +11,7 @@
 
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 )
@@ -153,10 +154,14 @@
 	return m, nil
 }
 
+// promptCopies is how many copies of a prompt are held while a request is read, besides its body: the decoded
+// texts, and the prompt that is put together from them.
+const promptCopies = 2
+
 // postCompletion serves a completion request.
-func (s *Server) postCompletion(w http.ResponseWriter, r *http.Request, f objectType) {
+func (s *Server) postCompletion(w http.ResponseWriter, r *http.Request, f objectType, m *memory.Reservation) {
 	now := time.Now()
-	q, stream, err := s.readCompletion(w, r, f, now)
+	q, stream, err := s.readCompletion(w, r, f, m, now)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -206,15 +211,18 @@
 
 // readCompletion reads and validates a completion request, and reports whether the response is to be
 // streamed.
-func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, f objectType, now time.Time) (*delivery.Request, bool, error) {
+func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, f objectType, m *memory.Reservation, now time.Time) (*delivery.Request, bool, error) {
 	x, err := s.authorize(r)
 	if err != nil {
 		return nil, false, err
 	}
-	b, err := s.readBody(w, r)
+	b, err := s.readBody(w, r, m)
 	if err != nil {
 		return nil, false, err
 	}
+	if err := m.Grow(int64(promptCopies * len(b))); err != nil {
+		return nil, false, memoryError()
+	}
 	c := new(completionRequest)
 	if err := json.Unmarshal(b, c); err != nil {
 		return nil, false, fail.Wrap(fail.BadInput, origin("read body"), "bad_json", err)
--- a/internal/client/region_test.go
+++ b/internal/client/region_test.go
@@ -29,7 +29,7 @@
 		q := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m","prompt":"p"}`))
 		q.Header.Set("Authorization", "Bearer k")
 		q.Header.Set(HeaderIdempotencyKey, x.key)
-		r, _, err := s.readCompletion(httptest.NewRecorder(), q, objectText, time.Now())
+		r, _, err := s.readCompletion(httptest.NewRecorder(), q, objectText, nil, time.Now())
 		if err == nil && !slices.Equal(r.Work.Halls, []string{"a"}) {
 			t.Errorf("halls: got %q, want only a", r.Work.Halls)
 		}
--- /dev/null
+++ b/internal/memory/limits.go
@@ -0,0 +1,33 @@
+package memory
+
+import "math"
+
+const (
+	mebibyte = 1 << 20
+	// programBytes is the part of a process that the runtime's memory limit does not count: the text of the program
+	// and the C library.
+	programBytes = 16 * mebibyte
+	// usableShare is the part of the memory that a process should use at most.
+	usableShare = 0.9
+	// callerShare is the part of the runtime's limit that callers may use. The rest is for what the box holds itself,
+	// for its own calls, and for garbage.
+	callerShare = 0.6
+	// minRuntimeShare is the part of the memory that the runtime gets at least if the memory is small.
+	minRuntimeShare = 0.5
+)
+
+// CallerLimit returns how many bytes callers may make a box hold whose process has the given memory in MiB, or 0
+// for no limit.
+func CallerLimit(mb float64) int64 {
+	return int64(float64(RuntimeLimit(mb)) * callerShare)
+}
+
+// RuntimeLimit returns the memory limit of the Go runtime for a process with the given memory in MiB, or 0 for no
+// limit. A number of bytes that overflows an int64 gives no limit.
+func RuntimeLimit(mb float64) int64 {
+	bytes := mb * mebibyte
+	if mb <= 0 || bytes >= math.MaxInt64 {
+		return 0
+	}
+	return int64(max(bytes*usableShare-programBytes, bytes*minRuntimeShare))
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -14,6 +14,7 @@
 
 // Metrics.
 const (
+	CallerMemory         Name = "linetiller_caller_memory_bytes"          // gauge, by state: memory that callers make the box hold (reserved), and its limit, 0 for none
 	Boxes                Name = "linetiller_boxes"                        // gauge, by hall: boxes that are considered alive
 	Generations          Name = "linetiller_generations_total"            // counter, by outcome
 	CompletedRequests    Name = "linetiller_kept_requests"                // gauge: requests that are known to have completed at any box of the hall, as stored by its recorders
@@ -67,7 +68,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
+	Boxes, CallerMemory, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
 	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, RelayedTotal, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamConnections, UpstreamCrashes, UpstreamReportErrors,
 	UpstreamNotices, UpstreamSilences, ViewAge,
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -80,6 +80,7 @@
 	ReasonLate         Reason = "late"         // it can no longer meet its target, and other queued work can
 	ReasonLeaving      Reason = "leaving"      // the upstream is leaving and takes no new work
 	ReasonLimited      Reason = "limited"      // the rate limits of the upstreams are exhausted
+	ReasonMemory       Reason = "memory"       // the box has no memory for the request
 	ReasonOwnerChanged Reason = "moved"        // the upstream has another owner now, to which the request must be sent instead
 	ReasonNoUpstream   Reason = "no_upstream"  // no upstream runs the model
 	ReasonQueueFull    Reason = "queue_full"   // the queue is full
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/memory"
 )
 
 // bufferedAnswer is an answer whose whole body has been read.
@@ -50,7 +51,7 @@
 // upstream may be tried.
 func (e *exchange) deliver(ctx context.Context, a *Answer) (retry bool, err error) {
 	p := fail.Origin{Peer: "upstream " + e.upstreamName(), Step: "read answer"}
-	b, err := readBody(ctx, a)
+	b, err := readBody(ctx, a, e.request.Memory)
 	if errors.Is(err, errTooLarge) {
 		return false, e.copyAnswer(a, b)
 	}
@@ -107,18 +108,19 @@
 	return false
 }
 
-// readBody reads an answer's body, up to maxBufferedBytes. With errTooLarge it returns the
-// part read so far, of which one byte is beyond the limit.
-func readBody(ctx context.Context, a *Answer) ([]byte, error) {
+// readBody reads an answer's body, up to maxBufferedBytes. With errTooLarge, which it also returns if there is no
+// memory for the body, it returns the part read so far.
+func readBody(ctx context.Context, a *Answer, m *memory.Reservation) ([]byte, error) {
 	defer context.AfterFunc(ctx, func() { _ = a.Body.Close() })()
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	const limit = maxBufferedBytes + 1
+	b, err := memory.ReadBody(io.LimitReader(a.Body, limit), min(a.Length, limit), limit, m)
 	switch {
+	case errors.Is(err, memory.ErrShort):
+		return b, errTooLarge
 	case err != nil:
 		return nil, err
 	case len(b) > maxBufferedBytes:
 		return b, errTooLarge
-	case a.Length >= 0 && int64(len(b)) != a.Length:
-		return nil, io.ErrUnexpectedEOF
 	}
 	return b, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -279,6 +279,17 @@
 	return anyNew
 }
 
+// RefuseForMemory answers q, whose body was not read or only a part of it, with an error that says that the box
+// has no memory for it. It may panic with http.ErrAbortHandler.
+func (x *Relay) RefuseForMemory(ctx context.Context, w http.ResponseWriter, q *Request) {
+	e := &exchange{callerCtx: ctx, relay: x, request: q, writer: w}
+	err := fail.New(fail.NotRun, clientOrigin("read body"), string(policy.ReasonMemory), "the box has no memory for the request")
+	err = fail.WithRetryAt(err, time.Now().Add(refusedRetryDelay))
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	x.recordOutcome(e, err)
+	e.writeFailure(err)
+}
+
 // RetryUsage returns the usage of a service's retry budget at this box.
 func (x *Relay) RetryUsage(service string) budget.Usage {
 	return x.retryBudget.Usage(service, time.Now())
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/linetiller/linetiller/internal/memory"
 )
 
 // Request is a request that is forwarded unchanged to an upstream. Its header holds
@@ -12,9 +14,10 @@
 	Body      []byte
 	Deadline  time.Time // time until which the caller waits; zero if unknown
 	Header    http.Header
-	Host      string // the Host header as the caller sent it, with its port if it has one
-	ID        string // chosen by the caller, a new one for each of its attempts
-	BearerKey string // "" if there is none
+	Host      string              // the Host header as the caller sent it, with its port if it has one
+	Memory    *memory.Reservation // what the request holds, to which its answer is added; nil if that is not counted
+	ID        string              // chosen by the caller, a new one for each of its attempts
+	BearerKey string              // "" if there is none
 	Method    string
 	Path      string
 	Target    string // path and query, as the caller sent them
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -123,7 +123,9 @@
 		cancel()
 		return nil, err
 	}
-	return &source{answer: a, assignment: t, cancel: cancel, events: sse.NewSplitter(a.Body), sent: sent}, nil
+	v := sse.NewSplitter(a.Body)
+	v.OnGrow = func(n int) { e.request.Memory.Add(int64(n)) }
+	return &source{answer: a, assignment: t, cancel: cancel, events: v, sent: sent}, nil
 }
 
 // close ends the answer.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,8 +58,8 @@
 type Limits struct {
 	BodyBytes   int64 `toml:"body_bytes"`   // of one request
 	HeaderBytes int   `toml:"header_bytes"` // of one request
-	// MemoryMB is a soft limit on the memory of the process, in MiB: the garbage collector runs
-	// more often as usage approaches it. 0 means no limit.
+	// MemoryMB is the memory of the process, in MiB: requests for which there is no room in it are refused, and the
+	// garbage collector runs more often as usage approaches it. 0 means no limit.
 	MemoryMB    float64 `toml:"memory_mb"`
 	Queued      int     `toml:"queued"`       // waiting requests of all workspaces
 	Relayed     int     `toml:"relayed"`      // connections to upstreams that are open for other boxes at once
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -9,6 +9,10 @@
 
 // Splitter splits a stream into its events and returns them unchanged.
 type Splitter struct {
+	// OnGrow is called with the number of bytes by which the buffer for an event has grown. By default it does
+	// nothing.
+	OnGrow func(n int)
+
 	begun  bool // event has a line that is not blank
 	event  []byte
 	id     []byte
@@ -17,7 +21,7 @@
 
 // NewSplitter returns a splitter of the events in r.
 func NewSplitter(r io.Reader) *Splitter {
-	return &Splitter{reader: bufio.NewReaderSize(r, initialBufferBytes)}
+	return &Splitter{OnGrow: func(int) {}, reader: bufio.NewReaderSize(r, initialBufferBytes)}
 }
 
 // Next returns the next event as received, including the empty line that ends it, and its ID. Both
@@ -28,7 +32,7 @@
 	s.begun, s.event, s.id = false, s.event[:0], s.id[:0]
 	for partial := false; ; {
 		l, err := s.reader.ReadSlice('\n')
-		s.event = append(s.event, l...)
+		s.add(l)
 		if len(s.event) > MaxLineBytes {
 			return nil, nil, ErrTooLarge
 		}
@@ -50,6 +54,15 @@
 	}
 }
 
+// add appends bytes to the event.
+func (s *Splitter) add(b []byte) {
+	n := cap(s.event)
+	s.event = append(s.event, b...)
+	if g := cap(s.event) - n; g > 0 {
+		s.OnGrow(g)
+	}
+}
+
 // endsEvent stores the ID if the line contains one, and reports whether the line ends an event. Empty
 // lines before an event do not end one.
 func (s *Splitter) endsEvent(line []byte) bool {
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -93,3 +93,18 @@
 		t.Errorf("blank lines beyond the limit: got %v, want %v", err, ErrTooLarge)
 	}
 }
+
+// TestSplitterReportsItsBuffer checks that all that the buffer for an event grows by is reported.
+func TestSplitterReportsItsBuffer(t *testing.T) {
+	s := NewSplitter(strings.NewReader("data: x\n\ndata: " + strings.Repeat("y", 500_000) + "\n\ndata: z\n\n"))
+	reported := 0
+	s.OnGrow = func(n int) { reported += n }
+	for range 3 {
+		if _, _, err := s.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := reported, cap(s.event); got != want || got < 500_000 {
+		t.Errorf("got %d bytes reported, want %d", got, want)
+	}
+}
--- a/linetiller.go
+++ b/linetiller.go
@@ -23,6 +23,7 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/member"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/order"
 	"github.com/linetiller/linetiller/internal/ownership"
@@ -55,6 +56,7 @@
 	limits           *limitState
 	links            *box.Endpoint
 	members          *member.Table
+	memory           *memory.Account // what callers make the box hold
 	metrics          *metric.Set
 	naive            *placement.Naive
 	operatorListener net.Listener
