A request that crosses the close of its idle connection is not served

A caller's request was sent on to an upstream although its connection had just been closed for its idle time, so that its answer was lost.

Closer now decides under one lock which came first: the handler asks it before a request is served (Begin), and a connection that was closed aborts it there, unread as far as the caller can tell.

--- a/assemble.go
+++ b/assemble.go
@@ -110,7 +110,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
-	b.entry[0].server.ConnState = idle.NewCloser(b.idleTimeout).Track
+	idle.NewCloser(b.idleTimeout).Attach(b.entry[0].server)
 	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.isReady() && b.relay.HasConfiguration() }))
 	b.entry[2].server = b.httpServer(m)
 }
