Connections of callers are part of a box's memory

Each one is now charged as it is accepted. Where there is no room, the longest idle one is closed, or the oldest one on which no request has come for a second; a new one without room is closed unread. What is in progress is never closed. Gauges, a counter by reason, and event 109.

--- a/assemble.go
+++ b/assemble.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,8 @@
 const (
 	headerTimeout     = 10 * time.Second // to read a request's headers
 	clientIdleTimeout = time.Minute      // for an idle keep-alive connection, unless operators configure another timeout
+	// memoryShortInterval is the shortest time between two log lines that say that there is no memory for callers.
+	memoryShortInterval = 10 * time.Second
 )
 
 // assemble creates the components of the box and connects them through their function fields.
@@ -49,7 +52,7 @@
 		platform.WithStoreRestoreObserver(func(era int64) { b.follower.RecordEra(era) }),
 		platform.WithStoreCallObserver(func(step, outcome string) { b.metrics.CountTwo(metric.PlatformCalls, "step", step, "outcome", outcome) }))
 	b.store = store.Table()
-	b.memory = memory.NewAccount(memory.CallerLimit(s.Limits.MemoryMB))
+	b.assembleMemory()
 	b.assembleUpstreamDialer()
 	b.engines = upstream.NewClient(engineCallTimeout, upstream.WithDialers(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), upstream.WithTransport(b.engineTransport))
 	b.routedEngines = platform.NewEngines(platform.WithEnginesDialer(b.upstreamDialer.DialDirect, b.upstreamDialer.DialContext), platform.WithProcessCheck(b.upstreamDialer.CheckProcess), platform.WithEnginesTransport(b.routedTransport))
@@ -91,8 +94,6 @@
 		era, _ := b.follower.Era()
 		return float64(era)
 	})
-	b.metrics.GaugeOf(metric.CallerMemory, "state", "limit", func() float64 { return float64(b.memory.Limit()) })
-	b.metrics.GaugeOf(metric.CallerMemory, "state", "reserved", func() float64 { return float64(b.memory.Reserved()) })
 	b.metrics.Gauge(metric.Boxes, func() float64 { return float64(len(b.members.Alive(""))) })
 	b.metrics.Gauge(metric.Revision, func() float64 { return float64(b.view.Revision()) })
 }
@@ -110,7 +111,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
-	idle.NewCloser(b.idleTimeout).Attach(b.entry[0].server)
+	b.trackConnections(b.entry[0].server, "entry", b.idleTimeout)
 	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.isReady() && b.relay.HasConfiguration() }))
 	b.entry[2].server = b.httpServer(m)
 }
@@ -132,6 +133,17 @@
 	b.follower.RegisterMetrics(b.metrics)
 }
 
+// assembleMemory creates the account of what callers make the box hold.
+func (b *Box) assembleMemory() {
+	b.memory = memory.NewAccount(memory.CallerLimit(b.settings.Limits.MemoryMB))
+	b.memory.OnShort = b.logMemoryShort
+	b.memory.Reclaim = func() bool {
+		return slices.ContainsFunc(b.callerConnections, (*idle.Closer).CloseOne)
+	}
+	b.metrics.GaugeOf(metric.CallerMemory, "state", "limit", func() float64 { return float64(b.memory.Limit()) })
+	b.metrics.GaugeOf(metric.CallerMemory, "state", "reserved", func() float64 { return float64(b.memory.Reserved()) })
+}
+
 func (b *Box) assembleOrders() {
 	k := lease.NewManager(b.settings.Box + "/" + crand.Text())
 	k.Commit = b.store.Commit
@@ -176,6 +188,7 @@
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
 	b.clientServer = b.httpServer(c)
+	b.trackConnections(b.clientServer, "clients", func() time.Duration { return clientIdleTimeout })
 
 	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
 	o.Commit = b.store.Commit
@@ -233,6 +246,34 @@
 	return b.view.Limits().IdleTimeout.Duration()
 }
 
+// logMemoryShort logs that there was no memory for a caller, once in each memoryShortInterval.
+func (b *Box) logMemoryShort() {
+	now := int64(time.Since(b.started))
+	last := b.memoryShortAt.Load()
+	if last > 0 && now-last < int64(memoryShortInterval) || !b.memoryShortAt.CompareAndSwap(last, now) {
+		return
+	}
+	connections := 0
+	for _, c := range b.callerConnections {
+		connections += c.Count()
+	}
+	event.MemoryShort.Log(b.log, "reserved", b.memory.Reserved(), "limit", b.memory.Limit(), "connections", connections, "held", b.InProgress())
+}
+
+// trackConnections makes the connections of a server of callers part of the account of memory, and closes those that are
+// idle for longer than timeout.
+func (b *Box) trackConnections(s *http.Server, listener string, timeout func() time.Duration) {
+	c := idle.NewCloser(timeout)
+	c.OnClose = func(r idle.Reason) { b.metrics.Count(metric.ConnectionsClosed, "reason", string(r)) }
+	c.Reserve = func() (func(), bool) {
+		r, err := b.memory.Reserve(memory.ConnectionBytes)
+		return r.Release, err == nil
+	}
+	c.Attach(s)
+	b.callerConnections = append(b.callerConnections, c)
+	b.metrics.GaugeOf(metric.Connections, "listener", listener, func() float64 { return float64(c.Count()) })
+}
+
 // readLoad reads the load report of an engine. A box with an entry serves the engines of declared
 // routes, any other box the engines that are declared as resources.
 func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,7 @@
 	SettingsReloaded          = Event{slog.LevelInfo, "settings read anew", 106}
 	SettingsReloadFailed      = Event{slog.LevelWarn, "settings not read anew", 107}
 	LinesOmitted              = Event{slog.LevelWarn, "log lines left out", 108}
+	MemoryShort               = Event{slog.LevelWarn, "no memory for callers", 109}
 	RequestFinished           = Event{slog.LevelInfo, "request finished", 201}
 	RequestRefused            = Event{slog.LevelInfo, "request refused", 202}
 	RequestInterrupted        = Event{slog.LevelWarn, "request interrupted", 203}
@@ -85,7 +86,7 @@
 
 // All lists every event in the order of the numbers.
 var All = []Event{
-	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, SettingsReloaded, SettingsReloadFailed, LinesOmitted,
+	BoxStarted, BoxLeaving, BoxStopped, BoxStopIncomplete, ClockJumped, SettingsReloaded, SettingsReloadFailed, LinesOmitted, MemoryShort,
 	RequestFinished, RequestRefused, RequestInterrupted, RequestRetried, StreamResumed, CallerDisconnected, RequestPlaced, RetryOverBudget,
 	UpstreamFailed, UpstreamFrameMismatch, LoadReportMissing, OrderSent, OrderFailed,
 	UpstreamEntryRemoved, UpstreamLeaving, MoveStarted, MoveCompleted, MoveFailed, UpstreamRefused, MemoryCopied, LeavingNoticeReceived, LeavingAnswerReceived, UpstreamCrashed,
--- a/internal/fake/routed/faults.go
+++ b/internal/fake/routed/faults.go
@@ -7,6 +7,7 @@
 	Body            string        // appended to answers that are not streams
 	CutAfter        int           // streams are cut within the event that follows this many complete ones; 0 is never
 	CrashDelay      time.Duration // between a poison request's arrival and the crash
+	Delay           time.Duration // before answers that are not streams
 	CopyStatus      int           // status of the answers to copy orders, which then copy nothing; 0 for none
 	SkipEvent       bool          // streams leave out their third event
 	StopDelay       time.Duration // before an order for the last copy, which stops the run, is handled
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -29,66 +29,83 @@
 	return b, nil
 }
 
+// unknownBody is a body of unknown length that is being read.
+type unknownBody struct {
+	buffer      []byte
+	limit       int
+	reader      io.Reader
+	reservation *Reservation
+	reserved    int // bytes of the reservation that are for the buffer
+}
+
 // readUnknown reads a body of up to limit bytes. Beyond smallBytes it reserves the whole limit at once: if several bodies
 // grew in small steps, each could get a part of the memory and none enough to end.
 func readUnknown(body io.Reader, limit int, r *Reservation) ([]byte, error) {
-	if err := r.Grow(int64(min(firstBuffer, limit))); err != nil {
-		return nil, err
-	}
-	b := make([]byte, 0, min(firstBuffer, limit))
-	for {
-		n, err := readMore(body, b)
-		b = b[:len(b)+n]
-		if errors.Is(err, io.EOF) {
-			return clip(b, r), nil
-		}
-		if err != nil {
-			r.Shrink(int64(cap(b)))
-			return nil, err
-		}
-		if len(b) < cap(b) || len(b) == limit {
-			continue
-		}
-		size := min(2*cap(b), limit)
-		if cap(b) >= smallBytes {
-			size = limit
-		}
-		if b, err = resize(b, size, r); err != nil {
-			return b, err
+	u := &unknownBody{limit: limit, reader: body, reservation: r}
+	var err error
+	for err == nil {
+		if len(u.buffer) < cap(u.buffer) {
+			err = u.fill()
+		} else {
+			err = u.readBeyond()
 		}
 	}
+	switch {
+	case errors.Is(err, ErrShort):
+		return u.buffer, err
+	case errors.Is(err, io.EOF):
+		u.release(cap(u.buffer))
+		return u.buffer, nil
+	default:
+		u.release(0)
+		return nil, err
+	}
 }
 
-// clip returns a copy of b without its unused capacity if that is most of it.
-func clip(b []byte, r *Reservation) []byte {
-	if cap(b) <= smallBytes || len(b) > cap(b)/2 {
-		return b
-	}
-	l := make([]byte, len(b))
-	copy(l, b)
-	r.Shrink(int64(cap(b) - len(b)))
-	return l
+// fill reads into the unused part of the buffer.
+func (u *unknownBody) fill() error {
+	n, err := u.reader.Read(u.buffer[len(u.buffer):cap(u.buffer)])
+	u.buffer = u.buffer[:len(u.buffer)+n]
+	return err
 }
 
-// readMore reads into the unused capacity of b. If there is none, it only finds out whether the body has ended.
-func readMore(body io.Reader, b []byte) (n int, err error) {
-	if len(b) < cap(b) {
-		return body.Read(b[len(b):cap(b)])
+// grow doubles the buffer, up to the limit.
+func (u *unknownBody) grow() error {
+	old := cap(u.buffer)
+	size := min(max(firstBuffer, 2*old), u.limit)
+	needed := size
+	if size > smallBytes {
+		needed = u.limit
 	}
-	var beyond [1]byte
-	n, err = body.Read(beyond[:])
-	if n > 0 {
-		return 0, io.ErrShortBuffer
+	if err := u.reservation.Grow(int64(needed - u.reserved)); err != nil {
+		return err
 	}
-	return 0, err
+	u.reserved = needed
+	u.reservation.Add(int64(old)) // while both buffers are held
+	u.buffer = append(make([]byte, 0, size), u.buffer...)
+	u.reservation.Shrink(int64(old))
+	return nil
 }
 
-// resize returns a copy of b with the given capacity, or b itself and an error. Both are reserved while b is copied.
-func resize(b []byte, size int, r *Reservation) ([]byte, error) {
-	if err := r.Grow(int64(size)); err != nil {
-		return b, err
+// readBeyond reads one byte beyond a full buffer, which finds out whether the body has ended, and grows the buffer.
+func (u *unknownBody) readBeyond() error {
+	var b [1]byte
+	n, err := u.reader.Read(b[:])
+	if n == 0 {
+		return err
 	}
-	l := append(make([]byte, 0, size), b...)
-	r.Shrink(int64(cap(b)))
-	return l, nil
+	if len(u.buffer) == u.limit {
+		return io.ErrShortBuffer
+	}
+	if short := u.grow(); short != nil {
+		err = short
+	}
+	u.buffer = append(u.buffer, b[0])
+	return err
+}
+
+// release releases what is reserved for the buffer beyond n bytes.
+func (u *unknownBody) release(n int) {
+	u.reservation.Shrink(int64(u.reserved - n))
+	u.reserved = n
 }
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -7,8 +7,9 @@
 	// programBytes is the part of a process that the runtime's memory limit does not count: the text of the program
 	// and the C library.
 	programBytes = 16 * mebibyte
-	// usableShare is the part of the memory that a process should use at most.
-	usableShare = 0.9
+	// usableShare is the part of the memory that a process is to use. The rest is for what the runtime allocates beyond
+	// its limit while a collection is in progress.
+	usableShare = 0.85
 	// callerShare is the part of the runtime's limit that callers may use. The rest is for what the box holds itself,
 	// for its own calls, and for garbage.
 	callerShare = 0.6
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -24,6 +24,8 @@
 	RequestKeyCommits    Name = "linetiller_request_key_commits_total"    // counter: transactions that write request keys
 	RequestKeyRewrites   Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	RequestKeyWrites     Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
+	Connections          Name = "linetiller_connections"                  // gauge, by listener: open connections of callers
+	ConnectionsClosed    Name = "linetiller_connections_closed_total"     // counter, by reason: connections of callers that were closed because other callers needed the memory
 	CrashesNotCounted    Name = "linetiller_crashes_not_counted_total"    // counter, by reason: broken requests that were not counted as crashes of their upstreams
 	LimitedUpstreams     Name = "linetiller_limited_upstreams"            // gauge: upstreams that announced a limit on the request rate from all boxes together
 	LoadAge              Name = "linetiller_load_age_seconds"             // histogram: age of the load report of an engine when the engine is chosen
@@ -68,7 +70,7 @@
 
 // Names lists every metric.
 var Names = []Name{
-	Boxes, CallerMemory, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
+	Boxes, CallerMemory, Connections, ConnectionsClosed, CrashesNotCounted, Generations, CompletedRequests, RequestKeyCommits, RequestKeyRewrites, RequestKeyWrites, LimitedUpstreams, LoadAge, Moves, MovePause, Orders, OwnedUpstreams, LimitPermits, PlaceWait, PlatformReadAge, PlatformReadFailing, PlatformCalls,
 	PlatformEra, PlatformOverdueReads, PlatformStaleAnswers, PlatformReader, PromptTokens, QuarantinedRequests, QueuedRequests, Refusals, RelayRefusals, RelayedConnections, RelayedTotal, Requests, Reservations, Resumptions, Retries,
 	Revision, RowsIgnored, RefusalsByShortage, StallTime, Streams, TimeBetweenTokens, TimeToFirstToken, Tokens, UnreachableUpstreams, UnusedReservations, UpstreamConnections, UpstreamCrashes, UpstreamReportErrors,
 	UpstreamNotices, UpstreamSilences, ViewAge,
--- a/linetiller.go
+++ b/linetiller.go
@@ -22,6 +22,7 @@
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
+	"github.com/linetiller/linetiller/internal/idle"
 	"github.com/linetiller/linetiller/internal/member"
 	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
@@ -44,40 +45,41 @@
 	log      *slog.Logger
 	settings *settings.Settings
 
-	clientListener   net.Listener
-	clearances       *clearances
-	clientServer     *http.Server
-	deliverer        *delivery.Deliverer
-	crashBatch       crashBatch
-	engines          *upstream.Client
-	follower         *configuration.Follower
-	ignored          ignoredRows
-	keys             *requestkey.Keys
-	limits           *limitState
-	links            *box.Endpoint
-	members          *member.Table
-	memory           *memory.Account // what callers make the box hold
-	metrics          *metric.Set
-	naive            *placement.Naive
-	operatorListener net.Listener
-	operatorServer   *http.Server
-	orders           *order.Reconciler
-	owners           *ownership.Owners
-	relay            *relay.Relay
-	reserved         *placement.Reserver
-	backoffs         *health.Backoffs
-	retryBudget      *budget.Budget
-	routedEngines    *platform.Engines // upstreams of declared routes
-	upstreamDialer   *reach.Dialer
-	upstreamIndex    upstreamIndex
-	upstreamSource   upstreamSource
-	relayed          relayedConnections
-	recorder         *recorder
-	store            *table.Store
-	tracker          *placement.Tracker
-	moveSlots        ownership.MoveSlots
-	pushes           *pushes
-	view             *resource.View
+	callerConnections []*idle.Closer // one for each server of callers
+	clientListener    net.Listener
+	clearances        *clearances
+	clientServer      *http.Server
+	deliverer         *delivery.Deliverer
+	crashBatch        crashBatch
+	engines           *upstream.Client
+	follower          *configuration.Follower
+	ignored           ignoredRows
+	keys              *requestkey.Keys
+	limits            *limitState
+	links             *box.Endpoint
+	members           *member.Table
+	memory            *memory.Account // what callers make the box hold
+	metrics           *metric.Set
+	naive             *placement.Naive
+	operatorListener  net.Listener
+	operatorServer    *http.Server
+	orders            *order.Reconciler
+	owners            *ownership.Owners
+	relay             *relay.Relay
+	reserved          *placement.Reserver
+	backoffs          *health.Backoffs
+	retryBudget       *budget.Budget
+	routedEngines     *platform.Engines // upstreams of declared routes
+	upstreamDialer    *reach.Dialer
+	upstreamIndex     upstreamIndex
+	upstreamSource    upstreamSource
+	relayed           relayedConnections
+	recorder          *recorder
+	store             *table.Store
+	tracker           *placement.Tracker
+	moveSlots         ownership.MoveSlots
+	pushes            *pushes
+	view              *resource.View
 
 	// entry holds the servers for the platform's load balancer: for requests, readiness checks and
 	// metrics, in this order. It is empty without an entry.
@@ -91,6 +93,7 @@
 	platformTransport http.RoundTripper
 	routedTransport   http.RoundTripper
 
+	memoryShortAt  atomic.Int64 // when a lack of memory for callers was last logged, in nanoseconds since started; 0 for never
 	lastTick       atomic.Int64 // time of the last tick, in nanoseconds since started
 	closing        sync.Once
 	pushRequested  chan struct{}   // buffered; holds a value if the neighbours are to fetch newly learned crashes
