Every box watches one before it in its hall's order, whichever boxes are lost

Two of eight boxes of a hall, its readers, are killed at one moment just before a change, and the six others go by the old configuration for as long as they are down.

Cause: a box that was not a reader never read the store, however old its view was, and learned of a lost reader from its own failed heartbeats alone, which go to four boxes of its hall. Where nobody has both readers among its four, each takes another box for the reader.

The boxes of a hall have had an order all along. Each now watches one before it, as readers did: its parent in a tree with four children each, or the first boxes of the order, without those that do not answer. So each box finds one before it that lives, or that it is the first one itself; nobody has to be told. If none of them follows the store, it reads for itself. A box that waits after a failed read stops waiting once its role changes; until now it did not.

--- a/internal/configuration/assignment.go
+++ b/internal/configuration/assignment.go
@@ -11,6 +11,11 @@
 	// readersPerHall is the number of boxes per hall that keep the hall's views up to date. The
 	// second one takes over when the first stops responding.
 	readersPerHall = 2
+	// watchersPerBox is how many of the other boxes of its hall watch each box. In a hall of 300 boxes, changes then pass
+	// over five boxes at most.
+	watchersPerBox = 4
+	// maxWatchable is the number of boxes of its hall that a box may watch, if those before them do not respond.
+	maxWatchable = 5
 	// unresponsivePeerRetryInterval is the time between two calls to a reader that does not
 	// respond.
 	unresponsivePeerRetryInterval = 2 * time.Second
@@ -38,24 +43,31 @@
 
 // assignment returns the current assignment of this box.
 //
-// Every hall has a first and a second reader, chosen by rendezvous hashing. The halls have an order
-// that all boxes agree on. The first reader of the first hall reads the store on behalf of all; the
-// one of the second hall is the standby. The first readers of all halls but the first watch those
-// of the halls before theirs. The second reader of a hall watches the first one, and after it the
-// readers that the first one watches. Every reader passes changes on to the boxes of its hall. A
-// box only watches readers before it in the order, so that no two boxes wait for each other.
+// The boxes of a hall have an order, given by rendezvous hashing, and so do the halls. The first two
+// boxes of a hall are its readers. The first reader of the first hall reads the store on behalf of
+// all; the one of the second hall is the standby. The first readers of all halls but the first watch
+// those of the halls before theirs. The second reader of a hall watches the first one, and after it
+// the readers that the first one watches. The other boxes of a hall watch boxes before them in a tree
+// with the first reader at its root. Every box passes changes on to others of its hall.
+//
+// A box only watches boxes before it in the order, so that no two boxes wait for each other. Those
+// that do not respond to it are left out, so that whichever boxes are lost, the first of the others
+// finds itself to be the reader.
 func (f *Follower) assignment() assignment {
 	s := f.members.Self()
-	own := f.hallReaders(s.Hall)
+	own := f.responsiveRank(s.Hall)
 	if len(own) == 0 {
 		return assignment{role: rolePrimary} // this box is leaving and knows no other box
 	}
 	position := slices.Index(own, s.Name)
 	if position < 0 {
-		return assignment{role: roleNone}
+		position = len(own) // this box is leaving
+	}
+	if position >= readersPerHall {
+		return assignment{peers: watchable(own, position), role: roleNone}
 	}
 	a := f.firstReaderAssignment(s.Hall)
-	if position == 0 || f.unresponsive(own[0]) {
+	if position == 0 {
 		return a
 	}
 	a.peers = slices.Insert(a.peers, 0, own[0])
@@ -93,6 +105,13 @@
 	return l[:min(readersPerHall, len(l))]
 }
 
+// isHallReader reports whether this box is one of the readers of its hall.
+func (f *Follower) isHallReader() bool {
+	s := f.members.Self()
+	own := f.responsiveRank(s.Hall)
+	return slices.Contains(own[:min(readersPerHall, len(own))], s.Name) || len(own) == 0
+}
+
 // responsiveReader returns the first reader of a hall that is not known to be unresponsive, or ""
 // if there is none.
 func (f *Follower) responsiveReader(hall string) string {
@@ -104,6 +123,18 @@
 	return ""
 }
 
+// ReadersOf returns the names of the boxes that read, or watch other readers, on behalf of a hall, in order of preference.
+func (f *Follower) ReadersOf(hall string) []string { return f.hallReaders(hall) }
+
+// responsiveRank returns the names of the boxes of a hall in their order, without those that did not
+// respond to the last call of this box.
+func (f *Follower) responsiveRank(hall string) []string {
+	l := policy.Rank("reader", f.members.Active(hall))
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.DeleteFunc(l, func(n string) bool { return f.unresponsivePeers[n] })
+}
+
 // role returns the current role of this box.
 func (f *Follower) role() readerRole {
 	a := f.assignment()
@@ -112,3 +143,16 @@
 	}
 	return a.role
 }
+
+// watchable returns the boxes that the one at a position in the order of its hall may watch: its parent
+// in the tree, and the first ones of the order.
+func watchable(order []string, position int) []string {
+	parent := (position - 1) / watchersPerBox
+	l := []string{order[parent]}
+	for i := 0; i < position && len(l) < maxWatchable; i++ {
+		if i != parent {
+			l = append(l, order[i])
+		}
+	}
+	return l
+}
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -215,9 +215,9 @@
 }
 
 // announceListUnavailable announces to the other boxes of the hall whether the list of upstreams is
-// unavailable to this box. It does nothing for other sources.
+// unavailable to this box, if it is one of the hall's readers. It does nothing for other sources.
 func (f *Follower) announceListUnavailable(s *source, unavailable bool) {
-	if s.name == resource.SourceUpstreams && f.AnnounceListUnavailable != nil {
+	if s.name == resource.SourceUpstreams && f.isHallReader() && f.AnnounceListUnavailable != nil {
 		f.AnnounceListUnavailable(unavailable)
 	}
 }
--- a/internal/configuration/peerwatch.go
+++ b/internal/configuration/peerwatch.go
@@ -264,11 +264,15 @@
 func (f *Follower) setUnresponsive(peer string, unresponsive bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.unresponsivePeers[peer] == unresponsive {
+		return
+	}
 	if unresponsive {
 		f.unresponsivePeers[peer] = true
-		return
+	} else {
+		delete(f.unresponsivePeers, peer)
 	}
-	delete(f.unresponsivePeers, peer)
+	f.signalStateChangeLocked() // the order of the boxes that respond has changed
 }
 
 // signalStateChangeLocked wakes those that wait for a change of the roles or of whether the store
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -38,9 +38,19 @@
 	}
 	n := min(max(int(s.failures.Load())-failuresUntilUnavailable, 0), 5)
 	wait := min(s.maxRetryDelay(r), first<<n)
+	if !f.isHallReader() {
+		wait = f.otherBoxRetryDelay()
+	}
 	return wait/2 + time.Duration(f.Jitter()*float64(wait)/2)
 }
 
+// otherBoxRetryDelay returns the delay after a failed read of a box that is not among the readers of its
+// hall. It grows with the number of boxes in the hall, so that all of them together read as often as one
+// more reader.
+func (f *Follower) otherBoxRetryDelay() time.Duration {
+	return time.Duration(len(f.members.Active(f.members.Self().Hall))) * substituteMaxRetryDelay
+}
+
 // follow reads one source repeatedly while this box is one of those that read the store. After
 // failures it backs off exponentially, with jitter, so that the boxes do not all return at once.
 func (f *Follower) follow(ctx context.Context, s *source) {
@@ -154,17 +164,29 @@
 }
 
 // pauseAfterFailure waits after a failed read for the back-off, or until shortly after another
-// source can be read again.
+// source can be read again, or until the role of this box changes.
 func (f *Follower) pauseAfterFailure(ctx context.Context, s *source, r readerRole, recovered <-chan struct{}) {
 	if s.failures.Load() == 1 {
 		pause(ctx, fastRetryDelay)
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-recovered:
-		pause(ctx, time.Duration(f.Jitter()*float64(recoveryJitter)))
-	case <-time.After(f.backoff(s, r)):
+	t := time.NewTimer(f.backoff(s, r))
+	defer t.Stop()
+	for {
+		stateChange := f.stateChanged()
+		if f.role() != r {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-recovered:
+			pause(ctx, time.Duration(f.Jitter()*float64(recoveryJitter)))
+			return
+		case <-stateChange:
+		case <-t.C:
+			return
+		}
 	}
 }
 
