Log whose reads a box goes by, and when it reads for itself

The logs named each box that did not answer, but not that a box had found none that follows the store, nor for how long: 506 and 507, with the role that it takes and the age of its view.

--- a/internal/configuration/follower_test.go
+++ b/internal/configuration/follower_test.go
@@ -278,7 +278,9 @@
 						t.Fatalf("%d of %d boxes, %b lost: watches %s, which is behind it in %v", i, n, lost, p, order)
 					}
 				}
-				isLost := func(p string) bool { return lost&(1<<slices.IndexFunc(l, func(x box.Member) bool { return x.Name == p })) != 0 }
+				isLost := func(p string) bool {
+					return lost&(1<<slices.IndexFunc(l, func(x box.Member) bool { return x.Name == p })) != 0
+				}
 				if len(a.peers) == 0 || !slices.ContainsFunc(a.peers, func(p string) bool { return !isLost(p) }) {
 					read++ // it finds none that responds
 				}
--- a/internal/configuration/peerwatch.go
+++ b/internal/configuration/peerwatch.go
@@ -70,7 +70,7 @@
 // itself.
 func (f *Follower) WatchPeers(ctx context.Context) {
 	defer f.workers.Wait()
-	f.setFollowsPeer(true)
+	f.updateFollowsPeer(true)
 	for ctx.Err() == nil {
 		a := f.assignment()
 		switch {
@@ -78,7 +78,7 @@
 			pause(ctx, peerWatchIdleInterval)
 		case f.watchAnyPeer(ctx, a.peers, peerWatchWait):
 		default:
-			f.setFollowsPeer(false)
+			f.setFollowsPeer(false, "")
 			pause(ctx, peerWatchRetryDelay)
 		}
 	}
@@ -133,7 +133,7 @@
 	follows, err := f.watchPeer(ctx, peer, wait)
 	switch {
 	case follows:
-		if f.setFollowsPeer(true) {
+		if f.setFollowsPeer(true, peer) {
 			f.resetFailures()
 		}
 		return true
@@ -161,7 +161,7 @@
 	for left := len(peers); left > 0; {
 		select {
 		case <-timer.C:
-			f.setFollowsPeer(false)
+			f.setFollowsPeer(false, "")
 		case follows := <-results:
 			if follows {
 				return true
@@ -240,9 +240,29 @@
 	}
 }
 
-// setFollowsPeer records whether another reader keeps this box's view up to date. It reports
+// logFollowsPeer logs that another box has begun to keep this box's view up to date, or no longer does.
+func (f *Follower) logFollowsPeer(follows bool, peer string, sinceLost time.Duration) {
+	if follows {
+		event.ReaderFollowed.Log(f.log, "reader", peer, "without_ms", sinceLost.Milliseconds())
+		return
+	}
+	l := f.assignment().peers
+	event.ReaderMissing.Log(f.log, "lagging", f.laggingCount(l, time.Now()), "asked", len(l), "role", string(f.role()), "view_age_ms", f.ViewAge().Milliseconds())
+}
+
+// setFollowsPeer records whether another box, named by peer, keeps this box's view up to date. It reports
 // whether that has just begun.
-func (f *Follower) setFollowsPeer(follows bool) bool {
+func (f *Follower) setFollowsPeer(follows bool, peer string) bool {
+	changed, sinceLost := f.updateFollowsPeer(follows)
+	if changed {
+		f.logFollowsPeer(follows, peer, sinceLost)
+	}
+	return changed && follows
+}
+
+// updateFollowsPeer is setFollowsPeer without its log line. It reports whether that has changed, and how long
+// ago the view was last kept up to date by another box, if it was not until now.
+func (f *Follower) updateFollowsPeer(follows bool) (changed bool, sinceLost time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
@@ -251,13 +271,16 @@
 	if follows {
 		f.followsPeerUntil = now.Add(peerWatchWait + 2*peerWatchGrace)
 	}
+	if !f.peerLostAt.IsZero() {
+		sinceLost = now.Sub(f.peerLostAt)
+	}
 	if followed && !follows {
 		f.peerLostAt = now
 	}
 	if follows != followed {
 		f.signalStateChangeLocked()
 	}
-	return follows && !followed
+	return follows != followed, sinceLost
 }
 
 // setUnresponsive records whether a reader failed to respond.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,8 @@
 	PeerRemoved               = Event{slog.LevelInfo, "row of a box long gone removed", 503}
 	PeerReachable             = Event{slog.LevelInfo, "box reachable again", 502}
 	ReaderUnresponsive        = Event{slog.LevelWarn, "reader of the store did not answer", 504}
+	ReaderMissing             = Event{slog.LevelWarn, "no box keeps the view up to date", 506}
+	ReaderFollowed            = Event{slog.LevelInfo, "another box keeps the view up to date again", 507}
 	PeerLost                  = Event{slog.LevelWarn, "box marked as lost", 505}
 	RevisionApplied           = Event{slog.LevelInfo, "configuration revision in force", 601}
 	ResourceWritten           = Event{slog.LevelInfo, "resource written", 602}
@@ -92,7 +94,7 @@
 	UpstreamEntryRemoved, UpstreamLeaving, MoveStarted, MoveCompleted, MoveFailed, UpstreamRefused, MemoryCopied, LeavingNoticeReceived, LeavingAnswerReceived, UpstreamCrashed,
 	RequestQuarantined, CrashNotCounted, RequestCleared, QuarantinedRequestRetried, LimitAnnounced, LimitLifted, LimitInvalid, UpstreamLinkLost, UpstreamLinkRestored, UpstreamSilent, KeptRowsRead,
 	PlatformUnreachable, PlatformReachable, OutcomeNotRecorded, StoreRestored, StaleAnswerIgnored, ChangesHeld, RowIgnored, ReadOverdue, ViewStale, ViewCurrent, ReadHedged,
-	PeerUnreachable, PeerReachable, PeerRemoved, ReaderUnresponsive, PeerLost,
+	PeerUnreachable, PeerReachable, PeerRemoved, ReaderUnresponsive, PeerLost, ReaderMissing, ReaderFollowed,
 	RevisionApplied, ResourceWritten, ResourceRefused, ResourceRewritten,
 }
 
--- a/readers_lost_test.go
+++ b/readers_lost_test.go
@@ -159,7 +159,7 @@
 	for boxes := 2; boxes <= 9; boxes++ {
 		for i := range losses {
 			t.Run(fmt.Sprint(boxes, " ", losses[i].name), func(t *testing.T) {
-				withLossFleet(t, 1, 1, boxes, func(t *testing.T, r *lossFleet, names []string) {
+				withLossFleet(t, 1, 1, boxes, func(_ *testing.T, r *lossFleet, names []string) {
 					if l := r.readers(names); len(l) <= boxes/2 {
 						r.playLoss(&losses[i], names, l)
 					}
@@ -209,7 +209,7 @@
 func TestChangeWhileReadersOfAllHallsAreLost(t *testing.T) {
 	for _, c := range []struct{ halls, boxes int }{{2, 3}, {2, 5}, {2, 8}, {3, 3}, {3, 4}, {3, 6}} {
 		t.Run(fmt.Sprint(c.halls, "x", c.boxes), func(t *testing.T) {
-			withLossFleet(t, 3, c.halls, c.boxes, func(t *testing.T, r *lossFleet, names []string) {
+			withLossFleet(t, 3, c.halls, c.boxes, func(_ *testing.T, r *lossFleet, names []string) {
 				byHall := make(map[string][]string)
 				for _, n := range names {
 					byHall[n[4:5]] = append(byHall[n[4:5]], n)
