A body that trickles is refused at its request's deadline

A caller that sent a body slowly, or not at all, held the memory for it, and a goroutine, for as long as it kept its connection: nothing ended the reading of a body.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -282,12 +282,14 @@
 // RefuseForMemory answers q, whose body was not read or only a part of it, with an error that says that the box
 // has no memory for it. It may panic with http.ErrAbortHandler.
 func (x *Relay) RefuseForMemory(ctx context.Context, w http.ResponseWriter, q *Request) {
-	e := &exchange{callerCtx: ctx, relay: x, request: q, writer: w}
 	err := fail.New(fail.NotRun, clientOrigin("read body"), string(policy.ReasonMemory), "the box has no memory for the request")
-	err = fail.WithRetryAt(err, time.Now().Add(refusedRetryDelay))
-	w.Header().Set("Connection", "close") // the rest of the body is not read
-	x.recordOutcome(e, err)
-	e.writeFailure(err)
+	x.refuseUnread(ctx, w, q, fail.WithRetryAt(err, time.Now().Add(refusedRetryDelay)))
+}
+
+// RefuseLateBody answers q, whose body did not arrive before its deadline, with an error. It may panic with
+// http.ErrAbortHandler.
+func (x *Relay) RefuseLateBody(ctx context.Context, w http.ResponseWriter, q *Request) {
+	x.refuseUnread(ctx, w, q, fail.New(fail.NotRun, clientOrigin("read body"), "body_late", "the body did not arrive in time"))
 }
 
 // RetryUsage returns the usage of a service's retry budget at this box.
@@ -438,6 +440,15 @@
 	}
 }
 
+// refuseUnread answers q with an error that says that it was not run. The rest of its body is not read.
+func (x *Relay) refuseUnread(ctx context.Context, w http.ResponseWriter, q *Request, err error) {
+	ctx = context.WithoutCancel(ctx) // the server cancels it where a read has failed, though the caller may be there
+	e := &exchange{callerCtx: ctx, relay: x, request: q, writer: w}
+	w.Header().Set("Connection", "close")
+	x.recordOutcome(e, err)
+	e.writeFailure(err)
+}
+
 // revisionAttributes returns log attributes with the revisions on which a decision was based and the
 // age of the box's view of them.
 func (x *Relay) revisionAttributes() []any {
