Connections to upstreams for other boxes are part of a box's memory

Each is now part of the account, and one without room is refused, so that the other box uses another path.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -25,7 +25,7 @@
 // Costs of what a box holds, in bytes: buffers, and stacks of goroutines.
 const (
 	ConnectionBytes = 24 << 10 // a connection of a caller
-	RequestBytes    = 40 << 10 // a request in progress without its body, with its connection to an upstream
+	RequestBytes    = 40 << 10 // a request in progress without its body, with its connection to an upstream; or such a connection for another box
 )
 
 const (
--- a/relayed.go
+++ b/relayed.go
@@ -9,6 +9,7 @@
 
 	"github.com/linetiller/linetiller/internal/box"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/reach"
 )
@@ -80,6 +81,24 @@
 	}
 }
 
+// beginRelayed counts a connection to an upstream for another box, and its memory, until end is called. It reports false
+// if there may be no more of them.
+func (b *Box) beginRelayed() (end func(), ok bool) {
+	endCount, ok := b.relayed.begin()
+	if !ok {
+		return nil, false
+	}
+	m, err := b.memory.Reserve(memory.RequestBytes)
+	if err != nil {
+		endCount()
+		return nil, false
+	}
+	return func() {
+		m.Release()
+		endCount()
+	}, true
+}
+
 // connectForPeer opens a connection to an upstream for another box. It connects directly, so that no
 // connection goes over more than one box.
 func (b *Box) connectForPeer(ctx context.Context, q *box.Request) (net.Conn, error) {
@@ -101,7 +120,7 @@
 	if !b.upstreamIndex.contains(b.view, address) {
 		return nil, box.ReasonUpstreamUnknown, errors.New("no such upstream is listed")
 	}
-	end, ok := b.relayed.begin()
+	end, ok := b.beginRelayed()
 	if !ok {
 		return nil, box.ReasonTooManyConnections, errors.New("too many connections are open for other boxes")
 	}
--- a/relayed_test.go
+++ b/relayed_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fake/routed"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
 )
 
@@ -201,11 +202,22 @@
 	})
 }
 
-// TestRelayedConnectionsAreBounded checks that a box opens no more connections for others than its limit,
-// and that requests then use other boxes.
+// TestRelayedConnectionsAreBounded checks that a box opens no more connections for others than its limit, or
+// than it has memory for, and that requests then use other boxes.
 func TestRelayedConnectionsAreBounded(t *testing.T) {
+	for name, bound := range map[string]func(b *Box){
+		"limit":  func(b *Box) { b.relayed.limit = 2 },
+		"memory": func(b *Box) { b.memory = memory.NewAccount(2 * memory.RequestBytes) },
+	} {
+		t.Run(name, func(t *testing.T) { checkRelayedAreBounded(t, bound) })
+	}
+}
+
+// checkRelayedAreBounded checks that a box which may open two connections for others opens no more.
+func checkRelayedAreBounded(t *testing.T, bound func(b *Box)) {
+	t.Helper()
 	withRelayedBox(t, func(t *testing.T, r *routedRegion, _ *callers) {
-		r.boxes["box-a2"].relayed.limit = 2
+		bound(r.boxes["box-a2"])
 		var g sync.WaitGroup
 		for i := range 8 {
 			g.Go(func() {
@@ -221,6 +233,9 @@
 			}
 		}
 		g.Wait()
+		if got := r.boxes["box-a2"].memory.Reserved(); got != 0 {
+			t.Errorf("reserved once all have ended: got %d, want 0", got)
+		}
 	})
 }
 
