Boxes that are no readers do not read a store that is down

With every box watching another one, each read the store once or twice when it went down, and TestOutageCostsFewCalls failed on: 89 calls in 8 s, at most 70.

A box that is no reader now reads at once only if none of those that it may watch answers, or fewer than five boxes read before it; else it waits for its back-off, unless another box follows the store before. And a box that has just lost the one that it watched gets 150 ms to read the store before it tells those that watch it that it does not follow the store: they would read as well.

TestLostReadersCauseNoHerd: 60 boxes make at most 60 calls in the 5 s after their readers are lost.

--- a/internal/configuration/assignment.go
+++ b/internal/configuration/assignment.go
@@ -105,6 +105,17 @@
 	return l[:min(readersPerHall, len(l))]
 }
 
+// closerReaders returns the number of boxes that read the store before this one if its readers cannot: the
+// readers of all halls and, if this box is not among those of its own, the others before it.
+func (f *Follower) closerReaders() int {
+	s := f.members.Self()
+	position := slices.Index(f.responsiveRank(s.Hall), s.Name)
+	if position < readersPerHall {
+		return 0
+	}
+	return readersPerHall*len(f.members.Halls()) + position - readersPerHall
+}
+
 // isHallReader reports whether this box is one of the readers of its hall.
 func (f *Follower) isHallReader() bool {
 	s := f.members.Self()
--- a/internal/configuration/peerwatch.go
+++ b/internal/configuration/peerwatch.go
@@ -23,6 +23,9 @@
 	peerResponseTime = 100 * time.Millisecond
 	// peerWatchIdleInterval is the time between two checks whether this box has peers to watch.
 	peerWatchIdleInterval = 250 * time.Millisecond
+	// substitutionTime is how long a box that was lost may take to be replaced by the first read of one that
+	// watched it, before this one says that it does not follow the store.
+	substitutionTime = 150 * time.Millisecond
 	// peerWatchRetryDelay is the delay before the next round of calls after no peer could help.
 	peerWatchRetryDelay = 100 * time.Millisecond
 )
@@ -43,7 +46,8 @@
 }
 
 // WatchChanges returns the changes that the calling box lacks. It returns at once if there are any,
-// or if this box's own view is not kept up to date; otherwise as soon as there are some, or after
+// or if this box's own view is not kept up to date, and this box is not about to find out whether it can do
+// so itself; otherwise as soon as there are some, or after
 // wait, which is limited to peerWatchWait.
 func (f *Follower) WatchChanges(ctx context.Context, have resource.Revisions, wait time.Duration) *box.Reply {
 	t := time.NewTimer(min(max(0, wait), peerWatchWait))
@@ -51,14 +55,19 @@
 	for {
 		changed, stateChange := f.view.Changed(), f.stateChanged()
 		follows := f.FollowsStore()
-		if l := f.view.Missing(have); len(l) > 0 || !follows {
+		var substituted <-chan time.Time
+		if !follows && f.isSubstituting(time.Now()) {
+			substituted = time.After(substitutionTime)
+		}
+		if l := f.view.Missing(have); len(l) > 0 || !follows && substituted == nil {
 			return &box.Reply{ViewAge: f.ViewAge(), Changes: withoutLargeLists(l), FollowsStore: follows}
 		}
 		select {
 		case <-changed:
 		case <-stateChange:
+		case <-substituted:
 		case <-t.C:
-			return &box.Reply{ViewAge: f.ViewAge(), FollowsStore: true}
+			return &box.Reply{ViewAge: f.ViewAge(), FollowsStore: f.FollowsStore()}
 		case <-ctx.Done():
 			return &box.Reply{FollowsStore: follows}
 		}
@@ -240,6 +249,15 @@
 	}
 }
 
+// isSubstituting reports whether this box is about to find out by its own first read whether the store serves
+// it, since the box that it watched was lost just now. Those that watch this box wait for the result.
+func (f *Follower) isSubstituting(now time.Time) bool {
+	f.mutex.Lock()
+	lostAt := f.peerLostAt
+	f.mutex.Unlock()
+	return now.Sub(lostAt) < substitutionTime && f.role() == roleSubstitute && !f.probedSincePeerLost(f.probe())
+}
+
 // logFollowsPeer logs that another box has begun to keep this box's view up to date, or no longer does.
 func (f *Follower) logFollowsPeer(follows bool, peer string, sinceLost time.Duration) {
 	if follows {
--- a/internal/configuration/reading.go
+++ b/internal/configuration/reading.go
@@ -25,6 +25,9 @@
 	initialRetryDelay = 250 * time.Millisecond // after a failure, doubled after each further one
 	// substituteInitialRetryDelay is the same for readers other than the primary.
 	substituteInitialRetryDelay = time.Second
+	// enoughReaders is how many readers must be turned away by the store before other boxes do not read it at
+	// once: it is most likely down.
+	enoughReaders = 5
 	// substituteStagger is the time between the first reads of two substitutes. A read that the
 	// store answers and the next substitute's call that learns of it take about 15 ms.
 	substituteStagger = 80 * time.Millisecond
@@ -80,14 +83,18 @@
 }
 
 // staggerSubstituteRead delays the first read of a substitute until the readers closer to the store
-// that responded would have found out whether it serves them. It reports whether the read is still
-// needed.
+// that responded would have found out whether it serves them. Where enough of them have, a box that is no
+// reader only reads after the back-off. It reports whether the read is still needed.
 func (f *Follower) staggerSubstituteRead(ctx context.Context, s *source, r readerRole) bool {
 	if r != roleSubstitute || f.probedSincePeerLost(s) {
 		return true
 	}
 	closer := f.laggingCount(f.assignment().peers, time.Now())
-	pause(ctx, time.Duration(max(0, closer-1))*substituteStagger)
+	if closer > 0 && f.closerReaders() >= enoughReaders {
+		f.pauseInRole(ctx, r, f.backoff(s, r), f.recoverySignal())
+	} else {
+		pause(ctx, time.Duration(max(0, closer-1))*substituteStagger)
+	}
 	return f.role() == roleSubstitute
 }
 
@@ -170,7 +177,13 @@
 		pause(ctx, fastRetryDelay)
 		return
 	}
-	t := time.NewTimer(f.backoff(s, r))
+	f.pauseInRole(ctx, r, f.backoff(s, r), recovered)
+}
+
+// pauseInRole waits for a period, or until shortly after another source can be read again, or until the role
+// of this box changes.
+func (f *Follower) pauseInRole(ctx context.Context, r readerRole, d time.Duration, recovered <-chan struct{}) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	for {
 		stateChange := f.stateChanged()
--- a/readers_lost_test.go
+++ b/readers_lost_test.go
@@ -233,3 +233,16 @@
 		})
 	}
 }
+
+// TestLostReadersCauseNoHerd checks that the boxes of a large hall do not all read the store when its readers are lost.
+func TestLostReadersCauseNoHerd(t *testing.T) {
+	const boxes = 60
+	withLossFleet(t, 8, 1, boxes, func(t *testing.T, r *lossFleet, names []string) {
+		for _, n := range r.readers(names) {
+			r.powerOff(n)
+		}
+		if got, maxWant := r.storeCallsDuring(5*time.Second), boxes; got > maxWant {
+			t.Errorf("calls to the store within 5 s: got %d, want at most one for each of the %d boxes", got, maxWant)
+		}
+	})
+}
