Idle connections are closed for a request only if that makes room for it

Found by reading the change again: a large body for which there was no room closed every idle connection, one by one, and was refused all the same. The account now says how much is missing, and connections are closed only if there are enough of them.

--- a/assemble.go
+++ b/assemble.go
@@ -137,9 +137,7 @@
 func (b *Box) assembleMemory() {
 	b.memory = memory.NewAccount(memory.CallerLimit(b.settings.Limits.MemoryMB))
 	b.memory.OnShort = b.logMemoryShort
-	b.memory.Reclaim = func() bool {
-		return slices.ContainsFunc(b.callerConnections, (*idle.Closer).CloseOne)
-	}
+	b.memory.Reclaim = b.reclaimConnections
 	b.metrics.GaugeOf(metric.CallerMemory, "state", "limit", func() float64 { return float64(b.memory.Limit()) })
 	b.metrics.GaugeOf(metric.CallerMemory, "state", "reserved", func() float64 { return float64(b.memory.Reserved()) })
 }
@@ -260,6 +258,25 @@
 	event.MemoryShort.Log(b.log, "reserved", b.memory.Reserved(), "limit", b.memory.Limit(), "connections", connections, "held", b.InProgress())
 }
 
+// reclaimConnections closes connections of callers without requests until n bytes are released, or none if there are
+// not enough of them. It reports whether it did.
+func (b *Box) reclaimConnections(n int64) bool {
+	wanted := int((n + memory.ConnectionBytes - 1) / memory.ConnectionBytes)
+	closable := 0
+	for _, c := range b.callerConnections {
+		closable += c.Closable()
+	}
+	if closable < wanted {
+		return false
+	}
+	for range wanted {
+		if !slices.ContainsFunc(b.callerConnections, (*idle.Closer).CloseOne) {
+			return false // others have become active or were closed in between
+		}
+	}
+	return true
+}
+
 // trackConnections makes the connections of a server of callers part of the account of memory, and closes those that are
 // idle for longer than timeout.
 func (b *Box) trackConnections(s *http.Server, listener string, timeout func() time.Duration) {
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -93,6 +93,17 @@
 	return !x.closed
 }
 
+// Closable returns the number of connections that CloseOne could close one after another.
+func (c *Closer) Closable() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	n := c.idle.Len()
+	for e := c.opening.Front(); e != nil && e.Value.(*connection).silent(); e = e.Next() {
+		n++
+	}
+	return n
+}
+
 // CloseOne closes the connection of least use on which no request is in progress, and reports whether there was one: the
 // longest idle one, or else the oldest one whose caller has been silent for openingGrace.
 func (c *Closer) CloseOne() bool {
@@ -102,7 +113,7 @@
 	if e == nil {
 		e, reason = c.opening.Front(), ReasonOpening
 	}
-	if e == nil || (reason == ReasonOpening && time.Since(e.Value.(*connection).openedAt) < openingGrace) {
+	if e == nil || (reason == ReasonOpening && !e.Value.(*connection).silent()) {
 		c.mutex.Unlock()
 		return false
 	}
@@ -135,6 +146,9 @@
 	}
 }
 
+// silent reports whether the caller has not sent the header of its first request for openingGrace.
+func (x *connection) silent() bool { return time.Since(x.openedAt) >= openingGrace }
+
 // closeIdle closes a connection at the end of its idle timeout, unless it is no longer idle.
 func (c *Closer) closeIdle(x *connection, e *list.Element) {
 	c.mutex.Lock()
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -151,6 +151,9 @@
 		time.Sleep(2 * openingGrace)
 		c.Track(&fresh, http.StateNew)
 		for i, n := range []*closeRecorder{&longIdle, &idle, &silent} {
+			if got, want := c.Closable(), 3-i; got != want {
+				t.Errorf("connections that may be closed: got %d, want %d", got, want)
+			}
 			if !c.CloseOne() || n.closedAt.IsZero() {
 				t.Fatalf("close %d: another connection was closed, or none", i)
 			}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -12,9 +12,9 @@
 type Account struct {
 	// OnShort is called when there was no room for a reservation. By default it does nothing.
 	OnShort func()
-	// Reclaim ends something that is of less use than a new request, such as an idle connection, and reports
-	// whether it did. By default there is nothing of the kind.
-	Reclaim func() bool
+	// Reclaim releases at least n bytes of what is of less use than a new request, such as idle connections, or
+	// nothing if there are not that many, and reports whether it did. By default there is nothing of the kind.
+	Reclaim func(n int64) bool
 
 	limit int64 // in bytes; 0 for none
 
@@ -40,7 +40,7 @@
 
 // NewAccount returns an account of up to limit bytes, or without a limit if that is 0.
 func NewAccount(limit int64) *Account {
-	return &Account{OnShort: func() {}, Reclaim: func() bool { return false }, limit: limit}
+	return &Account{OnShort: func() {}, Reclaim: func(int64) bool { return false }, limit: limit}
 }
 
 // Limit returns the number of bytes that may be reserved, 0 for no limit.
@@ -69,8 +69,8 @@
 	a.reserved += n
 }
 
-// take reserves n bytes and reports whether there was room for them.
-func (a *Account) take(n int64) bool {
+// take reserves n bytes, or returns how many of them there is no room for.
+func (a *Account) take(n int64) (missing int64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	limit := a.limit
@@ -78,19 +78,22 @@
 		limit -= limit / smallShare
 	}
 	if a.limit > 0 && a.reserved+n > limit {
-		return false
+		return a.reserved + n - limit
 	}
 	a.reserved += n
-	return true
+	return 0
 }
 
 // takeOrReclaim reserves n bytes, for which it reclaims memory if necessary, and reports whether there was room.
 func (a *Account) takeOrReclaim(n int64) bool {
-	for !a.take(n) {
-		if !a.Reclaim() {
+	for {
+		missing := a.take(n)
+		if missing == 0 {
+			return true
+		}
+		if !a.Reclaim(missing) {
 			a.OnShort()
 			return false
 		}
 	}
-	return true
 }
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// TestReclaim checks that memory is reclaimed only if there is no room, and only as much as is necessary, and that a lack
-// of memory is reported.
+// TestReclaim checks that memory is reclaimed only if there is no room and it is enough, and that a lack of memory is
+// reported.
 func TestReclaim(t *testing.T) {
 	a := NewAccount(100)
 	idle, err := a.Reserve(40)
@@ -72,8 +72,8 @@
 	}
 	reclaimed, short := 0, 0
 	a.OnShort = func() { short++ }
-	a.Reclaim = func() bool {
-		if idle == nil {
+	a.Reclaim = func(n int64) bool {
+		if idle == nil || n > 40 {
 			return false
 		}
 		idle.Release()
@@ -81,15 +81,19 @@
 		reclaimed++
 		return true
 	}
-	for i, want := range []int{0, 1, 1} {
-		if _, err := a.Reserve(50); errors.Is(err, ErrShort) != (i == 2) {
+	for i, c := range []struct {
+		bytes int64
+		fits  bool
+	}{{50, true}, {60, false}, {50, true}, {50, false}} {
+		want := []int{0, 0, 1, 1}[i]
+		if _, err := a.Reserve(c.bytes); errors.Is(err, ErrShort) == c.fits {
 			t.Errorf("reservation %d: got error %v", i, err)
 		}
 		if reclaimed != want {
 			t.Errorf("reservation %d: reclaimed %d times, want %d", i, reclaimed, want)
 		}
 	}
-	if got, want := short, 1; got != want {
+	if got, want := short, 2; got != want {
 		t.Errorf("times without room: got %d, want %d", got, want)
 	}
 }
