--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -15,6 +15,8 @@
 	"deadline":               "it could not be answered before its deadline",
 	"key_unknown":            "its key belongs to no workspace",
 	"last_event_invalid":     "the ID of its last event is not a number",
+	"body_late":              "its body did not arrive before its deadline, or within a minute if it had none",
+	"memory":                 "callers made the box hold as much as its memory allows",
 	"late":                   "it would have missed its target, and other queued requests could still meet theirs",
 	"leaving":                "the upstream was leaving",
 	"limited":                "the rate limits of the upstreams were exhausted",
