An answer cut off during its upload no longer looks complete

Callers got the first part of an answer as the complete one: an upstream answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. Where the write of the request takes the error, the read of the answer that follows returns the end of the stream, which for a body without a length or chunks means that it is complete. net/http does not compare the two. Ruled out: a loss of the error in the relay (it never sees one), and answers with a length or chunks, whose end is known.

Change: connections to upstreams, to the store and to other boxes are httpclient.Conn: after a write has failed, or while one is not accepted, their reads do not report an orderly end. That covers boxes that relay connections for others, which see bytes only. httpclient.Transport, through which all answers are read, also requires that the whole request was sent if nothing but the end of the connection delimits the body: a peer that ends the connection before has failed, even if the kernel reports no reset.

--- a/internal/box/connect_test.go
+++ b/internal/box/connect_test.go
@@ -13,11 +13,12 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/httpclient"
 )
 
 // connectUpstream is a Connector that connects to the address that is asked for.
 func connectUpstream(ctx context.Context, q *Request) (net.Conn, error) {
-	c, err := new(net.Dialer).DialContext(ctx, "tcp", q.Connect.Address)
+	c, err := httpclient.Dial(new(net.Dialer))(ctx, "tcp", q.Connect.Address)
 	if err != nil {
 		return nil, fail.Wrap(fail.Unavailable, fail.Origin{Peer: "upstream", Step: "connect"}, ReasonUpstreamRefused, err)
 	}
@@ -127,6 +128,31 @@
 	})
 }
 
+// TestConnectionResetDuringUploadDoesNotLookComplete guards against the same where the write of the request in the box in
+// between consumes the reset.
+func TestConnectionResetDuringUploadDoesNotLookComplete(t *testing.T) {
+	eachConnection(t, func(t *testing.T, connect func(string) (net.Conn, error), _ func() error) {
+		upload := make([]byte, 8<<20)
+		for i := range 10 {
+			c, err := connect(startUpstream(t, func(c *net.TCPConn) {
+				_, _ = io.ReadFull(c, make([]byte, 10))
+				_, _ = io.WriteString(c, "part of an answer")
+				time.Sleep(time.Duration(2*i) * time.Millisecond)
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _, _ = c.Write(upload) }()
+			if got, err := io.ReadAll(c); err == nil {
+				t.Errorf("got %q as a complete answer, want an error", got)
+			}
+			_ = c.Close()
+		}
+	})
+}
+
 // TestClosedConnectionReachesTheUpstream guards against upstreams that go on working for a caller that is
 // gone.
 func TestClosedConnectionReachesTheUpstream(t *testing.T) {
--- a/internal/box/http.go
+++ b/internal/box/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/httpclient"
 )
 
 // HTTPTransport calls other boxes and serves their calls over HTTP on TCP, without encryption or
@@ -49,10 +50,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &HTTPTransport{cancel: cancel, clients: make(map[string]*http.Client), connector: n, ctx: ctx, handler: h, listener: l}
-	p.connectClient = &http.Client{Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: httpDialTimeout}).DialContext,
+	p.connectClient = &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{
+		DialContext:       httpclient.Dial(&net.Dialer{Timeout: httpDialTimeout}),
 		DisableKeepAlives: true, // a kept connection may have stopped carrying data
-	}}
+	}}}
 	m := http.NewServeMux()
 	m.HandleFunc(connectPath, p.serveConnectRequest)
 	m.HandleFunc("/", p.serve)
--- a/internal/box/httpsend.go
+++ b/internal/box/httpsend.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/linetiller/linetiller/internal/httpclient"
 )
 
 // httpResult is the outcome of one attempt to send a request: a response, with its body unread, or
@@ -27,11 +29,11 @@
 	defer p.mutex.Unlock()
 	c := p.clients[address]
 	if c == nil {
-		c = &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: httpDialTimeout}).DialContext,
+		c = &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{
+			DialContext:         httpclient.Dial(&net.Dialer{Timeout: httpDialTimeout}),
 			IdleConnTimeout:     httpIdleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerBox,
-		}}
+		}}}
 		p.clients[address] = c
 	}
 	return c
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fastjson"
 
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/httpclient"
 	"github.com/linetiller/linetiller/internal/sse"
 )
 
@@ -62,9 +63,8 @@
 	t.MaxIdleConnsPerHost = maxIdleConnectionsPerHost
 	t.ResponseHeaderTimeout = timeout
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
-
-	t.DialContext = (&net.Dialer{Timeout: timeout}).DialContext
-	c := &Client{http: &http.Client{Transport: t}, timeout: timeout}
+	t.DialContext = httpclient.Dial(&net.Dialer{Timeout: timeout})
+	c := &Client{http: &http.Client{Transport: &httpclient.Transport{Transport: t}}, timeout: timeout}
 	for _, o := range options {
 		o(c)
 	}
@@ -75,11 +75,11 @@
 // direct ones fail and for one request each.
 func WithDialers(direct, anyPath func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(c *Client) {
-		t := c.http.Transport.(*http.Transport)
+		t := c.http.Transport.(*httpclient.Transport).Transport
 		t.DialContext = direct
 		t = t.Clone()
 		t.DialContext, t.DisableKeepAlives = anyPath, true
-		c.anyPath = &http.Client{Transport: t}
+		c.anyPath = &http.Client{Transport: &httpclient.Transport{Transport: t}}
 	}
 }
 
--- a/upstreamsource.go
+++ b/upstreamsource.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"github.com/linetiller/linetiller/internal/httpclient"
 )
 
 // upstreamSource opens connections to upstreams from an address that can be changed. It is safe for
@@ -18,7 +20,7 @@
 	if a := s.address.Load(); a != nil {
 		d.LocalAddr = a
 	}
-	return d.DialContext(ctx, network, address)
+	return httpclient.Dial(d)(ctx, network, address)
 }
 
 // set sets the IP address from which later connections are opened; "" stands for any.
