A response with an invalid status or version is not an answer

Callers' connections were closed without an answer when an upstream in trouble sent a status below 100, such as 000: net/http accepts any three digits, and the handler panicked when it passed them on ("invalid WriteHeader code"). That happened on all kinds of routes, also where another upstream could have been tried. The request also counted as in progress for good, so that a later planned stop would wait for it to its end. 600, 999, a 101 that nobody had asked for and a status line of HTTP/2.0 were passed on as answers; a 101 took the caller's connection with it.

Cause: what net/http reads was taken for a valid HTTP/1.1 response.

Change: httpclient.Transport, through which boxes read all responses (of upstreams, engines' control calls, the store, other boxes), accepts the versions 1.x and the statuses 200 to 599, the final ones of RFC 9110, and returns an InvalidResponseError otherwise. To requests it is a send whose outcome is unknown, of the reason upstream_garbled: another upstream is tried where that is allowed, and the caller gets 502 if not.

Before, with the check taken out: TestInvalidHead fails in all of its cases (000, 001, 099, +20: connection closed; 101, 600, 999, HTTP/2.0: passed on), on all four kinds of routes; it did not end, since a box did not stop any more. TestInvalidHeadElsewhere fails for 101 (a service of the own interface, a copy), seen by itself; its other cases were not counted one by one. After: both pass.

--- a/internal/explain/reason.go
+++ b/internal/explain/reason.go
@@ -37,6 +37,7 @@
 	"stream_broken":          "the stream broke off before its end",
 	"stream_gap":             "an event was missing from the upstream's stream",
 	"upstream_failed":        "the upstream failed",
+	"upstream_garbled":       "the upstream sent something that is no valid response",
 	"upstream_lost":          "the connection to the upstream was lost",
 	"upstream_silent":        "the upstream sent nothing for longer than usual",
 	"upstream_refused":       "the upstream refused to run it",
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,5 +1,5 @@
 // Package httpclient has the connections and the transport with which boxes send HTTP requests. They return errors where
-// net/http accepts a response that may be incomplete.
+// net/http accepts a response that is not valid HTTP/1.1 or that may be incomplete.
 package httpclient
 
 import (
@@ -7,26 +7,50 @@
 	"slices"
 )
 
-// Transport sends requests. The body of a response ends with io.EOF only if it is
+// Transport sends requests and accepts only valid responses. The body of a response ends with io.EOF only if it is
 // complete, provided that its connections are of type Conn.
 type Transport struct {
 	*http.Transport
 }
 
+// InvalidResponseError means that a peer sent a response that is not valid HTTP/1.1 (RFC 9110 and 9112).
+type InvalidResponseError struct {
+	Message string
+}
+
+// Error returns the message of the error.
+func (e *InvalidResponseError) Error() string { return "invalid response: " + e.Message }
+
 // IsSelfDelimiting reports whether the end of a response's body can be told from the end of its connection.
 func IsSelfDelimiting(w *http.Response) bool {
 	return w.ContentLength >= 0 || w.Uncompressed || slices.Contains(w.TransferEncoding, "chunked")
 }
 
-// RoundTrip sends a request and returns the response.
+// RoundTrip sends a request and returns the response. The error is an InvalidResponseError if the response is invalid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r, p := trackBody(r)
 	w, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
+	if err := check(w); err != nil {
+		_ = w.Body.Close()
+		return nil, err
+	}
 	if w.Body != http.NoBody {
 		w.Body = &responseBody{ReadCloser: w.Body, request: p, response: w}
 	}
 	return w, nil
 }
+
+// check returns an error if the head of a response is invalid.
+func check(w *http.Response) error {
+	if w.ProtoMajor != 1 {
+		return &InvalidResponseError{"version " + w.Proto}
+	}
+	// The requests of boxes ask for no other protocol, so that the status 101 is no final one.
+	if w.StatusCode < http.StatusOK || w.StatusCode > 599 {
+		return &InvalidResponseError{"status " + w.Status}
+	}
+	return nil
+}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -43,7 +43,9 @@
 
 // Reasons of errors.
 const (
+	ReasonGarbled     = "upstream_garbled"     // the upstream sent something that is no valid response
 	ReasonLeaving     = "upstream_leaving"     // an engine answers that it accepts no new work
+	ReasonLost        = "upstream_lost"        // the connection ended without a response
 	ReasonSilent      = "upstream_silent"      // the upstream accepted the connection, but sent no response in time
 	ReasonUnreachable = "upstream_unreachable" // no connection to the upstream could be made, so that it received nothing
 )
@@ -56,6 +58,15 @@
 	maxIdleConnectionsPerHost = 256
 )
 
+// LossReason returns the reason of an error of a request that was sent, but got no response.
+func LossReason(err error) string {
+	var x *httpclient.InvalidResponseError
+	if errors.As(err, &x) {
+		return ReasonGarbled
+	}
+	return ReasonLost
+}
+
 // NewClient returns a client. The timeout applies to connecting, to waiting for response headers, and
 // to calls of engines as a whole, other than streams.
 func NewClient(timeout time.Duration, options ...Option) *Client {
@@ -210,7 +221,7 @@
 		return nil
 	}
 	if err := json.NewDecoder(io.LimitReader(w.Body, maxResponseBytes)).Decode(out); err != nil {
-		return fail.Wrap(fail.Unavailable, p, "upstream_garbled", err)
+		return fail.Wrap(fail.Unavailable, p, ReasonGarbled, err)
 	}
 	return nil
 }
@@ -287,7 +298,7 @@
 	case errors.As(err, &n) && n.Timeout():
 		return fail.Wrap(fail.Unknown, p, ReasonSilent, err)
 	}
-	return fail.Wrap(fail.Unknown, p, "upstream_lost", err)
+	return fail.Wrap(fail.Unknown, p, LossReason(err), err)
 }
 
 // statusError returns the error for a response status other than 200. The statuses 400, 413 and 503
