A response with an invalid field name is not an answer

Callers got answers of upstreams in trouble in whose head the name of a field held a blank: without that line, or, where the line was to delimit the body, with a body that was not the upstream's ("Transfer-Encoding : chunked" gave the chunks with their sizes, also as a stream's events; "Content-Length : 9" gave what followed the nine bytes).

Cause: net/http accepts blanks in the names of fields and does not recognize such fields. Ruled out: tabs, control bytes, NUL and empty names, which it rejects; the tests for them are kept and passed before.

Change: httpclient.Transport checks the names of the fields of each head, and at the end of a body those of its trailer, with the library of net/http. An invalid one makes the response invalid, so that another upstream is tried or the caller gets 502, as for invalid statuses.

Before, with the check taken out: TestInvalidHead fails in the four cases with a blank, on all four kinds of routes (with the sizes of chunks in the body, or "MORE" behind it), TestInvalidTrailer in 4 of 4. After: both pass.

--- a/internal/httpclient/responsebody.go
+++ b/internal/httpclient/responsebody.go
@@ -34,6 +34,9 @@
 
 // endError returns io.EOF if a body that has ended is complete, and another error if not.
 func (b *responseBody) endError() error {
+	if err := checkFields(b.response.Trailer); err != nil {
+		return err
+	}
 	if !IsSelfDelimiting(b.response) && !b.request.complete() {
 		return errRequestUnfinished
 	}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"slices"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Transport sends requests and accepts only valid responses. The body of a response ends with io.EOF only if it is
@@ -52,5 +54,16 @@
 	if w.StatusCode < http.StatusOK || w.StatusCode > 599 {
 		return &InvalidResponseError{"status " + w.Status}
 	}
+	return checkFields(w.Header)
+}
+
+// checkFields returns an error if the name of a field is invalid: net/http accepts blanks in it, and does not recognize
+// the fields that delimit the body then.
+func checkFields(h http.Header) error {
+	for n := range h {
+		if !httpguts.ValidHeaderFieldName(n) {
+			return &InvalidResponseError{"field name " + n}
+		}
+	}
 	return nil
 }
