A row with port 0 does not describe an upstream

Boxes used a row of another writer whose address had port 0 as an upstream: requests were sent there in vain, and connections to it counted as lost.

Cause: netip accepts port 0, which no process listens at.

Before: TestForeignRowBesideUpstreams fails for "port 0 in servers" (not counted as ignored, used by 4 of 4 boxes). Its other new rows passed before and are kept: ports 65536, 2^64+1 and -1, numbers of 1e400 and of 40,000 digits, lists 20,000 deep, by themselves and in a field; and all rows also in the operators' table and in that of kept requests.

--- a/foreign_rows_test.go
+++ b/foreign_rows_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/table"
 	"github.com/linetiller/linetiller/platform"
 )
 
@@ -32,25 +34,34 @@
 	"a negative start":     `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","born":-1}`,
 	"a negative cold time": `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","cold_left_ms":-5}`,
 	"a start out of range": `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","born":1e300}`,
+	"a number too large":   `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","born":1e400}`,
+	"many digits":          `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","cold_left_ms":` + strings.Repeat("9", 40_000) + `}`,
+	"port 0":               `{"service":"desk","address":"127.0.0.9:0","zone":"a","state":"ready"}`,
+	"port 65536":           `{"service":"desk","address":"127.0.0.9:65536","zone":"a","state":"ready"}`,
+	"a large port":         `{"service":"desk","address":"127.0.0.9:18446744073709551617","zone":"a","state":"ready"}`,
+	"a negative port":      `{"service":"desk","address":"127.0.0.9:-1","zone":"a","state":"ready"}`,
+	"a deep list":          strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	"a deep list in a field": `{"service":"desk","address":"127.0.0.9:1","zone":"a","state":"ready","models":` + strings.Repeat("[", 20_000) +
+		strings.Repeat("]", 20_000) + `}`,
 }
 
 // TestForeignRowBesideUpstreams guards against rows that do not describe an upstream, beside those
 // that do: for as long as one stood, boxes learned neither of upstreams that started or ended nor
 // of changes of the configuration.
 func TestForeignRowBesideUpstreams(t *testing.T) {
-	for name, value := range foreignRows {
-		for _, table := range []string{"servers", "box"} {
-			t.Run(name+" in "+table, func(t *testing.T) {
+	for kind, value := range foreignRows {
+		for _, name := range []string{"servers", "box", "op", "kept"} {
+			t.Run(kind+" in "+name, func(t *testing.T) {
 				withRoutedRegion(t, func(t *testing.T, r *routedRegion) {
 					r.startUpstream("s-a1")
 					time.Sleep(2 * time.Second)
-					r.platform.Put(table+"/foreign", json.RawMessage(value))
+					r.platform.Commit(&table.Transaction{Writes: []table.Write{{Key: name + "/foreign", Value: []byte(value)}}})
 					time.Sleep(2 * time.Second)
 					r.startUpstream("s-b1")
 					r.killUpstream("s-a1")
 					r.configure(2, "new-key")
 					time.Sleep(3 * time.Second)
-					if got := r.ignoredRows(); table == "servers" && (got == 0 || got > len(r.boxes)) {
+					if got := r.ignoredRows(); name == "servers" && (got == 0 || got > len(r.boxes)) {
 						t.Errorf("rows counted as ignored: got %d, want one for each box that reads the list", got)
 					}
 					for n, b := range r.boxes {
