A leaving box refuses requests that may outlast it

Late in the grace period of a planned stop, requests were accepted and passed on, and cut off at its end without a complete answer, among them ones that may not be repeated.

Cause: while streams are in progress, a leaving box accepted all other requests up to a second before the end, whatever time they may take.

Change: after the drain period, while another box of the hall accepts requests, a request is accepted only if its deadline (its caller's, or its route's time-out) is before the end, and otherwise refused at once with 503 and Retry-After: 0, as not run, so that its caller reaches another box. Not changed: a hall in which no other box serves, where nearly all requests still end in time and a refused caller would come back to the same box; requests of the drain period, in which the balancer still sends.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,6 +71,11 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(e.deadline) {
 		e.deadline = q.Deadline
 	}
+	if !e.route.Spec.Stream {
+		if err := x.checkRequestFits(e.deadline); err != nil {
+			return err
+		}
+	}
 	if err := e.readLastEventID(); err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,6 +86,7 @@
 
 	mutex         sync.Mutex // guards the fields below; no other lock is taken under it
 	closing       bool
+	requestsEndAt time.Time // when what is in progress will be aborted; zero unless the box is leaving
 	streamsEndAt  time.Time // when the streams will be cut off; zero unless the box is leaving
 	inProgress    int
 	lastArrivalAt time.Time        // when the last request arrived; zero if none has
@@ -203,6 +204,14 @@
 // CompletedRuns returns this box's records of requests that completed.
 func (x *Relay) CompletedRuns() *policy.CompletedRuns { return x.completedRuns }
 
+// EndRequestsBy informs the relay that the box is leaving and aborts what is in progress at end. From now on the relay
+// refuses requests other than streams whose deadline is later, if other boxes serve their callers.
+func (x *Relay) EndRequestsBy(end time.Time) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.requestsEndAt = end
+}
+
 // EndStreamsBy informs the relay that the box is leaving: its streams will be cut off at
 // streamsEnd, and the balancer will have stopped sending callers to it at trafficEnd. From now on
 // the relay refuses streams that are unlikely to complete before streamsEnd, so that their callers
@@ -351,6 +360,18 @@
 	return nil
 }
 
+// checkRequestFits returns an error if this box is leaving and a request with a deadline might be aborted before it. If
+// there are no other boxes, most requests still end in time, and a refused caller reaches this box again.
+func (x *Relay) checkRequestFits(deadline time.Time) error {
+	x.mutex.Lock()
+	end := x.requestsEndAt
+	x.mutex.Unlock()
+	if end.IsZero() || !deadline.After(end) || !x.HasOtherBoxes() {
+		return nil
+	}
+	return leavingError(time.Now())
+}
+
 // checkStreamFits returns an error if this box is leaving and a stream of that many tokens is
 // unlikely to complete before streams are cut off.
 func (x *Relay) checkStreamFits(tokens int, now time.Time) error {
--- a/leaving_test.go
+++ b/leaving_test.go
@@ -238,3 +238,39 @@
 		}
 	})
 }
+
+// TestLateRequestsOfAStopAreNotCut guards against requests that a leaving box accepts late in its grace period, while
+// streams are in progress, and cuts off at its end without an answer: they are refused if they may last longer.
+func TestLateRequestsOfAStopAreNotCut(t *testing.T) {
+	const drain, grace, timeout = 3 * time.Second, 8 * time.Second, 1500 * time.Millisecond
+	for _, delay := range []time.Duration{60 * time.Millisecond, 1400 * time.Millisecond} {
+		t.Run(fmt.Sprint("requests of ", delay), func(t *testing.T) {
+			withPlainUpstreams(t, func(t *testing.T, r *routedRegion, c *callers) {
+				for _, n := range plainUpstreams {
+					r.upstreams[n].SetFaults(routed.Faults{Delay: delay})
+				}
+				b := r.boxes["box-a1"]
+				b.settings.Timeouts.Drain.Duration, b.settings.Timeouts.Grace.Duration = drain, grace
+				var g sync.WaitGroup
+				g.Go(func() { r.streamPlan("box-a1", "plan", routedKey, 2000) })
+				time.Sleep(time.Second)
+				b.Leave()
+				ends := time.Now().Add(grace - graceMargin)
+				for i := 0; time.Now().Before(ends); i++ {
+					at := time.Now()
+					g.Go(func() {
+						status, retryAfter := c.callStatus("box-a1", fmt.Sprint("call-", i))
+						left := ends.Sub(at)
+						switch {
+						case status == http.StatusServiceUnavailable && left < timeout && retryAfter != "":
+						case status != http.StatusOK:
+							t.Errorf("request %s before the end: got status %d, want 200, or 503 if less than %s are left", left, status, timeout)
+						}
+					})
+					time.Sleep(50 * time.Millisecond)
+				}
+				g.Wait()
+			})
+		})
+	}
+}
--- a/stopping.go
+++ b/stopping.go
@@ -50,7 +50,7 @@
 
 // Leave makes Serve drain the box and return. It announces that to the neighbours, and the
 // readiness check fails from now on. New requests are still accepted until the drain period ends
-// and, other than streams, for as long as streams are in progress.
+// and, other than streams, for as long as streams are in progress if they cannot outlast the box.
 func (b *Box) Leave() {
 	if b.stopping.Swap(true) {
 		return
@@ -109,8 +109,8 @@
 
 // drain keeps serving until the load balancer must have noticed that the box is not ready, but
 // already refuses streams that would outlast the box. Then it refuses all new streams, accepts
-// other requests while streams are in progress or no other box of the hall accepts them, and waits
-// for the remaining requests until leaveDeadline.
+// other requests that must end before leaveDeadline while streams are in progress, or any while no
+// other box of the hall accepts them, and waits for the remaining requests until leaveDeadline.
 func (b *Box) drain(ctx context.Context) {
 	now := time.Now()
 	deadline := b.leaveDeadline(now)
@@ -123,6 +123,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	b.relay.EndStreamsBy(time.Now(), time.Now())
+	b.relay.EndRequestsBy(deadline)
 	b.awaitOtherBoxes(ctx, deadline.Add(-lastCallsTimeout))
 	b.awaitStreams(ctx, deadline.Add(-lastCallsTimeout))
 	if !b.drainRequests(ctx) {
