Test: answers without end, several at once, to callers that do not read

Operators of a similar system saw a machine run out of memory over bytes without end. For bodies a box holds to its account already: with 40 callers that do not read and an account of 8 MiB, it reads no more than that and 256 KiB a request, serves a request beside them, and counts nothing after.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -1,11 +1,16 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/linetiller/linetiller/internal/memory"
+	"github.com/linetiller/linetiller/platform"
 )
 
 // endlessBody answers each request with text without end, in pieces of 64 KiB each millisecond, until its caller closes
@@ -72,3 +77,51 @@
 		})
 	}
 }
+
+// TestAnswersWithoutEndToSlowCallers guards against answers without end, several at once, whose callers do not read them:
+// a box may hold only what it has memory for, and requests beside them are served.
+func TestAnswersWithoutEndToSlowCallers(t *testing.T) {
+	const limit, callers, buffers = 8 << 20, 40, 256 << 10 // buffers of one request that are not for its answer's body
+	withRig(t, 0, 2, func(t *testing.T, r *rig) {
+		b := &endlessBody{text: "x"}
+		r.link.Handle("s1", b)
+		i := platform.NewIngress(r.relay, 1<<20)
+		i.Memory = memory.NewAccount(limit)
+		r.link.Handle("small-box", i)
+		send := func(id string) (*http.Response, error) {
+			q := request(t.Context(), http.MethodPost, "/once/x", id, "")
+			q.URL.Host = "small-box"
+			return r.link.RoundTrip(q)
+		}
+		var g sync.WaitGroup
+		for n := range callers {
+			g.Go(func() {
+				w, err := send(fmt.Sprint("id-", n))
+				if err != nil {
+					return
+				}
+				time.Sleep(time.Second)
+				_ = w.Body.Close()
+			})
+		}
+		time.Sleep(time.Second / 2)
+		if got, maxWant := b.sent.Load(), int64(limit+callers*buffers); got == 0 || got > maxWant {
+			t.Errorf("bytes read of all answers: got %d, want some, and at most %d", got, maxWant)
+		}
+		if got := i.Memory.Reserved(); got > limit {
+			t.Errorf("reserved: got %d, want at most %d", got, limit)
+		}
+		r.remove("s1")
+		w, err := send("beside")
+		if err != nil || w.StatusCode != http.StatusOK {
+			t.Errorf("a request beside them: got %+v, %v; want status 200", w, err)
+		} else {
+			_ = w.Body.Close()
+		}
+		g.Wait()
+		time.Sleep(2 * time.Second)
+		if got := i.Memory.Reserved(); got != 0 {
+			t.Errorf("reserved after all requests: got %d, want 0", got)
+		}
+	})
+}
