The headers of answers are part of a box's memory

An upstream in trouble that fills the heads of its answers could make a box exceed its memory, with all that it holds, although a head is bounded at 64 KiB.

Change: what the header of an answer takes beyond a usual one is reserved in the memory of its request. If there is no room, the send has failed, with the reason memory: another upstream is tried if that is allowed.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -125,3 +125,52 @@
 		}
 	})
 }
+
+// TestLargeHeadersStayWithinTheMemory guards against an upstream in trouble whose answers have many fields: a box holds
+// them until the answers end, and a short field takes many times its text.
+func TestLargeHeadersStayWithinTheMemory(t *testing.T) {
+	const limit, callers, fields, fieldBytes = 8 << 20, 40, 5_000, 200
+	withRig(t, 0, 1, func(t *testing.T, r *rig) {
+		r.link.Handle("s1", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			h := w.Header()
+			for i := range fields {
+				h[fmt.Sprintf("%X", i)] = []string{""}
+			}
+			h.Set("X-Linetiller-Request-Id", q.Header.Get("X-Linetiller-Request-Id"))
+			h.Set("X-Linetiller-Server-Stamp", "stamp")
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-q.Context().Done():
+			case <-time.After(time.Second):
+			}
+			_, _ = w.Write([]byte("answer"))
+		}))
+		i := platform.NewIngress(r.relay, 1<<20)
+		i.Memory = memory.NewAccount(limit)
+		r.link.Handle("small-box", i)
+		var g sync.WaitGroup
+		var answered atomic.Int64
+		for n := range callers {
+			g.Go(func() {
+				q := request(t.Context(), http.MethodPost, "/once/x", fmt.Sprint("id-", n), "")
+				q.URL.Host = "small-box"
+				w, err := r.link.RoundTrip(q)
+				if err != nil {
+					return
+				}
+				if _, large := w.Header["0"]; large {
+					answered.Add(1)
+				}
+				_ = w.Body.Close()
+			})
+		}
+		g.Wait()
+		time.Sleep(2 * time.Second)
+		if got, maxWant := int(answered.Load()), limit/(fields*fieldBytes); got == 0 || got > maxWant {
+			t.Errorf("large headers held at once: got %d, want some, and at most %d", got, maxWant)
+		}
+		if got := i.Memory.Reserved(); got != 0 {
+			t.Errorf("reserved after all requests: got %d, want 0", got)
+		}
+	})
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -10,7 +10,9 @@
 
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/fail"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
+	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/resource"
 	"github.com/linetiller/linetiller/internal/revision"
 )
@@ -108,7 +110,10 @@
 func (e *exchange) endSend(ctx context.Context, c *sendAttempt, a *Answer, err error) (*Answer, error) {
 	x, u, now := e.relay, c.upstream, time.Now()
 	if err == nil {
-		if err = e.checkAnswer(u, a); err != nil {
+		if err = e.checkAnswer(u, a); err == nil {
+			err = e.reserveHeader(u, a)
+		}
+		if err != nil {
 			_ = a.Body.Close()
 			return nil, err
 		}
@@ -176,6 +181,14 @@
 	event.UpstreamSilent.Log(e.relay.log, "request", e.request.ID, "upstream", u.Name, "events", events)
 }
 
+// reserveHeader reserves the memory for the header of an answer, or returns an error if there is none.
+func (e *exchange) reserveHeader(u *resource.Upstream, a *Answer) error {
+	if err := e.request.Memory.Grow(memory.HeaderBytes(a.Header)); err != nil {
+		return fail.Wrap(fail.Unknown, fail.Origin{Peer: "upstream " + u.Name, Step: "read header"}, string(policy.ReasonMemory), err)
+	}
+	return nil
+}
+
 // retryAt returns when a caller whose request an upstream rejected may retry: after
 // refusedRetryDelay, or when the first back-off ends if all upstreams have asked for back-off until
 // later.
