The answers of services are part of a box's memory

A service in trouble that sends answers without end could make a box exceed its memory: each call of the product's own interface kept up to 8 MiB.

Cause: the account of memory covered the bodies of such calls, and the answers of declared routes, but not the answers to calls of services.

Change: what is read of such an answer is reserved in the memory of its call, twice, as its buffer is copied while it grows. If there is no room, the call has failed, with the reason memory; its key, if it has one, keeps the outcome as unknown, as for any answer that is lost.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -247,7 +247,7 @@
 	n := r.PathValue("name")
 	p := service.PathOf(r.URL, n)
 	return &service.Call{
-		Body: b, Deadline: d, Halls: s.hallRegions.Allowed(x.Spec.Regions), Header: r.Header, Key: k, Method: r.Method, Path: p,
+		Body: b, Deadline: d, Halls: s.hallRegions.Allowed(x.Spec.Regions), Header: r.Header, Key: k, Memory: m, Method: r.Method, Path: p,
 		Fingerprint: fingerprint([]byte(r.Method+" "+n+" "+p), b), Service: n, Workspace: x.Name,
 	}, nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,8 +7,7 @@
 	"cmp"
 	"context"
 	"crypto/rand"
-	"fmt"
-	"io"
+	"errors"
 	"net/http"
 	"net/url"
 	"slices"
@@ -21,6 +20,7 @@
 	"github.com/linetiller/linetiller/internal/budget"
 	"github.com/linetiller/linetiller/internal/fail"
 	"github.com/linetiller/linetiller/internal/health"
+	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
 	"github.com/linetiller/linetiller/internal/policy"
 	"github.com/linetiller/linetiller/internal/requestkey"
@@ -33,7 +33,8 @@
 	Body        []byte
 	Deadline    time.Time
 	Header      http.Header
-	Key         string // the request key, or ""
+	Key         string              // the request key, or ""
+	Memory      *memory.Reservation // what the call holds, to which its answer is added; nil if that is not counted
 	Method      string
 	Path        string   // what follows /services/NAME, with the query
 	Halls       []string // the only data halls in which it may run; nil stands for all
@@ -253,12 +254,12 @@
 		return nil, err
 	}
 	defer func() { _ = w.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(w.Body, maxAnswerBytes+1))
-	if err == nil && len(b) > maxAnswerBytes {
-		err = fmt.Errorf("answer larger than %d bytes", maxAnswerBytes)
+	b, err := readAnswer(w.Body, c.Memory)
+	if errors.Is(err, memory.ErrShort) {
+		return nil, fail.Wrap(fail.Unknown, p, string(policy.ReasonMemory), err)
 	}
 	if err != nil {
-		return nil, fail.Wrap(fail.Unknown, p, "upstream_lost", err)
+		return nil, fail.Wrap(fail.Unknown, p, upstream.ReasonLost, err)
 	}
 	if backoff := upstream.RetryAfter(w.StatusCode, w.Header); backoff > 0 {
 		r.Backoffs.RecordBackoff(u, time.Now().Add(backoff))
