Responses over HTTP/2 are valid

Upstreams and the store may be reached with https, where net/http negotiates HTTP/2. The check of versions, new with the rejection of invalid status lines, took all of their responses for invalid, and one that begins before its request was sent would have counted as cut off.

Change: a response that came over HTTP/2, as the TLS connection shows, has its own framing and is not checked for the version. "HTTP/2.0" in a status line stays invalid. The types of the package get files of their own, and errors quote what the peer sent.

Before: TestResponseOverHTTP2 fails ("invalid response: version HTTP/2.0"), and with the version alone allowed "the connection ended before the request was sent". After: it passes, 10 of 10. TestInvalidHead holds.

--- a/internal/httpclient/requestbody.go
+++ b/internal/httpclient/requestbody.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 )
 
 // requestBody records whether a request's body has been read to its end.
@@ -13,13 +12,6 @@
 	progress *bodyProgress
 }
 
-// bodyProgress is how much of a request's body has been read. It is safe for concurrent use.
-type bodyProgress struct {
-	ended  atomic.Bool
-	length int64 // -1 if unknown
-	read   atomic.Int64
-}
-
 // trackBody returns a copy of a request that records how much of its body has been read.
 func trackBody(r *http.Request) (*http.Request, *bodyProgress) {
 	p := &bodyProgress{length: r.ContentLength}
@@ -56,8 +48,3 @@
 	}
 	return n, err
 }
-
-// complete reports whether the body has been read to its end.
-func (p *bodyProgress) complete() bool {
-	return p.ended.Load() || (p.length >= 0 && p.read.Load() >= p.length)
-}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -1,10 +1,11 @@
 // Package httpclient has the connections and the transport with which boxes send HTTP requests. They return errors where
-// net/http accepts a response that is not valid HTTP/1.1 or that may be incomplete.
+// net/http accepts a response that is not valid or that may be incomplete.
 package httpclient
 
 import (
 	"net/http"
 	"slices"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -15,17 +16,10 @@
 	*http.Transport
 }
 
-// InvalidResponseError means that a peer sent a response that is not valid HTTP/1.1 (RFC 9110 and 9112).
-type InvalidResponseError struct {
-	Message string
-}
-
-// Error returns the message of the error.
-func (e *InvalidResponseError) Error() string { return "invalid response: " + e.Message }
-
-// IsSelfDelimiting reports whether the end of a response's body can be told from the end of its connection.
+// IsSelfDelimiting reports whether a response itself marks the end of its body, which the end of its connection does
+// otherwise.
 func IsSelfDelimiting(w *http.Response) bool {
-	return w.ContentLength >= 0 || w.Uncompressed || slices.Contains(w.TransferEncoding, "chunked")
+	return w.ContentLength >= 0 || w.Uncompressed || isHTTP2(w) || slices.Contains(w.TransferEncoding, "chunked")
 }
 
 // RoundTrip sends a request and returns the response. The error is an InvalidResponseError if the response is invalid.
@@ -35,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := check(w); err != nil {
+	if err := checkHead(w); err != nil {
 		_ = w.Body.Close()
 		return nil, err
 	}
@@ -45,14 +39,14 @@
 	return w, nil
 }
 
-// check returns an error if the head of a response is invalid.
-func check(w *http.Response) error {
-	if w.ProtoMajor != 1 {
-		return &InvalidResponseError{"version " + w.Proto}
+// checkHead returns an error if the head of a response is invalid.
+func checkHead(w *http.Response) error {
+	if w.ProtoMajor != 1 && !isHTTP2(w) {
+		return &InvalidResponseError{"version " + strconv.Quote(w.Proto)}
 	}
 	// The requests of boxes ask for no other protocol, so that the status 101 is no final one.
 	if w.StatusCode < http.StatusOK || w.StatusCode > 599 {
-		return &InvalidResponseError{"status " + w.Status}
+		return &InvalidResponseError{"status " + strconv.Quote(w.Status)}
 	}
 	return checkFields(w.Header)
 }
@@ -62,8 +56,13 @@
 func checkFields(h http.Header) error {
 	for n := range h {
 		if !httpguts.ValidHeaderFieldName(n) {
-			return &InvalidResponseError{"field name " + n}
+			return &InvalidResponseError{"field name " + strconv.Quote(n)}
 		}
 	}
 	return nil
 }
+
+// isHTTP2 reports whether a response came over HTTP/2, instead of having a status line that says so.
+func isHTTP2(w *http.Response) bool {
+	return w.ProtoMajor == 2 && w.TLS != nil && w.TLS.NegotiatedProtocol == "h2"
+}
