A repeated request counts as sent only by its last attempt

net/http may send a request once more over another connection. The count of what was read of its body was shared by both attempts, so that the end of the first one could make the second one look sent, and an answer cut off during it complete.

Change: each attempt has its own count, and the last one decides. Read in the code, not seen.

--- a/internal/httpclient/bodyprogress.go
+++ b/internal/httpclient/bodyprogress.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// bodyProgress is how much of a request's body has been read. It is safe for concurrent use.
+// bodyProgress is how much of a request's body has been read to be sent. It is safe for concurrent use.
 type bodyProgress struct {
 	ended  atomic.Bool
 	length int64 // -1 if unknown
--- a/internal/httpclient/requestbody.go
+++ b/internal/httpclient/requestbody.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
 // requestBody records whether a request's body has been read to its end.
@@ -12,31 +13,35 @@
 	progress *bodyProgress
 }
 
-// trackBody returns a copy of a request that records how much of its body has been read.
-func trackBody(r *http.Request) (*http.Request, *bodyProgress) {
-	p := &bodyProgress{length: r.ContentLength}
+// trackBody returns a copy of a request that records how much of its body has been read, and a function that reports whether
+// that is all of it. net/http may send a request once more over another connection, with a new body.
+func trackBody(r *http.Request) (c *http.Request, complete func() bool) {
 	if r.Body == nil || r.Body == http.NoBody {
-		p.ended.Store(true)
-		return r, p
+		return r, func() bool { return true }
 	}
-	if p.length == 0 {
-		p.length = -1 // as net/http defines it for a request with a body
+	length := r.ContentLength
+	if length == 0 {
+		length = -1 // as net/http defines it for a request with a body
 	}
-	c := new(http.Request)
+	var last atomic.Pointer[bodyProgress]
+	track := func(b io.ReadCloser) io.ReadCloser {
+		p := &bodyProgress{length: length}
+		last.Store(p)
+		return &requestBody{b, p}
+	}
+	c = new(http.Request)
 	*c = *r
-	c.Body = &requestBody{r.Body, p}
+	c.Body = track(r.Body)
 	if r.GetBody != nil {
 		c.GetBody = func() (io.ReadCloser, error) {
 			b, err := r.GetBody()
 			if err != nil {
 				return nil, err
 			}
-			p.ended.Store(false)
-			p.read.Store(0)
-			return &requestBody{b, p}, nil
+			return track(b), nil
 		}
 	}
-	return c, p
+	return c, func() bool { return last.Load().complete() }
 }
 
 // Read reads from the body.
--- a/internal/httpclient/responsebody.go
+++ b/internal/httpclient/responsebody.go
@@ -10,9 +10,9 @@
 // responseBody is a response's body that ends with io.EOF only if it is complete.
 type responseBody struct {
 	io.ReadCloser
-	err      error // of the last read, once it is the last one
-	request  *bodyProgress
-	response *http.Response
+	err         error // of the last read, once it is the last one
+	requestSent func() bool
+	response    *http.Response
 }
 
 // errRequestUnfinished means that a connection whose end delimits the body of a response ended before its request was
@@ -37,7 +37,7 @@
 	if err := checkFields(b.response.Trailer); err != nil {
 		return err
 	}
-	if !IsSelfDelimiting(b.response) && !b.request.complete() {
+	if !IsSelfDelimiting(b.response) && !b.requestSent() {
 		return errRequestUnfinished
 	}
 	return io.EOF
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -24,7 +24,7 @@
 
 // RoundTrip sends a request and returns the response. The error is an InvalidResponseError if the response is invalid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r, p := trackBody(r)
+	r, sent := trackBody(r)
 	w, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	if w.Body != http.NoBody {
-		w.Body = &responseBody{ReadCloser: w.Body, request: p, response: w}
+		w.Body = &responseBody{ReadCloser: w.Body, requestSent: sent, response: w}
 	}
 	return w, nil
 }
