review: a restarted box sends to engines that drain

Cause, as far as known: a read of the list in several pages advances the view to the newest row instead of the first page's version.

--- /dev/null
+++ b/review/_rig/main.go
@@ -0,0 +1,64 @@
+// Command rig runs the cases of the second review that are scripts: it starts boxes as processes, with a
+// stand-in of the platform's store, engines and clients, and judges what these have seen.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// recorder writes record.txt.
+type recorder struct {
+	mutex sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func (r *recorder) printf(format string, a ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, a...)...)
+}
+
+func (r *recorder) at(t time.Time) float64 { return t.Sub(r.start).Seconds() }
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Println("usage: rig CASE PROGRAM FOLDER")
+		os.Exit(exitNotRun)
+	}
+	f, err := os.Create(filepath.Join(os.Args[3], "record.txt"))
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(exitNotRun)
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(exitNotRun)
+	}
+	r := &recorder{file: f, start: time.Now()}
+	cases := map[string]func(*recorder, string, string, bool) int{"list": listCase}
+	c, ok := cases[os.Args[1]]
+	if !ok {
+		os.Exit(exitNotRun)
+	}
+	code := c(r, os.Args[2], dir, os.Getenv("TROUBLE") != "0")
+	r.printf("exit %d", code)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(dir)
+	} else {
+		fmt.Println(dir)
+	}
+	os.Exit(code)
+}
