review: a request is cut off as its box stops

Eight boxes in four halls are stopped and started, four at a time, 1.3 s apart, three times; requests of 1.4 s go on arriving over kept connections. The failure of a request is written after the request no longer counts, and the server is closed meanwhile.

--- a/review/_rig/boxes.go
+++ b/review/_rig/boxes.go
@@ -66,7 +66,7 @@
 
 // boxTemplate are the settings of a box, filled as deploy/box.toml is for a small deployment.
 const boxTemplate = `box = "%s"
-hall = "zone-a"
+hall = "%s"
 first_start = FIRST
 links = "plain"
 box_address = "%s"
@@ -90,15 +90,18 @@
 grace = "8s"
 [regions]
 "zone-a" = "region-a"
+"zone-b" = "region-a"
+"zone-c" = "region-a"
+"zone-d" = "region-a"
 `
 
-func newBox(dir, name, storeAddress string) (*box, error) {
+func newBox(dir, name, hall, storeAddress string) (*box, error) {
 	p, err := freeAddresses(6)
 	if err != nil {
 		return nil, err
 	}
 	b := &box{name: name, dir: dir, entry: p[3], readiness: p[5]}
-	b.settings = fmt.Sprintf(boxTemplate, name, p[0], p[1], p[2], storeAddress, p[3], p[4], p[5])
+	b.settings = fmt.Sprintf(boxTemplate, name, hall, p[0], p[1], p[2], storeAddress, p[3], p[4], p[5])
 	b.log, err = os.Create(filepath.Join(dir, name+".log"))
 	return b, err
 }
--- a/review/_rig/list.go
+++ b/review/_rig/list.go
@@ -21,11 +21,12 @@
 
 // outcome is what a client saw of one request.
 type outcome struct {
-	id     string
-	box    *box
-	sentAt time.Time
-	status int
-	err    error
+	id      string
+	box     *box
+	sentAt  time.Time
+	endedAt time.Time
+	status  int
+	err     error
 }
 
 // client sends requests to boxes, over connections that it keeps.
@@ -107,7 +108,7 @@
 	s.put("op", "config", configuration(1, "desk"))
 	var bs []*box
 	for i := range boxes {
-		b, err := newBox(dir, fmt.Sprintf("front-a-%d", i+1), l.Addr().String())
+		b, err := newBox(dir, fmt.Sprintf("front-a-%d", i+1), "zone-a", l.Addr().String())
 		if err != nil || b.start(program, true) != nil {
 			return exitNotRun
 		}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -48,7 +48,7 @@
 		os.Exit(exitNotRun)
 	}
 	r := &recorder{file: f, start: time.Now()}
-	cases := map[string]func(*recorder, string, string, bool) int{"list": listCase}
+	cases := map[string]func(*recorder, string, string, bool) int{"list": listCase, "stop": stopCase}
 	c, ok := cases[os.Args[1]]
 	if !ok {
 		os.Exit(exitNotRun)
