--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the second review, after the build of the deploy file.
-set -e
+# Builds the stand-ins of the second review, after the build of the deploy file. They need the standard library only.
+set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review
-go build -o target/review/rig ./review/_rig
+mkdir -p review/bin
+cd review/standins-2
+go test -c -o ../bin/standins-2 .
--- a/review/_rig/list.go
+++ b/review/standins-2/list_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"context"
--- a/review/_rig/main.go
+++ b/review/standins-2/main_test.go
@@ -1,12 +1,13 @@
-// Command rig runs the cases of the second review that are scripts: it starts boxes as processes, with a
+// Package standins runs the cases of the second review that are scripts: it starts boxes as processes, with a
 // stand-in of the platform's store, engines and clients, and judges what these have seen.
-package main
+package standins
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -32,9 +33,10 @@
 
 func (r *recorder) at(t time.Time) float64 { return t.Sub(r.start).Seconds() }
 
-func main() {
+// TestMain runs a case in place of tests: it is built by build-2.sh, and its arguments name the case.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 {
-		fmt.Println("usage: rig CASE PROGRAM FOLDER")
+		fmt.Println("usage: standins-2 CASE PROGRAM FOLDER")
 		os.Exit(exitNotRun)
 	}
 	f, err := os.Create(filepath.Join(os.Args[3], "record.txt"))
