Requests that a stopping box aborts get their answers

Cause: Relay.Serve counted a request as ended before its failure was written, and the server sends what a handler has written only after it returns. The box closed all connections as soon as the count was zero. On related paths it was no race: calls of services and generations of the own interface were not aborted before the connections were closed, calls were waited for no longer than the last bytes of answers, and the server for operators was only closed.

Change: a request counts until its failure is written. Calls of services are counted, waited for and aborted as generations are. After the abort all servers are shut down, at the same time, which waits until each connection has sent its response, up to a bound within the grace period. Watches of operators end as that begins.

Why it works: no connection is closed by the box while a response is being sent on it, unless the bound passes.

--- a/assemble.go
+++ b/assemble.go
@@ -176,13 +176,13 @@
 
 func (b *Box) assembleServers() {
 	s := b.settings
-	services := service.NewRouter(b.view, b.keys, b.metrics)
-	services.Do = b.engines.Call
-	services.Unreachable = b.unreachableUpstreams
-	services.Backoffs = b.backoffs
-	services.RetryBudget = b.retryBudget
+	b.services = service.NewRouter(b.view, b.keys, b.metrics)
+	b.services.Do = b.engines.Call
+	b.services.Unreachable = b.unreachableUpstreams
+	b.services.Backoffs = b.backoffs
+	b.services.RetryBudget = b.retryBudget
 	c := client.New(b.view, b.metrics, client.WithBodyBytes(s.Limits.BodyBytes), client.WithMemory(b.memory), client.WithDeadline(s.Timeouts.Request.Duration), client.WithRegions(resource.HallRegions(s.Regions), s.PlatformRegion))
-	c.CallService = services.Call
+	c.CallService = b.services.Call
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
 	b.clientServer = b.httpServer(c)
@@ -195,6 +195,7 @@
 	o.InForce = b.inForce
 	o.Refresh = b.follower.Refresh
 	b.operatorServer = b.httpServer(o)
+	b.operatorServer.RegisterOnShutdown(o.EndWatches)
 	b.assembleEntry()
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -49,11 +50,13 @@
 	// Refresh updates the view from the table.
 	Refresh func(ctx context.Context) error
 
-	keyHash string
-	log     *slog.Logger
-	metrics *metric.Set
-	mux     *http.ServeMux
-	view    *resource.View
+	endWatches   sync.Once
+	keyHash      string
+	log          *slog.Logger
+	metrics      *metric.Set
+	mux          *http.ServeMux
+	view         *resource.View
+	watchesEnded chan struct{} // closed by EndWatches
 }
 
 const (
@@ -71,7 +74,7 @@
 // bearer key that has this SHA-256 hash. Commit, Get, InForce and Refresh must be set before
 // the first request.
 func New(v *resource.View, m *metric.Set, l *slog.Logger, keyHash string) *Server {
-	s := &Server{Era: func() (int64, time.Time) { return 0, time.Time{} }, keyHash: keyHash, log: l, metrics: m, mux: http.NewServeMux(), view: v}
+	s := &Server{Era: func() (int64, time.Time) { return 0, time.Time{} }, keyHash: keyHash, log: l, metrics: m, mux: http.NewServeMux(), view: v, watchesEnded: make(chan struct{})}
 	s.mux.HandleFunc("DELETE /v1/resources/{kind}/{name}", s.deleteResource)
 	s.mux.HandleFunc("GET /v1/resources/{kind}", s.getList)
 	s.mux.HandleFunc("GET /v1/resources/{kind}/{name}", s.getResource)
@@ -83,6 +86,12 @@
 	return s
 }
 
+// EndWatches ends the watches in progress and those that begin later, which would otherwise delay the shutdown of
+// their HTTP server.
+func (s *Server) EndWatches() {
+	s.endWatches.Do(func() { close(s.watchesEnded) })
+}
+
 // ServeHTTP checks the operators' key and serves the request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.keyHash != "" {
@@ -182,6 +191,8 @@
 		case <-changed:
 		case <-r.Context().Done():
 			return
+		case <-s.watchesEnded:
+			return
 		case <-t.C:
 			_ = e.Encode(&WatchEvent{Revision: strconv.FormatInt(after, 10), Type: WatchBookmark})
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,7 +169,7 @@
 	return func(x *Relay) { x.backoffs = r }
 }
 
-// Abort cancels the requests in progress and waits until they have ended.
+// Abort cancels the requests in progress and waits until they have ended, with their failures written.
 func (x *Relay) Abort() error {
 	x.cancel()
 	return x.Close()
@@ -329,10 +329,10 @@
 // disconnects. Serve panics with http.ErrAbortHandler if the answer could not be completed.
 func (x *Relay) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
 	e := &exchange{callerCtx: ctx, relay: x, request: q, writer: w}
-	var err error
-	if err = x.beginRequest(); err == nil {
+	err := x.beginRequest()
+	if err == nil {
+		defer x.endRequest() // after its failure is written
 		err = e.run()
-		x.endRequest()
 	}
 	x.recordOutcome(e, err)
 	if err != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -51,7 +51,8 @@
 	Status      int
 }
 
-// Router sends calls to the upstreams of a service. It is safe for concurrent use.
+// Router sends calls to the upstreams of a service. It is safe for concurrent use. Close waits for the calls in
+// progress.
 type Router struct {
 	// Do sends one request to an upstream. It must be set before the first call.
 	Do func(r *http.Request) (*http.Response, error)
@@ -65,11 +66,17 @@
 	// NewRouter sets one that returns none.
 	Unreachable func(l []*resource.Upstream) []*resource.Upstream
 
-	keys       *requestkey.Keys
-	metrics    *metric.Set
-	mutex      sync.Mutex     // guards inProgress
-	inProgress map[string]int // by upstream: calls in progress
-	view       *resource.View
+	cancel  context.CancelFunc
+	ctx     context.Context // cancelled by Abort
+	calls   sync.WaitGroup  // calls in progress
+	keys    *requestkey.Keys
+	metrics *metric.Set
+	view    *resource.View
+
+	mutex      sync.Mutex // guards the fields below
+	callCount  int        // calls in progress
+	closing    bool
+	inProgress map[string]int // by upstream: requests in progress
 }
 
 const (
@@ -88,13 +95,25 @@
 
 // NewRouter returns a router for the services in v.
 func NewRouter(v *resource.View, k *requestkey.Keys, m *metric.Set) *Router {
-	return &Router{inProgress: make(map[string]int), keys: k, metrics: m, Backoffs: health.NewBackoffs(v), RetryBudget: budget.NewDefault(time.Now()), Unreachable: func([]*resource.Upstream) []*resource.Upstream { return nil }, view: v}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Router{cancel: cancel, ctx: ctx, inProgress: make(map[string]int), keys: k, metrics: m, Backoffs: health.NewBackoffs(v), RetryBudget: budget.NewDefault(time.Now()), Unreachable: func([]*resource.Upstream) []*resource.Upstream { return nil }, view: v}
+}
+
+// Abort cancels the calls in progress and waits until they have ended.
+func (r *Router) Abort() error {
+	r.cancel()
+	return r.Close()
 }
 
 // Call sends c to an upstream of its service and returns the answer, within the deadline of c.
 func (r *Router) Call(ctx context.Context, c *Call) (*Answer, error) {
+	if err := r.begin(c); err != nil {
+		return nil, err
+	}
+	defer r.end()
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	defer context.AfterFunc(r.ctx, cancel)()
 	all := r.upstreams(c.Service)
 	u := inHalls(all, c.Halls)
 	if len(u) == 0 && len(all) > 0 {
@@ -113,6 +132,22 @@
 	return r.callOnce(ctx, c, u)
 }
 
+// Close refuses new calls and waits until those in progress have ended.
+func (r *Router) Close() error {
+	r.mutex.Lock()
+	r.closing = true
+	r.mutex.Unlock()
+	r.calls.Wait()
+	return nil
+}
+
+// InProgress returns the number of calls in progress.
+func (r *Router) InProgress() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.callCount
+}
+
 // answerFromRecord returns the recorded answer to an earlier call with the same key, or an error if
 // the earlier call was a different one or has no recorded answer.
 func (r *Router) answerFromRecord(ctx context.Context, c *Call, k *requestkey.Claim) (*Answer, error) {
@@ -129,6 +164,18 @@
 	return &Answer{Body: []byte(b), ContentType: k.Record.ContentType, Repeated: true, Status: k.Record.Status}, nil
 }
 
+// begin counts a call as in progress. It returns an error if the router is closing.
+func (r *Router) begin(c *Call) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.closing {
+		return fail.WithRetryAt(fail.New(fail.NotRun, r.origin(c), "box_leaving", "this box is leaving"), time.Now())
+	}
+	r.callCount++
+	r.calls.Add(1)
+	return nil
+}
+
 // callOnce runs a call that must not be repeated: it claims the request key, sends the call once and
 // records the outcome. The key is released only if the call certainly did not run.
 func (r *Router) callOnce(ctx context.Context, c *Call, u []*resource.Upstream) (*Answer, error) {
@@ -180,6 +227,14 @@
 	}
 }
 
+// end counts a call as no longer in progress.
+func (r *Router) end() {
+	r.mutex.Lock()
+	r.callCount--
+	r.mutex.Unlock()
+	r.calls.Done()
+}
+
 // noUpstreamError returns the error for a call that was sent nowhere because no upstream was left to
 // choose.
 func (r *Router) noUpstreamError(c *Call, u []*resource.Upstream) error {
--- a/linetiller.go
+++ b/linetiller.go
@@ -33,6 +33,7 @@
 	"github.com/linetiller/linetiller/internal/relay"
 	"github.com/linetiller/linetiller/internal/requestkey"
 	"github.com/linetiller/linetiller/internal/resource"
+	"github.com/linetiller/linetiller/internal/service"
 	"github.com/linetiller/linetiller/internal/settings"
 	"github.com/linetiller/linetiller/internal/table"
 	"github.com/linetiller/linetiller/internal/upstream"
@@ -75,6 +76,7 @@
 	upstreamSource    upstreamSource
 	relayed           relayedConnections
 	recorder          *recorder
+	services          *service.Router
 	store             *table.Store
 	tracker           *placement.Tracker
 	moveSlots         ownership.MoveSlots
@@ -155,7 +157,9 @@
 func (b *Box) ClientAddress() string { return b.clientListener.Addr().String() }
 
 // InProgress returns the number of requests in progress.
-func (b *Box) InProgress() int { return b.deliverer.InProgress() + b.relay.InProgress() }
+func (b *Box) InProgress() int {
+	return b.deliverer.InProgress() + b.relay.InProgress() + b.services.InProgress()
+}
 
 // OperatorAddress returns the address on which the box listens for operators.
 func (b *Box) OperatorAddress() string { return b.operatorListener.Addr().String() }
--- a/stopping.go
+++ b/stopping.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/linetiller/linetiller/internal/event"
 )
 
 const (
-	// abortTimeout limits the wait for aborted requests to end. It lies within graceMargin.
-	abortTimeout = 200 * time.Millisecond
+	// closeMargin is the part of graceMargin that is left for closing the box once aborted requests are answered.
+	closeMargin = 100 * time.Millisecond
 	// lastCallsTimeout is the time reserved for the calls in progress once no new ones are
 	// accepted. Calls take about 60 ms, and 0.3 s is required.
 	lastCallsTimeout = time.Second
@@ -41,7 +43,7 @@
 				_ = v.listener.Close()
 			}
 		}
-		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort()) // before workers.Wait: workers may wait for requests in progress
+		err = errors.Join(err, b.relay.Abort(), b.deliverer.Abort(), b.services.Abort()) // before workers.Wait: workers may wait for requests in progress
 		b.workers.Wait()
 		err = errors.Join(err, b.keys.Close(), b.links.Close(), b.engines.Close(), b.routedEngines.Close(), b.upstreamDialer.Close(), b.store.Close())
 	})
@@ -60,18 +62,23 @@
 	close(b.leaveRequested)
 }
 
-// abortRequests aborts the requests still in progress before connections are closed: streams are
-// cut off, and waiting requests are answered with an error that says that they have not run.
-func (b *Box) abortRequests() {
-	done := make(chan struct{})
-	b.startWorker(func() {
-		_ = b.relay.Abort()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-time.After(abortTimeout):
+// abortDeadline returns until when a box that leaves by deadline may send the answers of requests that it aborts.
+func (b *Box) abortDeadline(now, deadline time.Time) time.Time {
+	end := now.Add(shutdownTimeout)
+	if last := deadline.Add(graceMargin - closeMargin); b.settings.Timeouts.Grace.Duration > 0 && last.Before(end) {
+		return last
 	}
+	return end
+}
+
+// abortRequests aborts the requests still in progress and waits until ctx ends for their connections to be idle, so that
+// no connection is closed while its answer is being sent: streams are cut off, and other requests are answered with an
+// error.
+func (b *Box) abortRequests(ctx context.Context) {
+	for _, abort := range []func() error{b.relay.Abort, b.deliverer.Abort, b.services.Abort} {
+		b.startWorker(func() { _ = abort() })
+	}
+	b.shutDownServers(ctx)
 }
 
 // awaitStreams waits until no stream is in progress, but not past until. The box still accepts
@@ -120,19 +127,29 @@
 		return
 	case <-time.After(b.drainPeriod()):
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	b.relay.EndStreamsBy(time.Now(), time.Now())
 	b.relay.EndRequestsBy(deadline)
 	b.awaitOtherBoxes(ctx, deadline.Add(-lastCallsTimeout))
 	b.awaitStreams(ctx, deadline.Add(-lastCallsTimeout))
-	if !b.drainRequests(ctx) {
-		event.BoxStopIncomplete.Log(b.log, "held", b.InProgress())
-		b.abortRequests()
+	if b.endRequests(ctx, deadline) {
 		return
 	}
+	event.BoxStopIncomplete.Log(b.log, "held", b.InProgress())
+	ctx, cancel := context.WithDeadline(ctx, b.abortDeadline(time.Now(), deadline))
+	defer cancel()
+	b.abortRequests(ctx)
+}
+
+// endRequests refuses new requests, lets those in progress end until deadline and shuts the servers down. It reports
+// false if requests are still in progress then.
+func (b *Box) endRequests(ctx context.Context, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if !b.drainRequests(ctx) {
+		return false
+	}
 	b.awaitRelayed(ctx, deadline.Add(-lastCallsTimeout))
-	b.shutDown(ctx)
+	return b.shutDown(ctx)
 }
 
 // drainPeriod returns how long a leaving box goes on accepting all requests: at most half of the
@@ -152,6 +169,7 @@
 	b.startWorker(func() {
 		_ = b.relay.Close()
 		_ = b.deliverer.Close()
+		_ = b.services.Close()
 		close(done)
 	})
 	select {
@@ -207,14 +225,30 @@
 	return requestedAt.Add(t.Drain.Duration + t.Leave.Duration)
 }
 
-// shutDown lets the servers for clients and the load balancer send their last responses, for up to
-// shutdownTimeout, and removes the box's own row.
-func (b *Box) shutDown(ctx context.Context) {
+// shutDown lets the servers send their last responses, for up to shutdownTimeout, and removes the box's own row. It
+// reports false if requests are still in progress then.
+func (b *Box) shutDown(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
-	_ = b.clientServer.Shutdown(ctx)
-	for _, v := range b.entry {
-		_ = v.server.Shutdown(ctx)
+	if !b.shutDownServers(ctx) {
+		return false
 	}
 	b.unregister(ctx)
+	return true
+}
+
+// shutDownServers closes the listeners and idle connections of all servers and waits for the responses in progress. It
+// reports false if ctx ends first.
+func (b *Box) shutDownServers(ctx context.Context) bool {
+	var g sync.WaitGroup
+	var failed atomic.Bool
+	for _, v := range b.listeners() {
+		g.Go(func() {
+			if v.server.Shutdown(ctx) != nil {
+				failed.Store(true)
+			}
+		})
+	}
+	g.Wait()
+	return !failed.Load()
 }
