A view is complete up to its revision after a reading in pages

Cause: a reading in pages is complete up to the revision of its first page. Where it removed nothing, View.Merge took the revision of its newest change, which a later page may have after that. The follower continues from there, so a change made in between on an earlier page was never read, nor by the boxes that fetched the list from this one.

Change: the revision is at most that of the reading.

Why it works: what was changed after the first page is after the revision of the view, so the next read returns it. Newer changes of later pages come once more, and are ignored.

--- a/internal/resource/gossip_test.go
+++ b/internal/resource/gossip_test.go
@@ -32,6 +32,18 @@
 	return b
 }
 
+// readPages returns what a reading of the whole table in several pages returns. between is called between two pages.
+func (s *rowStore) readPages(limit int, between func()) *Batch {
+	b := &Batch{Revision: s.revision, Snapshot: true, Source: SourceUpstreams}
+	for after := ""; ; between() {
+		l, next := page(s.read(0).Changes, after, limit)
+		b.Changes = append(b.Changes, l...)
+		if after = next; next == "" {
+			return b
+		}
+	}
+}
+
 func (s *rowStore) live() []string {
 	var l []string
 	for n, c := range s.rows {
@@ -127,6 +139,34 @@
 	}
 }
 
+// TestChangesBetweenPagesAreRead guards against changes that no box ever reads, because they were made between two pages
+// of a whole reading and a later page had newer ones.
+func TestChangesBetweenPagesAreRead(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 8))
+		s := &rowStore{rows: make(map[string]Change)}
+		for range 200 {
+			s.write(r, 60)
+		}
+		reader, other := NewView(), NewView()
+		for range 1 + r.IntN(3) {
+			b := s.readPages(1+r.IntN(9), func() { s.write(r, 60) })
+			reader.Merge(b)
+			if got, maxWant := reader.Revisions()[SourceUpstreams], b.Revision; got > maxWant {
+				t.Errorf("seed %d: revision of the view: got %d, want at most %d, up to which the reading is complete", seed, got, maxWant)
+			}
+			fetchChanges(other, reader, false)
+			reader.Merge(s.read(reader.Revisions()[SourceUpstreams]))
+		}
+		fetchChanges(other, reader, false)
+		for name, v := range map[string]*View{"reader": reader, "other": other} {
+			if got, want := liveOf(v), s.live(); !slices.Equal(got, want) {
+				t.Errorf("seed %d, %s: got %d upstreams, want %d", seed, name, len(got), len(want))
+			}
+		}
+	}
+}
+
 // TestViewsConverge guards against an upstream that stays in a view for good, because changes which
 // boxes fetched from each other, from feeds and from whole readings lacked its removal.
 func TestViewsConverge(t *testing.T) {
--- a/internal/resource/source.go
+++ b/internal/resource/source.go
@@ -19,8 +19,9 @@
 // Batch is a set of changes of one source.
 type Batch struct {
 	Changes []Change `json:"changes"`
-	// Revision is the revision of the newest change. In a snapshot, the removals that it implies
-	// get this revision.
+	// Revision is the revision up to which the changes are complete. A batch that was read in several
+	// pages may have newer changes, but not all of them. In a snapshot, the removals that it implies get
+	// this revision.
 	Revision int64 `json:"revision"`
 	// FromView is set if Revision is the revision of a view, rather than the revision at which the
 	// store was read.
--- a/internal/resource/view.go
+++ b/internal/resource/view.go
@@ -120,7 +120,9 @@
 	changed, named := v.setAll(b, complete)
 	r := b.Revision
 	if b.Snapshot && !v.removeOthers(b, named) && !b.FromView && !b.Tentative {
-		r = b.NewestRevision() // nothing was removed, so other boxes need not fetch this revision
+		// Nothing was removed, so other boxes need not fetch this revision. The newest change may be beyond it, up to
+		// which alone the snapshot is complete.
+		r = min(r, b.NewestRevision())
 	} else {
 		changed = changed || b.Snapshot
 	}
