The heads of requests are part of a box's memory as they arrive

What callers saw: clients that are not controlled sent heads over the limit and without end, and ended a process, which ran out of memory.

Cause: the length of a head is bounded, but a field of a few bytes takes some 160 in memory, and net/http parses a head as it arrives. A box accounted for connections and for requests, but for nothing in between, and at the listeners of operators, readiness checks and metrics for neither.

Change: internal/intake counts a head as it is read from the connection and reserves its memory in the account of its listener; a connection for whose head there is none is closed. All listeners have accounts, those that are not for callers small ones of their own.

Why it works: nothing of a head is held before it is counted, and what is counted is bounded by the account.

--- a/assemble.go
+++ b/assemble.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
 	"github.com/linetiller/linetiller/internal/idle"
+	"github.com/linetiller/linetiller/internal/intake"
 	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
@@ -111,9 +113,11 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
-	b.trackConnections(b.entry[0].server, "entry", b.idleTimeout)
+	b.entry[0].listener = b.trackCallers(b.entry[0], "entry", b.idleTimeout)
 	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.isReady() && b.relay.HasConfiguration() }))
+	b.entry[1].listener = b.trackControl(b.entry[1], "readiness")
 	b.entry[2].server = b.httpServer(m)
+	b.entry[2].listener = b.trackControl(b.entry[2], "metrics")
 }
 
 func (b *Box) assembleFollower(s *platform.Store) {
@@ -186,7 +190,7 @@
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
 	b.clientServer = b.httpServer(c)
-	b.trackConnections(b.clientServer, "clients", func() time.Duration { return clientIdleTimeout })
+	b.clientListener = b.trackCallers(endpoint{b.clientListener, b.clientServer}, "clients", connectionIdleTimeout)
 
 	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
 	o.Commit = b.store.Commit
@@ -196,6 +200,7 @@
 	o.Refresh = b.follower.Refresh
 	b.operatorServer = b.httpServer(o)
 	b.operatorServer.RegisterOnShutdown(o.EndWatches)
+	b.operatorListener = b.trackControl(endpoint{b.operatorListener, b.operatorServer}, "operators")
 	b.assembleEntry()
 }
 
@@ -240,6 +245,9 @@
 	}
 }
 
+// connectionIdleTimeout returns how long an idle connection is kept open whose timeout operators do not configure.
+func connectionIdleTimeout() time.Duration { return clientIdleTimeout }
+
 // idleTimeout returns how long an idle connection from callers of routes is kept open.
 func (b *Box) idleTimeout() time.Duration {
 	return b.view.Limits().IdleTimeout.Duration()
@@ -259,37 +267,61 @@
 	event.MemoryShort.Log(b.log, "reserved", b.memory.Reserved(), "limit", b.memory.Limit(), "connections", connections, "held", b.InProgress())
 }
 
-// reclaimConnections closes connections of callers without requests until n bytes are released, or none if there are
-// not enough of them. It reports whether it did.
-func (b *Box) reclaimConnections(n int64) bool {
+// reclaimConnections closes connections of callers without requests until n bytes are released, or none if there are not
+// enough of them. It reports whether it did.
+func (b *Box) reclaimConnections(n int64) bool { return reclaimFrom(b.callerConnections, n) }
+
+// reclaimFrom does the same with the connections of some servers.
+func reclaimFrom(l []*idle.Closer, n int64) bool {
 	wanted := int((n + memory.ConnectionBytes - 1) / memory.ConnectionBytes)
 	closable := 0
-	for _, c := range b.callerConnections {
+	for _, c := range l {
 		closable += c.Closable()
 	}
 	if closable < wanted {
 		return false
 	}
 	for range wanted {
-		if !slices.ContainsFunc(b.callerConnections, (*idle.Closer).CloseOne) {
+		if !slices.ContainsFunc(l, (*idle.Closer).CloseOne) {
 			return false // others have become active or were closed in between
 		}
 	}
 	return true
 }
 
-// trackConnections makes the connections of a server of callers part of the account of memory, and closes those that are
-// idle for longer than timeout.
-func (b *Box) trackConnections(s *http.Server, listener string, timeout func() time.Duration) {
-	c := idle.NewCloser(timeout)
+// trackCallers makes the connections of a server of callers part of their account of memory, and returns its listener.
+func (b *Box) trackCallers(v endpoint, name string, timeout func() time.Duration) net.Listener {
+	c, l := b.trackConnections(v, name, b.memory, idle.NewCloser(timeout))
+	b.callerConnections = append(b.callerConnections, c)
+	return l
+}
+
+// trackControl gives a server that is not for callers an account of memory of its own, so that neither they nor the
+// clients of another such server displace its clients, and returns its listener.
+func (b *Box) trackControl(v endpoint, name string) net.Listener {
+	a := memory.NewAccount(memory.ControlLimit(b.memory.Limit()))
+	c, l := b.trackConnections(v, name, a, idle.NewCloser(connectionIdleTimeout))
+	a.Reclaim = func(n int64) bool { return reclaimFrom([]*idle.Closer{c}, n) }
+	return l
+}
+
+// trackConnections makes the connections of a server, which c closes, and the heads of their requests part of an account of
+// memory. It returns c and the server's listener.
+func (b *Box) trackConnections(v endpoint, name string, a *memory.Account, c *idle.Closer) (*idle.Closer, net.Listener) {
 	c.OnClose = func(r idle.Reason) { b.metrics.Count(metric.ConnectionsClosed, "reason", string(r)) }
 	c.Reserve = func() (func(), bool) {
-		r, err := b.memory.Reserve(memory.ConnectionBytes)
+		r, err := a.Reserve(memory.ConnectionBytes)
 		return r.Release, err == nil
 	}
-	c.Attach(s)
-	b.callerConnections = append(b.callerConnections, c)
-	b.metrics.GaugeOf(metric.Connections, "listener", listener, func() float64 { return float64(c.Count()) })
+	c.Attach(v.server)
+	l := intake.NewLimiter(a)
+	l.OnShort = func() { b.metrics.Count(metric.ConnectionsClosed, "reason", "head") }
+	l.Attach(v.server)
+	b.metrics.GaugeOf(metric.Connections, "listener", name, func() float64 { return float64(c.Count()) })
+	if v.listener == nil {
+		return c, nil
+	}
+	return c, l.Listen(v.listener)
 }
 
 // readLoad reads the load report of an engine. A box with an entry serves the engines of declared
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -46,9 +46,12 @@
 // Limit returns the number of bytes that may be reserved, 0 for no limit.
 func (a *Account) Limit() int64 { return a.limit }
 
+// NewReservation returns a reservation of nothing yet.
+func (a *Account) NewReservation() *Reservation { return &Reservation{account: a} }
+
 // Reserve reserves n bytes. It returns ErrShort if there is no room for them.
 func (a *Account) Reserve(n int64) (*Reservation, error) {
-	r := &Reservation{account: a}
+	r := a.NewReservation()
 	if err := r.Grow(n); err != nil {
 		return nil, err
 	}
@@ -69,14 +72,21 @@
 	a.reserved += n
 }
 
+// largeLimit returns up to how many bytes large reservations may be made.
+func (a *Account) largeLimit() int64 { return a.limit - a.limit/smallShare }
+
 // take reserves n bytes, or returns how many of them there is no room for.
 func (a *Account) take(n int64) (missing int64) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	limit := a.limit
 	if n > smallBytes {
-		limit -= limit / smallShare
+		return a.takeWithin(n, a.largeLimit())
 	}
+	return a.takeWithin(n, a.limit)
+}
+
+// takeWithin reserves n bytes if no more than limit are reserved then, or returns how many of them there is no room for.
+func (a *Account) takeWithin(n, limit int64) (missing int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	if a.limit > 0 && a.reserved+n > limit {
 		return a.reserved + n - limit
 	}
--- a/internal/memory/reservation.go
+++ b/internal/memory/reservation.go
@@ -47,6 +47,22 @@
 	return nil
 }
 
+// GrowSpare reserves n more bytes of the part of the account that large reservations may use. It reclaims nothing. It returns
+// ErrShort if there is no room for them.
+func (r *Reservation) GrowSpare(n int64) error {
+	if r == nil || n == 0 {
+		return nil
+	}
+	if r.account.takeWithin(n, r.account.largeLimit()) > 0 {
+		r.account.OnShort()
+		return ErrShort
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.bytes += n
+	return nil
+}
+
 // Release releases all that is reserved. It may be called more than once.
 func (r *Reservation) Release() {
 	if r == nil {
