The connections of a listener are bounded by descriptors

Beyond its limit a process accepts nothing and reaches no upstream.

Cause: a connection that is refused with 431 stays open for half a second, so that the response is not lost, while its client opens the next one. The connections of callers were bounded by memory alone, those of operators, readiness checks and metrics not at all.

Change: limits.descriptors, by default the limit of the process; the platform's template sets it. The main listener for callers may use half of them for connections, each other listener a sixteenth. A new connection beyond that replaces an idle or silent one, or is closed.

Why it works: the connections of all listeners together never take more than three quarters of the descriptors.

--- a/assemble.go
+++ b/assemble.go
@@ -113,7 +113,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { b.metrics.Write(w) })
 	b.entry[0].server = b.httpServer(i)
-	b.entry[0].listener = b.trackCallers(b.entry[0], "entry", b.idleTimeout)
+	b.entry[0].listener = b.trackCallers(b.entry[0], "entry", callerDescriptorShare, b.idleTimeout)
 	b.entry[1].server = b.httpServer(platform.Readiness(func() bool { return b.isReady() && b.relay.HasConfiguration() }))
 	b.entry[1].listener = b.trackControl(b.entry[1], "readiness")
 	b.entry[2].server = b.httpServer(m)
@@ -190,7 +190,11 @@
 	c.Generate = b.deliverer.Generate
 	c.Ready = b.isReady
 	b.clientServer = b.httpServer(c)
-	b.clientListener = b.trackCallers(endpoint{b.clientListener, b.clientServer}, "clients", connectionIdleTimeout)
+	share := callerDescriptorShare
+	if b.hasEntry() {
+		share = controlDescriptorShare // the entry is the first one for callers
+	}
+	b.clientListener = b.trackCallers(endpoint{b.clientListener, b.clientServer}, "clients", share, connectionIdleTimeout)
 
 	o := operator.New(b.view, b.metrics, b.log, s.OperatorKeyHash)
 	o.Commit = b.store.Commit
@@ -289,9 +293,10 @@
 	return true
 }
 
-// trackCallers makes the connections of a server of callers part of their account of memory, and returns its listener.
-func (b *Box) trackCallers(v endpoint, name string, timeout func() time.Duration) net.Listener {
-	c, l := b.trackConnections(v, name, b.memory, idle.NewCloser(timeout))
+// trackCallers makes the connections of a server of callers part of their account of memory, and returns its listener. The
+// connections may use one of share descriptors.
+func (b *Box) trackCallers(v endpoint, name string, share int, timeout func() time.Duration) net.Listener {
+	c, l := b.trackConnections(v, name, b.memory, idle.NewCloser(timeout, idle.WithMaxOpen(b.maxConnections(share))))
 	b.callerConnections = append(b.callerConnections, c)
 	return l
 }
@@ -300,7 +305,7 @@
 // clients of another such server displace its clients, and returns its listener.
 func (b *Box) trackControl(v endpoint, name string) net.Listener {
 	a := memory.NewAccount(memory.ControlLimit(b.memory.Limit()))
-	c, l := b.trackConnections(v, name, a, idle.NewCloser(connectionIdleTimeout))
+	c, l := b.trackConnections(v, name, a, idle.NewCloser(connectionIdleTimeout, idle.WithMaxOpen(b.maxConnections(controlDescriptorShare))))
 	a.Reclaim = func(n int64) bool { return reclaimFrom([]*idle.Closer{c}, n) }
 	return l
 }
--- a/crowd_test.go
+++ b/crowd_test.go
@@ -293,3 +293,32 @@
 		})
 	}
 }
+
+// TestCrowdOfConnections guards against clients that open connections and send nothing, which left a process without
+// descriptors.
+func TestCrowdOfConnections(t *testing.T) {
+	const descriptors, connections = 400, 600
+	for _, listener := range []string{"entry", "clients", "operators", "metrics", "readiness"} {
+		t.Run(listener, func(t *testing.T) {
+			b := startBoxProcess(t, fmt.Sprint("descriptors = ", descriptors))
+			var l []net.Conn
+			for range connections {
+				c, err := net.DialTimeout("tcp", b.addresses[listener], crowdTimeout)
+				if err != nil {
+					t.Fatal(err)
+				}
+				l = append(l, c)
+			}
+			b.awaitQuiet()
+			if got, maxWant := b.descriptors(), descriptors; got > maxWant {
+				t.Errorf("descriptors: got %d, want at most %d", got, maxWant)
+			}
+			for _, c := range l {
+				_ = c.Close()
+			}
+			if got, want := b.ordinaryStatus(), http.StatusOK; got != want {
+				t.Errorf("ordinary request afterwards: got status %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -21,14 +21,19 @@
 	// is closed before anything is read from it. By default it always succeeds.
 	Reserve func() (release func(), ok bool)
 
+	maxOpen int                  // number of connections that may be open; 0 for no limit
 	timeout func() time.Duration // after which an idle connection is closed; never if 0
 
 	mutex       sync.Mutex
+	closing     int // connections that the Closer has closed and the server has not reported as closed
 	connections map[net.Conn]*connection
 	idle        *list.List // of *connection, the longest idle one first
 	opening     *list.List // of *connection on which no request has arrived yet, the oldest first
 }
 
+// Option configures a Closer.
+type Option func(*Closer)
+
 // Reason says why a connection was closed early.
 type Reason string
 
@@ -56,11 +61,21 @@
 
 // NewCloser returns a Closer. It calls timeout whenever a connection becomes idle; the result is how long the connection
 // may be idle, without limit if 0.
-func NewCloser(timeout func() time.Duration) *Closer {
-	return &Closer{
+func NewCloser(timeout func() time.Duration, options ...Option) *Closer {
+	c := &Closer{
 		OnClose: func(Reason) {}, Reserve: func() (func(), bool) { return func() {}, true },
 		timeout: timeout, connections: make(map[net.Conn]*connection), idle: list.New(), opening: list.New(),
 	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// WithMaxOpen sets the number of connections that may be open at once. A new one beyond it replaces the one of least use, or
+// is closed if there is none. By default there is no limit.
+func WithMaxOpen(n int) Option {
+	return func(c *Closer) { c.maxOpen = n }
 }
 
 // connKey is the key of a request's connection in its context.
@@ -166,6 +181,7 @@
 func (c *Closer) end(x *connection) {
 	c.unlist(x)
 	x.closed = true
+	c.closing++
 	x.release()
 }
 
@@ -179,19 +195,31 @@
 	}
 	c.unlist(x)
 	x.release()
+	if x.closed {
+		c.closing--
+	}
 	delete(c.connections, n)
 }
 
+// makeRoom closes a connection if as many are open as may be. It reports false if none can be closed.
+func (c *Closer) makeRoom() bool {
+	return c.maxOpen <= 0 || c.openCount() < c.maxOpen || c.CloseOne()
+}
+
 // open adds a new connection, or closes it if there is no room for it.
 func (c *Closer) open(n net.Conn) {
-	release, ok := c.Reserve()
-	if !ok {
-		release = func() {}
+	release, ok := func() {}, c.makeRoom()
+	if ok {
+		if release, ok = c.Reserve(); !ok {
+			release = func() {}
+		}
 	}
 	x := &connection{closed: !ok, conn: n, openedAt: time.Now(), release: sync.OnceFunc(release)}
 	c.mutex.Lock()
 	c.connections[n] = x
-	if ok {
+	if !ok {
+		c.closing++
+	} else {
 		x.list, x.element = c.opening, c.opening.PushBack(x)
 	}
 	c.mutex.Unlock()
@@ -201,6 +229,13 @@
 	}
 }
 
+// openCount returns the number of connections that the Closer has not closed.
+func (c *Closer) openCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.connections) - c.closing
+}
+
 // rest records that a connection has become idle, and closes it after d unless that is 0.
 func (c *Closer) rest(n net.Conn, d time.Duration) {
 	c.mutex.Lock()
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -200,6 +200,39 @@
 	}
 }
 
+// TestOpenConnectionsAreBounded checks that a new connection replaces the one of least use once as many are open as may be,
+// and is closed if all of them serve requests.
+func TestOpenConnectionsAreBounded(t *testing.T) {
+	c := NewCloser(func() time.Duration { return 0 }, WithMaxOpen(2))
+	var l [5]closeRecorder
+	serve := func(i int) { c.Track(&l[i], http.StateActive) }
+	for i, x := range []struct {
+		before func()
+		closed int // index of the connection that is closed, -1 for none
+	}{
+		{func() {}, -1},
+		{func() { serve(0) }, -1},
+		{func() { serve(1) }, 2},                       // no connection is idle
+		{func() { c.Track(&l[0], http.StateIdle) }, 0}, // the idle one makes room
+		{func() { c.Track(&l[1], http.StateIdle); serve(3) }, 1},
+	} {
+		x.before()
+		c.Track(&l[i], http.StateNew)
+		for j := range l[:i+1] {
+			if got, want := !l[j].closedAt.IsZero(), j == x.closed; got != want {
+				t.Errorf("connection %d is new, connection %d: got closed %v, want %v", i, j, got, want)
+			}
+		}
+		if x.closed >= 0 {
+			c.Track(&l[x.closed], http.StateClosed)
+			l[x.closed].closedAt = time.Time{}
+		}
+	}
+	if got, want := c.Count(), 2; got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
 // closeNotifier is a connection that reports when it is closed.
 type closeNotifier struct {
 	net.Conn
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -25,7 +25,7 @@
 	RequestKeyRewrites   Name = "linetiller_request_key_rewrites_total"   // counter, by outcome: claims written again after the platform's store was restored
 	RequestKeyWrites     Name = "linetiller_request_key_writes_total"     // counter: rows written for request keys
 	Connections          Name = "linetiller_connections"                  // gauge, by listener: open connections of callers
-	ConnectionsClosed    Name = "linetiller_connections_closed_total"     // counter, by reason: connections that were closed for want of memory
+	ConnectionsClosed    Name = "linetiller_connections_closed_total"     // counter, by reason: connections that were closed for want of memory or descriptors
 	CrashesNotCounted    Name = "linetiller_crashes_not_counted_total"    // counter, by reason: broken requests that were not counted as crashes of their upstreams
 	LimitedUpstreams     Name = "linetiller_limited_upstreams"            // gauge: upstreams that announced a limit on the request rate from all boxes together
 	LoadAge              Name = "linetiller_load_age_seconds"             // histogram: age of the load report of an engine when the engine is chosen
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -124,6 +124,7 @@
 	}{
 		{"extra", s.Budget.Extra},
 		{"grace", s.Timeouts.Grace.Seconds()},
+		{"descriptors", s.Limits.Descriptors},
 		{"memory_mb", s.Limits.MemoryMB},
 		{"overage", s.Cold.Overage},
 		{"ratio", s.Budget.Ratio},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,8 +56,11 @@
 
 // Limits bounds the resources that callers and peers can use on the box.
 type Limits struct {
-	BodyBytes   int64 `toml:"body_bytes"`   // of one request
-	HeaderBytes int   `toml:"header_bytes"` // of one request
+	BodyBytes int64 `toml:"body_bytes"` // of one request
+	// Descriptors is the number of descriptors that the process may have open, a part of which is for connections that it
+	// accepts. 0 stands for the limit of the process.
+	Descriptors float64 `toml:"descriptors"`
+	HeaderBytes int     `toml:"header_bytes"` // of one request
 	// MemoryMB is the memory of the process, in MiB: requests for which there is no room in it are refused, and the
 	// garbage collector runs more often as usage approaches it. 0 means no limit.
 	MemoryMB    float64 `toml:"memory_mb"`
--- a/template_test.go
+++ b/template_test.go
@@ -26,7 +26,7 @@
 	return map[string]string{
 		"bootstrap": "true", "bounds.budget_extra": "630", "bounds.budget_window_s": "10", "bounds.grace_s": "8.0", "bounds.retry_budget_ratio": "0.2",
 		"bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
-		"internal_ports.0": "0", "ip": "127.0.0.1", "limits.memory_mb": "112", "listen.front": "127.0.0.1:0", "listen.readiness": "127.0.0.1:0",
+		"internal_ports.0": "0", "ip": "127.0.0.1", "limits.max_fds": "4100", "limits.memory_mb": "112", "listen.front": "127.0.0.1:0", "listen.readiness": "127.0.0.1:0",
 		"node": "front-a-1", "platform.address": "127.0.0.1:1", "zone": "a", "zones": "nairobi",
 	}
 }
@@ -63,7 +63,7 @@
 	refusedValues := map[string][]string{
 		"bounds.budget_window_s": {"0", "0.0", "-1"},
 		"bounds.cold_overage":    {"-1"}, "bounds.cold_slack": {"-1"},
-		"bounds.budget_extra": {"-1"}, "bounds.grace_s": {"-1"}, "bounds.retry_budget_ratio": {"-1"}, "limits.memory_mb": {"-1"},
+		"bounds.budget_extra": {"-1"}, "bounds.grace_s": {"-1"}, "bounds.retry_budget_ratio": {"-1"}, "limits.max_fds": {"-1"}, "limits.memory_mb": {"-1"},
 	}
 	for _, n := range slices.Sorted(maps.Keys(refusedValues)) {
 		for _, v := range []string{"33.2", "0.4", "0", "0.0", "1", "1e3", "1e+300", "9007199254740993", "-1"} {
