--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -86,8 +86,8 @@
 	c.body = max(0, c.body-int64(len(b)))
 }
 
-// expectHead records that a request has ended and the head of another one may follow. The server may have buffered a part of it
-// with the end of a body of unknown length.
+// expectHead records that a request has ended and the head of another one may follow, of which the server may have
+// buffered a part with the end of a body of unknown length. It closes the connection if there is no memory for that part.
 func (c *conn) expectHead() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/stopping.go
+++ b/stopping.go
@@ -140,18 +140,6 @@
 	b.abortRequests(ctx)
 }
 
-// endRequests refuses new requests, lets those in progress end until deadline and shuts the servers down. It reports
-// false if requests are still in progress then.
-func (b *Box) endRequests(ctx context.Context, deadline time.Time) bool {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if !b.drainRequests(ctx) {
-		return false
-	}
-	b.awaitRelayed(ctx, deadline.Add(-lastCallsTimeout))
-	return b.shutDown(ctx)
-}
-
 // drainPeriod returns how long a leaving box goes on accepting all requests: at most half of the
 // grace period.
 func (b *Box) drainPeriod() time.Duration {
@@ -194,6 +182,18 @@
 	return since.Add(grace + restartDuration)
 }
 
+// endRequests refuses new requests, lets those in progress end until deadline and shuts the servers down. It reports
+// false if requests are still in progress then.
+func (b *Box) endRequests(ctx context.Context, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if !b.drainRequests(ctx) {
+		return false
+	}
+	b.awaitRelayed(ctx, deadline.Add(-lastCallsTimeout))
+	return b.shutDown(ctx)
+}
+
 // endWorkers cancels the running workers and prevents new ones from starting.
 func (b *Box) endWorkers() {
 	b.lifecycle.Lock()
