--- a/assemble.go
+++ b/assemble.go
@@ -4,9 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +15,6 @@
 	"github.com/linetiller/linetiller/internal/delivery"
 	"github.com/linetiller/linetiller/internal/event"
 	"github.com/linetiller/linetiller/internal/health"
-	"github.com/linetiller/linetiller/internal/idle"
-	"github.com/linetiller/linetiller/internal/intake"
 	"github.com/linetiller/linetiller/internal/lease"
 	"github.com/linetiller/linetiller/internal/memory"
 	"github.com/linetiller/linetiller/internal/metric"
@@ -271,64 +267,6 @@
 	event.MemoryShort.Log(b.log, "reserved", b.memory.Reserved(), "limit", b.memory.Limit(), "connections", connections, "held", b.InProgress())
 }
 
-// reclaimConnections closes connections of callers without requests until n bytes are released, or none if there are not
-// enough of them. It reports whether it did.
-func (b *Box) reclaimConnections(n int64) bool { return reclaimFrom(b.callerConnections, n) }
-
-// reclaimFrom does the same with the connections of some servers.
-func reclaimFrom(l []*idle.Closer, n int64) bool {
-	wanted := int((n + memory.ConnectionBytes - 1) / memory.ConnectionBytes)
-	closable := 0
-	for _, c := range l {
-		closable += c.Closable()
-	}
-	if closable < wanted {
-		return false
-	}
-	for range wanted {
-		if !slices.ContainsFunc(l, (*idle.Closer).CloseOne) {
-			return false // others have become active or were closed in between
-		}
-	}
-	return true
-}
-
-// trackCallers makes the connections of a server of callers part of their account of memory, and returns its listener. The
-// connections may use one of share descriptors.
-func (b *Box) trackCallers(v endpoint, name string, share int, timeout func() time.Duration) net.Listener {
-	c, l := b.trackConnections(v, name, b.memory, idle.NewCloser(timeout, idle.WithMaxOpen(b.maxConnections(share))))
-	b.callerConnections = append(b.callerConnections, c)
-	return l
-}
-
-// trackControl gives a server that is not for callers an account of memory of its own, so that neither they nor the
-// clients of another such server displace its clients, and returns its listener.
-func (b *Box) trackControl(v endpoint, name string) net.Listener {
-	a := memory.NewAccount(memory.ControlLimit(b.memory.Limit()))
-	c, l := b.trackConnections(v, name, a, idle.NewCloser(connectionIdleTimeout, idle.WithMaxOpen(b.maxConnections(controlDescriptorShare))))
-	a.Reclaim = func(n int64) bool { return reclaimFrom([]*idle.Closer{c}, n) }
-	return l
-}
-
-// trackConnections makes the connections of a server, which c closes, and the heads of their requests part of an account of
-// memory. It returns c and the server's listener.
-func (b *Box) trackConnections(v endpoint, name string, a *memory.Account, c *idle.Closer) (*idle.Closer, net.Listener) {
-	c.OnClose = func(r idle.Reason) { b.metrics.Count(metric.ConnectionsClosed, "reason", string(r)) }
-	c.Reserve = func() (func(), bool) {
-		r, err := a.Reserve(memory.ConnectionBytes)
-		return r.Release, err == nil
-	}
-	c.Attach(v.server)
-	l := intake.NewLimiter(a)
-	l.OnShort = func() { b.metrics.Count(metric.ConnectionsClosed, "reason", "head") }
-	l.Attach(v.server)
-	b.metrics.GaugeOf(metric.Connections, "listener", name, func() float64 { return float64(c.Count()) })
-	if v.listener == nil {
-		return c, nil
-	}
-	return c, l.Listen(v.listener)
-}
-
 // readLoad reads the load report of an engine. A box with an entry serves the engines of declared
 // routes, any other box the engines that are declared as resources.
 func (b *Box) readLoad(ctx context.Context, address string) (*upstream.Load, error) {
--- a/internal/intake/conn.go
+++ b/internal/headlimit/conn.go
@@ -1,4 +1,4 @@
-package intake
+package headlimit
 
 import (
 	"net"
@@ -137,7 +137,7 @@
 	}
 	grow := c.reservation.Grow
 	if n > ordinaryBytes {
-		grow = c.reservation.GrowSpare
+		grow = c.reservation.TryGrow
 	}
 	if grow(n-c.reserved) != nil {
 		return false
--- a/internal/intake/limiter.go
+++ b/internal/headlimit/limiter.go
@@ -1,6 +1,6 @@
-// Package intake bounds the memory that the heads of requests take from when they begin to arrive. net/http bounds the
+// Package headlimit bounds the memory that the heads of requests take from when they begin to arrive. net/http bounds the
 // length of one head, but not how much memory its fields take once they are parsed, nor that of all heads together.
-package intake
+package headlimit
 
 import (
 	"context"
--- a/internal/intake/meter.go
+++ b/internal/headlimit/meter.go
@@ -1,4 +1,4 @@
-package intake
+package headlimit
 
 import "bytes"
 
--- a/internal/memory/reservation.go
+++ b/internal/memory/reservation.go
@@ -47,9 +47,9 @@
 	return nil
 }
 
-// GrowSpare reserves n more bytes of the part of the account that large reservations may use. It reclaims nothing. It returns
+// TryGrow reserves n more bytes of the part of the account that large reservations may use. It reclaims nothing. It returns
 // ErrShort if there is no room for them.
-func (r *Reservation) GrowSpare(n int64) error {
+func (r *Reservation) TryGrow(n int64) error {
 	if r == nil || n == 0 {
 		return nil
 	}
